Settle package boundaries, shared types and the design

Cause: several people are to work on the parts at once, so the boundaries and shared types come first. Conclusion: the parts can be filled in beside one another.

--- /dev/null
+++ b/internal/blackboard/blackboard.go
@@ -0,0 +1,70 @@
+// Package blackboard is the node's shared state: typed sections, each written
+// by one controller and read by any as an immutable snapshot. Reading never
+// blocks and takes no lock, so the data path does not wait for control.
+// Design: docs/DESIGN.md, "Blackboard".
+package blackboard
+
+import (
+	"sync/atomic"
+	"time"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/model"
+)
+
+// Section holds one immutable snapshot. Put is called by the section's one
+// writing controller; Get by anyone, at any time.
+type Section[T any] struct {
+	value   atomic.Pointer[T]
+	changes atomic.Uint64
+}
+
+// Get returns the newest snapshot; nil before the first Put. Readers must not
+// change it.
+func (s *Section[T]) Get() *T { return s.value.Load() }
+
+// Put publishes a snapshot, which must not be changed afterwards.
+func (s *Section[T]) Put(v *T) {
+	s.value.Store(v)
+	s.changes.Add(1)
+}
+
+// Changes counts the Puts so far, so that a reader can tell cheaply whether to
+// rebuild what it derived.
+func (s *Section[T]) Changes() uint64 { return s.changes.Load() }
+
+// Board has one section per subject. The writer of each is named beside it.
+type Board struct {
+	// Bundles in force. Writer: spread.
+	Bundles Section[bundle.Set]
+	// Fleet as known. Writer: member.
+	Fleet Section[model.Fleet]
+	// Self is this node's own life stage. Writer: node lifecycle.
+	Self Section[Self]
+	// Sources tells how old what was read from the platform is. Writer: spread
+	// for Config, member for List, through control.
+	Sources Section[Sources]
+	// Readiness tells whether the node serves. Writer: control.
+	Readiness Section[Readiness]
+}
+
+// Self is this node's own identity and life stage.
+type Self struct {
+	Instance model.Instance
+}
+
+// Sources tells when each source last confirmed what this node holds, by its
+// own reading or by a peer's.
+type Sources struct {
+	ConfigConfirmed time.Time
+	ListConfirmed   time.Time
+	// ConfigReads and ListReads count this node's own reads of the platform.
+	ConfigReads uint64
+	ListReads   uint64
+}
+
+// Readiness tells whether callers may be served, and what is still missing.
+type Readiness struct {
+	Ready   bool
+	Missing []string
+}
--- /dev/null
+++ b/internal/bundle/bundle.go
@@ -0,0 +1,182 @@
+// Package bundle reads, checks, signs and compares the operators' versioned
+// bundles. A bundle is TOML; a named person signs its exact bytes off (Ed25519,
+// RFC 8032), and the signature is checked before anything is parsed. A checked
+// bundle is immutable.
+package bundle
+
+import (
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// MaxBytes bounds a signed bundle: the platform holds values up to a megabyte.
+const MaxBytes = 1 << 20
+
+// Bundle is one checked version of one bundle. Readers must not change it.
+type Bundle struct {
+	// Name identifies the bundle; versions are ordered per name.
+	Name model.BundleName `toml:"name"`
+	// Version grows with every sign-off, from 1.
+	Version uint64 `toml:"version"`
+	// Comment is free text for people.
+	Comment   string    `toml:"comment"`
+	Measuring Measuring `toml:"measuring"`
+	Retry     Retry     `toml:"retry"`
+	Classes   []Class   `toml:"class"`
+	Tenants   []Tenant  `toml:"tenant"`
+	Services  []Service `toml:"service"`
+}
+
+// VersionID returns the bundle's name and version.
+func (b *Bundle) VersionID() model.BundleVersion {
+	return model.BundleVersion{Name: b.Name, Version: b.Version}
+}
+
+// Measuring bounds the load that measuring upstreams causes.
+type Measuring struct {
+	// PerUpstreamPerSecond is the budget of measuring messages (polls of the
+	// worker by its owner and probes by entry nodes together) that may reach one
+	// upstream in a second. Default 5.
+	PerUpstreamPerSecond float64 `toml:"per_upstream_per_second"`
+	// PollShare is the share of the budget kept for the owner's polls of its
+	// worker. Default 0.5, from 0.1 to 1.
+	PollShare float64 `toml:"poll_share"`
+}
+
+// Retry bounds extra attempts.
+type Retry struct {
+	// PerPath is the number of extra attempts that one caller's request may cause
+	// in all hops below it together. Default 2.
+	PerPath int `toml:"per_path"`
+	// Ratio is the share of extra attempts to first attempts that one entry node
+	// makes for one service over time. Default 0.2.
+	Ratio float64 `toml:"ratio"`
+	// HedgeAfterQuantile hedges an idempotent request once it has taken longer
+	// than this quantile of its class; 0 (default) means never.
+	HedgeAfterQuantile float64 `toml:"hedge_after_quantile"`
+}
+
+// Class groups requests of one worth and deadline.
+type Class struct {
+	Name model.ClassName `toml:"name"`
+	// Worth of an answer in deadline (unitless, from 0). Internal lookups have 0.
+	Worth float64 `toml:"worth"`
+	// DeadlineMs is the deadline of requests that name none, in milliseconds.
+	DeadlineMs int64 `toml:"deadline_ms"`
+	// MaxDeadlineMs is the upper bound of a request's own deadline, in
+	// milliseconds. Default: DeadlineMs.
+	MaxDeadlineMs int64 `toml:"max_deadline_ms"`
+	// Share is the guaranteed share of an upstream's slots, 0 to 1. Idle shares
+	// may be borrowed. The shares of a bundle's classes sum to at most 1.
+	Share float64 `toml:"share"`
+}
+
+// Deadline returns the default deadline.
+func (c *Class) Deadline() time.Duration { return time.Duration(c.DeadlineMs) * time.Millisecond }
+
+// MaxDeadline returns the upper bound of a request's own deadline.
+func (c *Class) MaxDeadline() time.Duration {
+	return time.Duration(c.MaxDeadlineMs) * time.Millisecond
+}
+
+// Tenant is a caller's account with limits of its own.
+type Tenant struct {
+	Name model.TenantName `toml:"name"`
+	// RatePerSecond bounds the tenant's requests to one service over the whole
+	// fleet, in requests per second; 0 means no bound. Each owner enforces its
+	// part.
+	RatePerSecond float64 `toml:"rate_per_second"`
+	// Burst is the bucket's depth in requests. Default: a second's worth.
+	Burst float64 `toml:"burst"`
+	// MaxShare bounds the share of one upstream's slots that the tenant may hold
+	// while others wait, 0 to 1. Default 1.
+	MaxShare float64 `toml:"max_share"`
+}
+
+// Service is a set of like upstreams and the routes that lead to it.
+type Service struct {
+	Name model.ServiceName `toml:"name"`
+	// Slots is the number of requests that one upstream runs at once.
+	Slots int `toml:"slots"`
+	// Connections is the number of connections that one upstream takes.
+	Connections int `toml:"connections"`
+	// QueueLimit bounds the requests that wait at one owner. Default: 4 x slots.
+	QueueLimit int `toml:"queue_limit"`
+	// BodyLimitBytes bounds a request body. Default 1 MiB.
+	BodyLimitBytes int64 `toml:"body_limit_bytes"`
+	// WarmupMs is the slow start of a worker after cold, in milliseconds: its
+	// limit ramps up over it. Default 2000.
+	WarmupMs int64 `toml:"warmup_ms"`
+	// KeyMemoryMs is how long an owner remembers a finished non-idempotent
+	// request id, in milliseconds. Default 120000.
+	KeyMemoryMs int64 `toml:"key_memory_ms"`
+	// RequireEcho refuses an answer that does not echo the attempt's id
+	// (Gypsum-Attempt), the only proof against crossed answers. Default false:
+	// a wrong echo is refused, an absent one is taken.
+	RequireEcho bool `toml:"require_echo"`
+	// HealthPath and LoadPath are the worker's endpoints that its owner polls
+	// within the measuring budget; empty means not polled.
+	HealthPath string `toml:"health_path"`
+	LoadPath   string `toml:"load_path"`
+	// Upstreams override limits of single instances.
+	Upstreams []Upstream `toml:"upstream"`
+	Routes    []Route    `toml:"route"`
+}
+
+// Warmup returns the slow start's length.
+func (s *Service) Warmup() time.Duration { return time.Duration(s.WarmupMs) * time.Millisecond }
+
+// KeyMemory returns how long finished request ids are remembered.
+func (s *Service) KeyMemory() time.Duration {
+	return time.Duration(s.KeyMemoryMs) * time.Millisecond
+}
+
+// Upstream overrides limits of one instance; zero fields keep the service's.
+type Upstream struct {
+	Instance    model.InstanceID `toml:"instance"`
+	Slots       int              `toml:"slots"`
+	Connections int              `toml:"connections"`
+}
+
+// Route leads requests to its service.
+type Route struct {
+	// Path is the path prefix, from "/"; the longest matching prefix wins, at
+	// equal length the one with methods. It matches whole segments only.
+	Path string `toml:"path"`
+	// Methods limits the route to these methods; empty means all.
+	Methods []string        `toml:"methods"`
+	Class   model.ClassName `toml:"class"`
+	// Idempotent overrides RFC 9110's default for the method when present.
+	Idempotent *bool `toml:"idempotent"`
+}
+
+// Class returns the class of that name, or nil.
+func (b *Bundle) Class(name model.ClassName) *Class {
+	for i := range b.Classes {
+		if b.Classes[i].Name == name {
+			return &b.Classes[i]
+		}
+	}
+	return nil
+}
+
+// Service returns the service of that name, or nil.
+func (b *Bundle) Service(name model.ServiceName) *Service {
+	for i := range b.Services {
+		if b.Services[i].Name == name {
+			return &b.Services[i]
+		}
+	}
+	return nil
+}
+
+// Tenant returns the tenant of that name, or nil.
+func (b *Bundle) Tenant(name model.TenantName) *Tenant {
+	for i := range b.Tenants {
+		if b.Tenants[i].Name == name {
+			return &b.Tenants[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,163 @@
+// Package control holds the events that go into a node's controllers and the
+// actions that come out of them. Controllers do no I/O: adapters turn sockets
+// and timers into events and carry actions out. One goroutine feeds all
+// controllers of a node, so they need no locks; whatever the data path reads,
+// they publish on the blackboard. Design: docs/DESIGN.md, "Core without I/O".
+package control
+
+import (
+	"time"
+
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+// TickInterval is the time between two Tick events.
+const TickInterval = 100 * time.Millisecond
+
+// PauseGap is how late a Tick must be for a Paused event to come before it.
+const PauseGap = time.Second
+
+// Event is something that happened; adapters make them.
+type Event interface{ isEvent() }
+
+// Tick comes every TickInterval.
+type Tick struct{}
+
+// Paused comes before anything else that waited when a tick was late by more
+// than PauseGap: the process had been stopped or starved For that long.
+type Paused struct{ For time.Duration }
+
+// LinkUp says that a control link to or from a peer is open.
+type LinkUp struct {
+	Peer model.Instance
+	// Outgoing tells whether this node opened it.
+	Outgoing bool
+}
+
+// LinkDown says that a link closed or could not be opened.
+type LinkDown struct {
+	Peer model.InstanceID
+	// Failed tells an unexpected end or a failed opening from a planned close.
+	Failed bool
+}
+
+// Received is a message from a peer's link.
+type Received struct {
+	From    model.InstanceID
+	Message wire.Message
+}
+
+// ListRead is an answered read of the platform's list of instances.
+type ListRead struct {
+	// Revision orders lists of the platform; a smaller one is stale.
+	Revision uint64
+	// Full says that Instances is the whole list; otherwise it holds what
+	// changed since the revision asked for.
+	Full      bool
+	Instances []model.Instance
+}
+
+// ListReadFailed says that reading the list failed.
+type ListReadFailed struct{ Err error }
+
+// IndexRead is an answered read of the configuration service's index.
+type IndexRead struct {
+	Revision uint64
+	Versions []model.BundleVersion
+}
+
+// IndexReadFailed says that reading the index failed.
+type IndexReadFailed struct{ Err error }
+
+// ValueRead is one signed bundle as the configuration service holds it.
+type ValueRead struct {
+	Name model.BundleName
+	Data []byte
+}
+
+// ValueReadFailed says that reading a value failed.
+type ValueReadFailed struct {
+	Name model.BundleName
+	Err  error
+}
+
+// VersionSeen is a bundle version that rode on a call or an answer. Adapters
+// send it only when it is newer than the one in force, at most once a tick.
+type VersionSeen struct {
+	From    model.InstanceID
+	Version model.BundleVersion
+}
+
+// SelfChanged says that this node's own life stage changed.
+type SelfChanged struct{ State model.UpstreamState }
+
+// CallFailed says that a call to a peer found it unreachable (no connection).
+type CallFailed struct{ Peer model.InstanceID }
+
+func (Tick) isEvent()            {}
+func (Paused) isEvent()          {}
+func (LinkUp) isEvent()          {}
+func (LinkDown) isEvent()        {}
+func (Received) isEvent()        {}
+func (ListRead) isEvent()        {}
+func (ListReadFailed) isEvent()  {}
+func (IndexRead) isEvent()       {}
+func (IndexReadFailed) isEvent() {}
+func (ValueRead) isEvent()       {}
+func (ValueReadFailed) isEvent() {}
+func (VersionSeen) isEvent()     {}
+func (SelfChanged) isEvent()     {}
+func (CallFailed) isEvent()      {}
+
+// Action is something an adapter must do.
+type Action interface{ isAction() }
+
+// Send sends a message on an open link; it is dropped when there is none.
+type Send struct {
+	To      model.InstanceID
+	Message wire.Message
+}
+
+// OpenLink opens a control link; LinkUp or LinkDown follows.
+type OpenLink struct {
+	Peer    model.InstanceID
+	Address string
+}
+
+// CloseLink closes a link that this node opened.
+type CloseLink struct{ Peer model.InstanceID }
+
+// ReadList reads the platform's list; Since zero asks for the whole.
+type ReadList struct{ Since uint64 }
+
+// ReadIndex reads the configuration service's index.
+type ReadIndex struct{}
+
+// ReadValue reads one signed bundle from the configuration service.
+type ReadValue struct{ Name model.BundleName }
+
+// Record logs a numbered event.
+type Record struct {
+	Event event.ID
+	// Subject names what it is about (an instance, a bundle version).
+	Subject string
+	Detail  string
+	Err     error
+}
+
+func (Send) isAction()      {}
+func (OpenLink) isAction()  {}
+func (CloseLink) isAction() {}
+func (ReadList) isAction()  {}
+func (ReadIndex) isAction() {}
+func (ReadValue) isAction() {}
+func (Record) isAction()    {}
+
+// Controller is one writer of blackboard sections.
+type Controller interface {
+	// Handle takes one event at time now and returns what to do. It is called
+	// from one goroutine, must not block and may not keep ev.
+	Handle(now time.Time, ev Event) []Action
+}
--- /dev/null
+++ b/internal/event/process.go
@@ -0,0 +1,21 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of the process.
+var (
+	Started = define(100, zerolog.InfoLevel, "started",
+		"The node opened its ports and began to serve.", "none")
+	Stopping = define(101, zerolog.InfoLevel, "stopping",
+		"A planned stop began: the node tells its peers and takes no new work.", "none")
+	Stopped = define(102, zerolog.InfoLevel, "stopped",
+		"The planned stop ended.", "none")
+	DrainTimeout = define(103, zerolog.ErrorLevel, "drain time ended with requests in flight",
+		"The stop's stated bound ended before all requests did; the rest was cut off.",
+		"Raise stop_timeout_ms above the longest deadline of the classes.")
+	Paused = define(104, zerolog.WarnLevel, "process was paused",
+		"A tick came late by more than the stated gap, so the process had been stopped or starved; views and leases are doubted until refreshed.",
+		"Look for a noisy neighbour or a frozen host when it repeats.")
+	Fatal = define(105, zerolog.ErrorLevel, "fatal error",
+		"The process cannot go on; it exits with code 1.", "Read the error field.")
+)
--- /dev/null
+++ b/internal/model/load.go
@@ -0,0 +1,86 @@
+package model
+
+import "time"
+
+// UpstreamState is the life stage of an upstream, as its owner knows it.
+// Within an incarnation it only grows from Leaving on: leaving never turns back.
+type UpstreamState uint8
+
+// The life stages. Cold and Live may alternate; Leaving and Gone are final
+// within an incarnation.
+const (
+	// StateCold: the worker is starting or does not answer; no work is started.
+	StateCold UpstreamState = iota
+	// StateLive: the worker takes work.
+	StateLive
+	// StateLeaving: finishes what it admitted and takes no new work.
+	StateLeaving
+	// StateGone: stopped or declared dead.
+	StateGone
+)
+
+var upstreamStateNames = [...]string{"cold", "live", "leaving", "gone"}
+
+// String returns the name of s for logs, status and the platform's list.
+func (s UpstreamState) String() string {
+	if int(s) < len(upstreamStateNames) {
+		return upstreamStateNames[s]
+	}
+	return "invalid"
+}
+
+// ParseUpstreamState reads the form that UpstreamState.String writes.
+func ParseUpstreamState(s string) (state UpstreamState, ok bool) {
+	for i, name := range upstreamStateNames {
+		if name == s {
+			return UpstreamState(i), true
+		}
+	}
+	return StateCold, false
+}
+
+// LoadReport is the owner's exact knowledge of its upstream at one moment. It
+// rides on every answer and refusal, so it costs no message of its own.
+type LoadReport struct {
+	Owner       InstanceID  `cbor:"1,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
+	// Clock is the owner's monotonic clock since its start when the report was
+	// made. It orders reports and stamps attempts (Attempt.OwnerClock).
+	Clock time.Duration `cbor:"3,keyasint"`
+	State UpstreamState `cbor:"4,keyasint"`
+	// Limit is the number of requests that the owner runs at once now (slots,
+	// lowered by adaptation and slow start).
+	Limit uint16 `cbor:"5,keyasint"`
+	// InFlight is the number of requests at the worker.
+	InFlight uint16 `cbor:"6,keyasint"`
+	// Queued is the number of requests that wait at the owner.
+	Queued uint16 `cbor:"7,keyasint"`
+	// ServiceTime is the smoothed time that the worker takes per request.
+	ServiceTime time.Duration `cbor:"8,keyasint"`
+	// FailureRate is the smoothed share of the worker's answers that failed, in
+	// thousandths.
+	FailureRate uint16 `cbor:"9,keyasint"`
+	// Bundle is the version that governs the owner's service, so that a node
+	// behind learns of a newer one from any call.
+	Bundle BundleVersion `cbor:"10,keyasint"`
+}
+
+// Instance is one member of the fleet as the blackboard shows it.
+type Instance struct {
+	ID         InstanceID  `cbor:"1,keyasint"`
+	Service    ServiceName `cbor:"2,keyasint"`
+	DataCentre DataCentre  `cbor:"3,keyasint"`
+	// PeerAddress is the "ip:port" of the node's peer port.
+	PeerAddress string `cbor:"4,keyasint"`
+	// Incarnation is zero while only the platform's list has named the instance.
+	Incarnation Incarnation   `cbor:"5,keyasint"`
+	State       UpstreamState `cbor:"6,keyasint"`
+}
+
+// Fleet is an immutable view of all known instances, sorted by ID. Readers must
+// not change it.
+type Fleet struct {
+	// Revision grows with every change that this node publishes.
+	Revision  uint64
+	Instances []Instance
+}
--- /dev/null
+++ b/internal/wire/settle.go
@@ -0,0 +1,55 @@
+package wire
+
+import (
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// Kinds of the settlement messages.
+const (
+	kindSettle      Kind = 1
+	kindSettleReply Kind = 2
+	kindKeyResult   Kind = 3
+)
+
+// Settle asks an owner what became of an attempt, and bars it when it has not
+// started. It is asked after a broken link or silence.
+type Settle struct {
+	Attempt          model.AttemptID   `cbor:"1,keyasint"`
+	OwnerIncarnation model.Incarnation `cbor:"2,keyasint"`
+	Request          model.RequestID   `cbor:"3,keyasint"`
+	// Remaining is the request's remaining time when Settle was sent; the bar is
+	// remembered at least that long.
+	Remaining time.Duration `cbor:"4,keyasint"`
+}
+
+// SettleReply is the owner's answer. Only the states NeverSeen, Queued and
+// Barred prove "not run"; from then on the attempt is barred.
+type SettleReply struct {
+	Attempt model.AttemptID    `cbor:"1,keyasint"`
+	State   model.AttemptState `cbor:"2,keyasint"`
+	Report  model.LoadReport   `cbor:"3,keyasint"`
+}
+
+// KeyResult tells a request's home owner how a request that it delegated ended.
+type KeyResult struct {
+	Request model.RequestID `cbor:"1,keyasint"`
+	Attempt model.AttemptID `cbor:"2,keyasint"`
+	Outcome model.Outcome   `cbor:"3,keyasint"`
+}
+
+// Kind implements Message.
+func (Settle) Kind() Kind { return kindSettle }
+
+// Kind implements Message.
+func (SettleReply) Kind() Kind { return kindSettleReply }
+
+// Kind implements Message.
+func (KeyResult) Kind() Kind { return kindKeyResult }
+
+func init() {
+	register(Settle{})
+	register(SettleReply{})
+	register(KeyResult{})
+}
