--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -138,6 +138,9 @@
 // ReadValue reads one signed bundle from the configuration service.
 type ReadValue struct{ Name model.BundleName }
 
+// SettleAnswered hands an owner's settlement to the call that asked for it.
+type SettleAnswered struct{ Reply wire.SettleReply }
+
 // Record logs a numbered event.
 type Record struct {
 	Event event.ID
@@ -155,6 +158,8 @@
 func (ReadValue) isAction() {}
 func (Record) isAction()    {}
 
+func (SettleAnswered) isAction() {}
+
 // Controller is one writer of blackboard sections.
 type Controller interface {
 	// Handle takes one event at time now and returns what to do. It is called
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,173 @@
+// Package core puts the decision parts of one node together: the blackboard,
+// the controllers that write it, the routing table, the owner of the worker and
+// the engine of calls. It does no I/O; the program, the tests on a fake clock
+// and an outside bench drive the same code. Design: docs/DESIGN.md, "Core
+// without I/O".
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gypsumstand/internal/blackboard"
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/entry"
+	"gypsumstand/internal/member"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/owner"
+	"gypsumstand/internal/route"
+	"gypsumstand/internal/spread"
+	"gypsumstand/internal/wire"
+)
+
+// Config is a node's fixed setting.
+type Config struct {
+	// Self is this node; its Incarnation must be set and its State is StateCold.
+	Self    model.Instance
+	Trusted []bundle.Signer
+	// Seeds are peer addresses ("ip:port") to ask besides the platform's list.
+	Seeds []string
+	// LocalDelay and RemoteDelay are first guesses of one-way link time.
+	LocalDelay  time.Duration
+	RemoteDelay time.Duration
+	// Started is the process's start.
+	Started time.Time
+	// Seed makes the controllers' choices repeatable.
+	Seed uint64
+	// Random serves the data path; nil means math/rand/v2's global source.
+	Random func() uint64
+}
+
+// Node is one node without I/O. Handle is for one goroutine; Owner, Table and
+// Engine are for any.
+type Node struct {
+	Board  *blackboard.Board
+	Table  *route.Table
+	Owner  *owner.Owner
+	Engine *entry.Engine
+
+	cfg     Config
+	member  *member.Controller
+	spread  *spread.Controller
+	derived derived
+}
+
+// derived remembers which snapshots the derived state was made from.
+type derived struct {
+	fleet   uint64
+	bundles uint64
+}
+
+// Output is what one event led to.
+type Output struct {
+	Actions []control.Action
+	// Decisions end the waiting of queued attempts.
+	Decisions []owner.Decision
+}
+
+// New returns a node that knows itself only.
+func New(cfg Config) *Node {
+	rng := rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self.Incarnation)))
+	board := &blackboard.Board{}
+	board.Bundles.Put(bundle.NewSet(nil))
+	board.Self.Put(&blackboard.Self{Instance: cfg.Self})
+	table := route.NewTable(route.Config{
+		Self:        cfg.Self.ID,
+		DataCentre:  cfg.Self.DataCentre,
+		LocalDelay:  cfg.LocalDelay,
+		RemoteDelay: cfg.RemoteDelay,
+		Random:      cfg.Random,
+	})
+	return &Node{
+		Board:  board,
+		Table:  table,
+		Owner:  owner.New(owner.Config{Self: cfg.Self, Started: cfg.Started}),
+		Engine: entry.NewEngine(entry.Config{Self: cfg.Self, Random: cfg.Random}, table),
+		cfg:    cfg,
+		member: member.New(member.Config{Self: cfg.Self, Seeds: cfg.Seeds}, board, rng),
+		spread: spread.New(spread.Config{Self: cfg.Self, Trusted: cfg.Trusted}, board, rng),
+	}
+}
+
+// Handle takes one event. It is called from one goroutine and does not block.
+func (n *Node) Handle(now time.Time, ev control.Event) Output {
+	var out Output
+	switch e := ev.(type) {
+	case control.Received:
+		if n.handleMessage(now, e, &out) {
+			return out
+		}
+	case control.SelfChanged:
+		out.Decisions = append(out.Decisions, n.changeSelf(now, e.State)...)
+	case control.Paused:
+		out.Decisions = append(out.Decisions, n.Owner.Paused(now, e.For)...)
+	}
+	out.Actions = append(out.Actions, n.member.Handle(now, ev)...)
+	out.Actions = append(out.Actions, n.spread.Handle(now, ev)...)
+	out.Decisions = append(out.Decisions, n.derive(now)...)
+	return out
+}
+
+// handleMessage takes the messages between entry and owner; done is false for
+// those of the controllers.
+func (n *Node) handleMessage(now time.Time, e control.Received, out *Output) (done bool) {
+	switch m := e.Message.(type) {
+	case wire.Settle:
+		reply, ds := n.Owner.Settle(now, m)
+		out.Decisions = append(out.Decisions, ds...)
+		out.Actions = append(out.Actions, control.Send{To: e.From, Message: reply})
+	case wire.SettleReply:
+		n.Table.Observe(now, m.Report)
+		out.Actions = append(out.Actions, control.SettleAnswered{Reply: m})
+	case wire.KeyResult:
+		n.Owner.KeyResult(now, m)
+	default:
+		return false
+	}
+	return true
+}
+
+func (n *Node) changeSelf(now time.Time, s model.UpstreamState) []owner.Decision {
+	self := n.Board.Self.Get().Instance
+	if self.State >= model.StateLeaving && s < self.State {
+		return nil
+	}
+	self.State = s
+	n.Board.Self.Put(&blackboard.Self{Instance: self})
+	return n.Owner.SetState(now, s)
+}
+
+// derive rebuilds what depends on changed sections.
+func (n *Node) derive(now time.Time) []owner.Decision {
+	seen := derived{fleet: n.Board.Fleet.Changes(), bundles: n.Board.Bundles.Changes()}
+	if seen == n.derived {
+		return nil
+	}
+	n.derived = seen
+	fleet, set := n.Board.Fleet.Get(), n.Board.Bundles.Get()
+	n.Table.Update(now, fleet, set)
+	svc, b := set.Service(n.cfg.Self.Service)
+	n.Board.Readiness.Put(n.readiness(svc))
+	if svc == nil {
+		return nil
+	}
+	return n.Owner.Configure(now, b, svc, liveUpstreams(fleet, n.cfg.Self.Service))
+}
+
+func (n *Node) readiness(svc *bundle.Service) *blackboard.Readiness {
+	if svc == nil {
+		return &blackboard.Readiness{Missing: []string{"a bundle with service " + string(n.cfg.Self.Service)}}
+	}
+	return &blackboard.Readiness{Ready: true}
+}
+
+func liveUpstreams(fleet *model.Fleet, service model.ServiceName) int {
+	count := 0
+	for i := range fleet.Instances {
+		if in := &fleet.Instances[i]; in.Service == service && in.State < model.StateLeaving {
+			count++
+		}
+	}
+	return max(count, 1)
+}
--- /dev/null
+++ b/internal/server/executor.go
@@ -0,0 +1,336 @@
+// Package server holds a node's three ports: callers, peers and operators. The
+// handlers carry out what the entry and owner packages decide; they decide
+// nothing themselves. Design: docs/DESIGN.md.
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/owner"
+	"gypsumstand/internal/upstream"
+	"gypsumstand/internal/wire"
+)
+
+// Work is one attempt with its message, as it goes to the worker.
+type Work struct {
+	Attempt model.Attempt
+	Method  string
+	// URL holds the path and the query.
+	URL    *url.URL
+	Host   string
+	Header http.Header
+	// Body is read only once the worker's slot is had; nil means none.
+	Body          io.ReadCloser
+	ContentLength int64
+	// SameNode tells that the entry is this node.
+	SameNode bool
+}
+
+// Answer is a worker's answer; Body must be closed.
+type Answer struct {
+	Status int
+	// Header is end-to-end only.
+	Header http.Header
+	// ContentLength is -1 when unknown.
+	ContentLength int64
+	Body          io.ReadCloser
+}
+
+// Result is an answer, or the refusal in its place.
+type Result struct {
+	Answer  *Answer
+	Refusal model.Refusal
+	Report  model.LoadReport
+	// Queued is the time that the attempt waited at the owner.
+	Queued time.Duration
+}
+
+// Executor runs admitted attempts on this node's worker. Safe for concurrent use.
+type Executor struct {
+	owner     *owner.Owner
+	address   string
+	transport atomic.Pointer[http.Transport]
+	echo      atomic.Bool
+	limits    limits
+
+	mu      sync.Mutex
+	waiters map[model.AttemptID]chan owner.Decision
+}
+
+// limits are those that the transport was made for.
+type limits struct{ slots, connections int }
+
+// Transport limits until a bundle names them.
+const (
+	initialSlots       = 16
+	initialConnections = 64
+)
+
+// NewExecutor returns an executor for the worker at address ("ip:port").
+func NewExecutor(o *owner.Owner, address string) *Executor {
+	x := &Executor{owner: o, address: address, waiters: map[model.AttemptID]chan owner.Decision{}}
+	x.transport.Store(upstream.NewTransport(initialSlots, initialConnections))
+	return x
+}
+
+// Configure applies a bundle's limits; requests in flight go on with the old
+// transport. It is called from one goroutine.
+func (x *Executor) Configure(svc *bundle.Service, self model.InstanceID) {
+	x.echo.Store(svc.RequireEcho)
+	want := limits{slots: svc.Slots, connections: svc.Connections}
+	for _, u := range svc.Upstreams {
+		if u.Instance == self && u.Slots > 0 {
+			want.slots = u.Slots
+		}
+		if u.Instance == self && u.Connections > 0 {
+			want.connections = u.Connections
+		}
+	}
+	if want == x.limits {
+		return
+	}
+	x.limits = want
+	old := x.transport.Swap(upstream.NewTransport(want.slots, want.connections))
+	old.CloseIdleConnections()
+}
+
+// Close closes idle connections to the worker.
+func (x *Executor) Close() { x.transport.Load().CloseIdleConnections() }
+
+// Deliver hands the owner's decisions to the attempts that wait for them.
+func (x *Executor) Deliver(ds []owner.Decision) {
+	for _, d := range ds {
+		x.mu.Lock()
+		ch := x.waiters[d.Attempt]
+		delete(x.waiters, d.Attempt)
+		x.mu.Unlock()
+		if ch != nil {
+			ch <- d
+		}
+	}
+}
+
+func (x *Executor) await(id model.AttemptID) chan owner.Decision {
+	ch := make(chan owner.Decision, 1)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.waiters[id] = ch
+	return ch
+}
+
+func (x *Executor) unawait(id model.AttemptID) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.waiters, id)
+}
+
+// Do offers the attempt, waits for its start and sends it to the worker. ctx
+// ends when the entry gives up.
+func (x *Executor) Do(ctx context.Context, w *Work) Result {
+	offered := time.Now()
+	refusal := x.admit(ctx, w, offered)
+	if refusal != nil {
+		return x.refused(*refusal, time.Since(offered))
+	}
+	started := time.Now()
+	if !x.owner.Confirm(started, w.Attempt.ID) {
+		x.finish(w.Attempt.ID, owner.Finish{NotRun: true})
+		return x.refused(model.Refusal{Reason: model.ReasonExpired, NotRun: true}, started.Sub(offered))
+	}
+	r := x.run(ctx, w, started)
+	r.Queued = started.Sub(offered)
+	r.Report = x.owner.Report(time.Now())
+	return r
+}
+
+func (x *Executor) refused(r model.Refusal, queued time.Duration) Result {
+	return Result{Refusal: r, Report: x.owner.Report(time.Now()), Queued: queued}
+}
+
+// admit returns nil once the attempt may start.
+func (x *Executor) admit(ctx context.Context, w *Work, now time.Time) *model.Refusal {
+	id := w.Attempt.ID
+	ch := x.await(id)
+	verdict, refusal := x.owner.Offer(now, &w.Attempt, w.SameNode)
+	if verdict == owner.Wait {
+		return x.wait(ctx, id, ch)
+	}
+	x.unawait(id)
+	if verdict == owner.Refuse {
+		return &refusal
+	}
+	return nil
+}
+
+func (x *Executor) wait(ctx context.Context, id model.AttemptID, ch chan owner.Decision) *model.Refusal {
+	select {
+	case d := <-ch:
+		return decided(d)
+	case <-ctx.Done():
+	}
+	notRun, ds := x.owner.Cancel(time.Now(), id)
+	if notRun {
+		x.unawait(id)
+		x.Deliver(ds)
+		return &model.Refusal{Reason: model.ReasonCancelled, NotRun: true}
+	}
+	x.Deliver(ds)
+	// The decision came first; it is in the channel or about to be.
+	return decided(<-ch)
+}
+
+func decided(d owner.Decision) *model.Refusal {
+	if d.Verdict == owner.Refuse {
+		return &d.Refusal
+	}
+	return nil
+}
+
+func (x *Executor) finish(id model.AttemptID, f owner.Finish) {
+	x.Deliver(x.owner.Finish(time.Now(), id, f))
+}
+
+// run sends the started attempt to the worker. Finish comes with the end of the
+// answer's body, or here when there is none.
+func (x *Executor) run(ctx context.Context, w *Work, started time.Time) Result {
+	deadline := started.Add(w.Attempt.Remaining)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	var proof upstream.Proof
+	req := proof.Attach(x.request(ctx, w))
+	upstream.Seal(req)
+	resp, err := x.transport.Load().RoundTrip(req)
+	if err != nil {
+		defer cancel()
+		return x.failed(ctx, w, started, proof.NotRun())
+	}
+	if refusal, ok := x.checkHead(w, resp); !ok {
+		proof.CloseConn()
+		resp.Body.Close()
+		cancel()
+		x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), Failed: true})
+		return Result{Refusal: refusal}
+	}
+	if notRun, _ := wire.ReadNotRun(resp.Header); notRun && resp.StatusCode == http.StatusServiceUnavailable {
+		defer cancel()
+		defer resp.Body.Close()
+		x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: true, Shed: true, Status: resp.StatusCode})
+		return Result{Refusal: model.Refusal{Reason: model.ReasonWorkerShed, NotRun: true, RetryAfter: retryAfter(resp.Header)}}
+	}
+	body := &answerBody{ReadCloser: resp.Body, done: func(whole bool) {
+		cancel()
+		x.finish(w.Attempt.ID, finishOf(resp.StatusCode, whole, time.Since(started)))
+	}}
+	answer := &Answer{Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: body}
+	return Result{Answer: answer}
+}
+
+func finishOf(status int, whole bool, took time.Duration) owner.Finish {
+	f := owner.Finish{ServiceTime: took, Failed: !whole || status >= http.StatusInternalServerError}
+	if whole {
+		f.Status = status
+	}
+	return f
+}
+
+// failed ends an attempt whose RoundTrip failed.
+func (x *Executor) failed(ctx context.Context, w *Work, started time.Time, notRun bool) Result {
+	gaveUp := errors.Is(ctx.Err(), context.Canceled)
+	x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: notRun, Failed: !gaveUp})
+	reason := model.ReasonWorkerBroken
+	switch {
+	case notRun:
+		reason = model.ReasonWorkerUnreachable
+	case gaveUp:
+		reason = model.ReasonCancelled
+	case ctx.Err() != nil:
+		reason = model.ReasonExpired
+	}
+	return Result{Refusal: model.Refusal{Reason: reason, NotRun: notRun}}
+}
+
+// checkHead refuses crossed answers and those whose wholeness cannot be known.
+func (x *Executor) checkHead(w *Work, resp *http.Response) (model.Refusal, bool) {
+	broken := model.Refusal{Reason: model.ReasonWorkerBroken}
+	echo, present := resp.Header[wire.HeaderAttempt]
+	if present && (len(echo) != 1 || echo[0] != w.Attempt.ID.String()) {
+		return broken, false
+	}
+	if !present && x.echo.Load() {
+		return broken, false
+	}
+	if upstream.Whole(resp, w.Method) != nil {
+		return broken, false
+	}
+	return model.Refusal{}, true
+}
+
+// request makes the message to the worker.
+func (x *Executor) request(ctx context.Context, w *Work) *http.Request {
+	u := *w.URL
+	u.Scheme, u.Host = "http", x.address
+	req := (&http.Request{
+		Method:        w.Method,
+		URL:           &u,
+		Host:          w.Host,
+		Header:        w.Header.Clone(),
+		Body:          w.Body,
+		ContentLength: w.ContentLength,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}).WithContext(ctx)
+	h := req.Header
+	a := &w.Attempt
+	h.Set(wire.HeaderAttempt, a.ID.String())
+	h.Set(wire.HeaderIdempotencyKey, string(a.Request))
+	h.Set(wire.HeaderTimeout, strconv.FormatInt(max(a.Remaining.Milliseconds(), 1), 10))
+	h.Set(wire.HeaderRetryBudget, strconv.Itoa(a.RetryBudget))
+	h.Set(wire.HeaderTenant, string(a.Tenant))
+	h.Set(wire.HeaderClass, string(a.Class))
+	h.Add("Via", via)
+	return req
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseInt(h.Get(wire.HeaderRetryAfter), 10, 32)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// answerBody tells once how the body ended: whole, cut, or given up.
+type answerBody struct {
+	io.ReadCloser
+	once  sync.Once
+	whole bool
+	done  func(whole bool)
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.end(err == io.EOF)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *answerBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.end(false)
+	return err
+}
+
+func (b *answerBody) end(whole bool) { b.once.Do(func() { b.done(whole) }) }
--- /dev/null
+++ b/internal/server/header.go
@@ -0,0 +1,48 @@
+package server
+
+import (
+	"net/http"
+	"strings"
+)
+
+// gypsumPrefix begins the names of this system's own headers; they are never
+// passed through from outside.
+const gypsumPrefix = "Gypsum-"
+
+// via is this proxy's entry in Via (RFC 9110, section 7.6.3).
+const via = "1.1 gypsumstand"
+
+// hopByHop lists the headers that concern one connection only (RFC 9110,
+// section 7.6.1, and those that older practice adds).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Proxy-Authenticate", "Proxy-Authorization",
+	"Expect", "Content-Length",
+}
+
+// endToEnd returns a copy of h without hop-by-hop headers, those that
+// Connection names, and this system's own.
+func endToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		if !strings.HasPrefix(name, gypsumPrefix) {
+			out[name] = values
+		}
+	}
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	return out
+}
+
+// copyInto adds all headers of src to dst.
+func copyInto(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = values
+	}
+}
