wire: add the headers, with offer, report, refusal and caller headers

Cause: callers, entry, owner and worker need one place for header names and for reading and writing their values. Gypsum-Retry-After-Ms is new, as whole seconds are too coarse between nodes.

--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -6,36 +6,36 @@
 // that was decided under the entry's bundle version travels with it, so that a
 // request is decided under one version from end to end.
 type Attempt struct {
-	ID      AttemptID
-	Request RequestID
+	ID      AttemptID `cbor:"1,keyasint"`
+	Request RequestID `cbor:"2,keyasint"`
 	// CallerKey says that the caller chose Request itself (Idempotency-Key), so
 	// that the same id may arrive again by another way.
-	CallerKey bool
+	CallerKey bool `cbor:"3,keyasint"`
 	// Owner and OwnerIncarnation bind the attempt to one life of one owner. An
 	// owner of another incarnation refuses it. Zero means not known yet.
-	Owner            InstanceID
-	OwnerIncarnation Incarnation
-	Service          ServiceName
-	Class            ClassName
-	Tenant           TenantName
+	Owner            InstanceID  `cbor:"4,keyasint"`
+	OwnerIncarnation Incarnation `cbor:"5,keyasint"`
+	Service          ServiceName `cbor:"6,keyasint"`
+	Class            ClassName   `cbor:"7,keyasint"`
+	Tenant           TenantName  `cbor:"8,keyasint"`
 	// Worth is the class's worth of an answer in deadline (unitless, bundle).
-	Worth      float64
-	Idempotent bool
+	Worth      float64 `cbor:"9,keyasint"`
+	Idempotent bool    `cbor:"10,keyasint"`
 	// Remaining is the time left to the deadline when the attempt was sent.
-	Remaining time.Duration
+	Remaining time.Duration `cbor:"11,keyasint"`
 	// OwnerClock is a lower bound of the owner's clock (LoadReport.Clock) at the
 	// moment of sending: the newest reading heard from the owner plus the time
 	// since then. The owner's clock at arrival minus OwnerClock bounds the
 	// attempt's age from above, with no common clock. Zero means none was heard.
-	OwnerClock time.Duration
+	OwnerClock time.Duration `cbor:"12,keyasint"`
 	// Bundle is the version that the entry decided under.
-	Bundle BundleVersion
+	Bundle BundleVersion `cbor:"13,keyasint"`
 	// RetryBudget is the number of extra attempts left to the path below this
 	// attempt.
-	RetryBudget int
+	RetryBudget int `cbor:"14,keyasint"`
 	// Delegated says that the home owner of Request has registered it and sent
 	// it elsewhere, so this owner need not register it.
-	Delegated bool
+	Delegated bool `cbor:"15,keyasint"`
 }
 
 // Outcome is what the caller is told of its request.
--- /dev/null
+++ b/internal/wire/caller.go
@@ -0,0 +1,143 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// Bounds of what callers send.
+const (
+	// MaxRequestIDBytes bounds an Idempotency-Key.
+	MaxRequestIDBytes = 255
+	// MaxTenantBytes bounds a tenant's name.
+	MaxTenantBytes = 128
+	// MaxRetryBudget bounds a retry budget; more is read as this much.
+	MaxRetryBudget = 100
+	// maxTimeoutMs keeps a timeout within time.Duration.
+	maxTimeoutMs = math.MaxInt64 / int64(time.Millisecond)
+)
+
+// CallerHeaders is what a caller's headers ask for.
+type CallerHeaders struct {
+	// Request is the caller's Idempotency-Key, or empty.
+	Request model.RequestID
+	// Tenant is as sent, or empty; it is not checked against a bundle.
+	Tenant model.TenantName
+	// Timeout asked for; zero means none was named.
+	Timeout time.Duration
+	// NotIdempotent: the caller says that the request must not run twice,
+	// whatever the bundle says. The reverse cannot be asked for.
+	NotIdempotent bool
+	// RetryBudget left to the path; valid when HasRetryBudget.
+	RetryBudget    int
+	HasRetryBudget bool
+}
+
+// ParseCallerHeaders reads a caller's headers. The error joins all faults, each
+// with its header's name. Gypsum-Idempotent: true is no fault and changes
+// nothing.
+func ParseCallerHeaders(h http.Header) (CallerHeaders, error) {
+	var c CallerHeaders
+	err := errors.Join(
+		c.parseRequest(h),
+		c.parseTenant(h),
+		c.parseTimeout(h),
+		c.parseIdempotent(h),
+		c.parseRetryBudget(h),
+	)
+	return c, err
+}
+
+func (c *CallerHeaders) parseRequest(h http.Header) error {
+	value, ok, err := token(h, HeaderIdempotencyKey, MaxRequestIDBytes)
+	if ok {
+		c.Request = model.RequestID(value)
+	}
+	return err
+}
+
+func (c *CallerHeaders) parseTenant(h http.Header) error {
+	value, ok, err := token(h, HeaderTenant, MaxTenantBytes)
+	if ok {
+		c.Tenant = model.TenantName(value)
+	}
+	return err
+}
+
+func (c *CallerHeaders) parseTimeout(h http.Header) error {
+	value, ok, err := single(h, HeaderTimeout)
+	if !ok {
+		return err
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms < 1 || ms > maxTimeoutMs {
+		return fmt.Errorf("%s: %.40q: want a whole number of milliseconds from 1", HeaderTimeout, value)
+	}
+	c.Timeout = time.Duration(ms) * time.Millisecond
+	return nil
+}
+
+func (c *CallerHeaders) parseIdempotent(h http.Header) error {
+	value, ok, err := single(h, HeaderIdempotent)
+	if !ok {
+		return err
+	}
+	switch value {
+	case "false":
+		c.NotIdempotent = true
+	case "true":
+	default:
+		return fmt.Errorf("%s: %.40q: want true or false", HeaderIdempotent, value)
+	}
+	return nil
+}
+
+func (c *CallerHeaders) parseRetryBudget(h http.Header) error {
+	value, ok, err := single(h, HeaderRetryBudget)
+	if !ok {
+		return err
+	}
+	n, err := strconv.ParseUint(value, 10, 31)
+	if err != nil {
+		return fmt.Errorf("%s: %.40q: want a whole number from 0", HeaderRetryBudget, value)
+	}
+	c.RetryBudget = int(min(n, MaxRetryBudget))
+	c.HasRetryBudget = true
+	return nil
+}
+
+// single returns the header's one value; ok is false when it is absent or, with
+// an error, sent more than once. Two values that differ cannot both be obeyed.
+func single(h http.Header, name string) (value string, ok bool, err error) {
+	values := h[name]
+	switch len(values) {
+	case 0:
+		return "", false, nil
+	case 1:
+		return values[0], true, nil
+	}
+	return "", false, fmt.Errorf("%s: sent %d times, want once", name, len(values))
+}
+
+// token returns the header's one value of at most bound printable ASCII bytes.
+func token(h http.Header, name string, bound int) (value string, ok bool, err error) {
+	value, ok, err = single(h, name)
+	if !ok {
+		return "", false, err
+	}
+	if value == "" || len(value) > bound {
+		return "", false, fmt.Errorf("%s: %d bytes, want 1 to %d", name, len(value), bound)
+	}
+	for i := range len(value) {
+		if value[i] < ' ' || value[i] > '~' {
+			return "", false, fmt.Errorf("%s: byte %#02x at %d is not printable ASCII", name, value[i], i)
+		}
+	}
+	return value, true, nil
+}
--- /dev/null
+++ b/internal/wire/headers.go
@@ -0,0 +1,168 @@
+package wire
+
+import (
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"math"
+
+	"gypsumstand/internal/model"
+)
+
+// Headers between callers and entry nodes, between nodes, and between an owner
+// and its worker. Who sends which: docs/DESIGN.md, "Headers". All are in the
+// canonical form of net/http.
+const (
+	// HeaderIdempotencyKey is the request's id as the caller chose it.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderTimeout is the time left to the deadline, in milliseconds.
+	HeaderTimeout = "Gypsum-Timeout-Ms"
+	// HeaderTenant names the caller's tenant.
+	HeaderTenant = "Gypsum-Tenant"
+	// HeaderClass names the request's class, towards the worker.
+	HeaderClass = "Gypsum-Class"
+	// HeaderIdempotent may only tighten: "false" makes a request non-idempotent.
+	HeaderIdempotent = "Gypsum-Idempotent"
+	// HeaderRetryBudget is the number of extra attempts left to the path.
+	HeaderRetryBudget = "Gypsum-Retry-Budget"
+
+	// HeaderOutcome is the outcome that the caller is told; see model.Outcome.
+	HeaderOutcome = "Gypsum-Outcome"
+	// HeaderReason is the model.Reason of an outcome without an answer.
+	HeaderReason = "Gypsum-Reason"
+	// HeaderUpstream names the instance that answered.
+	HeaderUpstream = "Gypsum-Upstream"
+	// HeaderBundle is the bundle version that the request was decided under.
+	HeaderBundle = "Gypsum-Bundle"
+	// HeaderRetryAfter is RFC 9110's, in whole seconds, rounded up.
+	HeaderRetryAfter = "Retry-After"
+
+	// HeaderAttempt is the attempt's id; owner and worker echo it.
+	HeaderAttempt = "Gypsum-Attempt"
+	// HeaderOffer is the whole model.Attempt; see EncodeOffer.
+	HeaderOffer = "Gypsum-Offer"
+	// HeaderReport is the owner's model.LoadReport; see EncodeReport.
+	HeaderReport = "Gypsum-Report"
+	// HeaderRefusal is the model.Reason of an owner's refusal.
+	HeaderRefusal = "Gypsum-Refusal"
+	// HeaderNotRun is "true" when the sender proves that it did not run the
+	// attempt and never will.
+	HeaderNotRun = "Gypsum-Not-Run"
+	// HeaderRetryAfterMs is an owner's advice in milliseconds, for entry nodes.
+	HeaderRetryAfterMs = "Gypsum-Retry-After-Ms"
+)
+
+// Bounds of encoded header values, in bytes.
+const (
+	MaxOfferBytes  = 4096
+	MaxReportBytes = 1024
+)
+
+// Errors of DecodeOffer and DecodeReport.
+var (
+	ErrHeaderTooLong = errors.New("header value is too long")
+	ErrBadOffer      = errors.New("bad offer")
+	ErrBadReport     = errors.New("bad load report")
+)
+
+// EncodeOffer returns the Gypsum-Offer form of a: CBOR in base64url without
+// padding.
+func EncodeOffer(a *model.Attempt) (string, error) {
+	return encodeHeader(a, MaxOfferBytes)
+}
+
+// DecodeOffer reads the form that EncodeOffer writes. Errors wrap
+// ErrHeaderTooLong or ErrBadOffer.
+func DecodeOffer(s string) (model.Attempt, error) {
+	var a model.Attempt
+	if err := decodeHeader(s, MaxOfferBytes, &a); err != nil {
+		return model.Attempt{}, fmt.Errorf("%w: %w", ErrBadOffer, err)
+	}
+	if err := checkOffer(&a); err != nil {
+		return model.Attempt{}, fmt.Errorf("%w: %w", ErrBadOffer, err)
+	}
+	return a, nil
+}
+
+func checkOffer(a *model.Attempt) error {
+	switch {
+	case a.ID.Entry == "" || a.ID.Incarnation == 0:
+		return errors.New("attempt id is missing")
+	case a.Request == "":
+		return errors.New("request id is missing")
+	case len(a.Request) > MaxRequestIDBytes:
+		return fmt.Errorf("request id of %d bytes is over the bound of %d", len(a.Request), MaxRequestIDBytes)
+	case a.Service == "":
+		return errors.New("service is missing")
+	case a.Remaining < 0:
+		return fmt.Errorf("remaining time %v is negative", a.Remaining)
+	case a.OwnerClock < 0:
+		return fmt.Errorf("owner clock %v is negative", a.OwnerClock)
+	case a.RetryBudget < 0:
+		return fmt.Errorf("retry budget %d is negative", a.RetryBudget)
+	case math.IsNaN(a.Worth) || math.IsInf(a.Worth, 0) || a.Worth < 0:
+		return fmt.Errorf("worth %v is no finite number from 0", a.Worth)
+	}
+	return nil
+}
+
+// EncodeReport returns the Gypsum-Report form of r: CBOR in base64url without
+// padding.
+func EncodeReport(r *model.LoadReport) (string, error) {
+	return encodeHeader(r, MaxReportBytes)
+}
+
+// DecodeReport reads the form that EncodeReport writes. Errors wrap
+// ErrHeaderTooLong or ErrBadReport.
+func DecodeReport(s string) (model.LoadReport, error) {
+	var r model.LoadReport
+	if err := decodeHeader(s, MaxReportBytes, &r); err != nil {
+		return model.LoadReport{}, fmt.Errorf("%w: %w", ErrBadReport, err)
+	}
+	if err := checkReport(&r); err != nil {
+		return model.LoadReport{}, fmt.Errorf("%w: %w", ErrBadReport, err)
+	}
+	return r, nil
+}
+
+// fullRate is a FailureRate of one, in thousandths.
+const fullRate = 1000
+
+func checkReport(r *model.LoadReport) error {
+	switch {
+	case r.Owner == "" || r.Incarnation == 0:
+		return errors.New("owner is missing")
+	case r.Clock < 0:
+		return fmt.Errorf("clock %v is negative", r.Clock)
+	case r.ServiceTime < 0:
+		return fmt.Errorf("service time %v is negative", r.ServiceTime)
+	case r.State > model.StateGone:
+		return fmt.Errorf("unknown state %d", r.State)
+	case r.FailureRate > fullRate:
+		return fmt.Errorf("failure rate %d is over %d", r.FailureRate, fullRate)
+	}
+	return nil
+}
+
+func encodeHeader(v any, bound int) (string, error) {
+	data, err := Marshal(v)
+	if err != nil {
+		return "", err
+	}
+	s := base64.RawURLEncoding.EncodeToString(data)
+	if len(s) > bound {
+		return "", fmt.Errorf("%w: %d bytes, bound %d", ErrHeaderTooLong, len(s), bound)
+	}
+	return s, nil
+}
+
+func decodeHeader(s string, bound int, v any) error {
+	if len(s) > bound {
+		return fmt.Errorf("%w: %d bytes, bound %d", ErrHeaderTooLong, len(s), bound)
+	}
+	data, err := base64.RawURLEncoding.DecodeString(s)
+	if err != nil {
+		return err
+	}
+	return Unmarshal(data, v)
+}
