--- /dev/null
+++ b/internal/fake/platform/log.go
@@ -0,0 +1,174 @@
+package platform
+
+import (
+	"sort"
+	"time"
+
+	"gypsumstand/internal/model"
+	protocol "gypsumstand/internal/platform"
+)
+
+// Bounds of what the stand-in remembers.
+const (
+	// maxChanges bounds the remembered changes of the list; a reader whose
+	// revision is older gets the whole list.
+	maxChanges = 1 << 14
+	// maxVersions bounds the remembered versions of one configuration value.
+	maxVersions = 64
+)
+
+// instanceChange is one change of the list.
+type instanceChange struct {
+	revision uint64
+	at       time.Time
+	entry    protocol.InstanceEntry
+}
+
+// instanceLog is the list with its history, so that it can be shown as it was.
+type instanceLog struct {
+	// base is the list before the remembered changes.
+	base         map[string]protocol.InstanceEntry
+	baseRevision uint64
+	changes      []instanceChange
+}
+
+func (l *instanceLog) add(at time.Time, e protocol.InstanceEntry) {
+	l.changes = append(l.changes, instanceChange{revision: l.revision() + 1, at: at, entry: e})
+	if len(l.changes) > 2*maxChanges {
+		l.compact()
+	}
+}
+
+// compact moves the older half of the changes into the base.
+func (l *instanceLog) compact() {
+	cut := len(l.changes) - maxChanges
+	for _, c := range l.changes[:cut] {
+		apply(l.base, c.entry)
+		l.baseRevision = c.revision
+	}
+	l.changes = append([]instanceChange(nil), l.changes[cut:]...)
+}
+
+func apply(list map[string]protocol.InstanceEntry, e protocol.InstanceEntry) {
+	if e.State == model.StateGone.String() {
+		delete(list, e.ID)
+		return
+	}
+	list[e.ID] = e
+}
+
+func (l *instanceLog) revision() uint64 {
+	if len(l.changes) == 0 {
+		return l.baseRevision
+	}
+	return l.changes[len(l.changes)-1].revision
+}
+
+// seen returns the changes that a reader who sees the list as of at may know.
+func (l *instanceLog) seen(at time.Time) []instanceChange {
+	n := sort.Search(len(l.changes), func(i int) bool { return l.changes[i].at.After(at) })
+	return l.changes[:n]
+}
+
+// latest returns the whole list as it is.
+func (l *instanceLog) latest() map[string]protocol.InstanceEntry { return l.whole(l.changes) }
+
+func (l *instanceLog) whole(changes []instanceChange) map[string]protocol.InstanceEntry {
+	out := make(map[string]protocol.InstanceEntry, len(l.base)+len(changes))
+	for id, e := range l.base {
+		out[id] = e
+	}
+	for _, c := range changes {
+		apply(out, c.entry)
+	}
+	return out
+}
+
+// read returns the list as of at: the changes after since when it can, else the
+// whole. A reader that is ahead of a stale list gets the whole stale list.
+func (l *instanceLog) read(at time.Time, since uint64) protocol.InstanceList {
+	seen := l.seen(at)
+	revision := l.baseRevision
+	if len(seen) > 0 {
+		revision = seen[len(seen)-1].revision
+	}
+	full := since == 0 || since < l.baseRevision || since > revision
+	list := protocol.InstanceList{Revision: &revision, Full: &full}
+	if full {
+		list.Instances = sorted(l.whole(seen))
+		return list
+	}
+	first := sort.Search(len(seen), func(i int) bool { return seen[i].revision > since })
+	list.Instances = sorted(newestPerID(seen[first:]))
+	return list
+}
+
+func newestPerID(changes []instanceChange) map[string]protocol.InstanceEntry {
+	out := make(map[string]protocol.InstanceEntry, len(changes))
+	for _, c := range changes {
+		out[c.entry.ID] = c.entry
+	}
+	return out
+}
+
+func sorted(list map[string]protocol.InstanceEntry) []protocol.InstanceEntry {
+	out := make([]protocol.InstanceEntry, 0, len(list))
+	for _, e := range list {
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// valueChange is one published version of a configuration value.
+type valueChange struct {
+	at      time.Time
+	version uint64
+	data    []byte
+}
+
+// valueLog is the configuration with its history.
+type valueLog struct {
+	revision uint64
+	// revisions holds the time of each revision, from 1, newest last.
+	revisions []time.Time
+	values    map[string][]valueChange
+}
+
+func (l *valueLog) add(at time.Time, v model.BundleVersion, data []byte) {
+	l.revision++
+	l.revisions = append(l.revisions, at)
+	if len(l.revisions) > 2*maxChanges {
+		l.revisions = append([]time.Time(nil), l.revisions[maxChanges:]...)
+	}
+	name := string(v.Name)
+	changes := append(l.values[name], valueChange{at: at, version: v.Version, data: data})
+	if len(changes) > maxVersions {
+		changes = append([]valueChange(nil), changes[len(changes)-maxVersions:]...)
+	}
+	l.values[name] = changes
+}
+
+// value returns the value of that name as of at.
+func (l *valueLog) value(at time.Time, name string) (valueChange, bool) {
+	changes := l.values[name]
+	n := sort.Search(len(changes), func(i int) bool { return changes[i].at.After(at) })
+	if n == 0 {
+		return valueChange{}, false
+	}
+	return changes[n-1], true
+}
+
+// index returns the index as of at.
+func (l *valueLog) index(at time.Time) protocol.ConfigIndex {
+	later := len(l.revisions) - sort.Search(len(l.revisions), func(i int) bool { return l.revisions[i].After(at) })
+	revision := l.revision - uint64(later)
+	versions := make([]protocol.VersionEntry, 0, len(l.values))
+	for name := range l.values {
+		if v, ok := l.value(at, name); ok {
+			versions = append(versions, protocol.VersionEntry{Name: name, Version: v.version})
+		}
+	}
+	sort.Slice(versions, func(i, j int) bool { return versions[i].Name < versions[j].Name })
+	return protocol.ConfigIndex{Revision: &revision, Versions: versions}
+}
--- a/internal/platform/decode.go
+++ b/internal/platform/decode.go
@@ -62,6 +62,9 @@
 	if name == "" {
 		return errors.New("empty")
 	}
+	if name == "." || name == ".." {
+		return fmt.Errorf("%q is a relative path", name)
+	}
 	if len(name) > MaxNameBytes {
 		return fmt.Errorf("%d bytes are over the bound of %d", len(name), MaxNameBytes)
 	}
@@ -90,8 +93,26 @@
 	return nil
 }
 
-func decodeJSON(source string, data []byte, into any) error {
+// CheckEntry checks one entry as DecodeList does and returns its instance.
+func CheckEntry(source string, e InstanceEntry) (model.Instance, error) {
+	c := checker{source: source}
+	in := c.instance("", e)
+	return in, c.findings.Err()
+}
+
+// DecodeStrict reads JSON into a value and takes unknown fields for faults. The
+// error is a finding.List; it is for what operators write, not for answers.
+func DecodeStrict(source string, data []byte, into any) error {
 	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	return decodeInto(source, data, dec, into)
+}
+
+func decodeJSON(source string, data []byte, into any) error {
+	return decodeInto(source, data, json.NewDecoder(bytes.NewReader(data)), into)
+}
+
+func decodeInto(source string, data []byte, dec *json.Decoder, into any) error {
 	err := dec.Decode(into)
 	if err == nil {
 		err = checkEnd(dec)
@@ -164,9 +185,9 @@
 	out := make([]model.Instance, 0, len(entries))
 	seen := make(map[string]int, len(entries))
 	for i, e := range entries {
-		key := fmt.Sprintf("instances[%d]", i)
+		key := fmt.Sprintf("instances[%d].", i)
 		if first, taken := seen[e.ID]; taken {
-			c.add(key+".id", fmt.Sprintf("%q stands at instances[%d] too", e.ID, first))
+			c.add(key+"id", fmt.Sprintf("%q stands at instances[%d] too", e.ID, first))
 		}
 		seen[e.ID] = i
 		out = append(out, c.instance(key, e))
@@ -174,12 +195,13 @@
 	return out
 }
 
+// instance checks an entry; key is the prefix of its fields' keys.
 func (c *checker) instance(key string, e InstanceEntry) model.Instance {
 	state, ok := model.ParseUpstreamState(e.State)
 	if !ok {
-		c.add(key+".state", fmt.Sprintf("%q is not a state", e.State))
+		c.add(key+"state", fmt.Sprintf("%q is not a state", e.State))
 	}
-	c.name(key+".id", e.ID)
+	c.name(key+"id", e.ID)
 	if state != model.StateGone {
 		c.place(key, e)
 	}
@@ -194,10 +216,10 @@
 
 // place checks the fields that an instance must have unless it is gone.
 func (c *checker) place(key string, e InstanceEntry) {
-	c.name(key+".service", e.Service)
-	c.name(key+".data_centre", e.DataCentre)
+	c.name(key+"service", e.Service)
+	c.name(key+"data_centre", e.DataCentre)
 	if err := CheckAddress(e.PeerAddress); err != nil {
-		c.add(key+".peer_address", err.Error())
+		c.add(key+"peer_address", err.Error())
 	}
 }
 
