--- /dev/null
+++ b/internal/server/body.go
@@ -0,0 +1,71 @@
+package server
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+)
+
+// replayBytes bounds the request body that an entry holds whole so that it can
+// be sent again; longer ones stream.
+const replayBytes = 64 << 10
+
+// errBodyTooLarge says that a request body is over the bundle's bound.
+var errBodyTooLarge = errors.New("request body is over the bound")
+
+// requestBody is a caller's body: held whole, or streamed once.
+type requestBody struct {
+	held   []byte
+	stream io.ReadCloser
+	length int64
+	// touched tells that a part of the stream is gone.
+	touched atomic.Bool
+}
+
+// takeBody holds a body of up to replayBytes, or of unknown length up to limit,
+// and leaves a longer one of known length to be streamed.
+func takeBody(r *http.Request, limit int64) (*requestBody, error) {
+	if r.ContentLength > limit {
+		return nil, errBodyTooLarge
+	}
+	if r.ContentLength > replayBytes {
+		return &requestBody{stream: r.Body, length: r.ContentLength}, nil
+	}
+	held, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(held)) > limit {
+		return nil, errBodyTooLarge
+	}
+	return &requestBody{held: held, length: int64(len(held))}, nil
+}
+
+// replayable tells whether open gives the whole body however often it is called.
+func (b *requestBody) replayable() bool { return b.stream == nil }
+
+// open returns the body for one attempt.
+func (b *requestBody) open() io.ReadCloser {
+	if b.stream != nil {
+		return streamOnce{b}
+	}
+	if len(b.held) == 0 {
+		return nil
+	}
+	return io.NopCloser(bytes.NewReader(b.held))
+}
+
+// streamOnce reads the caller's stream; closing it leaves the stream open, for
+// another attempt when nothing was read.
+type streamOnce struct{ b *requestBody }
+
+// Read implements io.Reader.
+func (s streamOnce) Read(p []byte) (int, error) {
+	s.b.touched.Store(true)
+	return s.b.stream.Read(p)
+}
+
+// Close implements io.Closer.
+func (s streamOnce) Close() error { return nil }
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -51,8 +51,8 @@
 	Answer  *Answer
 	Refusal model.Refusal
 	Report  model.LoadReport
-	// Queued is the time that the attempt waited at the owner.
-	Queued time.Duration
+	// Times is where an answered attempt's time went at the owner.
+	Times wire.Times
 }
 
 // Executor runs admitted attempts on this node's worker. Safe for concurrent use.
@@ -140,21 +140,22 @@
 	offered := time.Now()
 	refusal := x.admit(ctx, w, offered)
 	if refusal != nil {
-		return x.refused(*refusal, time.Since(offered))
+		return x.refused(*refusal)
 	}
 	started := time.Now()
 	if !x.owner.Confirm(started, w.Attempt.ID) {
 		x.finish(w.Attempt.ID, owner.Finish{NotRun: true})
-		return x.refused(model.Refusal{Reason: model.ReasonExpired, NotRun: true}, started.Sub(offered))
+		return x.refused(model.Refusal{Reason: model.ReasonExpired, NotRun: true})
 	}
+	w.Attempt.Remaining -= started.Sub(offered)
 	r := x.run(ctx, w, started)
-	r.Queued = started.Sub(offered)
+	r.Times = wire.Times{Queued: started.Sub(offered), Worker: time.Since(started)}
 	r.Report = x.owner.Report(time.Now())
 	return r
 }
 
-func (x *Executor) refused(r model.Refusal, queued time.Duration) Result {
-	return Result{Refusal: r, Report: x.owner.Report(time.Now()), Queued: queued}
+func (x *Executor) refused(r model.Refusal) Result {
+	return Result{Refusal: r, Report: x.owner.Report(time.Now())}
 }
 
 // admit returns nil once the attempt may start.
--- /dev/null
+++ b/internal/server/peer.go
@@ -0,0 +1,226 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/upstream"
+	"gypsumstand/internal/wire"
+)
+
+// attemptPath is the prefix of attempts on the peer port; the request's own
+// path follows.
+const attemptPath = "/v1/attempt"
+
+// Peer serves attempts of other entry nodes.
+type Peer struct {
+	Executor *Executor
+	// Seen is told the bundle version of each attempt; it does not block.
+	Seen func(from model.InstanceID, v model.BundleVersion)
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Peer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	attempt, err := wire.DecodeOffer(r.Header.Get(wire.HeaderOffer))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.Seen(attempt.ID.Entry, attempt.Bundle)
+	w.Header().Set(wire.HeaderAttempt, attempt.ID.String())
+	work := &Work{
+		Attempt:       attempt,
+		Method:        r.Method,
+		URL:           ownPath(r.URL),
+		Host:          r.Host,
+		Header:        endToEnd(r.Header),
+		Body:          r.Body,
+		ContentLength: r.ContentLength,
+	}
+	result := p.Executor.Do(r.Context(), work)
+	if report, err := wire.EncodeReport(&result.Report); err == nil {
+		w.Header().Set(wire.HeaderReport, report)
+	}
+	if result.Answer == nil {
+		writeRefusal(w, result.Refusal)
+		return
+	}
+	wire.SetTimes(w.Header(), result.Times)
+	sendAnswer(w, result.Answer)
+}
+
+// ownPath takes the attempt prefix off.
+func ownPath(u *url.URL) *url.URL {
+	out := &url.URL{Path: strings.TrimPrefix(u.Path, attemptPath), RawQuery: u.RawQuery}
+	if u.RawPath != "" {
+		out.RawPath = strings.TrimPrefix(u.RawPath, attemptPath)
+	}
+	return out
+}
+
+func writeRefusal(w http.ResponseWriter, r model.Refusal) {
+	wire.SetRefusal(w.Header(), r)
+	status := http.StatusServiceUnavailable
+	if !r.NotRun {
+		status = http.StatusBadGateway
+	}
+	w.WriteHeader(status)
+}
+
+// sendAnswer streams a to w. A cut answer ends the connection, so that it is
+// never taken for whole.
+func sendAnswer(w http.ResponseWriter, a *Answer) {
+	defer a.Body.Close()
+	copyInto(w.Header(), a.Header)
+	setLength(w.Header(), a.Status, a.ContentLength)
+	w.WriteHeader(a.Status)
+	if err := copyFlushing(w, a.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// copyBuffer is the size of a streaming copy's buffer, in bytes.
+const copyBuffer = 32 << 10
+
+// copyFlushing copies src to w and flushes after each read, so that a slow
+// answer is passed on as it comes.
+func copyFlushing(w http.ResponseWriter, src io.Reader) error {
+	control := http.NewResponseController(w)
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := src.Read(buf)
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return werr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if n > 0 {
+			if ferr := control.Flush(); ferr != nil {
+				return ferr
+			}
+		}
+	}
+}
+
+// Forwarder sends attempts to the owners of other nodes.
+type Forwarder struct {
+	transport *http.Transport
+	scheme    string
+}
+
+// Settings of the transport between nodes.
+const (
+	peerDialTimeout    = time.Second
+	peerIdleTimeout    = 60 * time.Second
+	peerIdlePerHost    = 32
+	peerIdle           = 1024
+	peerMaxHeaderBytes = 64 << 10
+	// peerContinueTimeout is longer than any wait in an owner's queue: a body
+	// that streams is held back until the owner admits the attempt.
+	peerContinueTimeout = time.Hour
+)
+
+// NewForwarder returns a forwarder; secured, when not nil, is the mutual TLS of
+// the peers.
+func NewForwarder(secured *tls.Config) *Forwarder {
+	t := upstream.NewTransport(peerIdlePerHost, 0)
+	t.MaxIdleConns = peerIdle
+	t.IdleConnTimeout = peerIdleTimeout
+	t.MaxResponseHeaderBytes = peerMaxHeaderBytes
+	t.ExpectContinueTimeout = peerContinueTimeout
+	t.TLSClientConfig = secured
+	scheme := "http"
+	if secured != nil {
+		scheme = "https"
+	}
+	return &Forwarder{transport: t, scheme: scheme}
+}
+
+// Close closes idle connections.
+func (f *Forwarder) Close() { f.transport.CloseIdleConnections() }
+
+// ErrBroken says that the way to the owner broke after bytes had left.
+var ErrBroken = errors.New("the way to the owner broke")
+
+// Do sends the attempt to the owner at address. An error means ErrBroken; no
+// connection is a refusal that proves "not run". heard tells whether Report is
+// the owner's.
+func (f *Forwarder) Do(ctx context.Context, address string, w *Work) (result Result, heard bool, err error) {
+	offer, err := wire.EncodeOffer(&w.Attempt)
+	if err != nil {
+		return Result{Refusal: model.Refusal{Reason: model.ReasonBadRequest, NotRun: true}}, false, nil
+	}
+	var proof upstream.Proof
+	req := proof.Attach(f.request(ctx, address, w, offer))
+	upstream.Seal(req)
+	resp, err := f.transport.RoundTrip(req)
+	if err != nil {
+		if proof.NotRun() {
+			return Result{Refusal: model.Refusal{Reason: model.ReasonWorkerUnreachable, NotRun: true}}, false, nil
+		}
+		return Result{}, false, errors.Join(ErrBroken, err)
+	}
+	return f.read(w, resp, &proof)
+}
+
+func (f *Forwarder) request(ctx context.Context, address string, w *Work, offer string) *http.Request {
+	u := &url.URL{Scheme: f.scheme, Host: address, Path: attemptPath + w.URL.Path, RawQuery: w.URL.RawQuery}
+	if w.URL.RawPath != "" {
+		u.RawPath = attemptPath + w.URL.RawPath
+	}
+	req := (&http.Request{
+		Method:        w.Method,
+		URL:           u,
+		Host:          w.Host,
+		Header:        w.Header.Clone(),
+		Body:          w.Body,
+		ContentLength: w.ContentLength,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}).WithContext(ctx)
+	req.Header.Set(wire.HeaderOffer, offer)
+	if w.ContentLength > replayBytes {
+		req.Header.Set("Expect", "100-continue")
+	}
+	return req
+}
+
+// read takes the owner's word from the answer's head.
+func (f *Forwarder) read(w *Work, resp *http.Response, proof *upstream.Proof) (Result, bool, error) {
+	if resp.Header.Get(wire.HeaderAttempt) != w.Attempt.ID.String() || upstream.Whole(resp, w.Method) != nil {
+		proof.CloseConn()
+		resp.Body.Close()
+		return Result{}, false, ErrBroken
+	}
+	var result Result
+	report, err := wire.DecodeReport(resp.Header.Get(wire.HeaderReport))
+	heard := err == nil
+	result.Report = report
+	refusal, refused, err := wire.ReadRefusal(resp.Header)
+	if err != nil {
+		resp.Body.Close()
+		return result, heard, errors.Join(ErrBroken, err)
+	}
+	if refused {
+		resp.Body.Close()
+		result.Refusal = refusal
+		return result, heard, nil
+	}
+	result.Times = wire.ReadTimes(resp.Header)
+	result.Answer = &Answer{Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: resp.Body}
+	return result, heard, nil
+}
--- /dev/null
+++ b/internal/wire/times.go
@@ -0,0 +1,41 @@
+package wire
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// HeaderTimes tells an entry node where an answered attempt's time went.
+const HeaderTimes = "Gypsum-Times"
+
+// Times is where an answered attempt's time went at its owner.
+type Times struct {
+	// Queued is the time in the owner's queue.
+	Queued time.Duration
+	// Worker is the time from the start to the head of the worker's answer.
+	Worker time.Duration
+}
+
+// SetTimes writes t as "queued worker", in whole microseconds.
+func SetTimes(h http.Header, t Times) {
+	queued := strconv.FormatInt(t.Queued.Microseconds(), 10)
+	worker := strconv.FormatInt(t.Worker.Microseconds(), 10)
+	h.Set(HeaderTimes, queued+" "+worker)
+}
+
+// ReadTimes reads what SetTimes writes; what cannot be read is zero, since it is
+// for measurements only.
+func ReadTimes(h http.Header) Times {
+	queued, worker, _ := strings.Cut(h.Get(HeaderTimes), " ")
+	return Times{Queued: microseconds(queued), Worker: microseconds(worker)}
+}
+
+func microseconds(s string) time.Duration {
+	n, err := strconv.ParseInt(s, 10, 32)
+	if err != nil || n < 0 {
+		return 0
+	}
+	return time.Duration(n) * time.Microsecond
+}
