Serve a request end to end over real sockets

Cause: the thin path was not yet joined. Conclusion: the whole path stands, thin; the parts can now be deepened.

--- /dev/null
+++ b/internal/node/loop.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"errors"
+	"time"
+
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/core"
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+)
+
+// ownerTickInterval is how often the owner expires what waits.
+const ownerTickInterval = 10 * time.Millisecond
+
+// loop is the one goroutine that feeds the core.
+func (n *Node) loop() {
+	ticker := time.NewTicker(control.TickInterval)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		var ev control.Event
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.C:
+			ev = control.Tick{}
+		case ev = <-n.events:
+		}
+		now := time.Now()
+		// A pause comes before whatever waited meanwhile, be it tick or message.
+		if gap := now.Sub(last); gap > control.TickInterval+control.PauseGap {
+			event.Log(&n.log, event.Paused).Int("milliseconds", gap.Milliseconds()).Send()
+			n.apply(n.core.Handle(now, control.Paused{For: gap}))
+		}
+		last = now
+		n.apply(n.core.Handle(now, ev))
+		n.versions.reset(ev)
+	}
+}
+
+// ownerTicks drives the owner's own clockwork.
+func (n *Node) ownerTicks() {
+	ticker := time.NewTicker(ownerTickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-ticker.C:
+			n.executor.Deliver(n.core.Owner.Tick(time.Now()))
+		}
+	}
+}
+
+// apply carries out what the core wants done.
+func (n *Node) apply(out core.Output) {
+	n.executor.Deliver(out.Decisions)
+	if svc, _ := n.core.Board.Bundles.Get().Service(n.cfg.Service); svc != nil {
+		n.executor.Configure(svc, n.cfg.Instance)
+	}
+	for _, a := range out.Actions {
+		n.act(a)
+	}
+}
+
+func (n *Node) act(a control.Action) {
+	switch a := a.(type) {
+	case control.Send:
+		n.links.Send(a.To, a.Message)
+	case control.OpenLink:
+		n.links.Open(a.Peer, a.Address)
+	case control.CloseLink:
+		n.links.CloseLink(a.Peer)
+	case control.ReadList:
+		n.start(func() { n.readList(a.Since) })
+	case control.ReadIndex:
+		n.start(n.readIndex)
+	case control.ReadValue:
+		n.start(func() { n.readValue(a.Name) })
+	case control.SettleAnswered:
+		n.settler.answered(a.Reply)
+	case control.Record:
+		n.record(a)
+	}
+}
+
+func (n *Node) record(r control.Record) {
+	line := event.Log(&n.log, r.Event).Str("subject", r.Subject)
+	if r.Detail != "" {
+		line = line.Str("detail", r.Detail)
+	}
+	if r.Err != nil {
+		line = line.Err(r.Err)
+	}
+	line.Send()
+}
+
+func (n *Node) readList(since uint64) {
+	read, err := n.list.List(n.ctx, since)
+	if err != nil {
+		n.sink(control.ListReadFailed{Err: err})
+		return
+	}
+	n.sink(read)
+}
+
+func (n *Node) readIndex() {
+	read, err := n.config.Index(n.ctx)
+	if err != nil {
+		n.sink(control.IndexReadFailed{Err: err})
+		return
+	}
+	n.sink(read)
+}
+
+func (n *Node) readValue(name model.BundleName) {
+	data, err := n.config.Value(n.ctx, name)
+	if err != nil {
+		n.sink(control.ValueReadFailed{Name: name, Err: err})
+		return
+	}
+	n.sink(control.ValueRead{Name: name, Data: data})
+}
+
+// watchWorker follows the worker's life stage.
+func (n *Node) watchWorker() {
+	n.sink(control.SelfChanged{State: model.StateLive})
+}
+
+var errStopped = errors.New("the node stops")
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,289 @@
+// Package node runs one node: it opens the ports, feeds the core with events,
+// carries its actions out, and stops gracefully. Life cycle: New provisions, Run
+// serves until its context ends, then drains and cleans up.
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/core"
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/link"
+	"gypsumstand/internal/metrics"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/platform"
+	"gypsumstand/internal/server"
+)
+
+// Config is a node's settings in checked form.
+type Config struct {
+	Instance   model.InstanceID
+	Service    model.ServiceName
+	DataCentre model.DataCentre
+	// Addresses are "ip:port"; port 0 takes a free one.
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
+	WorkerAddress   string
+	// ListAddresses and ConfigAddresses are the platform's.
+	ListAddresses   []string
+	ConfigAddresses []string
+	PlatformTimeout time.Duration
+	Seeds           []string
+	Trusted         []bundle.Signer
+	// PeerTLS, when not nil, is the mutual TLS of the peer port.
+	PeerTLS *tls.Config
+	// StopTimeout bounds a graceful stop; LeaveGrace is how long callers are
+	// still accepted after "leaving" was told.
+	StopTimeout time.Duration
+	LeaveGrace  time.Duration
+	LocalDelay  time.Duration
+	RemoteDelay time.Duration
+	// MaxHeaderBytes bounds a request's header.
+	MaxHeaderBytes int
+	// IdleTimeout bounds the idle time of callers' connections.
+	IdleTimeout time.Duration
+	Log         zerolog.Logger
+}
+
+// Bounds that are not settings.
+const (
+	maxAcceptedLinks  = 64
+	eventQueue        = 1024
+	readHeaderTimeout = 5 * time.Second
+)
+
+// Node is one running node.
+type Node struct {
+	cfg       Config
+	log       zerolog.Logger
+	core      *core.Node
+	executor  *server.Executor
+	forwarder *server.Forwarder
+	links     *link.Manager
+	list      *platform.Client
+	config    *platform.Client
+	metrics   *metrics.Metrics
+	settler   *settler
+	events    chan control.Event
+	versions  versionFilter
+
+	ports  ports
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	// startMu keeps start from racing with the final wait.
+	startMu sync.Mutex
+}
+
+// ports are the three listeners and their servers.
+type ports struct {
+	caller, peer, operator             net.Listener
+	callerHTTP, peerHTTP, operatorHTTP *http.Server
+}
+
+// New opens the ports and makes a node. The caller must Run it.
+func New(cfg Config) (*Node, error) {
+	n := &Node{cfg: cfg, log: cfg.Log, events: make(chan control.Event, eventQueue), metrics: metrics.New()}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	if err := n.provision(); err != nil {
+		n.closeListeners()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	var errs []error
+	open := func(name, address string) net.Listener {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s port: %w", name, err))
+		}
+		return l
+	}
+	n.ports.caller = open("caller", n.cfg.CallerAddress)
+	n.ports.peer = open("peer", n.cfg.PeerAddress)
+	n.ports.operator = open("operator", n.cfg.OperatorAddress)
+	if n.cfg.PeerTLS != nil && n.ports.peer != nil {
+		n.ports.peer = tls.NewListener(n.ports.peer, n.cfg.PeerTLS)
+	}
+	if len(errs) > 0 {
+		n.closeListeners()
+	}
+	return errors.Join(errs...)
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.ports.caller, n.ports.peer, n.ports.operator} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// provision makes the parts; the ports are open, so addresses are known.
+func (n *Node) provision() error {
+	var err error
+	n.list, err = platform.NewClient(platform.ClientConfig{Addresses: n.cfg.ListAddresses, Timeout: n.cfg.PlatformTimeout})
+	if err != nil {
+		return fmt.Errorf("platform list: %w", err)
+	}
+	n.config, err = platform.NewClient(platform.ClientConfig{Addresses: n.cfg.ConfigAddresses, Timeout: n.cfg.PlatformTimeout})
+	if err != nil {
+		return fmt.Errorf("platform configuration: %w", err)
+	}
+	started := time.Now()
+	n.core = core.New(core.Config{
+		Self: model.Instance{
+			ID:          n.cfg.Instance,
+			Service:     n.cfg.Service,
+			DataCentre:  n.cfg.DataCentre,
+			PeerAddress: n.ports.peer.Addr().String(),
+			Incarnation: model.Incarnation(started.UnixMicro()),
+		},
+		Trusted:     n.cfg.Trusted,
+		Seeds:       n.cfg.Seeds,
+		LocalDelay:  n.cfg.LocalDelay,
+		RemoteDelay: n.cfg.RemoteDelay,
+		Started:     started,
+		Seed:        uint64(started.UnixNano()),
+	})
+	n.executor = server.NewExecutor(n.core.Owner, n.cfg.WorkerAddress)
+	n.forwarder = server.NewForwarder(n.cfg.PeerTLS)
+	n.links = link.New(link.Config{Self: n.self, Sink: n.sink, TLS: n.cfg.PeerTLS, MaxAccepted: maxAcceptedLinks})
+	n.settler = newSettler(n)
+	n.makeServers()
+	return nil
+}
+
+func (n *Node) self() model.Instance { return n.core.Board.Self.Get().Instance }
+
+// CallerAddress returns the caller port's address.
+func (n *Node) CallerAddress() string { return n.ports.caller.Addr().String() }
+
+// PeerAddress returns the peer port's address.
+func (n *Node) PeerAddress() string { return n.ports.peer.Addr().String() }
+
+// OperatorAddress returns the operators' port's address.
+func (n *Node) OperatorAddress() string { return n.ports.operator.Addr().String() }
+
+// Core returns the node's decision core, for tests and reports.
+func (n *Node) Core() *core.Node { return n.core }
+
+// sink queues an event for the core; it waits while the queue is full.
+func (n *Node) sink(ev control.Event) {
+	select {
+	case n.events <- ev:
+	case <-n.ctx.Done():
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully. The error tells why the
+// node could not serve or that the stop was not graceful.
+func (n *Node) Run(ctx context.Context) error {
+	failed := make(chan error, 3)
+	n.serve(n.ports.operatorHTTP, n.ports.operator, failed)
+	n.serve(n.ports.peerHTTP, n.ports.peer, failed)
+	n.serve(n.ports.callerHTTP, n.ports.caller, failed)
+	n.start(n.loop)
+	n.start(n.ownerTicks)
+	n.start(n.watchWorker)
+	event.Log(&n.log, event.Started).Str("instance", string(n.cfg.Instance)).
+		Str("callers", n.CallerAddress()).Str("peers", n.PeerAddress()).Str("operators", n.OperatorAddress()).Send()
+	var err error
+	select {
+	case <-ctx.Done():
+		err = n.stop()
+	case err = <-failed:
+		event.Log(&n.log, event.Fatal).Err(err).Send()
+	}
+	n.cleanUp()
+	event.Log(&n.log, event.Stopped).Send()
+	return err
+}
+
+// start runs f in a goroutine of the node, unless the node is being cleaned up.
+func (n *Node) start(f func()) {
+	n.startMu.Lock()
+	defer n.startMu.Unlock()
+	if n.ctx.Err() != nil {
+		return
+	}
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+}
+
+func (n *Node) serve(s *http.Server, l net.Listener, failed chan<- error) {
+	n.start(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	})
+}
+
+// ErrCutOff says that a stop's bound ended with requests in flight.
+var ErrCutOff = errors.New("stop timeout ended with requests in flight")
+
+// stop is the graceful stop: tell everyone, let their views catch up while
+// callers are still served elsewhere, then finish what is in flight.
+func (n *Node) stop() error {
+	event.Log(&n.log, event.Stopping).Send()
+	n.sink(control.SelfChanged{State: model.StateLeaving})
+	deadline := time.Now().Add(n.cfg.StopTimeout)
+	pause(n.ctx, n.cfg.LeaveGrace)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	err := n.ports.callerHTTP.Shutdown(ctx)
+	if err == nil {
+		err = n.ports.peerHTTP.Shutdown(ctx)
+	}
+	if err != nil {
+		event.Log(&n.log, event.DrainTimeout).Err(err).Send()
+		return fmt.Errorf("%w: %w", ErrCutOff, err)
+	}
+	return nil
+}
+
+// pause waits for d or for the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Kill ends the node at once, as a crash would; for tests.
+func (n *Node) Kill() { n.cleanUp() }
+
+func (n *Node) cleanUp() {
+	n.startMu.Lock()
+	n.cancel()
+	n.startMu.Unlock()
+	n.ports.callerHTTP.Close()
+	n.ports.peerHTTP.Close()
+	n.ports.operatorHTTP.Close()
+	n.links.Close()
+	n.wg.Wait()
+	n.executor.Close()
+	n.forwarder.Close()
+}
--- /dev/null
+++ b/internal/node/servers.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"io"
+	"log"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"gypsumstand/internal/link"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/server"
+)
+
+// makeServers wires the handlers of the three ports.
+func (n *Node) makeServers() {
+	n.ports.callerHTTP = n.httpServer(n.callerRoutes())
+	n.ports.peerHTTP = n.httpServer(n.peerRoutes())
+	n.ports.operatorHTTP = n.httpServer(n.operatorRoutes())
+}
+
+func (n *Node) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       n.cfg.IdleTimeout,
+		MaxHeaderBytes:    n.cfg.MaxHeaderBytes,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+}
+
+// newRouter returns a router that leaves paths as they came.
+func newRouter() *mux.Router {
+	return mux.NewRouter().SkipClean(true).UseEncodedPath()
+}
+
+func (n *Node) callerRoutes() http.Handler {
+	caller := &server.Caller{
+		Self:      n.cfg.Instance,
+		Board:     n.core.Board,
+		Engine:    n.core.Engine,
+		Table:     n.core.Table,
+		Executor:  n.executor,
+		Forwarder: n.forwarder,
+		Settler:   n.settler,
+		Recorder:  n.metrics,
+		Log:       &n.log,
+		Seen:      n.seen,
+		Leaving:   func() bool { return n.self().State >= model.StateLeaving },
+	}
+	r := newRouter()
+	r.PathPrefix("/").Handler(caller)
+	return r
+}
+
+func (n *Node) peerRoutes() http.Handler {
+	r := newRouter()
+	r.Path(link.Path).Handler(n.links.Handler())
+	r.PathPrefix("/v1/attempt/").Handler(&server.Peer{Executor: n.executor, Seen: n.seen})
+	return r
+}
+
+func (n *Node) operatorRoutes() http.Handler {
+	r := newRouter()
+	r.Path("/metrics").Handler(promhttp.HandlerFor(n.metrics.Registry(), promhttp.HandlerOpts{}))
+	r.Path("/healthz").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Path("/readyz").HandlerFunc(n.serveReady)
+	return r
+}
+
+// serveReady answers 200 once callers may come, else 503 with what is missing.
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	ready := n.core.Board.Readiness.Get()
+	if ready != nil && ready.Ready && n.self().State < model.StateLeaving {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	if ready == nil {
+		return
+	}
+	for _, m := range ready.Missing {
+		_, _ = io.WriteString(w, "missing: "+m+"\n")
+	}
+}
--- /dev/null
+++ b/internal/node/settle.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/server"
+	"gypsumstand/internal/wire"
+)
+
+// settleTimeout bounds one question to an owner; the call asks again.
+const settleTimeout = 500 * time.Millisecond
+
+// settler asks owners over control links. It implements server.Settler.
+type settler struct {
+	node    *Node
+	mu      sync.Mutex
+	waiters map[model.AttemptID]chan wire.SettleReply
+}
+
+var _ server.Settler = (*settler)(nil)
+
+func newSettler(n *Node) *settler {
+	return &settler{node: n, waiters: map[model.AttemptID]chan wire.SettleReply{}}
+}
+
+// Settle implements server.Settler.
+func (s *settler) Settle(ctx context.Context, to model.Instance, q wire.Settle) (wire.SettleReply, error) {
+	if to.ID == s.node.cfg.Instance {
+		reply, ds := s.node.core.Owner.Settle(time.Now(), q)
+		s.node.executor.Deliver(ds)
+		return reply, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	ch := make(chan wire.SettleReply, 1)
+	s.add(q.Attempt, ch)
+	defer s.remove(q.Attempt)
+	if err := s.node.links.SendTo(ctx, to, q); err != nil {
+		return wire.SettleReply{}, err
+	}
+	select {
+	case r := <-ch:
+		return r, nil
+	case <-ctx.Done():
+		return wire.SettleReply{}, ctx.Err()
+	case <-s.node.ctx.Done():
+		return wire.SettleReply{}, errStopped
+	}
+}
+
+func (s *settler) add(id model.AttemptID, ch chan wire.SettleReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiters[id] = ch
+}
+
+func (s *settler) remove(id model.AttemptID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiters, id)
+}
+
+// answered hands a reply to the call that asked; a late one is dropped.
+func (s *settler) answered(r wire.SettleReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ch := s.waiters[r.Attempt]
+	delete(s.waiters, r.Attempt)
+	if ch != nil {
+		ch <- r
+	}
+}
+
+// Notify implements server.Settler. It tries once; a home that does not hear
+// keeps the request's id until its memory ends, which is the safe side.
+func (s *settler) Notify(to model.Instance, r wire.KeyResult) {
+	if to.ID == s.node.cfg.Instance {
+		s.node.core.Owner.KeyResult(time.Now(), r)
+		return
+	}
+	s.node.start(func() {
+		ctx, cancel := context.WithTimeout(s.node.ctx, settleTimeout)
+		defer cancel()
+		// No receiver for the error: see above.
+		_ = s.node.links.SendTo(ctx, to, r)
+	})
+}
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -313,9 +313,8 @@
 // answerBody tells once how the body ended: whole, cut, or given up.
 type answerBody struct {
 	io.ReadCloser
-	once  sync.Once
-	whole bool
-	done  func(whole bool)
+	once sync.Once
+	done func(whole bool)
 }
 
 // Read implements io.Reader.
