--- /dev/null
+++ b/internal/fake/worker/service.go
@@ -0,0 +1,108 @@
+package worker
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"gypsumstand/internal/answer"
+	"gypsumstand/internal/finding"
+)
+
+// Distribution names a distribution of service times.
+type Distribution string
+
+// The distributions.
+const (
+	// Constant: always the mean.
+	Constant Distribution = "constant"
+	// Exponential with the given mean.
+	Exponential Distribution = "exponential"
+	// Lognormal with the given mean and sigma.
+	Lognormal Distribution = "lognormal"
+)
+
+// maxTimesMean bounds a drawn service time in multiples of the mean, so that a
+// run is bounded in time.
+const maxTimesMean = 50
+
+// Profile says how the requests of a path are served.
+type Profile struct {
+	// Path is a prefix of the request's path.
+	Path string `toml:"path"`
+	// Distribution of the service time; empty means Constant.
+	Distribution Distribution `toml:"distribution"`
+	// MeanMs is the mean service time in milliseconds.
+	MeanMs float64 `toml:"mean_ms"`
+	// Sigma is the standard deviation of the logarithm, for Lognormal.
+	Sigma float64 `toml:"sigma"`
+	// SizeBytes is the size of an answer.
+	SizeBytes int `toml:"size_bytes"`
+	// Next is the path that a request of this one calls through the worker's
+	// node while its depth is over 0; empty means the same path.
+	Next string `toml:"next"`
+}
+
+func (p *Profile) check(i int, findings *finding.List) {
+	add := func(field, message string) {
+		findings.Add(finding.Finding{Key: fmt.Sprintf("profile[%d].%s", i, field), Message: message})
+	}
+	if !strings.HasPrefix(p.Path, "/") {
+		add("path", fmt.Sprintf("%q does not start with /", p.Path))
+	}
+	if p.Next != "" && !strings.HasPrefix(p.Next, "/") {
+		add("next", fmt.Sprintf("%q does not start with /", p.Next))
+	}
+	switch p.Distribution {
+	case "", Constant, Exponential, Lognormal:
+	default:
+		add("distribution", fmt.Sprintf("%q is not a distribution", p.Distribution))
+	}
+	if !(p.MeanMs >= 0) || math.IsInf(p.MeanMs, 0) {
+		add("mean_ms", "must be a number from 0")
+	}
+	if !(p.Sigma >= 0) || math.IsInf(p.Sigma, 0) {
+		add("sigma", "must be a number from 0")
+	}
+	if p.SizeBytes < 0 || p.SizeBytes > answer.MaxBytes {
+		add("size_bytes", fmt.Sprintf("must be from 0 to %d", answer.MaxBytes))
+	}
+}
+
+// draw returns a service time.
+func (p *Profile) draw(rng *rand.Rand) time.Duration {
+	ms := p.MeanMs
+	switch p.Distribution {
+	case Exponential:
+		ms *= rng.ExpFloat64()
+	case Lognormal:
+		// exp(mu + sigma^2/2) is the mean, so mu makes it MeanMs.
+		ms *= math.Exp(p.Sigma*rng.NormFloat64() - p.Sigma*p.Sigma/2)
+	}
+	ms = min(ms, maxTimesMean*p.MeanMs)
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// profile returns the profile of a path.
+func (w *Worker) profile(path string) Profile {
+	var best Profile
+	for _, p := range w.cfg.Profiles {
+		if strings.HasPrefix(path, p.Path) && len(p.Path) > len(best.Path) {
+			best = p
+		}
+	}
+	return best
+}
+
+// serviceTime draws the time that a request takes, faults included.
+func (w *Worker) serviceTime(p *Profile) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	d := p.draw(w.rng)
+	if w.faults.SlowFactor > 0 {
+		d = time.Duration(float64(d) * w.faults.SlowFactor)
+	}
+	return d
+}
