Follow the worker's life stage from polls and traffic

Cause: the node took its worker for live at once. Change: health (a judge of polls and of real traffic: refused connections beat a lagging endpoint, answers to traffic outweigh bad polls, leaving is final) and the polling loop at the pace of the bundle's budget. Measured: 11 cases of polls and the traffic case pass. Conclusion: a worker that refuses connections is cold after two of them.

--- /dev/null
+++ b/internal/health/health_test.go
@@ -0,0 +1,68 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"gypsumstand/internal/health"
+	"gypsumstand/internal/model"
+)
+
+var (
+	ok       = health.Poll{Answered: true, OK: true}
+	bad      = health.Poll{Answered: true}
+	silent   = health.Poll{}
+	refused  = health.Poll{Refused: true}
+	draining = health.Poll{Answered: true, Leaving: true}
+)
+
+func TestTheWorkersLifeStage(t *testing.T) {
+	cases := []struct {
+		name  string
+		polls []health.Poll
+		want  model.UpstreamState
+	}{
+		{"not polled yet", nil, model.StateCold},
+		{"one good poll", []health.Poll{ok}, model.StateLive},
+		{"two bad polls are doubted", []health.Poll{ok, bad, silent}, model.StateLive},
+		{"three bad polls", []health.Poll{ok, bad, silent, bad}, model.StateCold},
+		{"a good poll between", []health.Poll{ok, bad, bad, ok, bad}, model.StateLive},
+		{"one refused connection is doubted", []health.Poll{ok, refused}, model.StateLive},
+		{"two refused connections", []health.Poll{ok, refused, refused}, model.StateCold},
+		{"back after a restart", []health.Poll{ok, refused, refused, ok}, model.StateLive},
+		{"one word of leaving is doubted", []health.Poll{ok, draining, ok}, model.StateLive},
+		{"two words of leaving", []health.Poll{ok, draining, draining}, model.StateLeaving},
+		{"leaving never turns back", []health.Poll{ok, draining, draining, ok, ok, refused, refused}, model.StateLeaving},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			j := health.NewJudge()
+			now := time.Unix(1000, 0)
+			for _, p := range c.polls {
+				now = now.Add(time.Second)
+				j.Polled(now, p)
+			}
+			if got := j.State(); got != c.want {
+				t.Errorf("state %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestAnswersToTrafficOutweighBadPolls(t *testing.T) {
+	j := health.NewJudge()
+	now := time.Unix(1000, 0)
+	j.Polled(now, ok)
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		j.Traffic(now, false)
+		j.Polled(now, bad)
+	}
+	if got := j.State(); got != model.StateLive {
+		t.Errorf("with traffic answered: state %v, want live", got)
+	}
+	now = now.Add(2 * time.Second)
+	if got := j.Polled(now, bad); got != model.StateCold {
+		t.Errorf("without traffic: state %v, want cold", got)
+	}
+}
--- a/internal/node/e2e_test.go
+++ b/internal/node/e2e_test.go
@@ -129,7 +129,7 @@
 	poll := time.NewTicker(20 * time.Millisecond)
 	defer poll.Stop()
 	for _, n := range f.nodes {
-		for !ready(n) {
+		for !ready(n) || n.Core().Board.Self.Get().Instance.State != model.StateLive {
 			<-poll.C
 		}
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -123,9 +123,4 @@
 	n.sink(control.ValueRead{Name: name, Data: data})
 }
 
-// watchWorker follows the worker's life stage.
-func (n *Node) watchWorker() {
-	n.sink(control.SelfChanged{State: model.StateLive})
-}
-
 var errStopped = errors.New("the node stops")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,7 @@
 	config    *platform.Client
 	metrics   *metrics.Metrics
 	settler   *settler
+	watch     *workerWatch
 	events    chan control.Event
 	versions  versionFilter
 
@@ -163,7 +164,8 @@
 		Started:     started,
 		Seed:        uint64(started.UnixNano()),
 	})
-	n.executor = server.NewExecutor(n.core.Owner, n.cfg.WorkerAddress)
+	n.watch = newWorkerWatch(n)
+	n.executor = server.NewExecutor(n.core.Owner, n.cfg.WorkerAddress, n.watch.traffic)
 	n.forwarder = server.NewForwarder(n.cfg.PeerTLS)
 	n.links = link.New(link.Config{Self: n.self, Sink: n.sink, TLS: n.cfg.PeerTLS, MaxAccepted: maxAcceptedLinks})
 	n.settler = newSettler(n)
@@ -202,7 +204,7 @@
 	n.serve(n.ports.callerHTTP, n.ports.caller, failed)
 	n.start(n.loop)
 	n.start(n.ownerTicks)
-	n.start(n.watchWorker)
+	n.start(n.watch.run)
 	event.Log(&n.log, event.Started).Str("instance", string(n.cfg.Instance)).
 		Str("callers", n.CallerAddress()).Str("peers", n.PeerAddress()).Str("operators", n.OperatorAddress()).Send()
 	var err error
--- /dev/null
+++ b/internal/node/watch.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/health"
+	"gypsumstand/internal/model"
+)
+
+// Bounds of polling the worker.
+const (
+	pollTimeout   = time.Second
+	maxPollBytes  = 4 << 10
+	noBundlePause = 100 * time.Millisecond
+	minPollPause  = 50 * time.Millisecond
+)
+
+// workerWatch follows the worker's life stage from polls and traffic.
+type workerWatch struct {
+	node   *Node
+	client *http.Client
+
+	mu    sync.Mutex
+	judge *health.Judge
+}
+
+func newWorkerWatch(n *Node) *workerWatch {
+	transport := &http.Transport{Proxy: nil, DisableCompression: true, MaxConnsPerHost: 1}
+	client := &http.Client{
+		Transport:     transport,
+		Timeout:       pollTimeout,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &workerWatch{node: n, client: client, judge: health.NewJudge()}
+}
+
+// run polls at the pace that the bundle's measuring budget leaves, until the
+// node stops. A service without a health path has its worker taken for live
+// until traffic says otherwise.
+func (w *workerWatch) run() {
+	defer w.client.CloseIdleConnections()
+	for w.node.ctx.Err() == nil {
+		set := w.node.core.Board.Bundles.Get()
+		svc, b := set.Service(w.node.cfg.Service)
+		if svc == nil {
+			pause(w.node.ctx, noBundlePause)
+			continue
+		}
+		w.polled(w.poll(svc.HealthPath))
+		pause(w.node.ctx, pollPause(b.Measuring.PerUpstreamPerSecond*b.Measuring.PollShare))
+	}
+}
+
+func pollPause(perSecond float64) time.Duration {
+	if perSecond <= 0 {
+		return time.Second
+	}
+	return max(time.Duration(float64(time.Second)/perSecond), minPollPause)
+}
+
+// poll asks the worker once; without a health path it only opens a connection.
+func (w *workerWatch) poll(path string) health.Poll {
+	if path == "" {
+		return w.knock()
+	}
+	req, err := http.NewRequestWithContext(w.node.ctx, http.MethodGet, "http://"+w.node.cfg.WorkerAddress+path, nil)
+	if err != nil {
+		return health.Poll{}
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return health.Poll{Refused: isDialError(err)}
+	}
+	defer resp.Body.Close()
+	return readPoll(resp)
+}
+
+// readPoll takes 200 for live; a JSON body's "state" may say more.
+func readPoll(resp *http.Response) health.Poll {
+	var body struct {
+		State string `json:"state"`
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPollBytes))
+	if err != nil {
+		return health.Poll{}
+	}
+	p := health.Poll{Answered: true, OK: resp.StatusCode == http.StatusOK}
+	if json.Unmarshal(data, &body) == nil && body.State == model.StateLeaving.String() {
+		p.OK, p.Leaving = false, true
+	}
+	return p
+}
+
+// knock opens and closes a connection.
+func (w *workerWatch) knock() health.Poll {
+	ctx, cancel := context.WithTimeout(w.node.ctx, pollTimeout)
+	defer cancel()
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", w.node.cfg.WorkerAddress)
+	if err != nil {
+		return health.Poll{Refused: true}
+	}
+	conn.Close()
+	return health.Poll{Answered: true, OK: true}
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func (w *workerWatch) polled(p health.Poll) {
+	if w.node.ctx.Err() != nil {
+		return
+	}
+	w.mu.Lock()
+	before := w.judge.State()
+	after := w.judge.Polled(time.Now(), p)
+	w.mu.Unlock()
+	w.changed(before, after)
+}
+
+// traffic takes the evidence of real work; it is the executor's hook.
+func (w *workerWatch) traffic(refused bool) {
+	w.mu.Lock()
+	before := w.judge.State()
+	after := w.judge.Traffic(time.Now(), refused)
+	w.mu.Unlock()
+	w.changed(before, after)
+}
+
+func (w *workerWatch) changed(before, after model.UpstreamState) {
+	if before == after {
+		return
+	}
+	event.Log(&w.node.log, event.WorkerState).Str("from", before.String()).Str("to", after.String()).Send()
+	w.node.sink(control.SelfChanged{State: after})
+}
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -59,6 +59,7 @@
 type Executor struct {
 	owner     *owner.Owner
 	address   string
+	traffic   func(refused bool)
 	transport atomic.Pointer[http.Transport]
 	echo      atomic.Bool
 	limits    limits
@@ -76,9 +77,10 @@
 	initialConnections = 64
 )
 
-// NewExecutor returns an executor for the worker at address ("ip:port").
-func NewExecutor(o *owner.Owner, address string) *Executor {
-	x := &Executor{owner: o, address: address, waiters: map[model.AttemptID]chan owner.Decision{}}
+// NewExecutor returns an executor for the worker at address ("ip:port"). traffic
+// is told whether the worker refused a connection or answered; it does not block.
+func NewExecutor(o *owner.Owner, address string, traffic func(refused bool)) *Executor {
+	x := &Executor{owner: o, address: address, traffic: traffic, waiters: map[model.AttemptID]chan owner.Decision{}}
 	x.transport.Store(upstream.NewTransport(initialSlots, initialConnections))
 	return x
 }
@@ -214,6 +216,7 @@
 		defer cancel()
 		return x.failed(ctx, w, started, proof.NotRun())
 	}
+	x.traffic(false)
 	if refusal, ok := x.checkHead(w, resp); !ok {
 		proof.CloseConn()
 		resp.Body.Close()
@@ -248,6 +251,9 @@
 	gaveUp := errors.Is(ctx.Err(), context.Canceled)
 	x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: notRun, Failed: !gaveUp})
 	reason := model.ReasonWorkerBroken
+	if notRun && ctx.Err() == nil {
+		x.traffic(true)
+	}
 	switch {
 	case notRun:
 		reason = model.ReasonWorkerUnreachable
