route: choose by expected completion time over immutable pickers and atomic cells

Cause: the skeleton chose at random and learned nothing. Change: an immutable picker swapped by Update; per upstream a cell of atomics (last report, own sends, failure rate, back-off, time of the way); Pick samples two candidates of the own data centre and two of others and takes the least link + wait + service + failure penalty. Baseline policies behind Config.Policy. Home by rendezvous hashing, OwnerClock, Explain, Stale and Upstreams added.

--- /dev/null
+++ b/internal/route/explain.go
@@ -0,0 +1,139 @@
+package route
+
+import (
+	"sort"
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+const (
+	// recentCall is how long after its last call a service counts as called.
+	recentCall = int64(10 * time.Second)
+	// scanFactor bounds the upstreams that Stale looks at beyond the services
+	// called recently, as a multiple of the number asked for.
+	scanFactor = 8
+)
+
+// Upstreams returns the number of the service's upstreams that may be chosen by
+// the fleet's word.
+func (t *Table) Upstreams(service model.ServiceName) int {
+	svc := t.picker.Load().services[service]
+	if svc == nil {
+		return 0
+	}
+	return len(svc.all)
+}
+
+// Explain returns the estimates of all upstreams of the query's service, the
+// least expected time first, those that are leaving last. Pick compares a few
+// of them, drawn at random, with a deviation drawn at random for the uncertain
+// part of the load; Explain shows them without that deviation.
+func (t *Table) Explain(now time.Time, q *Query) []Estimate {
+	p := t.picker.Load()
+	svc := p.services[q.Service]
+	if svc == nil {
+		return nil
+	}
+	out := make([]Estimate, 0, len(svc.all))
+	for _, u := range svc.all {
+		out = append(out, t.explain(u, p.nanos(now), q.Remaining))
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		if out[i].Leaving != out[j].Leaving {
+			return out[j].Leaving
+		}
+		return out[i].Expected < out[j].Expected
+	})
+	return out
+}
+
+func (t *Table) explain(u *upstream, now int64, remaining time.Duration) Estimate {
+	e := t.estimate(u, now, remaining, 0)
+	out := Estimate{
+		Instance:    u.instance,
+		Heard:       e.heard,
+		Load:        e.load,
+		Limit:       e.limit,
+		OwnInFlight: int(u.cell.inFlight.Load()),
+		FailureRate: e.failureRate,
+		Link:        time.Duration(e.link),
+		Wait:        time.Duration(e.wait),
+		Service:     time.Duration(e.service),
+		Silence:     time.Duration(e.silence),
+		Failure:     time.Duration(e.failure),
+		Expected:    time.Duration(e.cost()),
+		Leaving:     u.cell.leaving(),
+	}
+	if e.heard {
+		out.Age = time.Duration(e.age)
+	}
+	return out
+}
+
+// Stale returns up to n upstreams whose owners were not heard for longer than
+// age, for probes: those of services that this node called recently first, the
+// latest called service first; then some of the others, from a random place.
+func (t *Table) Stale(now time.Time, age time.Duration, n int) []model.Instance {
+	p := t.picker.Load()
+	nanos := p.nanos(now)
+	s := staleScan{now: nanos, age: int64(age), want: n}
+	called, others := p.byLastCall(nanos)
+	for _, svc := range called {
+		s.scan(svc, below(uint32(t.cfg.Random()), len(svc.all)), len(svc.all))
+	}
+	if len(others) == 0 {
+		return s.found
+	}
+	start := below(uint32(t.cfg.Random()), len(others))
+	for i, left := 0, scanFactor*n; i < len(others) && left > 0; i++ {
+		svc := others[(start+i)%len(others)]
+		s.scan(svc, below(uint32(t.cfg.Random()), len(svc.all)), left)
+		left -= len(svc.all)
+	}
+	return s.found
+}
+
+// byLastCall parts the services with upstreams into those called recently, the
+// latest first, and the others, in the order of their names.
+func (p *picker) byLastCall(now int64) (called, others []*service) {
+	for _, svc := range p.services {
+		last := svc.stats.lastCalled.Load()
+		switch {
+		case len(svc.all) == 0:
+		case last > 0 && now-last < recentCall:
+			called = append(called, svc)
+		default:
+			others = append(others, svc)
+		}
+	}
+	sort.Slice(called, func(i, j int) bool {
+		a, b := called[i].stats.lastCalled.Load(), called[j].stats.lastCalled.Load()
+		if a != b {
+			return a > b
+		}
+		return called[i].name < called[j].name
+	})
+	sort.Slice(others, func(i, j int) bool { return others[i].name < others[j].name })
+	return called, others
+}
+
+// staleScan collects upstreams that were not heard for long.
+type staleScan struct {
+	now, age int64
+	want     int
+	found    []model.Instance
+}
+
+// scan looks at up to most upstreams of a service from place start on.
+func (s *staleScan) scan(svc *service, start, most int) {
+	for i := 0; i < min(most, len(svc.all)) && len(s.found) < s.want; i++ {
+		u := svc.all[(start+i)%len(svc.all)]
+		if u.cell.leaving() {
+			continue
+		}
+		if h := u.cell.heard.Load(); h == nil || s.now-h.at > s.age {
+			s.found = append(s.found, u.instance)
+		}
+	}
+}
--- /dev/null
+++ b/internal/route/home.go
@@ -0,0 +1,50 @@
+package route
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gypsumstand/internal/model"
+)
+
+// Home returns the upstream whose owner registers a caller's own request id:
+// the first, by rendezvous hashing of id, among the service's upstreams that
+// are not leaving or gone. Equal views give equal homes, whatever the load.
+func (t *Table) Home(now time.Time, service model.ServiceName, id model.RequestID) (c Choice, ok bool) {
+	p := t.picker.Load()
+	svc := p.services[service]
+	if svc == nil {
+		return Choice{}, false
+	}
+	u := svc.home(xxhash.Sum64String(string(id)))
+	if u == nil {
+		return Choice{}, false
+	}
+	return t.choice(u, p.nanos(now), &Query{Service: service}), true
+}
+
+// home returns the upstream with the highest score for a request's hash, the
+// first of the order of ids among equals.
+func (s *service) home(request uint64) *upstream {
+	var best *upstream
+	var highest uint64
+	for _, u := range s.all {
+		if u.cell.leaving() {
+			continue
+		}
+		if score := rendezvous(request, u.hash); best == nil || score > highest {
+			best, highest = u, score
+		}
+	}
+	return best
+}
+
+// rendezvous scores an instance for a request.
+func rendezvous(request, instance uint64) uint64 {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], request)
+	binary.LittleEndian.PutUint64(pair[8:], instance)
+	return xxhash.Sum64(pair[:])
+}
--- /dev/null
+++ b/internal/route/picker.go
@@ -0,0 +1,215 @@
+package route
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/model"
+)
+
+const (
+	defaultLocalDelay  = 100 * time.Microsecond
+	defaultRemoteDelay = time.Millisecond
+	// clockOffset keeps a picker's times above 0, which means never.
+	clockOffset = int64(time.Second)
+)
+
+// picker is an immutable index of the fleet. Only the cells, link times and
+// statistics that it points to change.
+type picker struct {
+	// base is the origin of the times in cells; it is the same for all pickers
+	// of a table.
+	base     time.Time
+	services map[model.ServiceName]*service
+	byID     map[model.InstanceID]*upstream
+	links    map[model.DataCentre]*linkTime
+}
+
+var emptyPicker = &picker{}
+
+// nanos returns now in nanoseconds since the picker's origin.
+func (p *picker) nanos(now time.Time) int64 {
+	return int64(now.Sub(p.base)) + clockOffset
+}
+
+// service is the upstreams of one service that may be chosen.
+type service struct {
+	name model.ServiceName
+	// local are those of the table's own data centre, remote all others.
+	local, remote []*upstream
+	all           []*upstream
+	// slots is the bundle's, for upstreams that were never heard.
+	slots int
+	stats *serviceStats
+}
+
+// upstream is one instance in a picker.
+type upstream struct {
+	instance model.Instance
+	// hash is of the instance's id, for Home.
+	hash    uint64
+	service *service
+	link    *linkTime
+	cell    *cell
+}
+
+// Update rebuilds the picker from the blackboard's sections, keeping what was
+// learned of upstreams that stay. Called by the route controller only; it may
+// take time proportional to the fleet.
+func (t *Table) Update(now time.Time, fleet *model.Fleet, bundles *bundle.Set) {
+	old := t.picker.Load()
+	p := &picker{
+		base:     old.base,
+		services: make(map[model.ServiceName]*service, len(old.services)),
+		byID:     make(map[model.InstanceID]*upstream, len(old.byID)),
+		links:    make(map[model.DataCentre]*linkTime, len(old.links)),
+	}
+	if old == emptyPicker {
+		p.base = now
+	}
+	b := builder{table: t, old: old, next: p, now: p.nanos(now), bundles: bundles}
+	if fleet != nil {
+		for i := range fleet.Instances {
+			b.add(&fleet.Instances[i])
+		}
+	}
+	t.picker.Store(p)
+	b.retire()
+}
+
+// builder builds one picker from the one before.
+type builder struct {
+	table   *Table
+	old     *picker
+	next    *picker
+	now     int64
+	bundles *bundle.Set
+}
+
+func (b *builder) add(in *model.Instance) {
+	if in.State >= model.StateGone {
+		return
+	}
+	svc := b.service(in.Service)
+	u := &upstream{
+		instance: *in,
+		hash:     xxhash.Sum64String(string(in.ID)),
+		service:  svc,
+		link:     b.link(in.DataCentre),
+		cell:     b.cell(in),
+	}
+	u.cell.setFleetState(b.now, in.State)
+	b.next.byID[in.ID] = u
+	if in.State >= model.StateLeaving {
+		return
+	}
+	svc.all = append(svc.all, u)
+	if in.DataCentre == b.table.cfg.DataCentre {
+		svc.local = append(svc.local, u)
+	} else {
+		svc.remote = append(svc.remote, u)
+	}
+}
+
+// cell returns the cell of an instance: the one before, unless this is another
+// life or it serves something else now.
+func (b *builder) cell(in *model.Instance) *cell {
+	before := b.old.byID[in.ID]
+	if before == nil || before.instance.Service != in.Service {
+		return newCell(in.Incarnation)
+	}
+	if in.Incarnation > before.cell.incarnation() && before.cell.incarnation() != 0 {
+		return newCell(in.Incarnation)
+	}
+	return before.cell
+}
+
+func (b *builder) service(name model.ServiceName) *service {
+	svc := b.next.services[name]
+	if svc != nil {
+		return svc
+	}
+	svc = &service{name: name, slots: defaultSlots}
+	if before := b.old.services[name]; before != nil {
+		svc.stats = before.stats
+	} else {
+		svc.stats = &serviceStats{}
+	}
+	if b.bundles != nil {
+		if s, _ := b.bundles.Service(name); s != nil && s.Slots > 0 {
+			svc.slots = s.Slots
+		}
+	}
+	b.next.services[name] = svc
+	return svc
+}
+
+func (b *builder) link(dc model.DataCentre) *linkTime {
+	l := b.next.links[dc]
+	if l != nil {
+		return l
+	}
+	l = b.old.links[dc]
+	if l == nil {
+		delay := b.table.cfg.RemoteDelay
+		if dc == b.table.cfg.DataCentre {
+			delay = b.table.cfg.LocalDelay
+		}
+		l = newLinkTime(2 * delay)
+	}
+	b.next.links[dc] = l
+	return l
+}
+
+// retire takes the cells that the new picker no longer holds out of their
+// services' statistics. Reports that still reach them are dropped.
+func (b *builder) retire() {
+	for id, before := range b.old.byID {
+		after := b.next.byID[id]
+		if after != nil && after.cell == before.cell {
+			continue
+		}
+		before.retire()
+	}
+}
+
+// serviceStats is what is known of a service as a whole. Its sums are over the
+// last reports of the service's live upstreams.
+type serviceStats struct {
+	// reports is the number of reports in the sums.
+	reports atomic.Int64
+	// utilisation sums (in flight + queued) / limit, in 1/fixedPoint.
+	utilisation atomic.Int64
+	// serviceTime sums nanoseconds.
+	serviceTime atomic.Int64
+	// lastCalled is when this node last sent to the service.
+	lastCalled atomic.Int64
+	// robin counts the choices of the baseline round robin.
+	robin atomic.Uint64
+}
+
+const fixedPoint = 1 << 16
+
+// means returns the service's mean utilisation and service time in nanoseconds;
+// ok is false while nothing was heard.
+func (s *serviceStats) means() (utilisation, serviceTime float64, ok bool) {
+	n := s.reports.Load()
+	if n <= 0 {
+		return 0, 0, false
+	}
+	utilisation = float64(s.utilisation.Load()) / fixedPoint / float64(n)
+	serviceTime = float64(s.serviceTime.Load()) / float64(n)
+	return utilisation, serviceTime, true
+}
+
+// replace takes the contribution of one report out and puts another in.
+func (s *serviceStats) replace(before, after *heard) {
+	n0, u0, s0 := before.contribution()
+	n1, u1, s1 := after.contribution()
+	s.utilisation.Add(u1 - u0)
+	s.serviceTime.Add(s1 - s0)
+	s.reports.Add(n1 - n0)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/model"
 )
 
@@ -18,12 +17,16 @@
 	Self       model.InstanceID
 	DataCentre model.DataCentre
 	// LocalDelay and RemoteDelay are the first guesses of one-way link time
-	// within and between data centres; measured times replace them.
+	// within and between data centres; measured times replace them. Zero means
+	// 100 µs and 1 ms.
 	LocalDelay  time.Duration
 	RemoteDelay time.Duration
 	// Random returns uniform 64-bit values and is safe for concurrent use; nil
 	// means math/rand/v2's global source.
 	Random func() uint64
+	// Policy selects how Pick chooses; the zero value is the product's policy.
+	// The others are baselines for benchmarks only.
+	Policy Policy
 }
 
 // Query asks for an upstream.
@@ -37,6 +40,8 @@
 
 // Choice is a chosen upstream.
 type Choice struct {
+	// Instance is as the fleet shows it, with the incarnation that its owner
+	// last reported when that is newer.
 	Instance model.Instance
 	// Expected is the estimated time to the whole answer.
 	Expected time.Duration
@@ -48,6 +53,10 @@
 // Result tells how an attempt at a choice ended.
 type Result struct {
 	Latency time.Duration
+	// Held is the part of Latency that the attempt spent at its owner, from
+	// arrival to answer, as the owner tells it; zero means not known. Latency
+	// less Held is the time that the way took.
+	Held time.Duration
 	// Failed: the worker failed it, or the way broke.
 	Failed bool
 	// Refused, when not ReasonNone, is the owner's refusal.
@@ -59,76 +68,111 @@
 // concurrent use.
 type Table struct {
 	cfg    Config
+	tuning tuning
+	policy policy
 	picker atomic.Pointer[picker]
 }
 
-type picker struct {
-	services map[model.ServiceName][]model.Instance
-}
-
 // NewTable returns a table without upstreams.
 func NewTable(cfg Config) *Table {
 	if cfg.Random == nil {
 		cfg.Random = rand.Uint64
 	}
-	t := &Table{cfg: cfg}
-	t.picker.Store(&picker{})
-	return t
-}
-
-// Update rebuilds the picker from the blackboard's sections, keeping what was
-// learned of upstreams that stay. Called by the route controller only; it may
-// take time proportional to the fleet.
-func (t *Table) Update(now time.Time, fleet *model.Fleet, bundles *bundle.Set) {
-	p := &picker{services: map[model.ServiceName][]model.Instance{}}
-	for _, in := range fleet.Instances {
-		if in.State >= model.StateLeaving {
-			continue
-		}
-		p.services[in.Service] = append(p.services[in.Service], in)
+	if cfg.LocalDelay <= 0 {
+		cfg.LocalDelay = defaultLocalDelay
 	}
-	t.picker.Store(p)
+	if cfg.RemoteDelay <= 0 {
+		cfg.RemoteDelay = defaultRemoteDelay
+	}
+	t := &Table{cfg: cfg, tuning: defaultTuning, policy: cfg.Policy.implementation()}
+	t.picker.Store(emptyPicker)
+	return t
 }
 
-// Pick chooses an upstream; ok is false when none is known or all were tried.
-// It never blocks.
+// Pick chooses an upstream; ok is false when none is known, or all were tried
+// or are leaving. It never blocks.
 func (t *Table) Pick(now time.Time, q *Query) (c Choice, ok bool) {
-	all := t.picker.Load().services[q.Service]
-	if len(all) == 0 {
+	p := t.picker.Load()
+	svc := p.services[q.Service]
+	if svc == nil {
 		return Choice{}, false
 	}
-	start := int(t.cfg.Random() % uint64(len(all)))
-	for i := range all {
-		in := all[(start+i)%len(all)]
-		if !tried(q.Tried, in.ID) {
-			return Choice{Instance: in}, true
-		}
+	nanos := p.nanos(now)
+	u := t.policy.choose(t, svc, nanos, *q)
+	if u == nil {
+		return Choice{}, false
 	}
-	return Choice{}, false
+	return t.choice(u, nanos, q), true
 }
 
-func tried(list []model.InstanceID, id model.InstanceID) bool {
-	for _, t := range list {
-		if t == id {
-			return true
-		}
+// choice describes a chosen upstream.
+func (t *Table) choice(u *upstream, now int64, q *Query) Choice {
+	c := Choice{Instance: u.instance}
+	if h := u.cell.heard.Load(); h != nil {
+		c.Instance.Incarnation = max(c.Instance.Incarnation, h.report.Incarnation)
+		c.OwnerClock = h.ownerClock(now)
 	}
-	return false
+	e := t.estimate(u, now, q.Remaining, 0)
+	c.Expected = time.Duration(e.latency())
+	return c
 }
 
-// Home returns the upstream whose owner registers a caller's own request id:
-// the first, by rendezvous hashing of id, among the service's upstreams that
-// are not leaving or gone. Equal views give equal homes.
-func (t *Table) Home(now time.Time, service model.ServiceName, id model.RequestID) (c Choice, ok bool) {
-	return t.Pick(now, &Query{Service: service})
+// OwnerClock returns a lower bound of the clock of id's owner now, 0 when no
+// report of it was heard; see model.Attempt.OwnerClock.
+func (t *Table) OwnerClock(now time.Time, id model.InstanceID) time.Duration {
+	p := t.picker.Load()
+	u := p.byID[id]
+	if u == nil {
+		return 0
+	}
+	h := u.cell.heard.Load()
+	if h == nil {
+		return 0
+	}
+	return h.ownerClock(p.nanos(now))
 }
 
 // Sent counts an attempt in flight at the choice. Done must follow.
-func (t *Table) Sent(now time.Time, id model.InstanceID) {}
+func (t *Table) Sent(now time.Time, id model.InstanceID) {
+	p := t.picker.Load()
+	u := p.byID[id]
+	if u == nil {
+		return
+	}
+	nanos := p.nanos(now)
+	u.cell.sendOne(nanos)
+	u.service.stats.lastCalled.Store(nanos)
+}
 
 // Done ends what Sent began and learns from the result.
-func (t *Table) Done(now time.Time, id model.InstanceID, r Result) {}
+func (t *Table) Done(now time.Time, id model.InstanceID, r Result) {
+	p := t.picker.Load()
+	u := p.byID[id]
+	if u == nil {
+		return
+	}
+	nanos := p.nanos(now)
+	u.cell.endOne(nanos)
+	u.learn(nanos, &r)
+}
 
 // Observe takes an owner's load report. An older one than the last of the same
-// incarnation is ignored.
-func (t *Table) Observe(now time.Time, r model.LoadReport) {}
+// incarnation is ignored, and so is one of an older incarnation.
+func (t *Table) Observe(now time.Time, r model.LoadReport) {
+	p := t.picker.Load()
+	if u := p.byID[r.Owner]; u != nil {
+		u.observe(p.nanos(now), &r)
+	}
+}
+
+// ObserveProbe takes a load report that was asked for by a message of its own.
+// Only the baseline PolicyPolledTwoChoices tells it from Observe.
+func (t *Table) ObserveProbe(now time.Time, r model.LoadReport) {
+	p := t.picker.Load()
+	u := p.byID[r.Owner]
+	if u == nil {
+		return
+	}
+	u.cell.polledLoad.Store(int64(r.InFlight) + int64(r.Queued))
+	u.observe(p.nanos(now), &r)
+}
--- /dev/null
+++ b/internal/route/sample.go
@@ -0,0 +1,92 @@
+package route
+
+import (
+	"math"
+
+	"gypsumstand/internal/model"
+)
+
+// maxCandidates bounds the candidates of one choice.
+const maxCandidates = 8
+
+// candidates is a bounded set without heap memory.
+type candidates struct {
+	list [maxCandidates]*upstream
+	n    int
+}
+
+// add puts u in unless it is there, and tells whether it did.
+func (c *candidates) add(u *upstream) bool {
+	for _, other := range c.list[:c.n] {
+		if other == u {
+			return false
+		}
+	}
+	c.list[c.n] = u
+	c.n++
+	return true
+}
+
+// sample fills c with upstreams of the own data centre and of others; what one
+// side lacks the other gives.
+func (t *Table) sample(c *candidates, svc *service) {
+	local, remote := t.tuning.local, t.tuning.remote
+	lackLocal := max(0, local-len(svc.local))
+	lackRemote := max(0, remote-len(svc.remote))
+	t.draw(c, svc.local, local+lackRemote, false)
+	t.draw(c, svc.remote, remote+lackLocal, true)
+}
+
+// draw adds up to k distinct upstreams of list at random. With nearer, each is
+// the nearer by link of two draws, so that far data centres do not take the
+// place of near ones.
+func (t *Table) draw(c *candidates, list []*upstream, k int, nearer bool) {
+	n := len(list)
+	k = min(k, n, maxCandidates-c.n)
+	for range k {
+		bits := t.cfg.Random()
+		i := below(uint32(bits), n)
+		if j := below(uint32(bits>>32), n); nearer && list[j].link.roundTrip() < list[i].link.roundTrip() {
+			i = j
+		}
+		for !c.add(list[i]) {
+			i = (i + 1) % n
+		}
+	}
+}
+
+// below maps 32 random bits to 0..n-1.
+func below(bits uint32, n int) int { return int(uint64(bits) * uint64(n) >> 32) }
+
+// eligible tells whether u may be chosen for a request.
+func (u *upstream) eligible(tried []model.InstanceID) bool {
+	for _, id := range tried {
+		if id == u.instance.ID {
+			return false
+		}
+	}
+	return !u.cell.leaving()
+}
+
+// firstEligible returns the first upstream that may be chosen from place start
+// on, or nil.
+func (s *service) firstEligible(start int, tried []model.InstanceID) *upstream {
+	for i := range s.all {
+		if u := s.all[(start+i)%len(s.all)]; u.eligible(tried) {
+			return u
+		}
+	}
+	return nil
+}
+
+// normal returns a nearly normal deviate from 64 random bits: the sum of four
+// uniform ones.
+func normal(bits uint64) float64 {
+	const (
+		unit     = 1.0 / (1 << 16)
+		mean     = 2
+		perUnits = math.Sqrt2 * 1.2247448713915890 // 1/sqrt(4/12) = sqrt(3)
+	)
+	sum := float64(uint16(bits)) + float64(uint16(bits>>16)) + float64(uint16(bits>>32)) + float64(uint16(bits>>48))
+	return (sum*unit - mean) * perUnits
+}
