Owner: admission, queue with shares, attempt ledger and request ids

Cause: the skeleton started anything within the slots and remembered nothing.

Change: effective limit (slots, slow start, additive increase and multiplicative decrease on the worker's refusals), bounded queue by class share, worth and deadline with displacement, early refusal by predicted wait, tenants' rates and bounds, ledger of attempts with bars, request ids with delegation, settlement, judgement after a pause, reports.

--- /dev/null
+++ b/internal/owner/admission_test.go
@@ -0,0 +1,327 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/model"
+)
+
+func TestStartsUpToTheLimitThenQueuesThenRefuses(t *testing.T) {
+	r := newRig(t, testService())
+	running := r.fill(2)
+	var waiting []*model.Attempt
+	for range 4 {
+		a := r.attempt()
+		r.want(r.offer(a), waits)
+		waiting = append(waiting, a)
+	}
+	r.want(r.offer(r.attempt()), refused(model.ReasonQueueFull, true))
+	if got := r.o.Pending(); got != 6 {
+		t.Errorf("%d pending", got)
+	}
+	r.wantDecisions(r.finish(running[0], Finish{Status: 200}), startOf(waiting[0]))
+}
+
+func TestUpstreamOverrideAndConnectionsBoundTheLimit(t *testing.T) {
+	tests := []struct {
+		name string
+		svc  bundle.Service
+		want uint16
+	}{
+		{"service", bundle.Service{Slots: 20, Connections: 260}, 20},
+		{"connections", bundle.Service{Slots: 20, Connections: 7}, 7},
+		{"own override", bundle.Service{Slots: 20, Connections: 260, Upstreams: []bundle.Upstream{{Instance: testOwner, Slots: 3}}}, 3},
+		{"another's override", bundle.Service{Slots: 20, Connections: 260, Upstreams: []bundle.Upstream{{Instance: "w2", Slots: 3}}}, 20},
+		{"none", bundle.Service{}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t, &tt.svc)
+			if got := r.o.Report(r.now).Limit; got != tt.want {
+				t.Errorf("limit %d, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+func TestSlowStartRampsTheLimit(t *testing.T) {
+	svc := testService()
+	svc.Slots, svc.Connections, svc.WarmupMs = 20, 100, 1000
+	r := newRig(t, svc)
+	for _, step := range []struct {
+		after time.Duration
+		want  uint16
+	}{{0, 2}, {250 * time.Millisecond, 6}, {250 * time.Millisecond, 11}, {500 * time.Millisecond, 20}, {time.Hour, 20}} {
+		r.pass(step.after)
+		if got := r.o.Report(r.now).Limit; got != step.want {
+			t.Errorf("limit %d, want %d", got, step.want)
+		}
+	}
+	r.o.SetState(r.now, model.StateCold)
+	if got := r.o.Report(r.now).Limit; got != 0 {
+		t.Errorf("limit %d while cold", got)
+	}
+	r.o.SetState(r.now, model.StateLive)
+	if got := r.o.Report(r.now).Limit; got != 2 {
+		t.Errorf("limit %d after cold", got)
+	}
+}
+
+func TestQueueOrder(t *testing.T) {
+	r := newRig(t, testService())
+	running := r.fill(2)
+	late, early, poor := r.attempt(), r.attempt(), r.attempt()
+	early.Remaining = 500 * time.Millisecond
+	poor.Worth, poor.Class = 1, "view"
+	poor.Remaining = 400 * time.Millisecond
+	for _, a := range []*model.Attempt{poor, late, early} {
+		r.want(r.offer(a), waits)
+	}
+	r.wantDecisions(r.finish(running[0], Finish{Status: 200}), startOf(early))
+	r.wantDecisions(r.finish(running[1], Finish{Status: 200}), startOf(late))
+	r.wantDecisions(r.finish(early, Finish{Status: 200}), startOf(poor))
+}
+
+func TestClassUnderItsShareGoesFirst(t *testing.T) {
+	svc := testService()
+	svc.Slots, svc.Connections, svc.QueueLimit = 4, 100, 20
+	b := testBundle(svc)
+	b.Classes[2].Share = 0.25
+	r := newRig(t, svc)
+	r.o.Configure(r.now, b, svc, 1)
+	running := r.fill(4)
+	rich, lookup, lookup2 := r.attempt(), r.attempt(), r.attempt()
+	for _, a := range []*model.Attempt{lookup, lookup2} {
+		a.Class, a.Worth = "lookup", 0
+	}
+	for _, a := range []*model.Attempt{rich, lookup, lookup2} {
+		r.want(r.offer(a), waits)
+	}
+	r.wantDecisions(r.finish(running[0], Finish{Status: 200}), startOf(lookup))
+	r.wantDecisions(r.finish(running[1], Finish{Status: 200}), startOf(rich))
+	r.wantDecisions(r.finish(running[2], Finish{Status: 200}), startOf(lookup2))
+}
+
+// A class without worth or share still gets its floor under endless worth.
+func TestWorthlessClassIsNotStarved(t *testing.T) {
+	svc := testService()
+	svc.Slots, svc.Connections, svc.QueueLimit = 10, 100, 40
+	r := newRig(t, svc)
+	running := r.fill(10)
+	lookup := r.attempt()
+	lookup.Class, lookup.Worth, lookup.Remaining = "lookup", 0, time.Hour
+	r.want(r.offer(lookup), waits)
+	for range 5 {
+		r.offer(r.attempt())
+	}
+	const enough = int(2 / shareFloor)
+	for range enough {
+		a := r.attempt()
+		r.want(r.offer(a), waits)
+		ds := r.finish(running[0], Finish{Status: 200})
+		running = running[1:]
+		for _, d := range ds {
+			if d.Attempt == lookup.ID {
+				return
+			}
+			running = append(running, &model.Attempt{ID: d.Attempt})
+		}
+	}
+	t.Fatalf("did not start within %d starts of others", enough)
+}
+
+func TestFullQueueDisplacesTheLeastValuable(t *testing.T) {
+	r := newRig(t, testService())
+	r.fill(2)
+	var views []*model.Attempt
+	for i := range 4 {
+		a := r.attempt()
+		a.Class, a.Worth = "view", 1
+		a.Remaining += time.Duration(i) * time.Millisecond
+		r.want(r.offer(a), waits)
+		views = append(views, a)
+	}
+	equal := r.attempt()
+	equal.Class, equal.Worth, equal.Remaining = "view", 1, 10*time.Millisecond
+	r.want(r.offer(equal), refused(model.ReasonQueueFull, true))
+	r.want(r.offer(r.attempt()), waits)
+	r.wantDecisions(r.tick(0), refusalOf(views[3], model.ReasonQueueFull))
+	r.want(r.offer(views[3]), refused(model.ReasonBarred, true))
+}
+
+// A class keeps its share of the queue's places against a higher worth.
+func TestFullQueueKeepsPlacesOfEachClass(t *testing.T) {
+	r := newRig(t, testService())
+	r.fill(2)
+	var rich []*model.Attempt
+	for range 4 {
+		a := r.attempt()
+		r.want(r.offer(a), waits)
+		rich = append(rich, a)
+	}
+	lookup := r.attempt()
+	lookup.Class, lookup.Worth = "lookup", 0
+	r.want(r.offer(lookup), waits)
+	r.wantDecisions(r.tick(0), refusalOf(rich[3], model.ReasonQueueFull))
+	r.want(r.offer(r.attempt()), refused(model.ReasonQueueFull, true))
+}
+
+func TestTenantAtItsBoundGivesWay(t *testing.T) {
+	svc := testService()
+	svc.Slots = 4
+	b := testBundle(svc)
+	b.Tenants = []bundle.Tenant{{Name: "big", MaxShare: 0.5}}
+	r := newRig(t, svc)
+	r.o.Configure(r.now, b, svc, 1)
+	big := func() *model.Attempt { a := r.attempt(); a.Tenant = "big"; return a }
+	var running []*model.Attempt
+	for range 4 {
+		a := big()
+		r.want(r.offer(a), started)
+		running = append(running, a)
+	}
+	next, small := big(), r.attempt()
+	next.Worth = 100
+	r.want(r.offer(next), waits)
+	r.want(r.offer(small), waits)
+	r.wantDecisions(r.finish(running[0], Finish{Status: 200}), startOf(small))
+	r.wantDecisions(r.finish(running[1], Finish{Status: 200}), startOf(next))
+}
+
+func TestTenantRateIsThisOwnersPart(t *testing.T) {
+	svc := testService()
+	svc.Slots = 100
+	svc.Connections = 100
+	b := testBundle(svc)
+	b.Tenants = []bundle.Tenant{{Name: "big", RatePerSecond: 40, Burst: 40, MaxShare: 1}}
+	r := newRig(t, svc)
+	r.o.Configure(r.now, b, svc, 4)
+	count := func() (n int) {
+		for range 50 {
+			a := r.attempt()
+			a.Tenant = "big"
+			got := r.offer(a)
+			if got.Verdict == Start {
+				n++
+				continue
+			}
+			r.want(got, refused(model.ReasonTenantLimit, true))
+		}
+		return n
+	}
+	if got, want := count(), 13; got != want {
+		t.Errorf("burst of %d, want %d (a quarter of 40, with slack)", got, want)
+	}
+	r.pass(400 * time.Millisecond)
+	if got, want := count(), 5; got != want {
+		t.Errorf("%d in 400 ms, want %d (12.5 a second)", got, want)
+	}
+	r.want(r.offer(r.attempt()), started)
+}
+
+func TestWorkThatCannotFinishIsRefusedEarly(t *testing.T) {
+	r := newRig(t, testService())
+	for _, a := range r.fill(2) {
+		r.finish(a, Finish{Status: 200, ServiceTime: 100 * time.Millisecond})
+	}
+	r.fill(2)
+	// One slot comes free every 50 ms, and the service takes 100 ms.
+	a, b := r.attempt(), r.attempt()
+	a.Remaining = 149 * time.Millisecond
+	b.Remaining = 151 * time.Millisecond
+	got := r.offer(a)
+	r.want(got, refused(model.ReasonOverloaded, true))
+	if got.Refusal.RetryAfter < retryMin || got.Refusal.RetryAfter > retryMax {
+		t.Errorf("retry after %v", got.Refusal.RetryAfter)
+	}
+	r.want(r.offer(b), waits)
+}
+
+// An estimate that has grown too long must not refuse for ever.
+func TestLongEstimateIsProbed(t *testing.T) {
+	r := newRig(t, testService())
+	a := r.fill(1)[0]
+	r.finish(a, Finish{Status: 200, ServiceTime: time.Hour})
+	r.fill(1)
+}
+
+func TestQueuedWorkExpires(t *testing.T) {
+	r := newRig(t, testService())
+	r.fill(2)
+	a := r.attempt()
+	r.want(r.offer(a), waits)
+	r.wantDecisions(r.tick(time.Second - 1))
+	r.wantDecisions(r.tick(1), refusalOf(a, model.ReasonExpired))
+}
+
+func TestLeavingAdmitsNothingAndFinishesWhatItHas(t *testing.T) {
+	r := newRig(t, testService())
+	running := r.fill(2)
+	waiting := r.attempt()
+	r.want(r.offer(waiting), waits)
+	r.o.SetState(r.now, model.StateLeaving)
+	r.want(r.offer(r.attempt()), refused(model.ReasonLeaving, true))
+	for _, s := range []model.UpstreamState{model.StateLive, model.StateCold} {
+		r.o.SetState(r.now, s)
+		r.want(r.offer(r.attempt()), refused(model.ReasonLeaving, true))
+	}
+	r.wantDecisions(r.finish(running[0], Finish{Status: 200}), startOf(waiting))
+	r.finish(running[1], Finish{Status: 200})
+	r.finish(waiting, Finish{Status: 200})
+	if got := r.o.Pending(); got != 0 {
+		t.Errorf("%d pending", got)
+	}
+}
+
+func TestColdWorkerFreesItsQueue(t *testing.T) {
+	r := newRig(t, testService())
+	r.fill(2)
+	a := r.attempt()
+	r.want(r.offer(a), waits)
+	r.o.SetState(r.now, model.StateCold)
+	r.wantDecisions(r.tick(coldGrace - 1))
+	r.wantDecisions(r.tick(1), refusalOf(a, model.ReasonNotReady))
+}
+
+func TestPause(t *testing.T) {
+	r := newRig(t, testService())
+	running := r.fill(2)
+	short, long := r.attempt(), r.attempt()
+	long.Remaining = 10 * time.Second
+	r.want(r.offer(short), waits)
+	r.want(r.offer(long), waits)
+	r.pass(2 * time.Second)
+	r.wantDecisions(r.o.Paused(r.now, 2*time.Second), refusalOf(short, model.ReasonExpired))
+	r.want(r.offer(r.attempt()), refused(model.ReasonPaused, true))
+	if r.o.Confirm(r.now, running[0].ID) {
+		t.Error("confirmed an attempt whose time ran out")
+	}
+	r.wantDecisions(r.finish(running[0], Finish{NotRun: true}))
+	r.wantDecisions(r.tick(0), startOf(long))
+	unstamped := r.attempt()
+	unstamped.Idempotent, unstamped.OwnerClock = true, 0
+	r.want(r.offer(unstamped), refused(model.ReasonPaused, true))
+}
+
+func TestPauseBetweenStartAndConfirm(t *testing.T) {
+	r := newRig(t, testService())
+	a := r.attempt()
+	r.want(r.offer(a), started)
+	r.o.Paused(r.now, 500*time.Millisecond)
+	if r.o.Confirm(r.now, a.ID) {
+		t.Error("confirmed while in doubt")
+	}
+	r.tick(0)
+	if !r.o.Confirm(r.now, a.ID) {
+		t.Error("not confirmed after the doubt, although in time")
+	}
+}
+
+func TestDoubtEndsWithoutATick(t *testing.T) {
+	r := newRig(t, testService())
+	r.o.Paused(r.now, time.Second)
+	r.pass(pauseDoubt)
+	r.want(r.offer(r.attempt()), started)
+}
--- /dev/null
+++ b/internal/owner/dispatch.go
@@ -0,0 +1,127 @@
+package owner
+
+import (
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// coldGrace is how long queued attempts wait for a worker gone cold before they
+// are refused, so that time is left to place them elsewhere.
+const coldGrace = 200 * time.Millisecond
+
+// item is one admitted attempt, queued or started.
+type item struct {
+	id      model.AttemptID
+	request model.RequestID
+	// keyed: the request's id is registered here as its home.
+	keyed  bool
+	class  *class
+	tenant *tenant
+	worth  float64
+	// deadline, arrived and startedAt are on the owner's clock.
+	deadline  time.Duration
+	arrived   time.Duration
+	startedAt time.Duration
+	// seq is the order of arrival.
+	seq     uint64
+	started bool
+	// confirmed: Confirm let the first byte go.
+	confirmed bool
+	// pauses is the number of pauses seen before the start.
+	pauses uint64
+}
+
+// free returns the number of attempts that may start now.
+func (o *Owner) free(t time.Duration) int {
+	if !o.runs() || o.pause.doubted(t) {
+		return 0
+	}
+	return o.limit.effective(t) - o.inFlight
+}
+
+// runs tells whether the life stage lets admitted attempts start.
+func (o *Owner) runs() bool {
+	return o.configured && (o.state == model.StateLive || o.state == model.StateLeaving)
+}
+
+// dispatch starts waiting attempts while there is room.
+func (o *Owner) dispatch(t time.Duration) {
+	for n := o.free(t); n > 0 && o.queue.length > 0; n-- {
+		it := o.choose(o, t)
+		if it == nil {
+			return
+		}
+		if t >= it.deadline {
+			o.turnAway(t, it, notRun(model.ReasonExpired))
+			n++
+			continue
+		}
+		o.start(t, it)
+		o.out = append(o.out, Decision{Attempt: it.id, Verdict: Start})
+	}
+}
+
+// start moves an attempt from the queue to the worker.
+func (o *Owner) start(t time.Duration, it *item) {
+	o.queue.remove(it)
+	o.classes.charge(it.class, o.limit.effective(t))
+	it.started = true
+	it.startedAt = t
+	it.pauses = o.pause.count
+	it.class.inFlight++
+	it.tenant.inFlight++
+	o.inFlight++
+}
+
+// release gives back what start took.
+func (o *Owner) release(it *item) {
+	delete(o.live, it.id)
+	it.class.inFlight--
+	it.tenant.inFlight--
+	o.inFlight--
+}
+
+// turnAway ends the waiting of a queued attempt with a refusal; the attempt is
+// barred from then on.
+func (o *Owner) turnAway(t time.Duration, it *item, r model.Refusal) {
+	o.queue.remove(it)
+	delete(o.live, it.id)
+	if it.keyed && !placeable(r.Reason) {
+		o.keys.free(it)
+	}
+	r = o.delegate(t, it, r)
+	o.attempts.end(t, it.id, attemptBarred, it.deadline)
+	o.out = append(o.out, Decision{Attempt: it.id, Verdict: Refuse, Refusal: r})
+}
+
+// expire refuses queued attempts whose time ran out.
+func (o *Owner) expire(t time.Duration) {
+	for _, it := range o.queue.where(func(it *item) bool { return t >= it.deadline }) {
+		o.turnAway(t, it, notRun(model.ReasonExpired))
+	}
+}
+
+// refuseWhileCold refuses queued attempts once the worker has been cold for
+// longer than coldGrace.
+func (o *Owner) refuseWhileCold(t time.Duration) {
+	if o.state != model.StateCold || t-o.coldSince < coldGrace || o.queue.length == 0 {
+		return
+	}
+	r := model.Refusal{Reason: model.ReasonNotReady, NotRun: true, RetryAfter: retryNotReady}
+	for _, it := range o.queue.where(func(*item) bool { return true }) {
+		o.turnAway(t, it, r)
+	}
+}
+
+// displace makes room in a full queue for it by refusing the least valuable
+// waiting attempt; false when none is worth less.
+func (o *Owner) displace(t time.Duration, it *item) bool {
+	victim := o.queue.least(o.queueLimit, it)
+	if victim == nil {
+		return false
+	}
+	r := model.Refusal{Reason: model.ReasonQueueFull, NotRun: true, RetryAfter: o.retryAfter(o.wait(t, victim))}
+	o.turnAway(t, victim, r)
+	return true
+}
--- /dev/null
+++ b/internal/owner/keys_test.go
@@ -0,0 +1,150 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+func TestSecondSendingOfARequestID(t *testing.T) {
+	r := newRig(t, testService())
+	first := r.keyed("k")
+	r.want(r.offer(first), started)
+	second := r.keyed("k")
+	r.want(r.offer(second), refused(model.ReasonDuplicateRunning, false))
+	if got := r.settle(second, time.Second); got != model.AttemptForgotten {
+		t.Errorf("the refused duplicate settled as %v, which an entry may take for a proof", got)
+	}
+	r.finish(first, Finish{Status: 200})
+	r.want(r.offer(r.keyed("k")), refused(model.ReasonDuplicateDone, false))
+	r.tick(59 * time.Second)
+	r.want(r.offer(r.keyed("k")), refused(model.ReasonDuplicateDone, false))
+	r.tick(2 * time.Second)
+	r.want(r.offer(r.keyed("k")), started)
+}
+
+func TestNotRunFreesTheRequestID(t *testing.T) {
+	r := newRig(t, testService())
+	first := r.keyed("k")
+	r.want(r.offer(first), started)
+	r.finish(first, Finish{NotRun: true})
+	r.want(r.offer(r.keyed("k")), started)
+}
+
+func TestFinishMayDelegate(t *testing.T) {
+	r := newRig(t, testService())
+	first := r.keyed("k")
+	r.want(r.offer(first), started)
+	r.finish(first, Finish{NotRun: true, Delegate: true})
+	r.want(r.offer(r.keyed("k")), refused(model.ReasonDuplicateRunning, false))
+}
+
+func TestHomeDelegatesWhatItCannotRunSoon(t *testing.T) {
+	tests := []struct {
+		name    string
+		prepare func(r *rig)
+	}{
+		{"cold", func(r *rig) { r.o.SetState(r.now, model.StateCold) }},
+		{"leaving", func(r *rig) { r.o.SetState(r.now, model.StateLeaving) }},
+		{"paused", func(r *rig) { r.o.Paused(r.now, time.Second) }},
+		{"long wait", func(r *rig) {
+			for _, a := range r.fill(2) {
+				r.finish(a, Finish{Status: 200, ServiceTime: 600 * time.Millisecond})
+			}
+			r.fill(2)
+		}},
+		{"failing worker", func(r *rig) {
+			for range 2 * smoothing {
+				a := r.fill(1)[0]
+				r.finish(a, Finish{Status: 500, Failed: true})
+			}
+			r.fill(2)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t, testService())
+			tt.prepare(r)
+			r.want(r.offer(r.keyed("k")), refused(model.ReasonDelegated, true))
+			r.want(r.offer(r.keyed("k")), refused(model.ReasonDuplicateRunning, false))
+		})
+	}
+}
+
+func TestDisplacedRequestIDIsDelegated(t *testing.T) {
+	svc := testService()
+	svc.QueueLimit = 1
+	r := newRig(t, svc)
+	r.fill(2)
+	poor := r.keyed("k")
+	poor.Worth = 1
+	r.want(r.offer(poor), waits)
+	r.want(r.offer(r.attempt()), waits)
+	r.wantDecisions(r.tick(0), refusalOf(poor, model.ReasonDelegated))
+	r.want(r.offer(r.keyed("k")), refused(model.ReasonDuplicateRunning, false))
+}
+
+func TestKeyResult(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome model.Outcome
+		change  func(id *model.AttemptID)
+		want    answer
+	}{
+		{"not run frees", model.OutcomeNotRun, func(*model.AttemptID) {}, started},
+		{"not run of a later attempt frees", model.OutcomeNotRun, func(id *model.AttemptID) { id.Sequence += 5 }, started},
+		{"another entry's word counts not", model.OutcomeNotRun, func(id *model.AttemptID) { id.Entry = "e2" }, refused(model.ReasonDuplicateRunning, false)},
+		{"another life's word counts not", model.OutcomeNotRun, func(id *model.AttemptID) { id.Incarnation++ }, refused(model.ReasonDuplicateRunning, false)},
+		{"an older attempt's word counts not", model.OutcomeNotRun, func(id *model.AttemptID) { id.Sequence-- }, refused(model.ReasonDuplicateRunning, false)},
+		{"answered is done", model.OutcomeAnswered, func(*model.AttemptID) {}, refused(model.ReasonDuplicateDone, false)},
+		{"unknown stays", model.OutcomeUnknown, func(*model.AttemptID) {}, refused(model.ReasonDuplicateRunning, false)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t, testService())
+			r.o.SetState(r.now, model.StateCold)
+			a := r.keyed("k")
+			r.want(r.offer(a), refused(model.ReasonDelegated, true))
+			r.o.SetState(r.now, model.StateLive)
+			id := a.ID
+			tt.change(&id)
+			r.o.KeyResult(r.now, wire.KeyResult{Request: "k", Attempt: id, Outcome: tt.outcome})
+			r.want(r.offer(r.keyed("k")), tt.want)
+		})
+	}
+}
+
+func TestDelegatedAndIdempotentAttemptsAreNotRegistered(t *testing.T) {
+	r := newRig(t, testService())
+	elsewhere := r.keyed("k")
+	elsewhere.Delegated = true
+	r.want(r.offer(elsewhere), started)
+	r.want(r.offer(r.keyed("k")), started)
+	if n := len(r.o.keys.byID); n != 1 {
+		t.Errorf("%d request ids registered", n)
+	}
+}
+
+func TestRefusalsForTheCallerDoNotRegister(t *testing.T) {
+	r := newRig(t, testService())
+	late := r.keyed("k")
+	late.Remaining = 0
+	r.want(r.offer(late), refused(model.ReasonExpired, true))
+	r.want(r.offer(r.keyed("k")), started)
+}
+
+func TestFullKeyTableRefusesNewKeys(t *testing.T) {
+	r := newRig(t, testService())
+	live := r.keyed("live")
+	r.want(r.offer(live), started)
+	for i := len(r.o.keys.byID); i < maxKeys; i++ {
+		a := r.keyed(model.RequestID(time.Duration(i).String()))
+		r.want(r.offer(a), started)
+		r.finish(a, Finish{Status: 200})
+	}
+	r.want(r.offer(r.keyed("new")), refused(model.ReasonOverloaded, true))
+	r.want(r.offer(r.keyed("live")), refused(model.ReasonDuplicateRunning, false))
+	r.want(r.offer(r.attempt()), started)
+}
--- /dev/null
+++ b/internal/owner/offer.go
@@ -0,0 +1,269 @@
+package owner
+
+import (
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// Bounds of an attempt's fields; what exceeds them is malformed.
+const (
+	// maxRemaining caps an attempt's remaining time, so that sums cannot overflow.
+	maxRemaining = time.Hour
+	// maxFuture is how far ahead of the owner's clock a stamp may be for its
+	// refusal to be remembered; see refuseFuture.
+	maxFuture = time.Minute
+)
+
+// Advice of refusals to come back.
+const (
+	retryNotReady = time.Second
+	retryPaused   = 50 * time.Millisecond
+	retryTenant   = time.Second
+	retryKeysFull = time.Second
+	retryMin      = 10 * time.Millisecond
+	retryMax      = time.Second
+)
+
+// Offer decides on an arriving attempt. sameNode tells that it comes from this
+// node's own entry, so that its age is zero.
+//
+// A refusal with NotRun holds for ever: either the cause of the refusal is
+// itself permanent (incarnation, expiry, leaving), or the attempt id is barred
+// for as long as a copy of the message could still be in time.
+func (o *Owner) Offer(now time.Time, a *model.Attempt, sameNode bool) (Verdict, model.Refusal) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.clock(now)
+	if r := o.refuseUnbound(a, sameNode); r.Reason != model.ReasonNone {
+		return Refuse, r
+	}
+	if r := o.refuseKnown(t, a, sameNode); r.Reason != model.ReasonNone {
+		return Refuse, r
+	}
+	if r := o.refuseStale(t, a, sameNode); r.Reason != model.ReasonNone {
+		return Refuse, r
+	}
+	it := o.newItem(t, a)
+	if r := o.refuseKey(t, it); r.Reason != model.ReasonNone {
+		return Refuse, r
+	}
+	if r := o.refuseState(t, a); r.Reason != model.ReasonNone {
+		return Refuse, o.refuseNew(t, it, r)
+	}
+	if !o.tenants.allows(now, it.tenant) {
+		r := model.Refusal{Reason: model.ReasonTenantLimit, NotRun: true, RetryAfter: retryTenant}
+		return Refuse, o.refuseNew(t, it, r)
+	}
+	return o.place(t, now, it)
+}
+
+// refuseUnbound refuses what no owner of this incarnation would ever take, so
+// that nothing need be remembered. An attempt bound to another incarnation is
+// told "not run": each attempt is sent once (package server's transport does not
+// replay), so what arrives here has not reached the other incarnation.
+func (o *Owner) refuseUnbound(a *model.Attempt, sameNode bool) model.Refusal {
+	switch {
+	case a.ID.IsZero() || a.OwnerClock < 0:
+		return notRun(model.ReasonBadRequest)
+	case o.keyedHere(a) && len(a.Request) > maxKeyBytes:
+		return notRun(model.ReasonBadRequest)
+	case a.Owner != "" && a.Owner != o.cfg.Self.ID:
+		return notRun(model.ReasonIncarnation)
+	case a.OwnerIncarnation == o.cfg.Self.Incarnation && a.OwnerIncarnation != 0:
+		return model.Refusal{}
+	case a.OwnerIncarnation != 0:
+		return notRun(model.ReasonIncarnation)
+	case !a.Idempotent && !sameNode:
+		return notRun(model.ReasonIncarnation)
+	}
+	return model.Refusal{}
+}
+
+// refuseKnown refuses an attempt id that was offered or settled before.
+func (o *Owner) refuseKnown(t time.Duration, a *model.Attempt, sameNode bool) model.Refusal {
+	if o.live[a.ID] != nil {
+		return model.Refusal{Reason: model.ReasonDuplicateRunning}
+	}
+	stamp := a.OwnerClock
+	if sameNode && stamp == 0 {
+		stamp = t
+	}
+	rec, known := o.attempts.find(a.ID, stamp)
+	switch {
+	case !known:
+		return model.Refusal{Reason: model.ReasonStale}
+	case rec == attemptBarred:
+		return notRun(model.ReasonBarred)
+	case rec == attemptDone:
+		return model.Refusal{Reason: model.ReasonDuplicateDone}
+	case rec == attemptDuplicate:
+		return model.Refusal{Reason: model.ReasonDuplicateRunning}
+	}
+	return model.Refusal{}
+}
+
+// refuseStale refuses an attempt whose age cannot be bounded by its remaining
+// time. The age bound only grows, so an expired attempt stays refused without a
+// record.
+func (o *Owner) refuseStale(t time.Duration, a *model.Attempt, sameNode bool) model.Refusal {
+	remaining := min(a.Remaining, maxRemaining)
+	if a.OwnerClock == 0 {
+		switch {
+		case !a.Idempotent && !sameNode:
+			return notRun(model.ReasonStale)
+		case remaining <= 0:
+			return notRun(model.ReasonExpired)
+		case t < o.attempts.unstampedUntil:
+			return model.Refusal{Reason: model.ReasonStale}
+		}
+		return model.Refusal{}
+	}
+	if a.OwnerClock > t {
+		return o.refuseFuture(t, a, remaining)
+	}
+	switch {
+	case remaining <= 0:
+		return notRun(model.ReasonExpired)
+	case a.OwnerClock <= o.attempts.floor:
+		return notRun(model.ReasonStale)
+	case t-a.OwnerClock >= remaining:
+		return notRun(model.ReasonStale)
+	}
+	return model.Refusal{}
+}
+
+// refuseFuture refuses a stamp ahead of the owner's clock, which no correct
+// entry sends. A copy could become valid once the clock has passed the stamp, so
+// the attempt is barred until then and past its remaining time; a stamp too far
+// ahead to remember is refused without the claim "not run".
+func (o *Owner) refuseFuture(t time.Duration, a *model.Attempt, remaining time.Duration) model.Refusal {
+	if a.OwnerClock-t > maxFuture {
+		return model.Refusal{Reason: model.ReasonBadRequest}
+	}
+	o.attempts.bar(a.OwnerClock, a.ID, a.OwnerClock+max(remaining, 0)+barSlack)
+	return notRun(model.ReasonBadRequest)
+}
+
+// refuseState refuses what the life stage or a recent pause forbids.
+func (o *Owner) refuseState(t time.Duration, a *model.Attempt) model.Refusal {
+	switch {
+	case o.state >= model.StateLeaving:
+		return notRun(model.ReasonLeaving)
+	case o.state == model.StateCold || !o.configured:
+		return model.Refusal{Reason: model.ReasonNotReady, NotRun: true, RetryAfter: retryNotReady}
+	case o.pause.doubted(t) || a.OwnerClock == 0 && o.pause.recent(t):
+		return model.Refusal{Reason: model.ReasonPaused, NotRun: true, RetryAfter: retryPaused}
+	}
+	return model.Refusal{}
+}
+
+// place starts, queues or refuses an attempt that nothing else forbids.
+func (o *Owner) place(t time.Duration, now time.Time, it *item) (Verdict, model.Refusal) {
+	if o.queue.length == 0 && o.free(t) > 0 {
+		o.queue.push(it)
+		if o.choose(o, t) == it {
+			o.admit(t, now, it)
+			o.start(t, it)
+			return Start, model.Refusal{}
+		}
+		o.queue.remove(it)
+	}
+	if r := o.refuseLate(t, it); r.Reason != model.ReasonNone {
+		return Refuse, o.refuseNew(t, it, r)
+	}
+	if o.queue.length >= o.queueLimit && !o.displace(t, it) {
+		r := model.Refusal{Reason: model.ReasonQueueFull, NotRun: true, RetryAfter: o.retryAfter(o.wait(t, it))}
+		return Refuse, o.refuseNew(t, it, r)
+	}
+	o.admit(t, now, it)
+	o.queue.push(it)
+	return Wait, model.Refusal{}
+}
+
+// refuseLate refuses what could not be answered in its remaining time, and a
+// caller's own request id that would wait here although it may run elsewhere.
+func (o *Owner) refuseLate(t time.Duration, it *item) model.Refusal {
+	wait := o.wait(t, it)
+	left := it.deadline - t
+	if late := wait + o.serviceTime(it.class) - left; late > 0 {
+		return model.Refusal{Reason: model.ReasonOverloaded, NotRun: true, RetryAfter: o.retryAfter(late)}
+	}
+	if it.keyed && (wait > min(delegateWait, left/delegateShare) || o.speed.failing(t)) {
+		return model.Refusal{Reason: model.ReasonDelegated, NotRun: true, RetryAfter: o.retryAfter(wait)}
+	}
+	return model.Refusal{}
+}
+
+// retryAfter turns an expected delay into advice within sensible bounds.
+func (o *Owner) retryAfter(d time.Duration) time.Duration {
+	return min(max(d, o.speed.all.mean(), retryMin), retryMax)
+}
+
+// newItem reads an attempt that passed the checks of its binding and age.
+func (o *Owner) newItem(t time.Duration, a *model.Attempt) *item {
+	left := min(a.Remaining, maxRemaining)
+	if a.OwnerClock > 0 {
+		left -= t - a.OwnerClock
+	}
+	o.nextSeq++
+	return &item{
+		id:       a.ID,
+		request:  a.Request,
+		keyed:    o.keyedHere(a),
+		class:    o.classes.get(a.Class),
+		tenant:   o.tenants.get(a.Tenant),
+		worth:    a.Worth,
+		deadline: t + left,
+		arrived:  t,
+		seq:      o.nextSeq,
+	}
+}
+
+// keyedHere tells whether this owner, as the request's home, registers its id.
+func (o *Owner) keyedHere(a *model.Attempt) bool {
+	return a.CallerKey && !a.Idempotent && !a.Delegated
+}
+
+// admit records an attempt that starts or waits.
+func (o *Owner) admit(t time.Duration, now time.Time, it *item) {
+	o.tenants.spend(now, it.tenant)
+	o.live[it.id] = it
+	o.attempts.seen(t, it.id)
+	o.keys.run(it)
+}
+
+// refuseNew bars an attempt that was never admitted and returns the refusal,
+// changed to a delegation where the request id has to be remembered.
+func (o *Owner) refuseNew(t time.Duration, it *item, r model.Refusal) model.Refusal {
+	r = o.delegate(t, it, r)
+	o.attempts.end(t, it.id, attemptBarred, it.deadline)
+	return r
+}
+
+// delegate changes a refusal that lets the entry place the request elsewhere
+// into a delegation when this owner is the home of its id.
+func (o *Owner) delegate(t time.Duration, it *item, r model.Refusal) model.Refusal {
+	if !it.keyed || !placeable(r.Reason) {
+		return r
+	}
+	if !o.keys.delegate(it) {
+		return model.Refusal{Reason: model.ReasonOverloaded, NotRun: true, RetryAfter: retryKeysFull}
+	}
+	r.Reason = model.ReasonDelegated
+	return r
+}
+
+// placeable tells whether an entry would try the request at another owner after
+// a refusal for this reason.
+func placeable(r model.Reason) bool {
+	switch r {
+	case model.ReasonOverloaded, model.ReasonQueueFull, model.ReasonLeaving,
+		model.ReasonNotReady, model.ReasonPaused, model.ReasonDelegated:
+		return true
+	}
+	return false
+}
+
+// notRun is a refusal that needs no advice.
+func notRun(r model.Reason) model.Refusal { return model.Refusal{Reason: r, NotRun: true} }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -3,6 +3,12 @@
 // tenants, and the record of attempts that keeps non-idempotent requests at
 // most once and refusals true. It does no I/O. Design: docs/DESIGN.md,
 // "Admission" and "At most once".
+//
+// The files follow an attempt's way: offer.go admits or refuses, queue.go and
+// shares.go order those that wait, limit.go and predict.go say how many run and
+// how long that takes, tenants.go holds the tenants' bounds, attempts.go
+// remembers attempts, keys.go remembers callers' request ids, settle.go answers
+// questions about attempts, pause.go judges anew after a stop of the process.
 package owner
 
 import (
@@ -11,7 +17,6 @@
 
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/model"
-	"gypsumstand/internal/wire"
 )
 
 // Config is an owner's fixed setting.
@@ -47,8 +52,14 @@
 	// ServiceTime from start to the whole answer.
 	ServiceTime time.Duration
 	// NotRun: proved that the worker did not run it (no byte left, or it said
-	// so); the attempt is barred and the request id freed.
+	// so); the attempt is barred and the request id freed. After a Confirm that
+	// was true, NotRun without Shed means that the worker could not be reached.
 	NotRun bool
+	// Delegate, with NotRun, keeps the request id as delegated in place of
+	// freeing it: the caller of Finish then refuses with ReasonDelegated and the
+	// entry may place the request elsewhere. It has no effect on attempts that
+	// carry no caller's key.
+	Delegate bool
 	// Failed: the worker answered with a server error, broke or timed out.
 	Failed bool
 	// Shed: the worker refused for load.
@@ -58,17 +69,58 @@
 }
 
 // Owner is safe for concurrent use; its lock is held for short, bounded work.
+// All of its times are on the owner's clock: the time since Config.Started.
 type Owner struct {
-	mu       sync.Mutex
-	cfg      Config
-	state    model.UpstreamState
-	slots    int
-	inFlight map[model.AttemptID]time.Time
+	mu  sync.Mutex
+	cfg Config
+	// last is the newest time seen, so that the clock never steps back when
+	// concurrent callers arrive out of order.
+	last  time.Duration
+	state model.UpstreamState
+	// coldSince is when the state last became cold.
+	coldSince  time.Duration
+	configured bool
+	version    model.BundleVersion
+	queueLimit int
+
+	inFlight int
+	nextSeq  uint64
+	live     map[model.AttemptID]*item
+	queue    queue
+	classes  classSet
+	choose   chooser
+	tenants  tenantSet
+	limit    limiter
+	speed    speed
+	attempts ledger
+	keys     keyTable
+	pause    pauseState
+	// out holds decisions until the next call that returns some.
+	out []Decision
 }
 
 // New returns a cold owner.
 func New(cfg Config) *Owner {
-	return &Owner{cfg: cfg, state: model.StateCold, inFlight: map[model.AttemptID]time.Time{}}
+	return &Owner{
+		cfg:      cfg,
+		state:    model.StateCold,
+		live:     map[model.AttemptID]*item{},
+		queue:    newQueue(byWorth),
+		classes:  newClassSet(),
+		choose:   byShares,
+		tenants:  newTenantSet(),
+		limit:    newLimiter(),
+		attempts: newLedger(),
+		keys:     newKeyTable(),
+	}
+}
+
+// clock turns now into the owner's clock, which never steps back.
+func (o *Owner) clock(now time.Time) time.Duration {
+	if t := now.Sub(o.cfg.Started); t > o.last {
+		o.last = t
+	}
+	return o.last
 }
 
 // Configure applies the limits of a bundle to later decisions. upstreams is the
@@ -77,81 +129,149 @@
 func (o *Owner) Configure(now time.Time, b *bundle.Bundle, svc *bundle.Service, upstreams int) []Decision {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.slots = svc.Slots
-	return nil
+	t := o.clock(now)
+	o.configured = true
+	o.version = b.VersionID()
+	o.queueLimit = svc.QueueLimit
+	o.limit.configure(o.slotsOf(svc), svc.Warmup())
+	o.queue.prune()
+	o.classes.configure(b.Classes)
+	o.tenants.configure(now, b.Tenants, upstreams)
+	o.keys.memory = svc.KeyMemory()
+	o.attempts.memory = attemptMemory(b.Classes)
+	o.dispatch(t)
+	return o.take()
 }
 
-// SetState sets the life stage. Leaving never turns back: a smaller state after
-// StateLeaving is ignored. Queued attempts stay.
-func (o *Owner) SetState(now time.Time, s model.UpstreamState) []Decision {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.state < model.StateLeaving || s > o.state {
-		o.state = s
+// slotsOf applies the override of this instance, and the number of connections,
+// as each request in flight holds one.
+func (o *Owner) slotsOf(svc *bundle.Service) int {
+	slots, connections := svc.Slots, svc.Connections
+	for _, u := range svc.Upstreams {
+		if u.Instance != o.cfg.Self.ID {
+			continue
+		}
+		if u.Slots > 0 {
+			slots = u.Slots
+		}
+		if u.Connections > 0 {
+			connections = u.Connections
+		}
 	}
-	return nil
+	if connections > 0 {
+		slots = min(slots, connections)
+	}
+	return max(slots, 1)
 }
 
-// Offer decides on an arriving attempt. sameNode tells that it comes from this
-// node's own entry, so that its age is zero.
-func (o *Owner) Offer(now time.Time, a *model.Attempt, sameNode bool) (Verdict, model.Refusal) {
+// SetState sets the life stage. Leaving never turns back: a smaller state after
+// StateLeaving is ignored. Queued attempts stay, but for those that a worker
+// gone cold keeps waiting longer than coldGrace (see Tick).
+func (o *Owner) SetState(now time.Time, s model.UpstreamState) []Decision {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	t := o.clock(now)
+	if o.state >= model.StateLeaving && s <= o.state {
+		return o.take()
+	}
 	switch {
-	case o.state >= model.StateLeaving:
-		return Refuse, model.Refusal{Reason: model.ReasonLeaving, NotRun: true}
-	case o.state == model.StateCold:
-		return Refuse, model.Refusal{Reason: model.ReasonNotReady, NotRun: true, RetryAfter: time.Second}
-	case len(o.inFlight) >= o.slots:
-		return Refuse, model.Refusal{Reason: model.ReasonOverloaded, NotRun: true, RetryAfter: 100 * time.Millisecond}
+	case s == model.StateLive && o.state != model.StateLive:
+		o.limit.warm(t)
+	case s == model.StateCold && o.state != model.StateCold:
+		o.coldSince = t
 	}
-	o.inFlight[a.ID] = now
-	return Start, model.Refusal{}
+	o.state = s
+	o.dispatch(t)
+	return o.take()
 }
 
 // Confirm is called right before the first byte goes to the worker, after any
 // delay since Start: false means that the time ran out meanwhile or the process
 // was paused, and the attempt must be finished as not run.
-func (o *Owner) Confirm(now time.Time, id model.AttemptID) bool { return true }
+func (o *Owner) Confirm(now time.Time, id model.AttemptID) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.clock(now)
+	it := o.live[id]
+	if it == nil || !it.started {
+		return false
+	}
+	if t >= it.deadline {
+		return false
+	}
+	if it.pauses != o.pause.count && o.pause.doubted(t) {
+		return false
+	}
+	it.confirmed = true
+	return true
+}
 
 // Finish ends a started attempt and returns who may start next.
 func (o *Owner) Finish(now time.Time, id model.AttemptID, f Finish) []Decision {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.inFlight, id)
-	return nil
+	t := o.clock(now)
+	it := o.live[id]
+	if it == nil || !it.started {
+		return o.take()
+	}
+	o.learn(t, it, f)
+	o.release(it)
+	switch {
+	case !f.NotRun:
+		o.attempts.end(t, id, attemptDone, it.deadline)
+		o.keys.done(t, it)
+	case f.Delegate && it.keyed:
+		o.attempts.end(t, id, attemptBarred, it.deadline)
+		o.keys.delegate(it)
+	default:
+		o.attempts.end(t, id, attemptBarred, it.deadline)
+		o.keys.free(it)
+	}
+	o.dispatch(t)
+	return o.take()
 }
 
 // Cancel gives up an attempt that the entry no longer waits for. notRun tells
 // whether it was still queued (and is now barred); a started one goes on until
-// Finish.
+// Finish. A queued one's waiting ends with a Decision as any other's.
 func (o *Owner) Cancel(now time.Time, id model.AttemptID) (notRun bool, ds []Decision) {
-	return false, nil
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.clock(now)
+	if it := o.live[id]; it != nil && !it.started {
+		o.turnAway(t, it, model.Refusal{Reason: model.ReasonCancelled, NotRun: true})
+		return true, o.take()
+	}
+	rec, _ := o.attempts.find(id, 0)
+	return rec == attemptBarred, o.take()
 }
 
-// Settle answers what became of an attempt and bars it unless it has started.
-func (o *Owner) Settle(now time.Time, s wire.Settle) (wire.SettleReply, []Decision) {
-	return wire.SettleReply{Attempt: s.Attempt, State: model.AttemptForgotten, Report: o.Report(now)}, nil
+// Tick expires queued attempts and old records; call it every 10 ms or so.
+func (o *Owner) Tick(now time.Time) []Decision {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.clock(now)
+	o.pause.refresh()
+	o.expire(t)
+	o.refuseWhileCold(t)
+	o.attempts.forget(t)
+	o.keys.forget(t)
+	o.dispatch(t)
+	return o.take()
 }
 
-// KeyResult takes the end of a request that this owner, as its home, delegated.
-func (o *Owner) KeyResult(now time.Time, r wire.KeyResult) {}
+// Pending returns the number of attempts that are queued or at the worker; a
+// stop waits until it is zero.
+func (o *Owner) Pending() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.live)
+}
 
-// Tick expires queued attempts and old records; call it every 10 ms or so.
-func (o *Owner) Tick(now time.Time) []Decision { return nil }
-
-// Paused says that the process had been stopped for d: all attempts that wait
-// are judged anew before anything starts.
-func (o *Owner) Paused(now time.Time, d time.Duration) []Decision { return nil }
-
-// Report returns the load report of this moment.
-func (o *Owner) Report(now time.Time) model.LoadReport {
-	return model.LoadReport{
-		Owner:       o.cfg.Self.ID,
-		Incarnation: o.cfg.Self.Incarnation,
-		Clock:       now.Sub(o.cfg.Started),
-		State:       o.state,
-		Limit:       uint16(o.slots),
-		InFlight:    uint16(len(o.inFlight)),
-	}
+// take returns the decisions made since the last call and empties the buffer.
+func (o *Owner) take() []Decision {
+	ds := o.out
+	o.out = nil
+	return ds
 }
--- /dev/null
+++ b/internal/owner/predict.go
@@ -0,0 +1,128 @@
+package owner
+
+import "time"
+
+// Smoothing of service times and failures.
+const (
+	// smoothing is the weight of a new sample: 1/smoothing.
+	smoothing = 16
+	// failingRate is the smoothed share of failures from which the worker counts
+	// as failing, for failingMemory after the last failure.
+	failingRate   = 0.5
+	failingMemory = time.Second
+	// timeoutMargin is how many times the expected service time an attempt must
+	// have had for its time-out to speak against the worker.
+	timeoutMargin = 2
+)
+
+// estimate is a smoothed duration: the mean of the first samples, then an
+// exponentially weighted one.
+type estimate struct {
+	value float64
+	count int
+}
+
+func (e *estimate) add(d time.Duration) {
+	e.count = min(e.count+1, smoothing)
+	e.value += (float64(d) - e.value) / float64(e.count)
+}
+
+func (e *estimate) mean() time.Duration { return time.Duration(e.value) }
+
+// speed is what the worker's answers show.
+type speed struct {
+	all estimate
+	// failures is the smoothed share of failed answers, 0 to 1.
+	failures    float64
+	lastFailure time.Duration
+}
+
+// failing tells whether most of the worker's late answers failed.
+func (s *speed) failing(t time.Duration) bool {
+	return s.failures >= failingRate && t-s.lastFailure < failingMemory
+}
+
+// ended takes whether an attempt failed.
+func (s *speed) ended(t time.Duration, failed bool) {
+	target := 0.0
+	if failed {
+		target = 1
+		s.lastFailure = t
+	}
+	s.failures += (target - s.failures) / smoothing
+}
+
+// learn takes the end of a started attempt into the estimates and the limit. An
+// attempt that a pause fell into, or that did not get as far as the worker, says
+// nothing of it.
+func (o *Owner) learn(t time.Duration, it *item, f Finish) {
+	unreached := f.NotRun && !f.Shed
+	if it.pauses != o.pause.count || unreached && !it.confirmed && !f.Failed {
+		return
+	}
+	o.limit.adapt.observe(sample{
+		signal:    o.signalOf(it, f),
+		startedAt: it.startedAt,
+		endedAt:   t,
+		service:   f.ServiceTime,
+		full:      o.inFlight >= o.limit.effective(t),
+	}, o.limit.slots)
+	if !f.Shed {
+		o.speed.ended(t, f.Failed || unreached)
+	}
+	if o.measures(it, f) {
+		it.class.service.add(f.ServiceTime)
+		o.speed.all.add(f.ServiceTime)
+	}
+}
+
+// signalOf reads what an end says about the worker's capacity.
+func (o *Owner) signalOf(it *item, f Finish) signal {
+	switch {
+	case f.Shed || f.NotRun:
+		return signalShed
+	case !f.Failed:
+		return signalServed
+	case f.Status != 0:
+		return signalNone
+	case it.deadline-it.startedAt < timeoutMargin*o.serviceTime(it.class):
+		return signalNone
+	}
+	return signalTimeout
+}
+
+// measures tells whether the service time is a measurement: a failed attempt's
+// is one only when it is longer than expected, as the worker would have taken
+// at least that long; a quick failure must not make the worker look fast.
+func (o *Owner) measures(it *item, f Finish) bool {
+	switch {
+	case f.NotRun || f.Shed:
+		return false
+	case f.Failed:
+		return f.ServiceTime > o.serviceTime(it.class)
+	}
+	return true
+}
+
+// serviceTime returns the expected service time of a class; zero when nothing
+// is known.
+func (o *Owner) serviceTime(c *class) time.Duration {
+	if c.service.count > 0 {
+		return c.service.mean()
+	}
+	return o.speed.all.mean()
+}
+
+// wait predicts how long an attempt that is not yet queued would wait: one slot
+// comes free every service time over the limit, and those ahead take the first.
+// A class within its share waits for its own share at most.
+func (o *Owner) wait(t time.Duration, it *item) time.Duration {
+	limit := o.limit.effective(t)
+	all, own := o.queue.ahead(it)
+	mean := float64(o.speed.all.mean())
+	wait := mean * float64(all+1) / float64(limit)
+	if g := it.class.guaranteed(limit); g > 0 {
+		wait = min(wait, float64(o.serviceTime(it.class))*float64(own+1)/g)
+	}
+	return time.Duration(wait)
+}
--- /dev/null
+++ b/internal/owner/queue.go
@@ -0,0 +1,165 @@
+package owner
+
+import "sort"
+
+// before tells whether a is served before b. It is a strict total order.
+type before func(a, b *item) bool
+
+// byWorth serves the highest worth first, then the earliest deadline, then the
+// first to arrive.
+func byWorth(a, b *item) bool {
+	if a.worth != b.worth {
+		return a.worth > b.worth
+	}
+	return byDeadline(a, b)
+}
+
+// byDeadline serves the earliest deadline first, then the first to arrive.
+func byDeadline(a, b *item) bool {
+	if a.deadline != b.deadline {
+		return a.deadline < b.deadline
+	}
+	return a.seq < b.seq
+}
+
+// lane holds the waiting attempts of one class and one tenant, the last to be
+// served first, so that both ends are at hand.
+type lane struct {
+	class  *class
+	tenant *tenant
+	items  []*item
+	// at is the lane's place among the queue's lanes while it holds any.
+	at int
+}
+
+// best returns the attempt that is served first.
+func (l *lane) best() *item { return l.items[len(l.items)-1] }
+
+// least returns the attempt that is served last.
+func (l *lane) least() *item { return l.items[0] }
+
+type laneKey struct {
+	class  *class
+	tenant *tenant
+}
+
+// queue holds the waiting attempts. Only lanes that hold any are listed, so the
+// cost of a choice grows with the classes and tenants that wait.
+type queue struct {
+	before before
+	lanes  []*lane
+	index  map[laneKey]*lane
+	length int
+}
+
+func newQueue(b before) queue {
+	return queue{before: b, index: map[laneKey]*lane{}}
+}
+
+// prune forgets lanes without attempts, as classes and tenants may go.
+func (q *queue) prune() {
+	for key, l := range q.index {
+		if len(l.items) == 0 {
+			delete(q.index, key)
+		}
+	}
+}
+
+// push adds an attempt.
+func (q *queue) push(it *item) {
+	key := laneKey{it.class, it.tenant}
+	l := q.index[key]
+	if l == nil {
+		l = &lane{class: it.class, tenant: it.tenant}
+		q.index[key] = l
+	}
+	if len(l.items) == 0 {
+		l.at = len(q.lanes)
+		q.lanes = append(q.lanes, l)
+	}
+	at := q.rank(l, it)
+	l.items = append(l.items, nil)
+	copy(l.items[at+1:], l.items[at:])
+	l.items[at] = it
+	it.class.queued++
+	q.length++
+}
+
+// rank returns the index of the first attempt of l that is served before it, or
+// it itself when it is in l.
+func (q *queue) rank(l *lane, it *item) int {
+	return sort.Search(len(l.items), func(i int) bool {
+		return l.items[i] == it || q.before(l.items[i], it)
+	})
+}
+
+// remove takes an attempt out; it must be in the queue.
+func (q *queue) remove(it *item) {
+	l := q.index[laneKey{it.class, it.tenant}]
+	at := q.rank(l, it)
+	copy(l.items[at:], l.items[at+1:])
+	l.items[len(l.items)-1] = nil
+	l.items = l.items[:len(l.items)-1]
+	it.class.queued--
+	q.length--
+	if len(l.items) == 0 {
+		q.unlist(l)
+	}
+}
+
+// unlist takes an empty lane off the list.
+func (q *queue) unlist(l *lane) {
+	last := len(q.lanes) - 1
+	moved := q.lanes[last]
+	q.lanes[l.at] = moved
+	moved.at = l.at
+	q.lanes[last] = nil
+	q.lanes = q.lanes[:last]
+}
+
+// ahead counts the waiting attempts that are served before it, in all classes
+// and in its own.
+func (q *queue) ahead(it *item) (all, own int) {
+	for _, l := range q.lanes {
+		n := len(l.items) - q.rank(l, it)
+		if l.class == it.class {
+			own += n
+		}
+		all += n
+	}
+	return all, own
+}
+
+// least returns the waiting attempt that has to give way to a new one in a full
+// queue of the given limit, or nil. Each class keeps its share of the places: a
+// class within its places loses none, and a new attempt of such a class takes
+// the place of the least of the others. Otherwise only a higher worth displaces.
+func (q *queue) least(limit int, newer *item) *item {
+	entitled := float64(newer.class.queued+1) <= newer.class.places(limit)
+	var victim *item
+	for _, l := range q.lanes {
+		if float64(l.class.queued) <= l.class.places(limit) && l.class != newer.class {
+			continue
+		}
+		if it := l.least(); victim == nil || q.before(victim, it) {
+			victim = it
+		}
+	}
+	if victim == nil || !entitled && victim.worth >= newer.worth {
+		return nil
+	}
+	return victim
+}
+
+// where returns the waiting attempts that match.
+func (q *queue) where(match func(*item) bool) []*item {
+	var out []*item
+	for _, l := range q.lanes {
+		for _, it := range l.items {
+			if match(it) {
+				out = append(out, it)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/owner/report.go
@@ -0,0 +1,36 @@
+package owner
+
+import (
+	"math"
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// Report returns the load report of this moment.
+func (o *Owner) Report(now time.Time) model.LoadReport {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.report(o.clock(now))
+}
+
+func (o *Owner) report(t time.Duration) model.LoadReport {
+	r := model.LoadReport{
+		Owner:       o.cfg.Self.ID,
+		Incarnation: o.cfg.Self.Incarnation,
+		Clock:       t,
+		State:       o.state,
+		InFlight:    clamp16(o.inFlight),
+		Queued:      clamp16(o.queue.length),
+		ServiceTime: o.speed.all.mean(),
+		FailureRate: uint16(o.speed.failures*1000 + 0.5),
+		Bundle:      o.version,
+	}
+	if o.runs() {
+		r.Limit = clamp16(o.limit.effective(t))
+	}
+	return r
+}
+
+// clamp16 returns n within the report's range.
+func clamp16(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
