--- a/internal/fake/platform/log.go
+++ b/internal/fake/platform/log.go
@@ -35,13 +35,13 @@
 func (l *instanceLog) add(at time.Time, e protocol.InstanceEntry) {
 	l.changes = append(l.changes, instanceChange{revision: l.revision() + 1, at: at, entry: e})
 	if len(l.changes) > 2*maxChanges {
-		l.compact()
+		l.compactTo(maxChanges)
 	}
 }
 
-// compact moves the older half of the changes into the base.
-func (l *instanceLog) compact() {
-	cut := len(l.changes) - maxChanges
+// compactTo moves all but the newest changes into the base.
+func (l *instanceLog) compactTo(kept int) {
+	cut := max(len(l.changes)-kept, 0)
 	for _, c := range l.changes[:cut] {
 		apply(l.base, c.entry)
 		l.baseRevision = c.revision
--- a/internal/platform/decode.go
+++ b/internal/platform/decode.go
@@ -148,12 +148,13 @@
 	return f
 }
 
-// position turns a byte offset into a line and a column, both from one.
+// position turns a decoder's offset, which counts the byte at fault, into that
+// byte's line and column, both from one.
 func position(data []byte, offset int64) (line, column int) {
-	end := min(int(offset), len(data))
-	before := data[:end]
+	at := max(min(int(offset), len(data))-1, 0)
+	before := data[:at]
 	line = 1 + bytes.Count(before, []byte{'\n'})
-	column = end - bytes.LastIndexByte(before, '\n')
+	column = at - bytes.LastIndexByte(before, '\n')
 	return line, column
 }
 
