Delegate a keyed request whose worker could not be reached

Cause: a not-run end at the worker freed the caller's request id at its home, so the entry's next owner was not the home and a second request of that id could run at the home meanwhile. Change: the executor keeps the id as delegated and says so in the refusal. Conclusion: the id stays registered until the entry tells the end.

--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -227,8 +227,8 @@
 	if notRun, _ := wire.ReadNotRun(resp.Header); notRun && resp.StatusCode == http.StatusServiceUnavailable {
 		defer cancel()
 		defer resp.Body.Close()
-		x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: true, Shed: true, Status: resp.StatusCode})
-		return Result{Refusal: model.Refusal{Reason: model.ReasonWorkerShed, NotRun: true, RetryAfter: retryAfter(resp.Header)}}
+		x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: true, Delegate: true, Shed: true, Status: resp.StatusCode})
+		return Result{Refusal: model.Refusal{Reason: delegated(&w.Attempt, model.ReasonWorkerShed), NotRun: true, RetryAfter: retryAfter(resp.Header)}}
 	}
 	body := &answerBody{ReadCloser: resp.Body, done: func(whole bool) {
 		cancel()
@@ -238,6 +238,15 @@
 	return Result{Answer: answer}
 }
 
+// delegated gives the reason of a refusal after which the owner, as the home of
+// a caller's own request id, remembers that the entry goes elsewhere with it.
+func delegated(a *model.Attempt, otherwise model.Reason) model.Reason {
+	if a.CallerKey && !a.Idempotent && !a.Delegated {
+		return model.ReasonDelegated
+	}
+	return otherwise
+}
+
 func finishOf(status int, whole bool, took time.Duration) owner.Finish {
 	f := owner.Finish{ServiceTime: took, Failed: !whole || status >= http.StatusInternalServerError}
 	if whole {
@@ -249,14 +258,14 @@
 // failed ends an attempt whose RoundTrip failed.
 func (x *Executor) failed(ctx context.Context, w *Work, started time.Time, notRun bool) Result {
 	gaveUp := errors.Is(ctx.Err(), context.Canceled)
-	x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: notRun, Failed: !gaveUp})
+	x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: notRun, Delegate: notRun, Failed: !gaveUp})
 	reason := model.ReasonWorkerBroken
 	if notRun && ctx.Err() == nil {
 		x.traffic(true)
 	}
 	switch {
 	case notRun:
-		reason = model.ReasonWorkerUnreachable
+		reason = delegated(&w.Attempt, model.ReasonWorkerUnreachable)
 	case gaveUp:
 		reason = model.ReasonCancelled
 	case ctx.Err() != nil:
