--- /dev/null
+++ b/internal/bundle/check.go
@@ -0,0 +1,126 @@
+package bundle
+
+import (
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/tomlfile"
+)
+
+// Bounds of a bundle's fields.
+const (
+	maxMeasuringPerSecond = 1000
+	minPollShare          = 0.1
+	maxRetryPerPath       = 10
+	maxHedgeQuantile      = 0.9999
+	maxWorth              = 1e6
+	maxDeadlineMs         = 3_600_000
+	maxRatePerSecond      = 1e6
+	// maxUpstreamCount is the greatest count that a load report carries.
+	maxUpstreamCount  = 1<<16 - 1
+	maxBodyLimitBytes = 64 << 20
+	maxWarmupMs       = 600_000
+	maxKeyMemoryMs    = 86_400_000
+	maxPathBytes      = 1024
+	// shareSlack forgives the rounding of shares such as 0.1 + 0.2.
+	shareSlack = 1e-9
+)
+
+// check notes every contradiction of b in doc.
+func check(b *Bundle, doc *tomlfile.Document) {
+	doc.Name("name", string(b.Name))
+	if b.Version == 0 {
+		doc.Add("version", "must be at least 1")
+	}
+	checkMeasuring(&b.Measuring, doc)
+	checkRetry(&b.Retry, doc)
+	checkClasses(b, doc)
+	checkTenants(b, doc)
+	checkServices(b, doc)
+}
+
+func checkMeasuring(m *Measuring, doc *tomlfile.Document) {
+	doc.FloatAbove("measuring.per_upstream_per_second", m.PerUpstreamPerSecond, 0, maxMeasuringPerSecond)
+	doc.FloatRange("measuring.poll_share", m.PollShare, minPollShare, 1)
+}
+
+func checkRetry(r *Retry, doc *tomlfile.Document) {
+	doc.IntRange("retry.per_path", int64(r.PerPath), 0, maxRetryPerPath)
+	doc.FloatRange("retry.ratio", r.Ratio, 0, 1)
+	doc.FloatRange("retry.hedge_after_quantile", r.HedgeAfterQuantile, 0, maxHedgeQuantile)
+}
+
+func checkClasses(b *Bundle, doc *tomlfile.Document) {
+	names := newNames(doc)
+	sum := 0.0
+	for i := range b.Classes {
+		c, key := &b.Classes[i], classKey(i)
+		names.add(key+".name", string(c.Name))
+		doc.FloatRange(key+".worth", c.Worth, 0, maxWorth)
+		doc.FloatRange(key+".share", c.Share, 0, 1)
+		checkDeadlines(c, key, doc)
+		sum += c.Share
+		if sum > 1+shareSlack && sum-c.Share <= 1+shareSlack {
+			doc.Add(key+".share", "the shares of the classes up to here sum to %.4g, which is over 1", sum)
+		}
+	}
+}
+
+func checkDeadlines(c *Class, key string, doc *tomlfile.Document) {
+	if doc.Required(key + ".deadline_ms") {
+		doc.IntRange(key+".deadline_ms", c.DeadlineMs, 1, maxDeadlineMs)
+	}
+	if !doc.Has(key + ".max_deadline_ms") {
+		return
+	}
+	doc.IntRange(key+".max_deadline_ms", c.MaxDeadlineMs, 1, maxDeadlineMs)
+	if c.MaxDeadlineMs < c.DeadlineMs {
+		doc.Add(key+".max_deadline_ms", "%d is under deadline_ms of %d", c.MaxDeadlineMs, c.DeadlineMs)
+	}
+}
+
+func checkTenants(b *Bundle, doc *tomlfile.Document) {
+	names := newNames(doc)
+	for i := range b.Tenants {
+		t, key := &b.Tenants[i], tenantKey(i)
+		names.add(key+".name", string(t.Name))
+		if t.Name == model.OtherTenant {
+			doc.Add(key+".name", "%q is kept for tenants that no bundle names", t.Name)
+		}
+		doc.FloatRange(key+".rate_per_second", t.RatePerSecond, 0, maxRatePerSecond)
+		doc.FloatAbove(key+".max_share", t.MaxShare, 0, 1)
+		checkBurst(t, key, doc)
+	}
+}
+
+func checkBurst(t *Tenant, key string, doc *tomlfile.Document) {
+	switch {
+	case !doc.Has(key + ".burst"), doc.Refused(key + ".rate_per_second"):
+	case t.RatePerSecond == 0:
+		doc.Add(key+".burst", "has no meaning without rate_per_second")
+	default:
+		doc.FloatRange(key+".burst", t.Burst, minBurst, maxRatePerSecond)
+	}
+}
+
+// names notes faulty and repeated names of one kind.
+type names struct {
+	doc  *tomlfile.Document
+	seen map[string]string
+}
+
+func newNames(doc *tomlfile.Document) *names {
+	return &names{doc: doc, seen: map[string]string{}}
+}
+
+func (n *names) add(key, name string) {
+	n.doc.Name(key, name)
+	if name == "" {
+		return
+	}
+	first, taken := n.seen[name]
+	if !taken {
+		n.seen[name] = key
+		return
+	}
+	line, _ := n.doc.Position(first)
+	n.doc.Add(key, "%q is taken by %s on line %d", name, first, line)
+}
--- a/internal/bundle/parse.go
+++ b/internal/bundle/parse.go
@@ -1,107 +1,76 @@
 package bundle
 
 import (
-	"bytes"
-	"errors"
-
-	"github.com/pelletier/go-toml/v2"
+	"fmt"
 
 	"gypsumstand/internal/finding"
+	"gypsumstand/internal/tomlfile"
 )
 
-// Defaults of absent fields.
+// Defaults of absent fields. A field that is present keeps its value, also 0.
 const (
 	defaultMeasuringPerSecond = 5
 	defaultPollShare          = 0.5
 	defaultRetryPerPath       = 2
 	defaultRetryRatio         = 0.2
+	defaultMaxShare           = 1
 	defaultQueuePerSlot       = 4
 	defaultBodyLimitBytes     = 1 << 20
 	defaultWarmupMs           = 2000
 	defaultKeyMemoryMs        = 120_000
+	minBurst                  = 1
 )
 
 // Parse reads the TOML of a bundle, fills defaults and checks it. file names
 // the input in findings. The error is a finding.List with every fault.
 func Parse(file string, data []byte) (*Bundle, error) {
-	var findings finding.List
-	b := &Bundle{Retry: Retry{PerPath: defaultRetryPerPath, Ratio: defaultRetryRatio}}
-	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	if err := dec.Decode(b); err != nil {
-		addDecodeError(&findings, file, err)
-		return nil, findings.Err()
-	}
-	fillDefaults(b)
-	check(b, file, &findings)
-	if err := findings.Err(); err != nil {
-		return nil, err
+	if len(data) > MaxBytes {
+		return nil, finding.List{{File: file, Message: fmt.Sprintf("%d bytes are over the bound of %d", len(data), MaxBytes)}}
 	}
-	return b, nil
-}
-
-func addDecodeError(findings *finding.List, file string, err error) {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		for i := range strict.Errors {
-			addTOMLError(findings, file, &strict.Errors[i], "unknown key")
-		}
-		return
+	b := &Bundle{
+		Measuring: Measuring{PerUpstreamPerSecond: defaultMeasuringPerSecond, PollShare: defaultPollShare},
+		Retry:     Retry{PerPath: defaultRetryPerPath, Ratio: defaultRetryRatio},
 	}
-	var one *toml.DecodeError
-	if errors.As(err, &one) {
-		addTOMLError(findings, file, one, one.Error())
-		return
+	doc := tomlfile.Decode(file, data, b)
+	if doc.Broken() {
+		return nil, doc.Err()
 	}
-	findings.Add(finding.Finding{File: file, Message: err.Error()})
-}
-
-func addTOMLError(findings *finding.List, file string, err *toml.DecodeError, message string) {
-	line, column := err.Position()
-	key := ""
-	for i, part := range err.Key() {
-		if i > 0 {
-			key += "."
-		}
-		key += part
+	fillDefaults(b, doc)
+	check(b, doc)
+	if err := doc.Err(); err != nil {
+		return nil, err
 	}
-	findings.Add(finding.Finding{File: file, Line: line, Column: column, Key: key, Message: message})
+	return b, nil
 }
 
-func fillDefaults(b *Bundle) {
-	setDefault(&b.Measuring.PerUpstreamPerSecond, defaultMeasuringPerSecond)
-	setDefault(&b.Measuring.PollShare, defaultPollShare)
+func fillDefaults(b *Bundle, doc *tomlfile.Document) {
 	for i := range b.Classes {
 		c := &b.Classes[i]
-		setDefault(&c.MaxDeadlineMs, c.DeadlineMs)
+		setDefault(doc, classKey(i)+".max_deadline_ms", &c.MaxDeadlineMs, c.DeadlineMs)
 	}
 	for i := range b.Tenants {
-		t := &b.Tenants[i]
-		setDefault(&t.Burst, t.RatePerSecond)
-		setDefault(&t.MaxShare, 1)
+		t, key := &b.Tenants[i], tenantKey(i)
+		if t.RatePerSecond > 0 {
+			setDefault(doc, key+".burst", &t.Burst, max(minBurst, t.RatePerSecond))
+		}
+		setDefault(doc, key+".max_share", &t.MaxShare, defaultMaxShare)
 	}
 	for i := range b.Services {
-		s := &b.Services[i]
-		setDefault(&s.QueueLimit, defaultQueuePerSlot*s.Slots)
-		setDefault(&s.BodyLimitBytes, defaultBodyLimitBytes)
-		setDefault(&s.WarmupMs, defaultWarmupMs)
-		setDefault(&s.KeyMemoryMs, defaultKeyMemoryMs)
+		s, key := &b.Services[i], serviceKey(i)
+		setDefault(doc, key+".queue_limit", &s.QueueLimit, min(maxUpstreamCount, defaultQueuePerSlot*s.Slots))
+		setDefault(doc, key+".body_limit_bytes", &s.BodyLimitBytes, defaultBodyLimitBytes)
+		setDefault(doc, key+".warmup_ms", &s.WarmupMs, defaultWarmupMs)
+		setDefault(doc, key+".key_memory_ms", &s.KeyMemoryMs, defaultKeyMemoryMs)
 	}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
+// setDefault sets a field whose key is absent or was not taken.
+func setDefault[T any](doc *tomlfile.Document, key string, field *T, value T) {
+	if !doc.Has(key) || doc.Refused(key) {
 		*field = value
 	}
 }
 
-// check adds a finding for every contradiction. TODO of this package's owner:
-// complete rules with line numbers.
-func check(b *Bundle, file string, findings *finding.List) {
-	if b.Name == "" {
-		findings.Add(finding.Finding{File: file, Key: "name", Message: "missing"})
-	}
-	if b.Version == 0 {
-		findings.Add(finding.Finding{File: file, Key: "version", Message: "must be at least 1"})
-	}
-}
+func classKey(i int) string   { return fmt.Sprintf("class[%d]", i) }
+func tenantKey(i int) string  { return fmt.Sprintf("tenant[%d]", i) }
+func serviceKey(i int) string { return fmt.Sprintf("service[%d]", i) }
--- a/internal/bundle/sign.go
+++ b/internal/bundle/sign.go
@@ -27,6 +27,7 @@
 
 // Errors of Verify and Open.
 var (
+	ErrUnsigned      = errors.New("bundle is not signed")
 	ErrUnknownSigner = errors.New("signer is not trusted")
 	ErrBadSignature  = errors.New("signature does not fit the bundle's bytes")
 	ErrTooLarge      = errors.New("signed bundle is over a megabyte")
@@ -47,6 +48,9 @@
 
 // Verify checks the signature against the trusted signers.
 func (s Signed) Verify(trusted []Signer) error {
+	if s.Signer == "" || len(s.Signature) == 0 {
+		return ErrUnsigned
+	}
 	for _, t := range trusted {
 		if t.Name != s.Signer {
 			continue
--- /dev/null
+++ b/internal/tomlfile/document.go
@@ -0,0 +1,88 @@
+package tomlfile
+
+import (
+	"fmt"
+	"strings"
+
+	"gypsumstand/internal/finding"
+)
+
+// Broken tells that the text is no TOML from some line on, so that what is
+// missing from the struct may stand there.
+func (d *Document) Broken() bool { return d.syntax }
+
+// Has tells whether the text sets key, rightly or not.
+func (d *Document) Has(key string) bool {
+	_, ok := d.index.find(key)
+	return ok
+}
+
+// Refused tells whether the value of key, or of a table that holds it, was not
+// taken, so that the struct's field says nothing.
+func (d *Document) Refused(key string) bool {
+	for _, r := range d.refused {
+		if within(key, r) {
+			return true
+		}
+	}
+	return false
+}
+
+// RefusedBelow tells whether key or anything within it was not taken.
+func (d *Document) RefusedBelow(key string) bool {
+	for _, r := range d.refused {
+		if within(r, key) || within(key, r) {
+			return true
+		}
+	}
+	return false
+}
+
+// within tells whether key is outer or stands in it.
+func within(key, outer string) bool {
+	rest, ok := strings.CutPrefix(key, outer)
+	return ok && (rest == "" || rest[0] == '.' || rest[0] == '[')
+}
+
+// Add notes a fault of key with the place of key, or of the innermost table
+// around it that the text has. Nothing is noted about a refused key.
+func (d *Document) Add(key, format string, args ...any) {
+	if d.Refused(key) {
+		return
+	}
+	f := finding.Finding{File: d.file, Key: key, Message: fmt.Sprintf(format, args...)}
+	f.Line, f.Column = d.Position(key)
+	d.findings.Add(f)
+}
+
+// Position returns the line and column of key or of the innermost table around
+// it, counted from one; zeros when the text has neither.
+func (d *Document) Position(key string) (line, column int) {
+	for key != "" {
+		if p, ok := d.index.find(key); ok {
+			return d.index.position(p.offset)
+		}
+		key = parent(key)
+	}
+	return 0, 0
+}
+
+// parent returns key without its last part or index.
+func parent(key string) string {
+	if i := strings.LastIndexAny(key, ".["); i >= 0 {
+		return key[:i]
+	}
+	return ""
+}
+
+// Err returns all findings as a finding.List in the order of their places, or
+// nil when there is none.
+func (d *Document) Err() error { return d.findings.Err() }
+
+// Position returns the line and column of key in the text data; zeros when the
+// text has neither key nor a table around it.
+func Position(data []byte, key string) (line, column int) {
+	idx, _ := newIndex(data)
+	d := Document{index: idx}
+	return d.Position(key)
+}
