entry: decide attempts, settlement, retries and outcome of a call

Cause: the skeleton sent one attempt and settled nothing. Change: a state machine per call. A refusal that proves not-run is placed elsewhere; a broken idempotent attempt is tried again within the path's budget and a token bucket per service; any other is settled with the same incarnation of its owner until the deadline. A caller's own key goes to its home first, and only the home can prove not-run for it. New for adapters: Call.Report and Call.SetReplayable.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,17 +1,30 @@
 // Package entry decides, for one caller's request, which attempts are made,
 // when a broken one is settled, whether to try again, and what the caller is
 // told. It does no I/O: an adapter carries each Step out and reports back.
+//
+// An adapter's loop:
+//
+//	c := engine.Begin(now, request)
+//	for {
+//		switch s := c.Next(now); s.Kind {
+//		case StepSend:   // send, then Report and one of Answered, Refused, Broken
+//		case StepSettle: // ask, then Settled or SettleFailed
+//		case StepWait:   // wait until s.Until
+//		case StepEnd:    // send s.Notify, tell the caller; done
+//		}
+//	}
+//
 // Design: docs/DESIGN.md, "At most once" and "Retries".
 package entry
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/route"
-	"gypsumstand/internal/wire"
 )
 
 // Config is an engine's fixed setting.
@@ -22,16 +35,32 @@
 	Random func() uint64
 }
 
+// chooser is what an engine needs of a route.Table.
+type chooser interface {
+	Pick(now time.Time, q *route.Query) (route.Choice, bool)
+	Home(now time.Time, service model.ServiceName, id model.RequestID) (route.Choice, bool)
+	Sent(now time.Time, id model.InstanceID)
+	Done(now time.Time, id model.InstanceID, r route.Result)
+}
+
 // Engine makes calls; it holds the retry budgets per service. Safe for
 // concurrent use.
 type Engine struct {
 	cfg      Config
-	table    *route.Table
+	table    chooser
 	sequence atomic.Uint64
+	budgets  budgets
 }
 
 // NewEngine returns an engine that chooses by table.
 func NewEngine(cfg Config, table *route.Table) *Engine {
+	return newEngine(cfg, table)
+}
+
+func newEngine(cfg Config, table chooser) *Engine {
+	if cfg.Random == nil {
+		cfg.Random = rand.Uint64
+	}
 	return &Engine{cfg: cfg, table: table}
 }
 
@@ -50,118 +79,25 @@
 	// caller's Gypsum-Retry-Budget when it is itself a worker of a path, at most
 	// the bundle's.
 	RetryBudget int
-	// Replayable: the body can be sent again (absent or held whole).
+	// Replayable: the body can be sent again (absent or held whole). See
+	// Call.SetReplayable.
 	Replayable bool
 }
 
-// StepKind says what the adapter does next.
-type StepKind uint8
-
-// The steps.
-const (
-	// StepSend: send Attempt to To, then report Answered, Refused or Broken.
-	StepSend StepKind = iota
-	// StepSettle: ask To what became of Attempt, then report Settled or
-	// SettleFailed.
-	StepSettle
-	// StepWait: wait until Until, then ask Next again.
-	StepWait
-	// StepEnd: tell the caller Outcome; the call is over.
-	StepEnd
-)
-
-// Step is one thing to do.
-type Step struct {
-	Kind    StepKind
-	To      model.Instance
-	Attempt model.Attempt
-	Until   time.Time
-	// Outcome, Reason and RetryAfter are for StepEnd with no answer.
-	Outcome    model.Outcome
-	Reason     model.Reason
-	RetryAfter time.Duration
-	// Notify, when To is set on StepEnd, is to be sent to To, the request's home.
-	Notify *wire.KeyResult
-}
-
-// Call is the state of one request. It is used by one goroutine at a time.
-type Call struct {
-	engine   *Engine
-	req      Request
-	deadline time.Time
-	current  model.Attempt
-	to       model.Instance
-	tried    []model.InstanceID
-	sentAt   time.Time
-	end      *Step
-}
-
 // Begin starts a call at time now.
 func (e *Engine) Begin(now time.Time, r Request) *Call {
-	return &Call{engine: e, req: r, deadline: now.Add(r.Timeout)}
-}
-
-// Deadline returns when the caller must be answered.
-func (c *Call) Deadline() time.Time { return c.deadline }
-
-// Next returns what to do now. After StepSend or StepSettle one report must
-// come before Next is called again.
-func (c *Call) Next(now time.Time) Step {
-	if c.end != nil {
-		return *c.end
-	}
-	choice, ok := c.engine.table.Pick(now, &route.Query{Service: c.req.Target.Service.Name, Tried: c.tried})
-	if !ok {
-		return Step{Kind: StepEnd, Outcome: model.OutcomeNotRun, Reason: model.ReasonNoUpstream, RetryAfter: time.Second}
-	}
-	c.tried = append(c.tried, choice.Instance.ID)
-	c.to = choice.Instance
-	c.sentAt = now
-	c.current = model.Attempt{
-		ID:               model.AttemptID{Entry: c.engine.cfg.Self.ID, Incarnation: c.engine.cfg.Self.Incarnation, Sequence: c.engine.sequence.Add(1)},
-		Request:          c.req.ID,
-		CallerKey:        c.req.CallerKey,
-		Owner:            choice.Instance.ID,
-		OwnerIncarnation: choice.Instance.Incarnation,
-		Service:          c.req.Target.Service.Name,
-		Class:            c.req.Target.Class.Name,
-		Tenant:           c.req.Tenant,
-		Worth:            c.req.Target.Class.Worth,
-		Idempotent:       c.req.Idempotent,
-		Remaining:        c.deadline.Sub(now),
-		OwnerClock:       choice.OwnerClock,
-		Bundle:           c.req.Target.Bundle.VersionID(),
-	}
-	return Step{Kind: StepSend, To: c.to, Attempt: c.current}
-}
-
-// Answered reports the worker's answer, whole or, when the adapter streams it,
-// its head. failed tells a server error of the worker.
-func (c *Call) Answered(now time.Time, failed bool) {
-	c.end = &Step{Kind: StepEnd, Outcome: model.OutcomeAnswered}
+	c := &Call{engine: e, req: r, deadline: now.Add(r.Timeout)}
+	c.bucket = e.budgets.of(now, r.Target.Service.Name)
+	c.bucket.deposit(r.Target.Bundle.Retry.Ratio)
+	c.budget = max(0, min(r.RetryBudget, r.Target.Bundle.Retry.PerPath))
+	return c
 }
 
-// Refused reports the owner's refusal, or one that the owner was not asked for
-// (no connection could be had: ReasonWorkerUnreachable with NotRun).
-func (c *Call) Refused(now time.Time, r model.Refusal) {
-	if !r.NotRun {
-		c.end = &Step{Kind: StepEnd, Outcome: model.OutcomeUnknown, Reason: r.Reason}
+// nextAttemptID returns an attempt id that was never used.
+func (e *Engine) nextAttemptID() model.AttemptID {
+	return model.AttemptID{
+		Entry:       e.cfg.Self.ID,
+		Incarnation: e.cfg.Self.Incarnation,
+		Sequence:    e.sequence.Add(1),
 	}
 }
-
-// Broken reports that the way to the owner broke, or an answer was cut, after
-// bytes had left. sentToCaller tells that part of an answer has gone on already.
-func (c *Call) Broken(now time.Time, sentToCaller bool) {
-	c.end = &Step{Kind: StepEnd, Outcome: model.OutcomeUnknown, Reason: model.ReasonLinkBroken}
-}
-
-// Settled reports the owner's settlement.
-func (c *Call) Settled(now time.Time, r wire.SettleReply) {}
-
-// SettleFailed reports that the owner could not be asked this time.
-func (c *Call) SettleFailed(now time.Time) {}
-
-// CallerGone reports that the caller gave up.
-func (c *Call) CallerGone(now time.Time) {
-	c.end = &Step{Kind: StepEnd, Outcome: model.OutcomeUnknown, Reason: model.ReasonCancelled}
-}
--- /dev/null
+++ b/internal/entry/home.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"time"
+
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/route"
+	"gypsumstand/internal/wire"
+)
+
+// homeState is what a call knows from the home of its request's id; see
+// docs/DESIGN.md, "At most once".
+type homeState struct {
+	// spoke: a home looked the id up, found no earlier sending of it, and said
+	// that it does not run it now.
+	spoke bool
+	// delegated: the home registered the id and left its placing to this call.
+	delegated bool
+	// instance and attempt are the home that delegated and the attempt that it
+	// recorded.
+	instance model.Instance
+	attempt  model.AttemptID
+}
+
+// keyed tells whether the same request may arrive a second time by another way,
+// so that its id needs a home.
+func (c *Call) keyed() bool { return c.req.CallerKey && !c.req.Idempotent }
+
+// bound tells whether the next attempt may go to the home only.
+func (c *Call) bound() bool { return c.keyed() && !c.home.delegated }
+
+// chooseHome returns the id's home unless it was asked in this round. A home
+// that takes no part any more (leaving or gone) is followed by the next one of
+// the order, which the table names.
+func (c *Call) chooseHome(now time.Time) (route.Choice, bool) {
+	choice, ok := c.engine.table.Home(now, c.req.Target.Service.Name, c.req.ID)
+	if !ok || c.tried.has(choice.Instance.ID) || c.tried.full() {
+		return route.Choice{}, false
+	}
+	return choice, true
+}
+
+// heardHome takes a refusal of the home, for a reason that the home gives only
+// after it has looked the id up. A home that could not be reached has not.
+func (c *Call) heardHome(r model.Refusal) {
+	if !c.bound() || !r.NotRun {
+		return
+	}
+	switch r.Reason {
+	case model.ReasonOverloaded, model.ReasonQueueFull, model.ReasonLeaving, model.ReasonNotReady,
+		model.ReasonTenantLimit, model.ReasonDelegated, model.ReasonWorkerShed:
+		c.home.spoke = true
+	case model.ReasonWorkerUnreachable:
+		c.home.spoke = c.home.spoke || c.hasReport
+	}
+}
+
+// delegate frees the call to place the request elsewhere.
+func (c *Call) delegate() {
+	c.home.delegated = true
+	c.home.instance = c.to
+	c.home.attempt = c.current.ID
+}
+
+// notice returns what the home that delegated is told of the call's end.
+func (c *Call) notice() *wire.KeyResult {
+	if !c.home.delegated {
+		return nil
+	}
+	return &wire.KeyResult{Request: c.req.ID, Attempt: c.home.attempt, Outcome: c.outcome}
+}
--- /dev/null
+++ b/internal/entry/place.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// replaceable tells whether the body can be sent again.
+func (c *Call) replaceable() bool { return c.req.Replayable }
+
+// placeElsewhere goes on after an attempt that is proved not to have run: at
+// another owner, after a wait at those that refused, or not at all.
+func (c *Call) placeElsewhere(now time.Time) {
+	if !c.replaceable() {
+		c.giveUp(c.reason)
+		return
+	}
+	if !c.hasOther(now) {
+		c.exhausted(now)
+		return
+	}
+	if !c.bucket.withdraw(now, costPlace) {
+		c.giveUp(c.reason)
+		return
+	}
+	c.phase = phasePlace
+}
+
+// retry goes on after an attempt that may have run, when its request is
+// idempotent, something is left of both budgets, and there is an owner to go to.
+// What the calls below the attempt were allowed counts as used.
+func (c *Call) retry(now time.Time) bool {
+	c.budget -= c.current.RetryBudget
+	if c.budget < 1 || !c.replaceable() || !c.hasOther(now) {
+		return false
+	}
+	until := now.Add(c.engine.jitter(doubled(retryDelay, c.retries)))
+	if !until.Before(c.deadline) || !c.bucket.withdraw(now, costRetry) {
+		return false
+	}
+	c.budget--
+	c.retries++
+	c.doubt = true
+	c.open = false
+	c.wait(until, phasePlace)
+	return true
+}
+
+// hasOther tells whether there is an owner that was not asked in this round.
+func (c *Call) hasOther(now time.Time) bool {
+	_, ok := c.choose(now)
+	return ok
+}
+
+// exhausted goes on when every owner was asked in this round: it waits for the
+// earliest of them to be worth asking again, or gives up at once when that is
+// too late or over the budget.
+func (c *Call) exhausted(now time.Time) {
+	if c.sends == 0 {
+		c.giveUp(model.ReasonNoUpstream)
+		return
+	}
+	until := c.nextRound(now)
+	if c.rounds == maxRounds || c.sends >= maxSends || !until.Before(c.deadline) {
+		c.giveUp(c.reason)
+		return
+	}
+	if !c.bucket.withdraw(now, costPlace) {
+		c.giveUp(c.reason)
+		return
+	}
+	c.rounds++
+	c.forgetTried()
+	c.advice = time.Time{}
+	c.wait(until, phasePlace)
+}
+
+// nextRound returns when the owners that refused may be asked again.
+func (c *Call) nextRound(now time.Time) time.Time {
+	wait := doubled(roundDelay, c.rounds)
+	if !c.advice.IsZero() {
+		wait = max(wait, c.advice.Sub(now))
+	}
+	return now.Add(c.engine.delayed(wait))
+}
+
+// forgetTried opens a new round. The home that delegated stays closed: it would
+// take the request for a second sending.
+func (c *Call) forgetTried() {
+	c.tried.n = 0
+	if c.home.delegated {
+		c.tried.add(c.home.instance.ID)
+	}
+}
+
+// advise notes an owner's advice to come back.
+func (c *Call) advise(now time.Time, after time.Duration) {
+	if after <= 0 {
+		return
+	}
+	at := now.Add(after)
+	if c.advice.IsZero() || at.Before(c.advice) {
+		c.advice = at
+	}
+	if c.retryAfter == 0 || after < c.retryAfter {
+		c.retryAfter = after
+	}
+}
--- /dev/null
+++ b/internal/entry/step.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"time"
+
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+// StepKind says what the adapter does next.
+type StepKind uint8
+
+// The steps.
+const (
+	// StepSend: send Attempt to To, then report Answered, Refused or Broken;
+	// Broken at Until at the latest.
+	StepSend StepKind = iota
+	// StepSettle: ask To what became of Attempt, then report Settled or
+	// SettleFailed; SettleFailed at Until at the latest.
+	StepSettle
+	// StepWait: wait until Until, then ask Next again.
+	StepWait
+	// StepEnd: tell the caller Outcome; the call is over.
+	StepEnd
+)
+
+var stepNames = [...]string{"send", "settle", "wait", "end"}
+
+// String returns the name of k for logs.
+func (k StepKind) String() string {
+	if int(k) < len(stepNames) {
+		return stepNames[k]
+	}
+	return "invalid"
+}
+
+// Step is one thing to do.
+type Step struct {
+	Kind    StepKind
+	To      model.Instance
+	Attempt model.Attempt
+	Until   time.Time
+	// Outcome, Reason and RetryAfter are for StepEnd with no answer. RetryAfter
+	// is positive whenever the caller may come back with the same request.
+	Outcome    model.Outcome
+	Reason     model.Reason
+	RetryAfter time.Duration
+	// Notify, when To is set on StepEnd, is to be sent to To, the request's home,
+	// before the caller is told, so that a caller who comes back at once finds
+	// the id free.
+	Notify *wire.KeyResult
+}
