--- a/internal/fake/worker/serve.go
+++ b/internal/fake/worker/serve.go
@@ -68,10 +68,7 @@
 	if !w.enter(rw, job) {
 		return
 	}
-	release := onceOnly(func() {
-		w.slots.release()
-		w.record()
-	})
+	release := onceOnly(w.slots.release)
 	defer release()
 	w.start(job)
 	w.closeFault(reused)
@@ -162,7 +159,6 @@
 	if queued {
 		w.count(&w.counters.OverSlots)
 	}
-	w.record()
 	switch result {
 	case slotTaken:
 		return true
--- a/internal/fake/worker/slots.go
+++ b/internal/fake/worker/slots.go
@@ -11,14 +11,16 @@
 type slots struct {
 	limit      int
 	queueLimit int
+	// changed is called, without the lock, when load has changed.
+	changed func()
 
 	mu      sync.Mutex
 	running int
 	waiting []chan struct{} // closed when the slot is handed over
 }
 
-func newSlots(limit, queueLimit int) *slots {
-	return &slots{limit: limit, queueLimit: queueLimit}
+func newSlots(limit, queueLimit int, changed func()) *slots {
+	return &slots{limit: limit, queueLimit: queueLimit, changed: changed}
 }
 
 // slotResult says how a wait for a slot ended.
@@ -37,6 +39,7 @@
 // take waits for a slot for at most d. queued tells whether none was free. A
 // free slot is taken without a look at ctx.
 func (s *slots) take(ctx context.Context, d time.Duration) (result slotResult, queued bool) {
+	defer s.changed()
 	s.mu.Lock()
 	if s.running < s.limit {
 		s.running++
@@ -50,6 +53,7 @@
 	turn := make(chan struct{})
 	s.waiting = append(s.waiting, turn)
 	s.mu.Unlock()
+	s.changed()
 	return s.wait(ctx, d, turn), true
 }
 
@@ -86,6 +90,7 @@
 
 // release hands the slot to the first that waits, or frees it.
 func (s *slots) release() {
+	defer s.changed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.waiting) == 0 {
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -84,9 +84,9 @@
 		cfg:    cfg,
 		ledger: cfg.Ledger,
 		client: newClient(cfg.Transport),
-		slots:  newSlots(cfg.Slots, cfg.QueueLimit),
 		rng:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 	}
+	w.slots = newSlots(cfg.Slots, cfg.QueueLimit, w.record)
 	w.record()
 	return w, nil
 }
--- /dev/null
+++ b/internal/fake/worker/worker_test.go
@@ -0,0 +1,277 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gypsumstand/internal/answer"
+	"gypsumstand/internal/model"
+)
+
+var slow = []Profile{{Path: "/", MeanMs: 1000, SizeBytes: 500}, {Path: "/now"}}
+
+func calls(n int, path string) []call {
+	out := make([]call, n)
+	for i := range out {
+		out[i] = call{path: path, id: model.RequestID("id" + strconv.Itoa(i))}
+	}
+	return out
+}
+
+func TestAnswersAreWholeAndTheirOwn(t *testing.T) {
+	inBubble(t, Config{Profiles: slow}, func(t *testing.T, s stand) {
+		c := call{path: "/a?n=1", id: "x"}
+		r := s.do(t, c)
+		checkOwn(t, c, r)
+		if len(r.body) != 500 || r.took != time.Second {
+			t.Errorf("%d bytes after %v, want 500 after 1s", len(r.body), r.took)
+		}
+		if s.Ledger().Runs("x") != 1 {
+			t.Errorf("%d runs", s.Ledger().Runs("x"))
+		}
+	})
+}
+
+func TestRequestsOverTheSlotsWaitInOrderOrAreShed(t *testing.T) {
+	inBubble(t, Config{Slots: 2, QueueLimit: 2, QueueMs: 60_000, Profiles: slow}, func(t *testing.T, s stand) {
+		cs := calls(5, "/a")
+		rs := s.together(t, cs...)
+		for i, want := range []time.Duration{1, 1, 2, 2} {
+			checkOwn(t, cs[i], rs[i])
+			if rs[i].took != want*time.Second {
+				t.Errorf("request %d took %v, want %ds", i, rs[i].took, want)
+			}
+		}
+		s.checkNotRun(t, cs[4], rs[4])
+		got := s.Counters()
+		if got.PeakRunning != 2 || got.OverSlots != 3 || got.Started != 4 || got.Finished != 4 || got.Shed != 1 {
+			t.Errorf("%+v", got)
+		}
+	})
+}
+
+func TestTheWaitForASlotIsBounded(t *testing.T) {
+	inBubble(t, Config{Slots: 1, QueueMs: 300, Profiles: slow}, func(t *testing.T, s stand) {
+		cs := calls(3, "/a")
+		cs[2].timeout = 100 * time.Millisecond
+		rs := s.together(t, cs...)
+		checkOwn(t, cs[0], rs[0])
+		s.checkNotRun(t, cs[1], rs[1])
+		s.checkNotRun(t, cs[2], rs[2])
+		if rs[1].took != 300*time.Millisecond || rs[2].took != 100*time.Millisecond {
+			t.Errorf("waits of %v and %v, want 300ms and 100ms", rs[1].took, rs[2].took)
+		}
+	})
+}
+
+func TestCancellationEndsARunAndAWait(t *testing.T) {
+	inBubble(t, Config{Slots: 1, Profiles: slow}, func(t *testing.T, s stand) {
+		cs := calls(2, "/a")
+		for i, patience := range []time.Duration{200, 100} { // the one that waits leaves first
+			ctx, cancel := context.WithTimeout(context.Background(), patience*time.Millisecond)
+			defer cancel()
+			cs[i].ctx = ctx
+		}
+		for _, r := range s.together(t, cs...) {
+			if !errors.Is(r.err, context.DeadlineExceeded) {
+				t.Errorf("%v, want deadline exceeded", r.err)
+			}
+		}
+		synctest.Wait()
+		running, waiting := s.slots.load()
+		got := s.Counters()
+		if got.Cancelled != 1 || got.LeftQueue != 1 || running != 0 || waiting != 0 {
+			t.Errorf("running %d waiting %d %+v", running, waiting, got)
+		}
+	})
+}
+
+func TestIgnoredCancellationRunsOn(t *testing.T) {
+	inBubble(t, Config{Profiles: slow}, func(t *testing.T, s stand) {
+		s.change(t, func(f *Faults) { f.IgnoreCancel = true })
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		s.do(t, call{path: "/a", id: "x", ctx: ctx})
+		time.Sleep(900 * time.Millisecond)
+		synctest.Wait()
+		if got := s.Counters(); got.Finished != 1 || got.Cancelled != 0 {
+			t.Errorf("%+v", got)
+		}
+	})
+}
+
+func TestARunGivesUpAtItsDeadline(t *testing.T) {
+	inBubble(t, Config{Profiles: slow}, func(t *testing.T, s stand) {
+		c := call{path: "/a", id: "x", timeout: 200 * time.Millisecond}
+		r := s.do(t, c)
+		if r.status != http.StatusGatewayTimeout || r.notRun || r.took != c.timeout || s.Ledger().Runs("x") != 1 {
+			t.Errorf("status %d not run %v after %v", r.status, r.notRun, r.took)
+		}
+		s.change(t, func(f *Faults) { f.IgnoreDeadline = true })
+		checkOwn(t, c, s.do(t, c))
+		if got := s.Counters(); got.Expired != 1 || got.Finished != 1 {
+			t.Errorf("%+v", got)
+		}
+	})
+}
+
+func TestFaultsThatRefuseWorkRunNothing(t *testing.T) {
+	faults := map[string]func(*Faults){
+		"cold":     func(f *Faults) { f.Cold = ColdShed },
+		"draining": func(f *Faults) { f.Draining = true },
+		"shedding": func(f *Faults) { f.ShedShare = 1 },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, Config{Profiles: slow}, func(t *testing.T, s stand) {
+				admitted := call{path: "/a", id: "before"}
+				done := make(chan result)
+				go func() { done <- s.do(t, admitted) }()
+				synctest.Wait()
+				s.change(t, fault)
+				refused := call{path: "/a", id: "x"}
+				s.checkNotRun(t, refused, s.do(t, refused))
+				checkOwn(t, admitted, <-done)
+				s.change(t, func(f *Faults) { *f = Faults{} })
+				checkOwn(t, refused, s.do(t, refused))
+			})
+		})
+	}
+}
+
+func TestSlowDownAndFailFast(t *testing.T) {
+	inBubble(t, Config{Profiles: slow}, func(t *testing.T, s stand) {
+		s.change(t, func(f *Faults) { f.SlowFactor = 5 })
+		c := call{path: "/a", id: "x"}
+		if r := s.do(t, c); r.took != 5*time.Second {
+			t.Errorf("slowed 5 times: took %v", r.took)
+		}
+		s.change(t, func(f *Faults) { f.FailShare = 1 })
+		r := s.do(t, call{path: "/a", id: "y"})
+		if r.status != http.StatusInternalServerError || r.notRun || r.took != 0 || r.attempt != "e/1/y" {
+			t.Errorf("failing fast: %+v", r)
+		}
+		if s.Ledger().Runs("y") != 1 {
+			t.Error("a failed run did not count as run")
+		}
+	})
+}
+
+func TestAPauseAnswersNothingAndThenServesWhatWaited(t *testing.T) {
+	inBubble(t, Config{Profiles: slow}, func(t *testing.T, s stand) {
+		s.Pause(10 * time.Second)
+		gone, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		cs := []call{
+			{path: "/now", id: "patient"},
+			{path: "/now", id: "old", timeout: 500 * time.Millisecond},
+			{path: "/a", id: "gone", ctx: gone},
+		}
+		rs := s.together(t, cs...)
+		for i := range 2 { // the worker can't know that the second is too old
+			checkOwn(t, cs[i], rs[i])
+			if rs[i].took != 10*time.Second {
+				t.Errorf("%s: answered after %v, want 10s", cs[i].id, rs[i].took)
+			}
+		}
+		synctest.Wait()
+		if got := s.Counters(); got.Started != 3 || got.Cancelled != 1 {
+			t.Errorf("a request whose caller left in the pause did not start: %+v", got)
+		}
+	})
+}
+
+func TestCutAnswersEndBeforeTheirSize(t *testing.T) {
+	inBubble(t, Config{Profiles: slow}, func(t *testing.T, s stand) {
+		s.change(t, func(f *Faults) { f.CutShare = 1 })
+		c := call{path: "/a", id: "x"}
+		r := s.do(t, c)
+		if !errors.Is(r.err, io.ErrUnexpectedEOF) || len(r.body) != 250 {
+			t.Errorf("%d bytes, %v; want 250 and an unexpected end", len(r.body), r.err)
+		}
+		if err := answer.Check(r.body, own(c)); !errors.Is(err, answer.ErrCut) {
+			t.Errorf("%v, want ErrCut", err)
+		}
+	})
+}
+
+func TestCrossedAnswersShowAnotherRequest(t *testing.T) {
+	inBubble(t, Config{}, func(t *testing.T, s stand) {
+		first := call{path: "/a", id: "first"}
+		for _, test := range []struct {
+			name  string
+			fault func(*Faults)
+			echo  string
+		}{
+			{"wholly", func(f *Faults) { f.CrossedShare = 1 }, "e/1/first"},
+			{"body", func(f *Faults) { f.CrossedBodyShare = 1 }, "e/1/second"},
+		} {
+			s.change(t, func(f *Faults) { *f = Faults{} })
+			checkOwn(t, first, s.do(t, first))
+			s.change(t, test.fault)
+			second := call{path: "/a", id: "second"}
+			r := s.do(t, second)
+			if err := answer.Check(r.body, own(second)); !errors.Is(err, answer.ErrOther) {
+				t.Errorf("%s: %v, want ErrOther", test.name, err)
+			}
+			if err := answer.Check(r.body, own(first)); err != nil {
+				t.Errorf("%s: not the first's answer: %v", test.name, err)
+			}
+			if r.attempt != test.echo {
+				t.Errorf("%s: echo %q, want %q", test.name, r.attempt, test.echo)
+			}
+		}
+	})
+}
+
+// TestAClosedReusedConnectionMakesHTTPReplay: net/http takes a request with an
+// Idempotency-Key and a replayable body for idempotent, whatever its method.
+func TestAClosedReusedConnectionMakesHTTPReplay(t *testing.T) {
+	inBubble(t, Config{}, func(t *testing.T, s stand) {
+		s.change(t, func(f *Faults) { f.CloseReusedShare = 1 })
+		first, second := call{path: "/a", id: "first"}, call{path: "/a", id: "second"}
+		checkOwn(t, first, s.do(t, first))
+		checkOwn(t, second, s.do(t, second))
+		if runs := s.Ledger().Runs("second"); runs != 2 {
+			t.Errorf("%d runs, want 2: one unseen, one by net/http's replay", runs)
+		}
+		if got := s.Ledger().Duplicates(); len(got) != 1 || got[0] != (RunCount{ID: "second", Runs: 2}) {
+			t.Errorf("duplicates %v", got)
+		}
+		s.change(t, func(f *Faults) { *f = Faults{CloseShare: 1} })
+		if r := s.do(t, call{path: "/a", id: "third"}); r.err == nil {
+			t.Errorf("status %d, want no answer", r.status)
+		}
+	})
+}
+
+func TestARequestWithABrokenBodyDoesNotRun(t *testing.T) {
+	inBubble(t, Config{}, func(t *testing.T, s stand) {
+		body := io.MultiReader(strings.NewReader("half"), brokenReader{})
+		req, err := http.NewRequest(http.MethodPost, "http://worker/a", io.NopCloser(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.ContentLength = 100
+		req.Header.Set(answer.HeaderRequestID, "x")
+		if resp, err := s.client.Do(req); err == nil {
+			_ = resp.Body.Close()
+			t.Error("the request was answered")
+		}
+		synctest.Wait()
+		if got := s.Counters(); got.BrokenBody != 1 || got.Started != 0 || s.Ledger().Runs("x") != 0 {
+			t.Errorf("%+v", got)
+		}
+	})
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("broken") }
