Report owner's word, held time and streams to the call

Cause: entry's call now asks for the owner's report, the time held by the owner and whether a streamed body was touched, and for the home to be told first. Change: the caller port reports them; Call.Held is new, for learning link times. Conclusion: routing learns links from answers without a message.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -62,6 +62,8 @@
 	// report is the current owner's, when one came with its word.
 	report    model.LoadReport
 	hasReport bool
+	// held is the owner's part of the current attempt's time.
+	held time.Duration
 	// resent: the current owner was already given a fresh stamp.
 	resent bool
 
@@ -194,6 +196,7 @@
 	c.tried.add(to.ID)
 	c.open = true
 	c.hasReport = false
+	c.held = 0
 	c.asks = 0
 	c.phase = phaseSent
 	c.current = model.Attempt{
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -5,6 +5,7 @@
 
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/route"
+	"gypsumstand/internal/wire"
 )
 
 // Report hands over the load report that came with an answer or a refusal. The
@@ -19,6 +20,15 @@
 	c.hasReport = true
 }
 
+// Held tells how much of the current attempt's time the owner accounts for: its
+// queue and its worker. What is left is the way's. The adapter calls it before
+// Answered.
+func (c *Call) Held(t wire.Times) {
+	if c.phase == phaseSent {
+		c.held = t.Queued + t.Worker
+	}
+}
+
 // Answered reports the worker's answer, whole or, when the adapter streams it,
 // its head. failed tells a server error of the worker: when Next then gives
 // StepSend, the answer is to be dropped.
@@ -141,5 +151,6 @@
 // done tells the table that the attempt in flight ended.
 func (c *Call) done(now time.Time, r route.Result) {
 	r.Latency = now.Sub(c.sentAt)
+	r.Held = c.held
 	c.engine.table.Done(now, c.to.ID, r)
 }
--- a/internal/node/settle.go
+++ b/internal/node/settle.go
@@ -13,6 +13,9 @@
 // settleTimeout bounds one question to an owner; the call asks again.
 const settleTimeout = 500 * time.Millisecond
 
+// notifyTimeout bounds telling a request's home how it ended.
+const notifyTimeout = 250 * time.Millisecond
+
 // settler asks owners over control links. It implements server.Settler.
 type settler struct {
 	node    *Node
@@ -81,10 +84,16 @@
 		s.node.core.Owner.KeyResult(time.Now(), r)
 		return
 	}
-	s.node.start(func() {
-		ctx, cancel := context.WithTimeout(s.node.ctx, settleTimeout)
-		defer cancel()
-		// No receiver for the error: see above.
-		_ = s.node.links.SendTo(ctx, to, r)
-	})
+	if r.Outcome == model.OutcomeNotRun {
+		s.notify(to, r)
+		return
+	}
+	s.node.start(func() { s.notify(to, r) })
+}
+
+func (s *settler) notify(to model.Instance, r wire.KeyResult) {
+	ctx, cancel := context.WithTimeout(s.node.ctx, notifyTimeout)
+	defer cancel()
+	// No receiver for the error: see Notify.
+	_ = s.node.links.SendTo(ctx, to, r)
 }
--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -43,9 +43,6 @@
 	return &requestBody{held: held, length: int64(len(held))}, nil
 }
 
-// replayable tells whether open gives the whole body however often it is called.
-func (b *requestBody) replayable() bool { return b.stream == nil }
-
 // open returns the body for one attempt.
 func (b *requestBody) open() io.ReadCloser {
 	if b.stream != nil {
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -52,7 +52,8 @@
 	// Settle asks the owner to; it returns an error when there is no answer by
 	// ctx's end.
 	Settle(ctx context.Context, to model.Instance, s wire.Settle) (wire.SettleReply, error)
-	// Notify tells a request's home how it ended; it does not block.
+	// Notify tells a request's home how it ended. It waits until the message is
+	// on its way when that says "not run", for a short bounded time.
 	Notify(to model.Instance, r wire.KeyResult)
 }
 
@@ -122,7 +123,7 @@
 		Idempotent:  t.Idempotent && !h.NotIdempotent,
 		Timeout:     t.Class.Deadline(),
 		RetryBudget: t.Bundle.Retry.PerPath,
-		Replayable:  body.replayable(),
+		Replayable:  true,
 	}
 	if !req.CallerKey {
 		req.ID = c.newRequestID()
@@ -207,6 +208,8 @@
 }
 
 func (x *exchange) settle(ctx context.Context, step entry.Step) {
+	ctx, cancel := context.WithDeadline(ctx, step.Until)
+	defer cancel()
 	s := wire.Settle{
 		Attempt:          step.Attempt.ID,
 		OwnerIncarnation: step.Attempt.OwnerIncarnation,
@@ -227,11 +230,16 @@
 func (x *exchange) send(ctx context.Context, step entry.Step) {
 	x.attempts++
 	x.upstream = step.To.ID
+	x.drop()
 	result, heard, err := x.attempt(ctx, step)
 	now := time.Now()
 	if heard {
 		x.caller.Table.Observe(now, result.Report)
 		x.caller.Seen(step.To.ID, result.Report.Bundle)
+		x.call.Report(now, result.Report)
+	}
+	if x.body.stream != nil {
+		x.call.SetReplayable(!x.body.touched.Load())
 	}
 	switch {
 	case err != nil:
@@ -290,13 +298,23 @@
 		a.Body.Close()
 	}
 	x.held = &heldAnswer{answer: a, start: start, whole: whole}
+	x.call.Held(result.Times)
 	x.call.Answered(time.Now(), a.Status >= http.StatusInternalServerError)
 }
 
-// end tells the caller and measures.
+// drop lets go of an answer that is not passed on.
+func (x *exchange) drop() {
+	if x.held != nil {
+		x.held.answer.Body.Close()
+		x.held = nil
+	}
+}
+
+// end tells the caller and measures. The request's home is told first, so that a
+// caller who comes back at once finds the id free.
 func (x *exchange) end(step entry.Step) {
 	if step.Notify != nil {
-		defer x.caller.Settler.Notify(step.To, *step.Notify)
+		x.caller.Settler.Notify(step.To, *step.Notify)
 	}
 	defer x.record(step)
 	if x.upstream != "" {
@@ -374,7 +392,7 @@
 	h := w.Header()
 	h.Set(wire.HeaderOutcome, o.String())
 	h.Set(wire.HeaderReason, reason.String())
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	if after > 0 {
 		h.Set(wire.HeaderRetryAfter, wire.FormatRetryAfter(after))
 	}
 	w.WriteHeader(status)
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -258,7 +258,7 @@
 // failed ends an attempt whose RoundTrip failed.
 func (x *Executor) failed(ctx context.Context, w *Work, started time.Time, notRun bool) Result {
 	gaveUp := errors.Is(ctx.Err(), context.Canceled)
-	x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: notRun, Delegate: notRun, Failed: !gaveUp})
+	x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: notRun, Delegate: notRun && !gaveUp, Failed: !gaveUp})
 	reason := model.ReasonWorkerBroken
 	if notRun && ctx.Err() == nil {
 		x.traffic(true)
