Spread bundles by suppressed readers, notices and comparisons

Cause: the skeleton read the index on every node each second and knew no peers.

Change: one suppressed reader fetches, notices flood over the links, bodies are pulled compressed, digests in 64 parts are compared with one random peer every few seconds; refusals by reason, readiness, confirmation, bounds of upload and reads.

--- /dev/null
+++ b/internal/spread/ready.go
@@ -0,0 +1,159 @@
+package spread
+
+import (
+	"fmt"
+	"time"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+)
+
+// Rules of readiness. A fresh node publishes nothing before it is ready, and is
+// ready once it holds every version that anybody named to it and
+//
+//   - enough ready peers have told it what they hold: peerQuorum, or all that are
+//     linked once peerWait has passed; and the platform has been read, by this
+//     node or a peer, or has failed, or platformWait has passed; or
+//   - no ready peer has answered by aloneWait and the platform's word is in force
+//     (its own reading or another fresh node's). When nobody at all answered, the
+//     node is ready alone: Confirmed stays zero until a peer has compared.
+//
+// With neither peers nor the platform it is not ready, for as long as that lasts.
+const (
+	peerQuorum   = 3
+	peerWait     = 2 * time.Second
+	platformWait = 3 * time.Second
+	aloneWait    = 3 * time.Second
+)
+
+// startState is the way from the first event to readiness.
+type startState struct {
+	begun   time.Time
+	ready   bool
+	readyAt time.Time
+	// alone says that no peer has compared with this node yet.
+	alone bool
+}
+
+// begin notes the time of the first event.
+func (c *Controller) begin() {
+	if !c.start.begun.IsZero() {
+		return
+	}
+	c.start.begun = c.now
+	c.nextCompare = c.now.Add(c.jitter(compareInterval))
+	c.confirm.holds(c.held.digest)
+}
+
+func (c *Controller) becomeReady() {
+	if c.start.ready || len(c.Missing()) > 0 {
+		return
+	}
+	c.start.ready = true
+	c.start.readyAt = c.now
+	c.start.alone = c.links.answers(false) == 0
+	c.dirty = true
+	if c.start.alone && c.fleetSize() > 1 {
+		c.record(event.BundlesReadyAlone, "", fmt.Sprintf("%d bundles", len(c.held.items)), nil)
+		return
+	}
+	c.record(event.BundlesReady, "", fmt.Sprintf("%d bundles", len(c.held.items)), nil)
+}
+
+// Missing says in words what keeps this node from being ready; nothing when it
+// is.
+func (c *Controller) Missing() []string {
+	if c.start.ready {
+		return nil
+	}
+	var out []string
+	for _, w := range c.wants.list {
+		out = append(out, "bundle "+model.BundleVersion{Name: w.name, Version: w.target}.String())
+	}
+	if c.links.answers(true) > 0 {
+		return append(out, c.missingBesidePeers()...)
+	}
+	return append(out, c.missingAlone()...)
+}
+
+// missingBesidePeers is what is missing when ready peers answer.
+func (c *Controller) missingBesidePeers() []string {
+	var out []string
+	age := c.now.Sub(c.start.begun)
+	settled, answered := c.links.answers(true), c.links.answers(false)
+	if settled < peerQuorum && (age < peerWait || answered < len(c.links.list)) {
+		out = append(out, fmt.Sprintf("peers: %d of %d have told their bundles", answered, len(c.links.list)))
+	}
+	if !c.platform.tried && c.confirm.at.IsZero() && age < platformWait {
+		out = append(out, "configuration service: not read yet")
+	}
+	return out
+}
+
+// missingAlone is what is missing when no ready peer has answered.
+func (c *Controller) missingAlone() []string {
+	var out []string
+	if c.confirm.at.IsZero() {
+		out = append(out, "configuration: neither a ready peer nor the configuration service has told it")
+	}
+	if c.now.Sub(c.start.begun) < aloneWait {
+		out = append(out, "peers: none that is ready has answered yet")
+	}
+	return out
+}
+
+// answers counts the links whose peers have told what they hold; with settled,
+// only those that were ready.
+func (t *linkTable) answers(settled bool) int {
+	n := 0
+	for _, l := range t.list {
+		if l.answered && (l.settled || !settled) {
+			n++
+		}
+	}
+	return n
+}
+
+// publish puts what is in force on the blackboard, at most once a tick.
+func (c *Controller) publish() {
+	if !c.dirty || !c.start.ready || c.now.Sub(c.publishedAt) < control.TickInterval {
+		return
+	}
+	c.dirty = false
+	c.publishedAt = c.now
+	c.board.Bundles.Put(bundle.NewSet(c.withoutTwice()))
+}
+
+// withoutTwice returns what is in force with each service in one bundle only: of
+// two bundles the one whose name sorts first keeps it, on every node alike.
+func (c *Controller) withoutTwice() []*bundle.Bundle {
+	owner := map[model.ServiceName]model.BundleName{}
+	var out []*bundle.Bundle
+	for _, it := range c.held.inOrder() {
+		out = append(out, c.ownServices(it.bundle, owner))
+	}
+	return out
+}
+
+// ownServices returns b, or a copy without the services that another bundle has.
+func (c *Controller) ownServices(b *bundle.Bundle, owner map[model.ServiceName]model.BundleName) *bundle.Bundle {
+	var kept []bundle.Service
+	for i := range b.Services {
+		name := b.Services[i].Name
+		if first, taken := owner[name]; taken {
+			c.counters.ServicesTwice++
+			c.record(event.ServiceInTwoBundles, string(name), fmt.Sprintf("bundles %s and %s", first, b.Name), nil)
+			continue
+		}
+		owner[name] = b.Name
+		kept = append(kept, b.Services[i])
+	}
+	if len(kept) == len(b.Services) {
+		return b
+	}
+	reduced := *b
+	reduced.Services = kept
+	return &reduced
+}
