--- a/internal/fake/worker/bubble_test.go
+++ b/internal/fake/worker/bubble_test.go
@@ -13,6 +13,7 @@
 	"gypsumstand/internal/answer"
 	"gypsumstand/internal/fake/listen"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
 )
 
 // stand is a worker in a bubble of testing/synctest with a client.
@@ -70,10 +71,10 @@
 		t.Error(err)
 		return result{err: err}
 	}
-	req.Header.Set(answer.HeaderRequestID, string(c.id))
-	req.Header.Set(answer.HeaderAttempt, "e/1/"+string(c.id))
+	req.Header.Set(wire.HeaderIdempotencyKey, string(c.id))
+	req.Header.Set(wire.HeaderAttempt, "e/1/"+string(c.id))
 	if c.timeout > 0 {
-		req.Header.Set(answer.HeaderTimeout, strconv.FormatInt(c.timeout.Milliseconds(), 10))
+		req.Header.Set(wire.HeaderTimeout, strconv.FormatInt(c.timeout.Milliseconds(), 10))
 	}
 	start := time.Now()
 	resp, err := s.client.Do(req)
@@ -84,8 +85,8 @@
 	body, err := io.ReadAll(resp.Body)
 	return result{
 		status:  resp.StatusCode,
-		notRun:  resp.Header.Get(answer.HeaderNotRun) == "true",
-		attempt: resp.Header.Get(answer.HeaderAttempt),
+		notRun:  resp.Header.Get(wire.HeaderNotRun) == "true",
+		attempt: resp.Header.Get(wire.HeaderAttempt),
 		body:    body,
 		err:     err,
 		took:    time.Since(start),
--- a/internal/fake/worker/call.go
+++ b/internal/fake/worker/call.go
@@ -12,6 +12,7 @@
 
 	"gypsumstand/internal/answer"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
 )
 
 // DepthQuery is the query parameter with the number of calls that a request
@@ -75,7 +76,7 @@
 		return err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d, outcome %q", resp.StatusCode, resp.Header.Get(answer.HeaderOutcome))
+		return fmt.Errorf("status %d, outcome %q", resp.StatusCode, resp.Header.Get(wire.HeaderOutcome))
 	}
 	return answer.Check(body, want)
 }
@@ -99,7 +100,7 @@
 	want := answer.Request{Target: target, BodyHash: answer.Hash([]byte(text))}
 	if job.request.ID != "" && job.http.Method != http.MethodGet {
 		want.ID = job.request.ID + model.RequestID("."+strconv.Itoa(depth))
-		req.Header.Set(answer.HeaderRequestID, string(want.ID))
+		req.Header.Set(wire.HeaderIdempotencyKey, string(want.ID))
 	}
 	passOn(ctx, req.Header, job.http.Header)
 	return req, want, nil
@@ -117,9 +118,9 @@
 // retry budget and the tenant.
 func passOn(ctx context.Context, to, from http.Header) {
 	if deadline, ok := ctx.Deadline(); ok {
-		to.Set(answer.HeaderTimeout, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
+		to.Set(wire.HeaderTimeout, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	}
-	for _, name := range []string{answer.HeaderRetryBudget, answer.HeaderTenant} {
+	for _, name := range []string{wire.HeaderRetryBudget, wire.HeaderTenant} {
 		if value := from.Get(name); value != "" {
 			to.Set(name, value)
 		}
--- a/internal/fake/worker/parts_test.go
+++ b/internal/fake/worker/parts_test.go
@@ -16,10 +16,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"gypsumstand/internal/answer"
 	"gypsumstand/internal/fake/listen"
 	"gypsumstand/internal/finding"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
 )
 
 func (s stand) read(t *testing.T, path string) (int, Report) {
@@ -150,8 +150,8 @@
 		var budgets, timeouts []string
 		inner := w.Handler()
 		server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-			budgets = append(budgets, r.Header.Get(answer.HeaderRetryBudget))
-			timeouts = append(timeouts, r.Header.Get(answer.HeaderTimeout))
+			budgets = append(budgets, r.Header.Get(wire.HeaderRetryBudget))
+			timeouts = append(timeouts, r.Header.Get(wire.HeaderTimeout))
 			inner.ServeHTTP(rw, r)
 		})}
 		go func() { _ = server.Serve(pipe) }()
@@ -160,9 +160,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		req.Header.Set(answer.HeaderRequestID, "x")
-		req.Header.Set(answer.HeaderTimeout, "100")
-		req.Header.Set(answer.HeaderRetryBudget, "2")
+		req.Header.Set(wire.HeaderIdempotencyKey, "x")
+		req.Header.Set(wire.HeaderTimeout, "100")
+		req.Header.Set(wire.HeaderRetryBudget, "2")
 		resp, err := s.client.Do(req)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/fake/worker/serve.go
+++ b/internal/fake/worker/serve.go
@@ -14,6 +14,7 @@
 
 	"gypsumstand/internal/answer"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
 )
 
 // retryAfterSeconds is the advice that goes with a shed request.
@@ -120,8 +121,8 @@
 func (w *Worker) shed(rw http.ResponseWriter, why string) {
 	w.count(&w.counters.Shed)
 	h := rw.Header()
-	h.Set(answer.HeaderNotRun, "true")
-	h.Set("Retry-After", retryAfterSeconds)
+	h.Set(wire.HeaderNotRun, "true")
+	h.Set(wire.HeaderRetryAfter, retryAfterSeconds)
 	http.Error(rw, why, http.StatusServiceUnavailable)
 }
 
@@ -129,15 +130,15 @@
 func (w *Worker) read(rw http.ResponseWriter, r *http.Request) (*work, error) {
 	arrived := time.Now()
 	job := &work{
-		request: answer.Request{ID: model.RequestID(r.Header.Get(answer.HeaderRequestID)), Target: r.URL.RequestURI()},
-		attempt: r.Header.Get(answer.HeaderAttempt),
+		request: answer.Request{ID: model.RequestID(r.Header.Get(wire.HeaderIdempotencyKey)), Target: r.URL.RequestURI()},
+		attempt: r.Header.Get(wire.HeaderAttempt),
 		profile: w.profile(r.URL.Path),
 		http:    r,
 	}
-	if text := r.Header.Get(answer.HeaderTimeout); text != "" {
+	if text := r.Header.Get(wire.HeaderTimeout); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || ms < 0 {
-			return nil, fmt.Errorf("%s: %q is not a number of milliseconds", answer.HeaderTimeout, text)
+			return nil, fmt.Errorf("%s: %q is not a number of milliseconds", wire.HeaderTimeout, text)
 		}
 		job.deadline = arrived.Add(time.Duration(ms) * time.Millisecond)
 	}
@@ -256,7 +257,7 @@
 // fail answers with the worker's own error.
 func (w *Worker) fail(rw http.ResponseWriter, job *work, status int, why string) {
 	if job.attempt != "" {
-		rw.Header().Set(answer.HeaderAttempt, job.attempt)
+		rw.Header().Set(wire.HeaderAttempt, job.attempt)
 	}
 	http.Error(rw, why, status)
 }
@@ -268,7 +269,7 @@
 	sent := w.cross(own)
 	h := rw.Header()
 	if sent.attempt != "" {
-		h.Set(answer.HeaderAttempt, sent.attempt)
+		h.Set(wire.HeaderAttempt, sent.attempt)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(sent.body)))
--- a/internal/fake/worker/worker_test.go
+++ b/internal/fake/worker/worker_test.go
@@ -13,6 +13,7 @@
 
 	"gypsumstand/internal/answer"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
 )
 
 var slow = []Profile{{Path: "/", MeanMs: 1000, SizeBytes: 500}, {Path: "/now"}}
@@ -260,7 +261,7 @@
 			t.Fatal(err)
 		}
 		req.ContentLength = 100
-		req.Header.Set(answer.HeaderRequestID, "x")
+		req.Header.Set(wire.HeaderIdempotencyKey, "x")
 		if resp, err := s.client.Do(req); err == nil {
 			_ = resp.Body.Close()
 			t.Error("the request was answered")
