Show sources and readiness on the blackboard

Cause: spread now tells when it is ready and confirmed. Change: core publishes both at each tick. Conclusion: a node does not serve on a view that nobody confirmed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -106,6 +106,7 @@
 	out.Actions = append(out.Actions, n.member.Handle(now, ev)...)
 	out.Actions = append(out.Actions, n.spread.Handle(now, ev)...)
 	out.Decisions = append(out.Decisions, n.derive(now)...)
+	n.show(ev)
 	return out
 }
 
@@ -148,18 +149,31 @@
 	fleet, set := n.Board.Fleet.Get(), n.Board.Bundles.Get()
 	n.Table.Update(now, fleet, set)
 	svc, b := set.Service(n.cfg.Self.Service)
-	n.Board.Readiness.Put(n.readiness(svc))
 	if svc == nil {
 		return nil
 	}
 	return n.Owner.Configure(now, b, svc, liveUpstreams(fleet, n.cfg.Self.Service))
 }
 
-func (n *Node) readiness(svc *bundle.Service) *blackboard.Readiness {
-	if svc == nil {
-		return &blackboard.Readiness{Missing: []string{"a bundle with service " + string(n.cfg.Self.Service)}}
+// show publishes what the controllers tell about themselves: at each tick, as
+// readers need it no fresher.
+func (n *Node) show(ev control.Event) {
+	if _, tick := ev.(control.Tick); !tick {
+		return
+	}
+	n.Board.Sources.Put(&blackboard.Sources{
+		ConfigConfirmed: n.spread.Confirmed(),
+		ConfigReads:     n.spread.IndexReads(),
+	})
+	n.Board.Readiness.Put(n.readiness())
+}
+
+func (n *Node) readiness() *blackboard.Readiness {
+	missing := n.spread.Missing()
+	if svc, _ := n.Board.Bundles.Get().Service(n.cfg.Self.Service); svc == nil {
+		missing = append(missing, "a bundle with service "+string(n.cfg.Self.Service))
 	}
-	return &blackboard.Readiness{Ready: true}
+	return &blackboard.Readiness{Ready: len(missing) == 0, Missing: missing}
 }
 
 func liveUpstreams(fleet *model.Fleet, service model.ServiceName) int {
