--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,8 @@
 
 test: lint
 	$(GO) test -race -count=1 ./...
+
+.PHONY: docs
+# Writes the pages that are made from the code.
+docs:
+	$(GO) test -count=1 ./internal/event -update
