Test HTTP between caller and worker end to end

Change: twelve cases over real sockets, and one for a payout sent again with its key through both nodes. Conclusion: the ports behave as the design says.

--- /dev/null
+++ b/internal/node/http_test.go
@@ -0,0 +1,201 @@
+package node_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// httpWorker answers by path; it counts runs by request id.
+type httpWorker struct {
+	mu   sync.Mutex
+	runs map[string]int
+	last *http.Request
+}
+
+const longAnswer = 200 << 10
+
+func (h *httpWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h.mu.Lock()
+	h.runs[r.Header.Get("Idempotency-Key")]++
+	h.last = r
+	h.mu.Unlock()
+	w.Header().Set("Gypsum-Attempt", r.Header.Get("Gypsum-Attempt"))
+	switch r.URL.Path {
+	case "/cut":
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "short")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case "/cut-long":
+		_, _ = w.Write(make([]byte, longAnswer))
+		panic(http.ErrAbortHandler)
+	case "/crossed":
+		w.Header().Set("Gypsum-Attempt", "other/1/1")
+		_, _ = io.WriteString(w, "another's answer")
+	case "/payouts/crossed":
+		w.Header().Set("Gypsum-Attempt", "other/1/1")
+	case "/error":
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, "own error")
+	case "/nothing":
+		w.WriteHeader(http.StatusNoContent)
+	case "/hop":
+		w.Header().Set("Connection", "X-Secret")
+		w.Header().Set("X-Secret", "hop")
+		w.Header().Set("X-Kept", "end")
+		w.Header().Set("Gypsum-Outcome", "spoofed")
+	case "/length":
+		fmt.Fprintf(w, "%d", len(body))
+	default:
+		_, _ = io.WriteString(w, r.URL.EscapedPath()+"?"+r.URL.RawQuery)
+	}
+}
+
+func (h *httpWorker) count(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.runs[id]
+}
+
+func (h *httpWorker) lastHeader(name string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.last.Header.Get(name)
+}
+
+// reply is what a caller sees.
+type reply struct {
+	Status          int
+	Outcome, Reason string
+	Body            string
+}
+
+func do(t *testing.T, f *fleet, method, path, body string, header http.Header) (reply, http.Header, error) {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+f.nodes[0].CallerAddress()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header.Get("Gypsum-Outcome"), resp.Header.Get("Gypsum-Reason"), string(got)}, resp.Header, err
+}
+
+func TestHTTPBetweenCallerAndWorker(t *testing.T) {
+	worker := &httpWorker{runs: map[string]int{}}
+	f := newFleet(t, 2, worker.ServeHTTP)
+	cases := []struct {
+		name, method, path, body string
+		header                   http.Header
+		want                     reply
+	}{
+		{"path and query come as sent", http.MethodGet, "/a%2Fb//c/../d?x=1%202", "", nil,
+			reply{200, "answered", "", "/a%2Fb//c/../d?x=1%202"}},
+		{"a worker's own error passes through", http.MethodGet, "/error", "", nil,
+			reply{418, "answered", "", "own error"}},
+		{"an answer without content", http.MethodGet, "/nothing", "", nil,
+			reply{204, "answered", "", ""}},
+		{"a cut answer of an idempotent request is never a short 200", http.MethodGet, "/cut", "", nil,
+			reply{502, "unknown", "link-broken", ""}},
+		{"a crossed answer is refused", http.MethodGet, "/crossed", "", nil,
+			reply{502, "unknown", "worker-broken", ""}},
+		{"a crossed answer of a payout is refused", http.MethodPost, "/payouts/crossed", "x", nil,
+			reply{502, "unknown", "worker-broken", ""}},
+		{"a body over the bound", http.MethodPost, "/length", strings.Repeat("x", 1<<20+1), nil,
+			reply{413, "not-run", "body-too-large", ""}},
+		{"a body that streams", http.MethodPost, "/length", strings.Repeat("x", 1<<20), nil,
+			reply{200, "answered", "", "1048576"}},
+		{"a malformed timeout", http.MethodGet, "/", "", http.Header{"Gypsum-Timeout-Ms": {"soon"}},
+			reply{400, "not-run", "bad-request", "Gypsum-Timeout-Ms: \"soon\": want a whole number of milliseconds from 1\n"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got, _, err := do(t, f, c.method, c.path, c.body, c.header)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("reply (-want +got):\n%s", diff)
+			}
+		})
+	}
+	t.Run("a long answer that is cut is seen as broken", func(t *testing.T) {
+		got, _, err := do(t, f, http.MethodGet, "/cut-long", "", nil)
+		if err == nil {
+			t.Errorf("got %d bytes as a whole answer with status %d", len(got.Body), got.Status)
+		}
+	})
+	t.Run("hop-by-hop and own headers do not pass", func(t *testing.T) {
+		header := http.Header{"Connection": {"X-Mine"}, "X-Mine": {"hop"}, "X-End": {"end"}, "Gypsum-Class": {"spoofed"}}
+		_, got, err := do(t, f, http.MethodGet, "/hop", "", header)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seen := []string{got.Get("X-Secret"), got.Get("X-Kept"), got.Get("Gypsum-Outcome"),
+			worker.lastHeader("X-Mine"), worker.lastHeader("X-End"), worker.lastHeader("Gypsum-Class")}
+		if diff := cmp.Diff([]string{"", "end", "answered", "", "end", "view"}, seen); diff != "" {
+			t.Errorf("headers (-want +got):\n%s", diff)
+		}
+	})
+	t.Run("a chunked body over the bound is not run", func(t *testing.T) { chunkedOverBound(t, f, worker) })
+	t.Run("a payout sent again with its key is not run again", func(t *testing.T) { sentAgain(t, f, worker) })
+}
+
+// noLength hides a reader's length, so that the body is chunked.
+type noLength struct{ io.Reader }
+
+func chunkedOverBound(t *testing.T, f *fleet, worker *httpWorker) {
+	body := noLength{bytes.NewReader(make([]byte, 1<<20+1))}
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.nodes[0].CallerAddress()+"/length", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Idempotency-Key", "chunked")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusRequestEntityTooLarge || worker.count("chunked") != 0 {
+		t.Errorf("status %d, %d runs", resp.StatusCode, worker.count("chunked"))
+	}
+}
+
+func sentAgain(t *testing.T, f *fleet, worker *httpWorker) {
+	header := http.Header{"Idempotency-Key": {"payout-7"}}
+	first, _, err := do(t, f, http.MethodPost, "/payouts", "amount=7", header)
+	if err != nil || first.Outcome != "answered" {
+		t.Fatalf("first: %+v, %v", first, err)
+	}
+	for range f.nodes {
+		f.nodes[0], f.nodes[1] = f.nodes[1], f.nodes[0]
+		again, _, err := do(t, f, http.MethodPost, "/payouts", "amount=7", header)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := (reply{502, "unknown", "duplicate-done", ""}); again != want {
+			t.Errorf("again: %+v, want %+v", again, want)
+		}
+	}
+	if got := worker.count("payout-7"); got != 1 {
+		t.Errorf("%d runs, want 1", got)
+	}
+}
