--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -9,6 +9,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,8 @@
 	Sink Sink
 	// TLS, when set, secures links that this node opens.
 	TLS *tls.Config
+	// Dial opens connections; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxAccepted bounds the links that peers opened.
 	MaxAccepted int
 }
@@ -86,7 +89,7 @@
 // New returns a manager; Close ends it.
 func New(cfg Config) *Manager {
 	ctx, cancel := context.WithCancel(context.Background())
-	transport := &http.Transport{Proxy: nil, TLSClientConfig: cfg.TLS, DisableCompression: true}
+	transport := &http.Transport{Proxy: nil, DialContext: cfg.Dial, TLSClientConfig: cfg.TLS, DisableCompression: true}
 	return &Manager{
 		cfg:    cfg,
 		client: &http.Client{Transport: transport},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/platform"
 	"gypsumstand/internal/server"
+	"gypsumstand/internal/upstream"
 )
 
 // Config is a node's settings in checked form.
@@ -44,6 +45,8 @@
 	Trusted         []bundle.Signer
 	// PeerTLS, when not nil, is the mutual TLS of the peer port.
 	PeerTLS *tls.Config
+	// DialPeer opens connections to other nodes; nil means TCP.
+	DialPeer upstream.Dial
 	// StopTimeout bounds a graceful stop; LeaveGrace is how long callers are
 	// still accepted after "leaving" was told.
 	StopTimeout time.Duration
@@ -166,8 +169,8 @@
 	})
 	n.watch = newWorkerWatch(n)
 	n.executor = server.NewExecutor(n.core.Owner, n.cfg.WorkerAddress, n.watch.traffic)
-	n.forwarder = server.NewForwarder(n.cfg.PeerTLS)
-	n.links = link.New(link.Config{Self: n.self, Sink: n.sink, TLS: n.cfg.PeerTLS, MaxAccepted: maxAcceptedLinks})
+	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS)
+	n.links = link.New(link.Config{Self: n.self, Sink: n.sink, TLS: n.cfg.PeerTLS, Dial: n.cfg.DialPeer, MaxAccepted: maxAcceptedLinks})
 	n.settler = newSettler(n)
 	n.makeServers()
 	return nil
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -81,7 +81,7 @@
 // is told whether the worker refused a connection or answered; it does not block.
 func NewExecutor(o *owner.Owner, address string, traffic func(refused bool)) *Executor {
 	x := &Executor{owner: o, address: address, traffic: traffic, waiters: map[model.AttemptID]chan owner.Decision{}}
-	x.transport.Store(upstream.NewTransport(initialSlots, initialConnections))
+	x.transport.Store(upstream.NewTransport(nil, initialSlots, initialConnections))
 	return x
 }
 
@@ -102,7 +102,7 @@
 		return
 	}
 	x.limits = want
-	old := x.transport.Swap(upstream.NewTransport(want.slots, want.connections))
+	old := x.transport.Swap(upstream.NewTransport(nil, want.slots, want.connections))
 	old.CloseIdleConnections()
 }
 
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -134,9 +134,9 @@
 )
 
 // NewForwarder returns a forwarder; secured, when not nil, is the mutual TLS of
-// the peers.
-func NewForwarder(secured *tls.Config) *Forwarder {
-	t := upstream.NewTransport(peerIdlePerHost, 0)
+// the peers, and a nil dial means TCP.
+func NewForwarder(dial upstream.Dial, secured *tls.Config) *Forwarder {
+	t := upstream.NewTransport(dial, peerIdlePerHost, 0)
 	t.MaxIdleConns = peerIdle
 	t.IdleConnTimeout = peerIdleTimeout
 	t.MaxResponseHeaderBytes = peerMaxHeaderBytes
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -32,22 +32,34 @@
 	idempotencyKeyXSealed = "x-idempotency-key"
 )
 
-// NewTransport returns a transport to one worker with at most connections
-// connections, slots of which are kept when idle.
-func NewTransport(slots, connections int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAlive}
+// Dial opens a connection; net.Dialer.DialContext is one.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialTCP is the Dial in use when none is given.
+func dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAlive}
+	return dialer.DialContext(ctx, network, address)
+}
+
+// NewTransport returns a transport that keeps idle connections open to each
+// address, and opens at most connections to each (0: any number). A nil dial
+// means TCP.
+func NewTransport(dial Dial, idle, connections int) *http.Transport {
+	if dial == nil {
+		dial = dialTCP
+	}
 	return &http.Transport{
 		Proxy: nil,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
 			return &countingConn{Conn: conn}, nil
 		},
 		DisableCompression:     true,
-		MaxIdleConns:           slots,
-		MaxIdleConnsPerHost:    slots,
+		MaxIdleConns:           idle,
+		MaxIdleConnsPerHost:    idle,
 		MaxConnsPerHost:        connections,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
