Run a whole deployment on loopback in one process

Cause: the demonstration, the experiments and the end-to-end tests need the same fleet. Change: local (platform, workers, nodes over real sockets, planned stop, kill, sign-off); the end-to-end tests use it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -31,6 +31,8 @@
 	// LocalDelay and RemoteDelay are first guesses of one-way link time.
 	LocalDelay  time.Duration
 	RemoteDelay time.Duration
+	// Policy of routing; others than the zero value are baselines.
+	Policy route.Policy
 	// Started is the process's start.
 	Started time.Time
 	// Seed makes the controllers' choices repeatable.
@@ -78,6 +80,7 @@
 		LocalDelay:  cfg.LocalDelay,
 		RemoteDelay: cfg.RemoteDelay,
 		Random:      cfg.Random,
+		Policy:      cfg.Policy,
 	})
 	return &Node{
 		Board:  board,
--- a/internal/node/e2e_test.go
+++ b/internal/node/e2e_test.go
@@ -1,22 +1,15 @@
 package node_test
 
 import (
-	"context"
-	"crypto/ed25519"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"gypsumstand/internal/bundle"
-	fakeplatform "gypsumstand/internal/fake/platform"
-	"gypsumstand/internal/model"
-	"gypsumstand/internal/node"
+	"gypsumstand/internal/local"
 )
 
 const testBundle = `
@@ -42,106 +35,34 @@
 class = "view"
 `
 
-// fleet is a platform, some nodes and their workers on loopback.
-type fleet struct {
-	t        *testing.T
-	platform *fakeplatform.Platform
-	address  string
-	key      ed25519.PrivateKey
-	signer   bundle.Signer
-	nodes    []*node.Node
-}
-
-func newFleet(t *testing.T, nodes int, worker http.HandlerFunc) *fleet {
+// newFleet runs nodes with workers that handler serves, one a data centre, until
+// the test ends; then every node must stop gracefully.
+func newFleet(t *testing.T, nodes int, handler http.Handler) *local.Fleet {
 	t.Helper()
-	public, private, err := ed25519.GenerateKey(strings.NewReader(strings.Repeat("seed", ed25519.SeedSize)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	f := &fleet{t: t, platform: fakeplatform.New(fakeplatform.Config{}), key: private, signer: bundle.Signer{Name: "Tester", Key: public}}
-	server := httptest.NewServer(f.platform.Handler())
-	t.Cleanup(server.Close)
-	f.address = strings.TrimPrefix(server.URL, "http://")
-	f.publish(1)
-	for i := range nodes {
-		f.addNode(i, worker)
-	}
-	f.awaitReady()
-	return f
-}
-
-func (f *fleet) publish(version int) {
-	f.t.Helper()
-	signed := bundle.Sign(f.signer.Name, f.key, fmt.Appendf(nil, testBundle, version))
-	if _, err := f.platform.PublishSigned(signed); err != nil {
-		f.t.Fatal(err)
-	}
-}
-
-func (f *fleet) addNode(i int, worker http.HandlerFunc) {
-	f.t.Helper()
-	w := httptest.NewServer(worker)
-	f.t.Cleanup(w.Close)
-	n, err := node.New(node.Config{
-		Instance:        model.InstanceID(fmt.Sprintf("n%d", i)),
-		Service:         "ledger",
-		DataCentre:      model.DataCentre(fmt.Sprintf("dc%d", i%3)),
-		CallerAddress:   "127.0.0.1:0",
-		PeerAddress:     "127.0.0.1:0",
-		OperatorAddress: "127.0.0.1:0",
-		WorkerAddress:   strings.TrimPrefix(w.URL, "http://"),
-		ListAddresses:   []string{f.address},
-		ConfigAddresses: []string{f.address},
-		PlatformTimeout: time.Second,
-		Trusted:         []bundle.Signer{f.signer},
-		StopTimeout:     10 * time.Second,
-		LocalDelay:      100 * time.Microsecond,
-		RemoteDelay:     time.Millisecond,
-		MaxHeaderBytes:  64 << 10,
-		IdleTimeout:     time.Minute,
-		Log:             zerolog.Nop(),
+	f, err := local.Start(local.Config{
+		Bundle:      fmt.Appendf(nil, testBundle, 1),
+		Services:    []local.Service{{Name: "ledger", Workers: nodes, Handler: handler}},
+		DataCentres: nodes,
+		StopTimeout: 10 * time.Second,
+		Log:         zerolog.Nop(),
 	})
 	if err != nil {
-		f.t.Fatal(err)
+		t.Fatal(err)
 	}
-	f.nodes = append(f.nodes, n)
-	f.platform.Put(model.Instance{
-		ID:          model.InstanceID(fmt.Sprintf("n%d", i)),
-		Service:     "ledger",
-		DataCentre:  model.DataCentre(fmt.Sprintf("dc%d", i%3)),
-		PeerAddress: n.PeerAddress(),
-		State:       model.StateLive,
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx) }()
-	f.t.Cleanup(func() {
-		cancel()
-		if err := <-done; err != nil {
-			f.t.Errorf("node %d: %v", i, err)
+	t.Cleanup(func() {
+		for _, m := range f.Members() {
+			if err := f.Stop(m); err != nil {
+				t.Errorf("%s: %v", m.ID, err)
+			}
 		}
-	})
-}
-
-// awaitReady polls the nodes' readiness until every one serves.
-func (f *fleet) awaitReady() {
-	f.t.Helper()
-	poll := time.NewTicker(20 * time.Millisecond)
-	defer poll.Stop()
-	for _, n := range f.nodes {
-		for !ready(n) || n.Core().Board.Self.Get().Instance.State != model.StateLive {
-			<-poll.C
+		if err := f.Close(); err != nil {
+			t.Error(err)
 		}
+	})
+	if err := f.Await(t.Context(), local.Ready); err != nil {
+		t.Fatal(err)
 	}
-}
-
-func ready(n *node.Node) bool {
-	resp, err := http.Get("http://" + n.OperatorAddress() + "/readyz")
-	if err != nil {
-		return false
-	}
-	defer resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return f
 }
 
 func TestARequestIsServedByAWorkerThroughAnyNode(t *testing.T) {
@@ -149,9 +70,9 @@
 		w.Header().Set("Gypsum-Attempt", r.Header.Get("Gypsum-Attempt"))
 		_, _ = io.WriteString(w, "for "+r.Header.Get("Idempotency-Key"))
 	}
-	f := newFleet(t, 3, echo)
-	for i, n := range f.nodes {
-		req, err := http.NewRequest(http.MethodGet, "http://"+n.CallerAddress()+"/vouchers/7", nil)
+	f := newFleet(t, 3, http.HandlerFunc(echo))
+	for i, address := range f.Callers() {
+		req, err := http.NewRequest(http.MethodGet, "http://"+address+"/vouchers/7", nil)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/http_test.go
+++ b/internal/node/http_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"gypsumstand/internal/local"
 )
 
 // httpWorker answers by path; it counts runs by request id.
@@ -81,9 +83,14 @@
 	Body            string
 }
 
-func do(t *testing.T, f *fleet, method, path, body string, header http.Header) (reply, http.Header, error) {
+func do(t *testing.T, f *local.Fleet, method, path, body string, header http.Header) (reply, http.Header, error) {
+	t.Helper()
+	return doAt(t, f.Callers()[0], method, path, body, header)
+}
+
+func doAt(t *testing.T, address, method, path, body string, header http.Header) (reply, http.Header, error) {
 	t.Helper()
-	req, err := http.NewRequest(method, "http://"+f.nodes[0].CallerAddress()+path, strings.NewReader(body))
+	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -101,7 +108,7 @@
 
 func TestHTTPBetweenCallerAndWorker(t *testing.T) {
 	worker := &httpWorker{runs: map[string]int{}}
-	f := newFleet(t, 2, worker.ServeHTTP)
+	f := newFleet(t, 2, worker)
 	cases := []struct {
 		name, method, path, body string
 		header                   http.Header
@@ -162,9 +169,9 @@
 // noLength hides a reader's length, so that the body is chunked.
 type noLength struct{ io.Reader }
 
-func chunkedOverBound(t *testing.T, f *fleet, worker *httpWorker) {
+func chunkedOverBound(t *testing.T, f *local.Fleet, worker *httpWorker) {
 	body := noLength{bytes.NewReader(make([]byte, 1<<20+1))}
-	req, err := http.NewRequest(http.MethodPost, "http://"+f.nodes[0].CallerAddress()+"/length", body)
+	req, err := http.NewRequest(http.MethodPost, "http://"+f.Callers()[0]+"/length", body)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -179,15 +186,14 @@
 	}
 }
 
-func sentAgain(t *testing.T, f *fleet, worker *httpWorker) {
+func sentAgain(t *testing.T, f *local.Fleet, worker *httpWorker) {
 	header := http.Header{"Idempotency-Key": {"payout-7"}}
 	first, _, err := do(t, f, http.MethodPost, "/payouts", "amount=7", header)
 	if err != nil || first.Outcome != "answered" {
 		t.Fatalf("first: %+v, %v", first, err)
 	}
-	for range f.nodes {
-		f.nodes[0], f.nodes[1] = f.nodes[1], f.nodes[0]
-		again, _, err := do(t, f, http.MethodPost, "/payouts", "amount=7", header)
+	for _, address := range f.Callers() {
+		again, _, err := doAt(t, address, http.MethodPost, "/payouts", "amount=7", header)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"gypsumstand/internal/metrics"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/platform"
+	"gypsumstand/internal/route"
 	"gypsumstand/internal/server"
 	"gypsumstand/internal/upstream"
 )
@@ -57,7 +58,10 @@
 	MaxHeaderBytes int
 	// IdleTimeout bounds the idle time of callers' connections.
 	IdleTimeout time.Duration
-	Log         zerolog.Logger
+	// Policy of routing; others than the zero value are baselines for
+	// experiments.
+	Policy route.Policy
+	Log    zerolog.Logger
 }
 
 // Bounds that are not settings.
@@ -164,6 +168,7 @@
 		Seeds:       n.cfg.Seeds,
 		LocalDelay:  n.cfg.LocalDelay,
 		RemoteDelay: n.cfg.RemoteDelay,
+		Policy:      n.cfg.Policy,
 		Started:     started,
 		Seed:        uint64(started.UnixNano()),
 	})
