--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
@@ -66,9 +67,14 @@
 
 // Bounds that are not settings.
 const (
-	maxAcceptedLinks  = 64
-	eventQueue        = 1024
-	readHeaderTimeout = 5 * time.Second
+	maxAcceptedLinks = 64
+	// A connection over these bounds waits to be accepted until one ends; idle
+	// ones end by themselves (Config.IdleTimeout).
+	maxCallerConnections   = 8192
+	maxPeerConnections     = 8192
+	maxOperatorConnections = 64
+	eventQueue             = 1024
+	readHeaderTimeout      = 5 * time.Second
 )
 
 // Node is one running node.
@@ -117,16 +123,17 @@
 
 func (n *Node) listen() error {
 	var errs []error
-	open := func(name, address string) net.Listener {
+	open := func(name, address string, connections int) net.Listener {
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("%s port: %w", name, err))
+			return nil
 		}
-		return l
+		return netutil.LimitListener(l, connections)
 	}
-	n.ports.caller = open("caller", n.cfg.CallerAddress)
-	n.ports.peer = open("peer", n.cfg.PeerAddress)
-	n.ports.operator = open("operator", n.cfg.OperatorAddress)
+	n.ports.caller = open("caller", n.cfg.CallerAddress, maxCallerConnections)
+	n.ports.peer = open("peer", n.cfg.PeerAddress, maxPeerConnections)
+	n.ports.operator = open("operator", n.cfg.OperatorAddress, maxOperatorConnections)
 	if n.cfg.PeerTLS != nil && n.ports.peer != nil {
 		n.ports.peer = tls.NewListener(n.ports.peer, n.cfg.PeerTLS)
 	}
