Keep the fleet's view by rumours, digests and checked suspicion

Cause: the controller took the platform's list as it came: it knew nothing fresher, and every node read it every second.

Change: records of instances form a join semilattice (owner's word, and the list's mark). Changes flood over a bounded number of random links; digests repair losses; a fresh node loads a peer's view in pieces. An instance is declared gone only by an observer that reaches another instance of its data centre, with a second observer's word, after a second to object; never when over a third of a data centre looks dead. The list is read by suppressed timers. Shared types: control.AdoptIncarnation (new action), wire kinds 20-31, events 300-316.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -147,13 +147,19 @@
 	Err     error
 }
 
-func (Send) isAction()      {}
-func (OpenLink) isAction()  {}
-func (CloseLink) isAction() {}
-func (ReadList) isAction()  {}
-func (ReadIndex) isAction() {}
-func (ReadValue) isAction() {}
-func (Record) isAction()    {}
+// AdoptIncarnation says that this node must take a greater incarnation, since
+// peers remember one as great or have declared its present one gone. The owner
+// must bind new attempts to it from now on.
+type AdoptIncarnation struct{ Incarnation model.Incarnation }
+
+func (Send) isAction()             {}
+func (OpenLink) isAction()         {}
+func (CloseLink) isAction()        {}
+func (ReadList) isAction()         {}
+func (ReadIndex) isAction()        {}
+func (ReadValue) isAction()        {}
+func (Record) isAction()           {}
+func (AdoptIncarnation) isAction() {}
 
 // Controller is one writer of blackboard sections.
 type Controller interface {
--- /dev/null
+++ b/internal/member/accuse.go
@@ -0,0 +1,225 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+const (
+	// observersNeeded is the number of distinct observers that must accuse an
+	// instance before it is declared gone.
+	observersNeeded = 2
+	// maxObservers bounds the accusers that are remembered and told on.
+	maxObservers = 4
+	// refuteWindow is the time that the accused has to object, from the moment
+	// when enough accuse it.
+	refuteWindow = time.Second
+	// accusationFor is how long an accusation counts.
+	accusationFor = 30 * time.Second
+	// maxAccused bounds the targets under accusation.
+	maxAccused = 1024
+	// lossFor is how long a declared loss counts against its data centre's bound.
+	lossFor = time.Minute
+	// One in lossShare of a data centre's instances may look dead at once, and
+	// always one; more is taken for a partition and nobody is declared gone.
+	lossShare = 3
+	// doubtSaidFor is the least time between two events of doubt of one data centre.
+	doubtSaidFor = time.Minute
+)
+
+// accused is an instance that somebody cannot reach.
+type accused struct {
+	id          model.InstanceID
+	incarnation model.Incarnation
+	counter     uint64
+	observers   []observer
+	// enough is when the last needed observer spoke up; zero before.
+	enough time.Time
+}
+
+type observer struct {
+	id model.InstanceID
+	at time.Time
+}
+
+// loss is an instance that went without leaving first.
+type loss struct {
+	id         model.InstanceID
+	dataCentre model.DataCentre
+	at         time.Time
+}
+
+func compareAccused(a *accused, id model.InstanceID) int { return cmp.Compare(a.id, id) }
+
+func (k *checker) accusedOf(id model.InstanceID) *accused {
+	at, ok := slices.BinarySearchFunc(k.accused, id, compareAccused)
+	if !ok {
+		return nil
+	}
+	return k.accused[at]
+}
+
+func (k *checker) noteLoss(now time.Time, r wire.MemberRecord) {
+	if len(k.losses) < maxAccused {
+		k.losses = append(k.losses, loss{id: r.ID, dataCentre: r.DataCentre, at: now})
+	}
+}
+
+func (a *accused) by(id model.InstanceID) bool {
+	return slices.ContainsFunc(a.observers, func(o observer) bool { return o.id == id })
+}
+
+func (a *accused) forget(id model.InstanceID) {
+	a.observers = slices.DeleteFunc(a.observers, func(o observer) bool { return o.id == id })
+	if len(a.observers) < observersNeeded {
+		a.enough = time.Time{}
+	}
+}
+
+// expire drops observers whose word is too old.
+func (a *accused) expire(now time.Time) {
+	a.observers = slices.DeleteFunc(a.observers, func(o observer) bool { return now.Sub(o.at) > accusationFor })
+}
+
+// accuse spreads this node's own observation and asks others to look.
+func (c *Controller) accuse(now time.Time, x *check) {
+	c.accusation(now, wire.Accusation{
+		Target: x.target.ID, Incarnation: x.target.Incarnation,
+		Counter: x.target.Counter, Observer: c.cfg.Self.ID,
+	}, c.cfg.Self.ID)
+	if len(x.asked) > 0 {
+		return
+	}
+	peers := slices.DeleteFunc(c.links.fresh(now), func(l *link) bool { return l.peer == x.target.ID })
+	c.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, l := range peers[:min(helpers, len(peers))] {
+		c.send(l.peer, wire.Probe{
+			Target: x.target.ID, PeerAddress: x.target.PeerAddress,
+			Incarnation: x.target.Incarnation, Counter: x.target.Counter,
+		})
+	}
+}
+
+// accusation takes an accusation that from told.
+func (c *Controller) accusation(now time.Time, a wire.Accusation, from model.InstanceID) {
+	if a.Target == c.cfg.Self.ID {
+		c.refute(now, a)
+		return
+	}
+	r, ok := c.table.get(a.Target)
+	if !ok || r.State == model.StateGone || r.Incarnation != a.Incarnation || r.Counter != a.Counter {
+		return
+	}
+	if o, ok := c.table.get(a.Observer); !ok || o.State == model.StateGone || a.Observer == a.Target {
+		return
+	}
+	if c.noteAccusation(now, a) {
+		c.gossip.accused = append(c.gossip.accused, accusationRumour{accusation: a, from: from})
+	}
+}
+
+// noteAccusation reports whether the accusation is news.
+func (c *Controller) noteAccusation(now time.Time, a wire.Accusation) bool {
+	k := &c.checks
+	at, ok := slices.BinarySearchFunc(k.accused, a.Target, compareAccused)
+	if !ok {
+		if len(k.accused) >= maxAccused {
+			return false
+		}
+		k.accused = slices.Insert(k.accused, at, &accused{id: a.Target})
+	}
+	x := k.accused[at]
+	if x.incarnation != a.Incarnation || x.counter != a.Counter {
+		*x = accused{id: a.Target, incarnation: a.Incarnation, counter: a.Counter}
+	}
+	if x.by(a.Observer) || len(x.observers) >= maxObservers {
+		return false
+	}
+	x.observers = append(x.observers, observer{id: a.Observer, at: now})
+	if x.enough.IsZero() && len(x.observers) >= c.observersNeeded(x.id) {
+		x.enough = now
+	}
+	return true
+}
+
+func (c *Controller) observersNeeded(target model.InstanceID) int {
+	if c.loneObserver(target) {
+		return 1
+	}
+	return observersNeeded
+}
+
+func (c *Controller) tickAccused(now time.Time) {
+	k := &c.checks
+	k.losses = slices.DeleteFunc(k.losses, func(l loss) bool { return now.Sub(l.at) > lossFor })
+	if len(k.accused) == 0 {
+		return
+	}
+	k.accused = slices.DeleteFunc(k.accused, func(a *accused) bool { return !c.stillAccused(now, a) })
+	for _, a := range slices.Clone(k.accused) {
+		c.judge(now, a)
+	}
+}
+
+// stillAccused reports whether a's accusations still hold against its record.
+func (c *Controller) stillAccused(now time.Time, a *accused) bool {
+	a.expire(now)
+	r, ok := c.table.get(a.id)
+	return ok && r.State != model.StateGone && r.Incarnation == a.incarnation &&
+		r.Counter == a.counter && len(a.observers) > 0
+}
+
+// judge declares an accused instance gone when enough accuse it, it has not
+// objected in time, and its data centre does not look cut off. Only those who
+// observed it themselves do so; the others hear it from them.
+func (c *Controller) judge(now time.Time, a *accused) {
+	switch {
+	case c.doubts(now), !a.by(c.cfg.Self.ID):
+		return
+	case a.enough.IsZero(), now.Sub(a.enough) < refuteWindow:
+		return
+	}
+	r, _ := c.table.get(a.id)
+	if serving(r.State) && c.looksCutOff(r.DataCentre) {
+		c.sayDoubt(now, r.DataCentre)
+		return
+	}
+	r.State = model.StateGone
+	c.record(event.MemberDeclaredGone, string(r.ID), "")
+	c.learn(now, r, "", false)
+}
+
+// looksCutOff reports whether too large a share of a data centre looks dead.
+func (c *Controller) looksCutOff(dc model.DataCentre) bool {
+	dead := 0
+	for _, a := range c.checks.accused {
+		if r, ok := c.table.get(a.id); ok && serving(r.State) && r.DataCentre == dc {
+			dead++
+		}
+	}
+	total := c.table.serving[dc]
+	for _, l := range c.checks.losses {
+		if l.dataCentre == dc {
+			dead++
+			total++
+		}
+	}
+	return dead > max(1, total/lossShare)
+}
+
+func (c *Controller) sayDoubt(now time.Time, dc model.DataCentre) {
+	k := &c.checks
+	if k.doubtSaid == nil {
+		k.doubtSaid = map[model.DataCentre]time.Time{}
+	}
+	if last, ok := k.doubtSaid[dc]; ok && now.Sub(last) < doubtSaidFor {
+		return
+	}
+	k.doubtSaid[dc] = now
+	c.record(event.PartitionDoubted, string(dc), "")
+}
--- /dev/null
+++ b/internal/member/fleet_test.go
@@ -0,0 +1,361 @@
+package member
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gypsumstand/internal/blackboard"
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+const (
+	tickPhases  = 10
+	dialTimeout = 3 * time.Second
+)
+
+// node is one controller with its fake adapters.
+type node struct {
+	inst    model.Instance
+	c       *Controller
+	board   *blackboard.Board
+	alive   bool
+	pausing time.Time
+	inbox   []control.Event
+	events  map[event.ID]int
+	bytes   int
+	rounds  int
+}
+
+type delivery struct {
+	at  time.Time
+	seq int
+	to  *node
+	ev  control.Event
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	return d[i].at.Before(d[j].at) || d[i].at.Equal(d[j].at) && d[i].seq < d[j].seq
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	old := *d
+	last := old[len(old)-1]
+	*d = old[:len(old)-1]
+	return last
+}
+
+type channel struct{ opener, acceptor model.InstanceID }
+
+type listChange struct {
+	at   time.Time
+	inst model.Instance
+}
+
+// fleet joins controllers by a queue on a fake clock.
+type fleet struct {
+	now      time.Time
+	rng      *rand.Rand
+	nodes    []*node
+	byID     map[model.InstanceID]*node
+	queue    deliveries
+	seq      int
+	channels map[channel]bool
+	loss     float64
+	// blocked tells whether nothing passes between two nodes.
+	blocked func(a, b *node) bool
+	// changes is the platform's history; a change's revision is its index plus one.
+	changes  []listChange
+	listLag  time.Duration
+	listDown bool
+	// listFrozen is the time whose content the list serves; zero for the present.
+	listFrozen time.Time
+	reads      int
+	measure    bool
+}
+
+func newFleet(seed uint64) *fleet {
+	return &fleet{
+		now: epoch, rng: rand.New(rand.NewPCG(seed, 7)),
+		byID: map[model.InstanceID]*node{}, channels: map[channel]bool{},
+		blocked: func(_, _ *node) bool { return false },
+	}
+}
+
+// grown returns a fleet of n live nodes in dcs data centres that has settled.
+func grown(t testing.TB, n, dcs int, settle time.Duration) *fleet {
+	t.Helper()
+	f := newFleet(uint64(n))
+	for i := range n {
+		f.list(instance(i, dcs, model.StateLive))
+	}
+	for i := range n {
+		f.start(instance(i, dcs, model.StateLive))
+	}
+	f.run(settle)
+	return f
+}
+
+func instance(i, dcs int, s model.UpstreamState) model.Instance {
+	return model.Instance{
+		ID: model.InstanceID(fmt.Sprintf("worker-%05d", i)), Service: model.ServiceName(fmt.Sprintf("service-%03d", i%630)),
+		DataCentre: model.DataCentre(fmt.Sprintf("dc-%d", i%dcs)), PeerAddress: fmt.Sprintf("10.1.%d.%d:7001", i/250, i%250),
+		Incarnation: 1_700_000_000_000_000, State: s,
+	}
+}
+
+// list lets the platform's list say i from now on.
+func (f *fleet) list(i model.Instance) { f.changes = append(f.changes, listChange{at: f.now, inst: i}) }
+
+func (f *fleet) start(i model.Instance, seeds ...string) *node {
+	n := &node{inst: i, board: &blackboard.Board{}, alive: true, events: map[event.ID]int{}}
+	n.c = New(Config{Self: i, Seeds: seeds}, n.board, rand.New(rand.NewPCG(uint64(len(f.nodes)), uint64(i.Incarnation))))
+	f.nodes = append(f.nodes, n)
+	f.byID[i.ID] = n
+	return n
+}
+
+// run moves the clock by d.
+func (f *fleet) run(d time.Duration) {
+	f.until(d, func() bool { return false })
+}
+
+// until moves the clock until done, or by at most d, and returns the time taken.
+func (f *fleet) until(d time.Duration, done func() bool) time.Duration {
+	begin := f.now
+	for f.now.Sub(begin) < d && !done() {
+		f.now = f.now.Add(control.TickInterval / tickPhases)
+		for len(f.queue) > 0 && !f.queue[0].at.After(f.now) {
+			next := heap.Pop(&f.queue).(delivery)
+			f.handle(next.to, next.ev)
+		}
+		phase := int(f.now.Sub(epoch)/(control.TickInterval/tickPhases)) % tickPhases
+		for i := phase; i < len(f.nodes); i += tickPhases {
+			f.handle(f.nodes[i], control.Tick{})
+		}
+	}
+	return f.now.Sub(begin)
+}
+
+func (f *fleet) handle(n *node, ev control.Event) {
+	if !n.alive {
+		return
+	}
+	if f.now.Before(n.pausing) {
+		if _, tick := ev.(control.Tick); !tick {
+			n.inbox = append(n.inbox, ev)
+		}
+		return
+	}
+	for _, a := range n.c.Handle(f.now, ev) {
+		f.do(n, a)
+	}
+}
+
+func (f *fleet) later(d time.Duration, to *node, ev control.Event) {
+	f.seq++
+	heap.Push(&f.queue, delivery{at: f.now.Add(d), seq: f.seq, to: to, ev: ev})
+}
+
+func (f *fleet) delay() time.Duration {
+	return time.Millisecond + time.Duration(f.rng.Int64N(int64(20*time.Millisecond)))
+}
+
+func (f *fleet) do(n *node, a control.Action) {
+	switch a := a.(type) {
+	case control.Send:
+		f.send(n, a)
+	case control.OpenLink:
+		f.open(n, a)
+	case control.CloseLink:
+		f.close(channel{opener: n.inst.ID, acceptor: a.Peer}, false)
+	case control.ReadList:
+		f.read(n, a.Since)
+	case control.Record:
+		n.events[a.Event]++
+	case control.AdoptIncarnation:
+		n.inst.Incarnation = a.Incarnation
+	}
+}
+
+func (f *fleet) send(n *node, a control.Send) {
+	if f.measure {
+		data, err := wire.Encode(a.Message)
+		if err != nil {
+			panic(err)
+		}
+		n.bytes += len(data)
+		n.rounds++
+	}
+	to := f.byID[a.To]
+	linked := f.channels[channel{n.inst.ID, a.To}] || f.channels[channel{a.To, n.inst.ID}]
+	if !linked || f.blocked(n, to) || f.rng.Float64() < f.loss {
+		return
+	}
+	f.later(f.delay(), to, control.Received{From: n.inst.ID, Message: a.Message})
+}
+
+func (f *fleet) open(n *node, a control.OpenLink) {
+	var to *node
+	for _, other := range f.byID {
+		if other.inst.PeerAddress == a.Address {
+			to = other
+		}
+	}
+	switch {
+	case to == nil || !to.alive:
+		f.later(f.delay(), n, control.LinkDown{Peer: a.Peer, Failed: true})
+	case f.blocked(n, to) || f.now.Before(to.pausing):
+		f.later(dialTimeout, n, control.LinkDown{Peer: a.Peer, Failed: true})
+	default:
+		f.channels[channel{n.inst.ID, to.inst.ID}] = true
+		f.later(f.delay(), to, control.LinkUp{Peer: n.c.Self()})
+		f.later(f.delay(), n, control.LinkUp{Peer: to.c.Self(), Outgoing: true})
+	}
+}
+
+func (f *fleet) close(ch channel, failed bool) {
+	if !f.channels[ch] {
+		return
+	}
+	delete(f.channels, ch)
+	f.later(f.delay(), f.byID[ch.opener], control.LinkDown{Peer: ch.acceptor, Failed: failed})
+	f.later(f.delay(), f.byID[ch.acceptor], control.LinkDown{Peer: ch.opener, Failed: failed})
+}
+
+// kill ends a process without a word; its links break.
+func (f *fleet) kill(n *node) {
+	n.alive = false
+	for _, other := range f.nodes {
+		f.close(channel{n.inst.ID, other.inst.ID}, true)
+		f.close(channel{other.inst.ID, n.inst.ID}, true)
+	}
+}
+
+// restart starts a killed node's next incarnation.
+func (f *fleet) restart(n *node) *node {
+	i := n.inst
+	i.Incarnation += 1_000_000
+	i.State = model.StateLive
+	at := 0
+	for f.nodes[at] != n {
+		at++
+	}
+	next := f.start(i, f.nodes[0].inst.PeerAddress, f.nodes[1].inst.PeerAddress)
+	f.nodes = f.nodes[:len(f.nodes)-1]
+	f.nodes[at] = next
+	return next
+}
+
+// wake ends a pause of d: first the pause, then what waited.
+func (f *fleet) wake(n *node, d time.Duration) {
+	n.pausing = time.Time{}
+	inbox := n.inbox
+	n.inbox = nil
+	f.handle(n, control.Paused{For: d})
+	for _, ev := range inbox {
+		f.handle(n, ev)
+	}
+}
+
+var errListDown = errors.New("list is down")
+
+func (f *fleet) read(n *node, since uint64) {
+	f.reads++
+	if f.listDown {
+		f.later(f.delay(), n, control.ListReadFailed{Err: errListDown})
+		return
+	}
+	at := f.now.Add(-f.listLag)
+	if !f.listFrozen.IsZero() {
+		at = f.listFrozen
+	}
+	out := control.ListRead{Full: since == 0}
+	latest := map[model.InstanceID]model.Instance{}
+	for i, ch := range f.changes {
+		if ch.at.After(at) {
+			break
+		}
+		out.Revision = uint64(i + 1)
+		if out.Revision > since {
+			latest[ch.inst.ID] = ch.inst
+		}
+	}
+	for _, ch := range f.changes {
+		i, ok := latest[ch.inst.ID]
+		delete(latest, ch.inst.ID)
+		if ok && !(out.Full && i.State == model.StateGone) {
+			i.Incarnation = 0
+			out.Instances = append(out.Instances, i)
+		}
+	}
+	f.later(f.delay(), n, out)
+}
+
+// state returns what n's blackboard says of id; gone when it does not show it.
+func (n *node) state(id model.InstanceID) model.UpstreamState {
+	for _, i := range n.board.Fleet.Get().Instances {
+		if i.ID == id {
+			return i.State
+		}
+	}
+	return model.StateGone
+}
+
+// count returns how many living nodes see id in state s.
+func (f *fleet) count(id model.InstanceID, s model.UpstreamState) int {
+	k := 0
+	for _, n := range f.nodes {
+		if n.alive && n.state(id) == s {
+			k++
+		}
+	}
+	return k
+}
+
+func (f *fleet) living() int {
+	k := 0
+	for _, n := range f.nodes {
+		if n.alive {
+			k++
+		}
+	}
+	return k
+}
+
+// converged reports whether all living nodes hold the same view with n instances.
+func (f *fleet) converged(n int) bool {
+	var first *node
+	for _, x := range f.nodes {
+		if !x.alive {
+			continue
+		}
+		if first == nil {
+			first = x
+		}
+		if x.c.dirty || x.c.table.present != n || x.c.table.root != first.c.table.root {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *fleet) eventCount(id event.ID) int {
+	k := 0
+	for _, n := range f.nodes {
+		k += n.events[id]
+	}
+	return k
+}
--- /dev/null
+++ b/internal/member/list_test.go
@@ -0,0 +1,156 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+)
+
+func TestListIntroducesAndMakesLeave(t *testing.T) {
+	f := grown(t, 6, 2, 10*time.Second)
+	fresh := instance(90, 2, model.StateLive)
+	fresh.PeerAddress = ""
+	f.list(fresh)
+	f.run(6 * time.Second)
+	if k := f.count(fresh.ID, model.StateLive); k != 6 {
+		t.Errorf("live for %d of 6 after the list named it", k)
+	}
+	fresh.State = model.StateLeaving
+	f.list(fresh)
+	f.run(6 * time.Second)
+	fresh.State = model.StateLive
+	f.list(fresh)
+	f.run(6 * time.Second)
+	if k := f.count(fresh.ID, model.StateLive); k != 0 {
+		t.Errorf("live for %d although it was leaving", k)
+	}
+}
+
+func TestListThatMarksALiveOwnerLeavingAndTakesItBack(t *testing.T) {
+	f := grown(t, 6, 2, 10*time.Second)
+	x := f.nodes[2]
+	f.list(instance(2, 2, model.StateLeaving))
+	f.run(6 * time.Second)
+	if k := f.count(x.inst.ID, model.StateLeaving); k != 6 || x.events[event.ListSaysLeaving] == 0 {
+		t.Errorf("leaving for %d of 6, events %v", k, x.events)
+	}
+	f.list(instance(2, 2, model.StateLive))
+	f.run(6 * time.Second)
+	if k := f.count(x.inst.ID, model.StateLive); k != 6 || x.events[event.IncarnationRaised] == 0 {
+		t.Errorf("live again for %d of 6, events %v", k, x.events)
+	}
+}
+
+func TestOldListBringsNobodyBack(t *testing.T) {
+	f := grown(t, 8, 2, 10*time.Second)
+	old := f.now
+	x := f.nodes[1]
+	f.say(x, model.StateLeaving)
+	f.run(2 * time.Second)
+	f.say(x, model.StateGone)
+	f.run(time.Second)
+	f.kill(x)
+	f.list(instance(1, 2, model.StateGone))
+	f.run(10 * time.Second)
+	f.listFrozen = old
+	f.start(instance(20, 2, model.StateLive))
+	f.run(time.Minute)
+	if k := f.count(x.inst.ID, model.StateGone); k != 8 {
+		t.Errorf("gone for %d of 8 while the list is an hour old", k)
+	}
+	if f.eventCount(event.ListStale) == 0 {
+		t.Error("no event tells that the list is stale")
+	}
+}
+
+func TestFleetGoesOnWhileTheListIsDownForAnHour(t *testing.T) {
+	f := grown(t, 6, 2, 10*time.Second)
+	f.listDown = true
+	f.run(time.Minute)
+	reads := f.reads
+	f.run(20 * time.Minute)
+	f.kill(f.nodes[3])
+	f.run(10 * time.Minute)
+	f.restart(f.nodes[3])
+	f.run(29 * time.Minute)
+	if !f.converged(6) || f.count(f.nodes[3].inst.ID, model.StateLive) != 6 {
+		t.Error("no common view with all six live")
+	}
+	if perMinute := (f.reads - reads) / 59; perMinute > 60 || perMinute < 5 {
+		t.Errorf("%d reads a minute in the outage", perMinute)
+	}
+	if age := f.now.Sub(f.nodes[0].c.ListConfirmed()); age < time.Hour-time.Second {
+		t.Errorf("list confirmed %s ago", age)
+	}
+	f.listDown = false
+	f.run(15 * time.Second)
+	if age := f.now.Sub(f.nodes[0].c.ListConfirmed()); age > 5*time.Second {
+		t.Errorf("list confirmed %s ago after the outage", age)
+	}
+}
+
+func TestInstanceMissingFromTheListStaysWhileItLives(t *testing.T) {
+	f := grown(t, 6, 2, 10*time.Second)
+	f.list(instance(2, 2, model.StateGone))
+	f.run(supportFor + reapSpread + 5*time.Minute)
+	if k := f.count(f.nodes[2].inst.ID, model.StateLive); k != 6 {
+		t.Errorf("live for %d of 6", k)
+	}
+}
+
+func TestInstanceMissingFromTheListGoesWithoutSupport(t *testing.T) {
+	f := grown(t, 6, 2, 10*time.Second)
+	never := instance(90, 2, model.StateLive)
+	never.PeerAddress = ""
+	f.list(never)
+	f.run(10 * time.Second)
+	never.State = model.StateGone
+	f.list(never)
+	f.run(supportFor / 2)
+	if k := f.count(never.ID, model.StateLive); k != 6 {
+		t.Errorf("live for %d of 6 half the stated time after", k)
+	}
+	f.run(supportFor/2 + 2*reapSpread)
+	if k := f.count(never.ID, model.StateGone); k != 6 {
+		t.Errorf("gone for %d of 6 in the end", k)
+	}
+}
+
+func TestListThatLacksMostIsDistrusted(t *testing.T) {
+	f := grown(t, 9, 3, 10*time.Second)
+	for i := range 6 {
+		f.list(instance(i, 3, model.StateGone))
+	}
+	f.start(instance(20, 3, model.StateLive))
+	f.run(time.Minute)
+	if k := f.nodes[8].c.FleetSize(); k != 10 {
+		t.Errorf("fleet of %d, want 10", k)
+	}
+}
+
+func TestPlatformIsReadByFew(t *testing.T) {
+	f := grown(t, 100, 5, 20*time.Second)
+	reads := f.reads
+	f.run(time.Minute)
+	perSecond := float64(f.reads-reads) / 60
+	if perSecond < 0.3 || perSecond > 10 {
+		t.Errorf("%.1f reads a second of 100 nodes", perSecond)
+	}
+	if age := f.now.Sub(f.nodes[50].c.ListConfirmed()); age > 5*time.Second {
+		t.Errorf("list confirmed %s ago", age)
+	}
+}
+
+func TestTombstonesAreForgotten(t *testing.T) {
+	f := grown(t, 2, 1, 10*time.Second)
+	f.say(f.nodes[1], model.StateGone)
+	f.run(time.Second)
+	f.kill(f.nodes[1])
+	f.list(instance(1, 1, model.StateGone))
+	f.run(tombstoneFor + time.Minute)
+	if _, ok := f.nodes[0].c.table.get(f.nodes[1].inst.ID); ok {
+		t.Errorf("still remembered after %s", tombstoneFor+time.Minute)
+	}
+}
--- /dev/null
+++ b/internal/member/self.go
@@ -0,0 +1,119 @@
+package member
+
+import (
+	"time"
+
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+// self returns this node's own record.
+func (c *Controller) self() wire.MemberRecord {
+	r, _ := c.table.get(c.cfg.Self.ID)
+	return r
+}
+
+// selfChanged takes this node's own life stage and tells all link peers at once.
+func (c *Controller) selfChanged(now time.Time, state model.UpstreamState) {
+	c.stage = state
+	r := c.self()
+	if finality(r.State) > finality(state) {
+		return
+	}
+	r.State = state
+	r.Counter++
+	c.say(now, r)
+	if state == model.StateGone {
+		c.closeAll(now)
+	}
+}
+
+// say merges this node's own new word and sends it without waiting for a tick.
+func (c *Controller) say(now time.Time, r wire.MemberRecord) {
+	c.learn(now, r, "", false)
+	c.flush(now)
+}
+
+// contradicts reports whether a peer's record of this node is one that this
+// node's own word must overrule.
+func (c *Controller) contradicts(r wire.MemberRecord) bool {
+	own := c.self()
+	switch {
+	case r.Incarnation > own.Incarnation:
+		return true
+	case r.Incarnation < own.Incarnation:
+		return false
+	case r.State == model.StateGone:
+		return serving(own.State)
+	case r.Counter > own.Counter:
+		return serving(r.State)
+	}
+	return false
+}
+
+// raise takes a greater incarnation than peers remember, or for a newer word
+// within the same incarnation that is not this process's, a greater counter.
+func (c *Controller) raise(now time.Time, seen wire.MemberRecord) merged {
+	r := c.self()
+	r.ListRevision, r.ListMark = join(r, seen).ListRevision, join(r, seen).ListMark
+	if seen.Incarnation == r.Incarnation && serving(seen.State) {
+		r.Counter = seen.Counter + 1
+		c.say(now, r)
+		return merged{now: r, known: true, changed: true}
+	}
+	state := c.stage
+	if finality(r.State) > finality(state) && r.State == model.StateLeaving {
+		state = r.State
+	}
+	c.newIncarnation(now, r, seen.Incarnation+1, state)
+	return merged{now: c.self(), known: true, changed: true}
+}
+
+// newIncarnation goes on as incarnation inc.
+func (c *Controller) newIncarnation(now time.Time, r wire.MemberRecord, inc model.Incarnation, state model.UpstreamState) {
+	r.Incarnation = inc
+	r.Counter = 0
+	r.State = state
+	c.act(control.AdoptIncarnation{Incarnation: inc})
+	c.record(event.IncarnationRaised, string(r.ID), "")
+	c.say(now, r)
+}
+
+// refute answers an accusation against this node's present record.
+func (c *Controller) refute(now time.Time, a wire.Accusation) {
+	own := c.self()
+	if !serving(own.State) || a.Incarnation > own.Incarnation {
+		return
+	}
+	if a.Incarnation == own.Incarnation && a.Counter < own.Counter {
+		return
+	}
+	if a.Incarnation == own.Incarnation {
+		own.Counter = max(own.Counter, a.Counter) + 1
+	}
+	c.record(event.SuspicionRefuted, string(a.Observer), "")
+	c.reaffirm(now, own)
+}
+
+// reaffirm says this node's own record again, although it may not have changed.
+func (c *Controller) reaffirm(now time.Time, r wire.MemberRecord) {
+	if c.learn(now, r, "", false); c.gossip.pendingFor(r.ID) == nil {
+		c.gossip.queue(r, "")
+	}
+	c.flush(now)
+}
+
+// listedSelf follows up what the platform's list says of this node itself.
+func (c *Controller) listedSelf(now time.Time, before, after wire.MemberRecord) {
+	if !serving(c.stage) || before.ListMark == after.ListMark {
+		return
+	}
+	switch {
+	case after.ListMark == wire.ListLeaving && after.State == model.StateLeaving:
+		c.record(event.ListSaysLeaving, string(after.ID), "")
+	case after.ListMark == wire.ListLive && !serving(after.State):
+		c.newIncarnation(now, after, after.Incarnation+1, c.stage)
+	}
+}
