Join membership and the measuring budget in the core

Cause: membership raises an incarnation that owner and entry must take over, and polls and probes were not under the budget. Change: AdoptIncarnation reaches owner, entry and blackboard; the owner's polls ask Landing; entries probe owners of services that they call when no report came for 2 s, within Origin's part, over a link or a brief one. Conclusion: measuring messages are bounded where they start and where they land.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -120,6 +120,12 @@
 	Message wire.Message
 }
 
+// SendDirect sends a message to an instance, over an open link or a brief one.
+type SendDirect struct {
+	To      model.Instance
+	Message wire.Message
+}
+
 // OpenLink opens a control link; LinkUp or LinkDown follows.
 type OpenLink struct {
 	Peer    model.InstanceID
@@ -163,8 +169,8 @@
 func (ReadValue) isAction()        {}
 func (Record) isAction()           {}
 func (AdoptIncarnation) isAction() {}
-
-func (SettleAnswered) isAction() {}
+func (SettleAnswered) isAction()   {}
+func (SendDirect) isAction()       {}
 
 // Controller is one writer of blackboard sections.
 type Controller interface {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/entry"
+	"gypsumstand/internal/measure"
 	"gypsumstand/internal/member"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
@@ -33,6 +34,9 @@
 	RemoteDelay time.Duration
 	// Policy of routing; others than the zero value are baselines.
 	Policy route.Policy
+	// ProbeAge is the age of a report beyond which its owner is probed; zero
+	// means the default of 2 s.
+	ProbeAge time.Duration
 	// Started is the process's start.
 	Started time.Time
 	// Seed makes the controllers' choices repeatable.
@@ -48,6 +52,10 @@
 	Table  *route.Table
 	Owner  *owner.Owner
 	Engine *entry.Engine
+	// Landing admits what measures this node's own worker.
+	Landing *measure.Landing
+	// Origin bounds the probes that this node sends.
+	Origin *measure.Origin
 
 	cfg     Config
 	member  *member.Controller
@@ -83,16 +91,24 @@
 		Policy:      cfg.Policy,
 	})
 	return &Node{
-		Board:  board,
-		Table:  table,
-		Owner:  owner.New(owner.Config{Self: cfg.Self, Started: cfg.Started}),
-		Engine: entry.NewEngine(entry.Config{Self: cfg.Self, Random: cfg.Random}, table),
-		cfg:    cfg,
-		member: member.New(member.Config{Self: cfg.Self, Seeds: cfg.Seeds}, board, rng),
-		spread: spread.New(spread.Config{Self: cfg.Self, Trusted: cfg.Trusted}, board, rng),
+		Board:   board,
+		Table:   table,
+		Owner:   owner.New(owner.Config{Self: cfg.Self, Started: cfg.Started}),
+		Engine:  entry.NewEngine(entry.Config{Self: cfg.Self, Random: cfg.Random}, table),
+		Landing: measure.NewLanding(cfg.Started, bundle.Measuring{}),
+		Origin:  measure.NewOrigin(cfg.Random),
+		cfg:     cfg,
+		member:  member.New(member.Config{Self: cfg.Self, Seeds: cfg.Seeds}, board, rng),
+		spread:  spread.New(spread.Config{Self: cfg.Self, Trusted: cfg.Trusted}, board, rng),
 	}
 }
 
+// Links returns the open peer links.
+func (n *Node) Links() []member.Link { return n.member.Links() }
+
+// SpreadCounters returns the counts of bundle spread.
+func (n *Node) SpreadCounters() spread.Counters { return n.spread.Counters() }
+
 // Handle takes one event. It is called from one goroutine and does not block.
 func (n *Node) Handle(now time.Time, ev control.Event) Output {
 	var out Output
@@ -106,13 +122,35 @@
 	case control.Paused:
 		out.Decisions = append(out.Decisions, n.Owner.Paused(now, e.For)...)
 	}
-	out.Actions = append(out.Actions, n.member.Handle(now, ev)...)
-	out.Actions = append(out.Actions, n.spread.Handle(now, ev)...)
+	n.control(now, n.member, ev, &out)
+	n.control(now, n.spread, ev, &out)
+	n.probe(now, ev, &out)
 	out.Decisions = append(out.Decisions, n.derive(now)...)
 	n.show(ev)
 	return out
 }
 
+// control feeds one controller and keeps for itself the actions that concern the
+// core.
+func (n *Node) control(now time.Time, c control.Controller, ev control.Event, out *Output) {
+	for _, a := range c.Handle(now, ev) {
+		if adopt, ok := a.(control.AdoptIncarnation); ok {
+			n.adopt(adopt.Incarnation)
+			continue
+		}
+		out.Actions = append(out.Actions, a)
+	}
+}
+
+// adopt takes a greater incarnation of this node.
+func (n *Node) adopt(inc model.Incarnation) {
+	self := n.Board.Self.Get().Instance
+	self.Incarnation = inc
+	n.Board.Self.Put(&blackboard.Self{Instance: self})
+	n.Owner.Adopt(inc)
+	n.Engine.Adopt(inc)
+}
+
 // handleMessage takes the messages between entry and owner; done is false for
 // those of the controllers.
 func (n *Node) handleMessage(now time.Time, e control.Received, out *Output) (done bool) {
@@ -126,6 +164,12 @@
 		out.Actions = append(out.Actions, control.SettleAnswered{Reply: m})
 	case wire.KeyResult:
 		n.Owner.KeyResult(now, m)
+	case wire.LoadProbe:
+		if n.Landing.AllowProbe(now) {
+			out.Actions = append(out.Actions, control.Send{To: e.From, Message: wire.LoadReply{Report: n.Owner.Report(now)}})
+		}
+	case wire.LoadReply:
+		n.Table.ObserveProbe(now, m.Report)
 	default:
 		return false
 	}
@@ -155,6 +199,7 @@
 	if svc == nil {
 		return nil
 	}
+	n.Landing.Configure(now, b.Measuring)
 	return n.Owner.Configure(now, b, svc, liveUpstreams(fleet, n.cfg.Self.Service))
 }
 
@@ -167,6 +212,8 @@
 	n.Board.Sources.Put(&blackboard.Sources{
 		ConfigConfirmed: n.spread.Confirmed(),
 		ConfigReads:     n.spread.IndexReads(),
+		ListConfirmed:   n.member.ListConfirmed(),
+		ListReads:       n.member.ListReads(),
 	})
 	n.Board.Readiness.Put(n.readiness())
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -188,7 +188,7 @@
 // send makes an attempt at an owner whose clock is at least ownerClock now.
 func (c *Call) send(now time.Time, to model.Instance, ownerClock time.Duration) {
 	if to.ID == c.engine.cfg.Self.ID {
-		to.Incarnation = c.engine.cfg.Self.Incarnation
+		to.Incarnation = model.Incarnation(c.engine.adopted.Load())
 	}
 	c.to = to
 	c.sentAt = now
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,7 +49,9 @@
 	cfg      Config
 	table    chooser
 	sequence atomic.Uint64
-	budgets  budgets
+	// adopted is the incarnation of this node's own owner.
+	adopted atomic.Uint64
+	budgets budgets
 }
 
 // NewEngine returns an engine that chooses by table.
@@ -61,9 +63,15 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Uint64
 	}
-	return &Engine{cfg: cfg, table: table}
+	e := &Engine{cfg: cfg, table: table}
+	e.adopted.Store(uint64(cfg.Self.Incarnation))
+	return e
 }
 
+// Adopt binds later attempts at this node's own owner to a greater incarnation.
+// Attempt ids keep the first one: they stay unique without it.
+func (e *Engine) Adopt(inc model.Incarnation) { e.adopted.Store(uint64(inc)) }
+
 // Request is what a caller asked for.
 type Request struct {
 	ID model.RequestID
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -68,6 +69,8 @@
 	switch a := a.(type) {
 	case control.Send:
 		n.links.Send(a.To, a.Message)
+	case control.SendDirect:
+		n.start(func() { n.sendDirect(a) })
 	case control.OpenLink:
 		n.links.Open(a.Peer, a.Address)
 	case control.CloseLink:
@@ -85,6 +88,18 @@
 	}
 }
 
+// directTimeout bounds opening a brief link for one message.
+const directTimeout = time.Second
+
+// sendDirect sends one message; who sent it repeats it when it matters.
+func (n *Node) sendDirect(a control.SendDirect) {
+	ctx, cancel := context.WithTimeout(n.ctx, directTimeout)
+	defer cancel()
+	if err := n.links.SendTo(ctx, a.To, a.Message); err != nil {
+		n.links.Counters.Dropped.Add(1)
+	}
+}
+
 func (n *Node) record(r control.Record) {
 	line := event.Log(&n.log, r.Event).Str("subject", r.Subject)
 	if r.Detail != "" {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -55,7 +55,9 @@
 			pause(w.node.ctx, noBundlePause)
 			continue
 		}
-		w.polled(w.poll(svc.HealthPath))
+		if w.node.core.Landing.AllowPoll(time.Now()) {
+			w.polled(w.poll(svc.HealthPath))
+		}
 		pause(w.node.ctx, pollPause(b.Measuring.PerUpstreamPerSecond*b.Measuring.PollShare))
 	}
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -185,6 +185,15 @@
 	return o.take()
 }
 
+// Adopt takes a greater incarnation, under which later attempts must be bound.
+// What is queued or started goes on; questions about it under the earlier
+// incarnation are answered as forgotten, which claims nothing.
+func (o *Owner) Adopt(inc model.Incarnation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cfg.Self.Incarnation = max(o.cfg.Self.Incarnation, inc)
+}
+
 // Confirm is called right before the first byte goes to the worker, after any
 // delay since Start: false means that the time ran out meanwhile or the process
 // was paused, and the attempt must be finished as not run.
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -94,6 +94,17 @@
 	return s.found
 }
 
+// Called tells whether this node called the service within the last recentCall.
+func (t *Table) Called(now time.Time, service model.ServiceName) bool {
+	p := t.picker.Load()
+	svc := p.services[service]
+	if svc == nil {
+		return false
+	}
+	last := svc.stats.lastCalled.Load()
+	return last > 0 && p.nanos(now)-last < recentCall
+}
+
 // byLastCall parts the services with upstreams into those called recently, the
 // latest first, and the others, in the order of their names.
 func (p *picker) byLastCall(now int64) (called, others []*service) {
