--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -24,6 +24,7 @@
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/node"
 	"gypsumstand/internal/route"
+	"gypsumstand/internal/server"
 )
 
 // Signer is the name that a fleet's bundles are signed off in.
@@ -62,7 +63,10 @@
 	StopTimeout time.Duration
 	LeaveGrace  time.Duration
 	Seed        uint64
-	Log         zerolog.Logger
+	// ProbeAge and OnCall are the nodes' settings.
+	ProbeAge time.Duration
+	OnCall   func(server.CallRecord)
+	Log      zerolog.Logger
 }
 
 // Member is one node with its worker.
@@ -239,6 +243,8 @@
 		MaxHeaderBytes:  32 << 10,
 		IdleTimeout:     time.Minute,
 		Policy:          f.cfg.Policy,
+		ProbeAge:        f.cfg.ProbeAge,
+		OnCall:          f.cfg.OnCall,
 		Log:             f.cfg.Log,
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,11 @@
 	// Policy of routing; others than the zero value are baselines for
 	// experiments.
 	Policy route.Policy
+	// ProbeAge is for experiments; zero means the default. See core.Config.
+	ProbeAge time.Duration
+	// OnCall, when not nil, is told of each call besides the metrics; it does
+	// not block.
+	OnCall func(server.CallRecord)
 	Log    zerolog.Logger
 }
 
@@ -176,6 +181,7 @@
 		LocalDelay:  n.cfg.LocalDelay,
 		RemoteDelay: n.cfg.RemoteDelay,
 		Policy:      n.cfg.Policy,
+		ProbeAge:    n.cfg.ProbeAge,
 		Started:     started,
 		Seed:        uint64(started.UnixNano()),
 	})
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -44,7 +44,7 @@
 		Executor:  n.executor,
 		Forwarder: n.forwarder,
 		Settler:   n.settler,
-		Recorder:  n.metrics,
+		Recorder:  recorder{n},
 		Log:       &n.log,
 		Seen:      n.seen,
 		Leaving:   func() bool { return n.self().State >= model.StateLeaving },
@@ -54,6 +54,17 @@
 	return r
 }
 
+// recorder tells the metrics of each call, and Config.OnCall.
+type recorder struct{ n *Node }
+
+// Call implements server.Recorder.
+func (r recorder) Call(c server.CallRecord) {
+	r.n.metrics.Call(c)
+	if r.n.cfg.OnCall != nil {
+		r.n.cfg.OnCall(c)
+	}
+}
+
 func (n *Node) peerRoutes() http.Handler {
 	r := newRouter()
 	r.Path(link.Path).Handler(n.links.Handler())
