Let the demonstration wait for the slow start to end

Cause: load before the slow start's end measures the start. Change: it waits until every owner runs all slots.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -78,7 +78,7 @@
 	r.say("starting %s: %d nodes and workers on loopback, %d data centres\n", r.dep.Name, len(r.fleet.Members()), deploy.DataCentres)
 	ready, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	if err := r.fleet.Await(ready, local.Ready); err != nil {
+	if err := r.fleet.Await(ready, r.fleet.Warm); err != nil {
 		return fmt.Errorf("not ready: %w", err)
 	}
 	// The last worker of the first service drains, that of the last is killed.
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -312,6 +312,12 @@
 	return ready != nil && ready.Ready && board.Self.Get().Instance.State == model.StateLive
 }
 
+// Warm tells whether the member's slow start is over: its owner runs as many
+// requests at once as slots allow.
+func (f *Fleet) Warm(m *Member) bool {
+	return Ready(m) && int(m.Node.Core().Owner.Report(time.Now()).Limit) >= f.cfg.Slots
+}
+
 // InForce tells whether the member has that version or a newer one in force.
 func InForce(v model.BundleVersion) func(*Member) bool {
 	return func(m *Member) bool {
