--- a/internal/owner/keys.go
+++ b/internal/owner/keys.go
@@ -123,11 +123,11 @@
 
 // delegate remembers that the attempt's entry places the request elsewhere;
 // false when there is no room for the id.
-func (k *keyTable) delegate(it *item) bool {
+func (k *keyTable) delegate(t time.Duration, it *item) bool {
 	if _, taken := k.byID[it.request]; !taken && len(k.byID) >= maxKeys {
 		return false
 	}
-	k.lapse(it.request, keyRecord{state: keyDelegated, attempt: it.id, until: it.deadline + k.memory})
+	k.lapse(it.request, keyRecord{state: keyDelegated, attempt: it.id, until: max(t, it.deadline) + k.memory})
 	return true
 }
 
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -247,7 +247,7 @@
 	if !it.keyed || !placeable(r.Reason) {
 		return r
 	}
-	if !o.keys.delegate(it) {
+	if !o.keys.delegate(t, it) {
 		return model.Refusal{Reason: model.ReasonOverloaded, NotRun: true, RetryAfter: retryKeysFull}
 	}
 	r.Reason = model.ReasonDelegated
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -223,7 +223,7 @@
 		o.keys.done(t, it)
 	case f.Delegate && it.keyed:
 		o.attempts.end(t, id, attemptBarred, it.deadline)
-		o.keys.delegate(it)
+		o.keys.delegate(t, it)
 	default:
 		o.attempts.end(t, id, attemptBarred, it.deadline)
 		o.keys.free(it)
