--- /dev/null
+++ b/cmd/gypsumfake/worker.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"time"
+
+	"gypsumstand/internal/fake/worker"
+	"gypsumstand/internal/finding"
+	"gypsumstand/internal/platform"
+)
+
+// profilesFile is the file of the flag -profiles.
+type profilesFile struct {
+	Profiles []worker.Profile `toml:"profile"`
+}
+
+// workerFlags are the flags of the command worker.
+type workerFlags struct {
+	ports
+	slots        int
+	connections  int
+	connectDelay time.Duration
+	queueLimit   int
+	queueWait    time.Duration
+	profiles     string
+	mean         time.Duration
+	distribution string
+	sigma        float64
+	size         int
+	node         string
+	seed         uint64
+	cold         worker.Cold
+}
+
+func (f *workerFlags) define(fs *flag.FlagSet) {
+	f.ports.define(fs, "127.0.0.1:9000", "127.0.0.1:9001")
+	fs.IntVar(&f.slots, "slots", worker.DefaultSlots, "requests that run at once")
+	fs.IntVar(&f.connections, "connections", 260, "open connections; those over it are cut; 0 means no bound")
+	fs.DurationVar(&f.connectDelay, "connect-delay", time.Millisecond, "time that a new connection takes")
+	fs.IntVar(&f.queueLimit, "queue-limit", 64, "requests that wait for a slot; those over it are shed; -1 means none waits")
+	fs.DurationVar(&f.queueWait, "queue-wait", time.Second, "longest wait for a slot")
+	fs.StringVar(&f.profiles, "profiles", "", "TOML file with [[profile]] tables: path, distribution, mean_ms, sigma, size_bytes, next")
+	fs.DurationVar(&f.mean, "mean", 0, "mean service time of paths without a profile")
+	fs.StringVar(&f.distribution, "distribution", string(worker.Constant), "constant, exponential or lognormal")
+	fs.Float64Var(&f.sigma, "sigma", 0.5, "standard deviation of the logarithm, for lognormal")
+	fs.IntVar(&f.size, "size", 0, "bytes of an answer of paths without a profile")
+	fs.StringVar(&f.node, "node", "", "ip:port of the node for calls to other services; empty means none are made")
+	fs.Uint64Var(&f.seed, "seed", 0, "seed of service times and drawn faults")
+	fs.TextVar(&f.cold, "cold", worker.ColdNone, "start cold: none, refuse or shed; PATCH /faults ends it")
+}
+
+func runWorker(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	fs := flag.NewFlagSet("worker", flag.ContinueOnError)
+	var f workerFlags
+	f.define(fs)
+	if code, ok := parse(fs, args, stdout, stderr); !ok {
+		return code
+	}
+	w, err := f.worker()
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	return serve(ctx, stderr, "worker", f.ports, part{worker: w, flags: &f}, w.Control())
+}
+
+// worker makes the stand-in. The error is a finding.List.
+func (f *workerFlags) worker() (*worker.Worker, error) {
+	var findings finding.List
+	if f.node != "" {
+		collect(&findings, platform.CheckAddress(f.node))
+	}
+	if f.connections < 0 {
+		findings.Add(finding.Finding{Key: "connections", Message: "must not be negative"})
+	}
+	profiles, err := readProfiles(f.profiles)
+	collect(&findings, err)
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return worker.New(worker.Config{
+		Slots:      f.slots,
+		QueueLimit: f.queueLimit,
+		QueueMs:    f.queueWait.Milliseconds(),
+		Profiles:   append(profiles, f.profile()),
+		Seed:       f.seed,
+		Node:       f.node,
+	})
+}
+
+// profile returns the profile of paths without one in the file.
+func (f *workerFlags) profile() worker.Profile {
+	return worker.Profile{
+		Path:         "/",
+		Distribution: worker.Distribution(f.distribution),
+		MeanMs:       f.mean.Seconds() * 1000,
+		Sigma:        f.sigma,
+		SizeBytes:    f.size,
+	}
+}
+
+// readProfiles reads the file of that name; none is read for an empty one.
+func readProfiles(path string) ([]worker.Profile, error) {
+	if path == "" {
+		return nil, nil
+	}
+	var file profilesFile
+	doc, err := readTOML(path, &file)
+	if err != nil {
+		return nil, err
+	}
+	for i := range file.Profiles {
+		key := fmt.Sprintf("profile[%d].", i)
+		file.Profiles[i].Check(func(field, message string) {
+			if !doc.Refused(key + field) {
+				doc.Add(key+field, "%s", message)
+			}
+		})
+	}
+	return file.Profiles, doc.Err()
+}
--- a/internal/fake/worker/service.go
+++ b/internal/fake/worker/service.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"gypsumstand/internal/answer"
-	"gypsumstand/internal/finding"
 )
 
 // Distribution names a distribution of service times.
@@ -45,10 +44,8 @@
 	Next string `toml:"next"`
 }
 
-func (p *Profile) check(i int, findings *finding.List) {
-	add := func(field, message string) {
-		findings.Add(finding.Finding{Key: fmt.Sprintf("profile[%d].%s", i, field), Message: message})
-	}
+// Check calls add with every fault: the TOML key of the field and a message.
+func (p *Profile) Check(add func(field, message string)) {
 	if !strings.HasPrefix(p.Path, "/") {
 		add("path", fmt.Sprintf("%q does not start with /", p.Path))
 	}
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -5,6 +5,7 @@
 package worker
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -100,7 +101,9 @@
 		findings.Add(finding.Finding{Key: "queue_ms", Message: "must not be negative"})
 	}
 	for i := range c.Profiles {
-		c.Profiles[i].check(i, &findings)
+		c.Profiles[i].Check(func(field, message string) {
+			findings.Add(finding.Finding{Key: fmt.Sprintf("profile[%d].%s", i, field), Message: message})
+		})
 	}
 	return findings.Err()
 }
