--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -1,10 +1,12 @@
 package member
 
 import (
+	"cmp"
 	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,8 +33,9 @@
 	pausing time.Time
 	inbox   []control.Event
 	events  map[event.ID]int
-	bytes   int
-	rounds  int
+	// bytes and received count what was sent to and came from links, encoded.
+	bytes    int
+	received int
 }
 
 type delivery struct {
@@ -84,6 +87,8 @@
 	listFrozen time.Time
 	reads      int
 	measure    bool
+	// news counts the bytes of messages that are not sent without news.
+	news int
 }
 
 func newFleet(seed uint64) *fleet {
@@ -191,22 +196,41 @@
 }
 
 func (f *fleet) send(n *node, a control.Send) {
-	if f.measure {
-		data, err := wire.Encode(a.Message)
-		if err != nil {
-			panic(err)
-		}
-		n.bytes += len(data)
-		n.rounds++
+	size := f.size(a.Message)
+	n.bytes += size
+	if !routine(a.Message) {
+		f.news += size
 	}
 	to := f.byID[a.To]
 	linked := f.channels[channel{n.inst.ID, a.To}] || f.channels[channel{a.To, n.inst.ID}]
 	if !linked || f.blocked(n, to) || f.rng.Float64() < f.loss {
 		return
 	}
+	to.received += size
 	f.later(f.delay(), to, control.Received{From: n.inst.ID, Message: a.Message})
 }
 
+// routine reports whether m is sent whether or not there is news.
+func routine(m wire.Message) bool {
+	switch m.(type) {
+	case wire.Heartbeat, wire.ListBeacon, wire.Digest:
+		return true
+	}
+	return false
+}
+
+// size returns a message's encoded size while the fleet is measured.
+func (f *fleet) size(m wire.Message) int {
+	if !f.measure {
+		return 0
+	}
+	data, err := wire.Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	return len(data)
+}
+
 func (f *fleet) open(n *node, a control.OpenLink) {
 	var to *node
 	for _, other := range f.byID {
@@ -306,12 +330,12 @@
 
 // state returns what n's blackboard says of id; gone when it does not show it.
 func (n *node) state(id model.InstanceID) model.UpstreamState {
-	for _, i := range n.board.Fleet.Get().Instances {
-		if i.ID == id {
-			return i.State
-		}
+	all := n.board.Fleet.Get().Instances
+	at, ok := slices.BinarySearchFunc(all, id, func(i model.Instance, id model.InstanceID) int { return cmp.Compare(i.ID, id) })
+	if !ok {
+		return model.StateGone
 	}
-	return model.StateGone
+	return all[at].State
 }
 
 // count returns how many living nodes see id in state s.
--- a/internal/member/fleetview_test.go
+++ b/internal/member/fleetview_test.go
@@ -66,7 +66,7 @@
 	}
 	var rejected []model.InstanceID
 	for _, a := range *actions {
-		if s, ok := a.(control.Send); ok && s.Message == (wire.LinkReject{}) {
+		if s, ok := a.(control.Send); ok && isReject(s.Message) {
 			rejected = append(rejected, s.To)
 		}
 	}
@@ -75,6 +75,11 @@
 	}
 }
 
+func isReject(m wire.Message) bool {
+	r, ok := m.(wire.LinkReject)
+	return ok && len(r.Others) > 0
+}
+
 // lone returns a controller without a fleet around it.
 func lone(t *testing.T) (*Controller, *[]control.Action) {
 	t.Helper()
@@ -98,6 +103,7 @@
 	f := newFleet(1)
 	f.listDown = true
 	old := f.start(instance(0, 3, model.StateLive))
+	old.c.sync.loaded = true
 	for i := 2; i < n; i++ {
 		old.c.table.merge(recordOf(instance(i, 3, model.StateLive)))
 	}
--- a/internal/member/links.go
+++ b/internal/member/links.go
@@ -140,7 +140,7 @@
 	c.beat(now, l)
 	c.send(l.peer, wire.Rumours{Records: []wire.MemberRecord{c.self()}})
 	c.limitLinks(now, l, slot && e.Outgoing)
-	c.startSnapshot(now, l)
+	c.startSnapshot(now)
 }
 
 func (c *Controller) linkDown(now time.Time, e control.LinkDown) {
@@ -156,7 +156,6 @@
 	}
 	planned := !e.Failed || !l.closingSince.IsZero()
 	c.links.remove(l)
-	c.snapshotPeerLost(now, l.peer)
 	c.peers.delay(now, c.refillWithin())
 	if !planned {
 		c.suspect(now, l.peer, "its link broke")
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -23,6 +23,9 @@
 	// relayStep is how much newer than the last relayed one a read must be to be
 	// relayed at once instead of with the next heartbeat.
 	relayStep = suppress.ReadInterval / 2
+	// startGrace is how long a fresh node that knows a peer waits before it may
+	// read the list.
+	startGrace = 3 * time.Second
 	// missingShare: a full list that lacks more than one in missingShare of the
 	// instances that earlier lists named is distrusted.
 	missingShare = 3
@@ -91,6 +94,9 @@
 	if c.stage == model.StateGone {
 		return
 	}
+	if c.listGrace(now) {
+		return
+	}
 	if c.list.timer.Due(now, c.FleetSize()) {
 		c.list.reading = now
 		c.list.announced = false
@@ -103,6 +109,13 @@
 	}
 }
 
+// listGrace reports whether this node has just started and may still hear the
+// fleet from a peer instead of from the platform.
+func (c *Controller) listGrace(now time.Time) bool {
+	known := len(c.cfg.Seeds) > 0 || len(c.links.all) > 0
+	return known && !c.sync.loaded && now.Sub(c.started) < startGrace
+}
+
 // noteFailing records when reads begin to fail for the whole fleet, and when
 // they end to.
 func (c *Controller) noteFailing() {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -162,6 +162,7 @@
 	c.reaper.delay(d)
 	if d > tombstoneFor {
 		c.forgetOthers()
+		c.startSnapshot(now)
 	}
 	c.sync.next = now.Add(c.between(0, time.Second))
 }
@@ -209,7 +210,7 @@
 	case wire.ProbeReply:
 		c.probeReply(now, m)
 	case wire.LinkReject:
-		c.rejected(now, l)
+		c.rejected(now, l, m)
 	}
 }
 
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -44,6 +44,8 @@
 	explorePerNode = 200 * time.Millisecond
 	// isolatedAfter is the time without any link after which it is logged.
 	isolatedAfter = 10 * time.Second
+	// redirects is the number of others that a rejection names.
+	redirects = 4
 	// maxBackoffs bounds the memory of unreachable peers.
 	maxBackoffs = 512
 )
@@ -316,6 +318,10 @@
 	if c.links.count(l.outgoing) <= linkLimit(l.outgoing) {
 		return
 	}
+	if !l.outgoing {
+		c.redirect(now, l)
+		return
+	}
 	if !stays {
 		c.closeLink(now, l)
 		return
@@ -331,8 +337,26 @@
 	return incomingLinks
 }
 
-// rejected closes a link whose peer has enough.
-func (c *Controller) rejected(now time.Time, l *link) {
+// redirect rejects a peer's link and names others to try.
+func (c *Controller) redirect(now time.Time, l *link) {
+	l.closingSince = now
+	var m wire.LinkReject
+	for range redirects {
+		r, ok := c.table.pick(c.rng, func(r wire.MemberRecord) bool {
+			return serving(r.State) && r.ID != l.peer && r.ID != c.cfg.Self.ID
+		})
+		if ok {
+			m.Others = append(m.Others, r)
+		}
+	}
+	c.send(l.peer, m)
+}
+
+// rejected closes a link whose peer has enough, and takes over whom it named.
+func (c *Controller) rejected(now time.Time, l *link, m wire.LinkReject) {
+	for _, r := range m.Others[:min(len(m.Others), redirects)] {
+		c.takeOver(now, l, r)
+	}
 	c.closeLink(now, l)
 	c.putBackoff(now, l.peer, backoff{until: now.Add(rejectedFor + c.between(0, rejectedFor))})
 }
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -19,11 +19,16 @@
 	// greetWithin is the time within which a new link has a first exchange.
 	greetWithin = 3 * time.Second
 	// snapshotPieceRecords is the number of records of one piece.
-	snapshotPieceRecords = 256
+	snapshotPieceRecords = 512
+	// snapshotPace is the time between a piece and the request for the next one.
+	snapshotPace = 200 * time.Millisecond
 	// snapshotWait is the time after which an unanswered request is repeated.
-	snapshotWait = 2 * time.Second
+	snapshotWait = time.Second
+	// snapshotTries bounds the partial views that a node takes over; then all have
+	// started together, and digests do the rest.
+	snapshotTries = 3
 	// snapshotsPerSecond bounds the pieces that a node serves.
-	snapshotsPerSecond = 20
+	snapshotsPerSecond = 2
 	// digestsPerSecond bounds the digests with another root that a node answers,
 	// so that a healed partition is repaired steadily and not all at once.
 	digestsPerSecond = 2
@@ -41,13 +46,15 @@
 type synchronizer struct {
 	// next is the time of the next digest.
 	next time.Time
-	// loaded says that a peer's whole view has been taken over.
+	// loaded says that the whole fleet has been taken over from peers.
 	loaded bool
-	// source serves the snapshot; empty for none.
-	source   model.InstanceID
+	// linked is when this node first had a link to ask; zero before.
+	linked time.Time
+	// after is the last id taken over; partial says that a piece was.
 	after    model.InstanceID
+	partial  bool
+	tries    int
 	askAgain time.Time
-	received int
 	served   budget
 	answered budget
 }
@@ -72,7 +79,7 @@
 
 func (c *Controller) tickSync(now time.Time) {
 	if !c.sync.loaded {
-		c.retrySnapshot(now)
+		c.tickSnapshot(now)
 		return
 	}
 	for _, l := range c.links.open() {
@@ -91,36 +98,31 @@
 	}
 }
 
-// startSnapshot asks l's peer for its view when this node has none yet.
-func (c *Controller) startSnapshot(now time.Time, l *link) {
-	if c.sync.loaded || c.sync.source != "" || !l.closingSince.IsZero() {
+// startSnapshot begins to take over peers' views when this node has none yet.
+func (c *Controller) startSnapshot(now time.Time) {
+	if c.sync.loaded || !c.sync.linked.IsZero() {
 		return
 	}
-	c.sync.source = l.peer
-	c.sync.after = ""
-	c.sync.received = 0
+	c.sync.linked = now
 	c.askPiece(now)
 }
 
+// askPiece asks a random peer for the next piece. Pieces go by the order of ids,
+// so that any peer can go on where another stopped.
 func (c *Controller) askPiece(now time.Time) {
 	c.sync.askAgain = now.Add(snapshotWait + c.between(0, snapshotWait))
-	c.send(c.sync.source, wire.SnapshotRequest{After: c.sync.after})
-}
-
-func (c *Controller) retrySnapshot(now time.Time) {
-	if c.sync.source != "" && now.Before(c.sync.askAgain) {
+	open := c.links.open()
+	if len(open) == 0 {
 		return
 	}
-	c.sync.source = ""
-	if open := c.links.open(); len(open) > 0 {
-		c.startSnapshot(now, open[c.rng.IntN(len(open))])
-	}
+	peer := open[c.rng.IntN(len(open))].peer
+	c.send(peer, wire.SnapshotRequest{After: c.sync.after})
 }
 
-func (c *Controller) snapshotPeerLost(now time.Time, peer model.InstanceID) {
-	if c.sync.source == peer {
-		c.sync.source = ""
-		c.sync.askAgain = now
+// tickSnapshot asks for the next piece when it is time to.
+func (c *Controller) tickSnapshot(now time.Time) {
+	if !c.sync.linked.IsZero() && !now.Before(c.sync.askAgain) {
+		c.askPiece(now)
 	}
 }
 
@@ -131,13 +133,13 @@
 		return
 	}
 	records, last := c.table.after(m.After, snapshotPieceRecords)
-	c.send(l.peer, wire.SnapshotPiece{After: m.After, Records: records, Last: last})
+	c.send(l.peer, wire.SnapshotPiece{After: m.After, Records: records, Last: last, Partial: !c.sync.loaded})
 }
 
 // snapshotPiece takes a piece over. It is no news to others, so it starts no
 // rumour.
 func (c *Controller) snapshotPiece(now time.Time, l *link, m wire.SnapshotPiece) {
-	if c.sync.loaded || l.peer != c.sync.source || m.After != c.sync.after {
+	if c.sync.loaded || m.After != c.sync.after {
 		return
 	}
 	if len(m.Records) > wire.MaxMemberRecords {
@@ -145,24 +147,34 @@
 		return
 	}
 	for _, r := range m.Records {
-		if !wellFormed(r) {
-			c.record(event.MemberMalformed, string(l.peer), "record out of bounds")
-			continue
-		}
-		c.learn(now, r, l.peer, true)
+		c.takeOver(now, l, r)
 		c.sync.after = r.ID
-		c.sync.received++
 	}
+	c.sync.partial = c.sync.partial || m.Partial
 	if !m.Last && len(m.Records) > 0 {
-		c.askPiece(now)
+		c.sync.askAgain = now.Add(snapshotPace)
+		return
+	}
+	c.sync.tries++
+	if c.sync.partial && c.sync.tries < snapshotTries {
+		c.sync.after = ""
+		c.sync.partial = false
 		return
 	}
 	c.sync.loaded = true
-	c.sync.source = ""
 	c.sync.next = now.Add(c.between(repairMin, repairMax))
 	c.record(event.SnapshotLoaded, string(l.peer), "")
 }
 
+// takeOver merges a record that is no news to the fleet.
+func (c *Controller) takeOver(now time.Time, l *link, r wire.MemberRecord) {
+	if !wellFormed(r) {
+		c.record(event.MemberMalformed, string(l.peer), "record out of bounds")
+		return
+	}
+	c.learn(now, r, l.peer, true)
+}
+
 func (c *Controller) digest(now time.Time, l *link, m wire.Digest) {
 	if !c.sync.loaded || m.Root == c.table.root || !c.sync.answered.take(now, digestsPerSecond) {
 		return
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -150,6 +150,8 @@
 	Records []MemberRecord   `cbor:"2,keyasint,omitempty"`
 	// Last says that no record comes after these.
 	Last bool `cbor:"3,keyasint,omitempty"`
+	// Partial says that the sender has not loaded the whole fleet itself.
+	Partial bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Digest opens an exchange that finds what rumours missed.
@@ -205,7 +207,10 @@
 }
 
 // LinkReject asks the opener of a link to close it: the sender has enough.
-type LinkReject struct{}
+type LinkReject struct {
+	// Others are instances to try instead.
+	Others []MemberRecord `cbor:"1,keyasint,omitempty"`
+}
 
 // Kind implements Message.
 func (Heartbeat) Kind() Kind { return kindHeartbeat }
--- a/internal/wire/member_test.go
+++ b/internal/wire/member_test.go
@@ -22,14 +22,14 @@
 		ListBeacon{Echo: 4, List: ages},
 		Rumours{Records: []MemberRecord{record}, Accusations: []Accusation{accusation}},
 		SnapshotRequest{After: "worker-1"},
-		SnapshotPiece{After: "worker-1", Records: []MemberRecord{record}, Last: true},
+		SnapshotPiece{After: "worker-1", Records: []MemberRecord{record}, Last: true, Partial: true},
 		Digest{Root: math.MaxUint64},
 		DigestBuckets{Hashes: make([]byte, 4*DigestBucketCount)},
 		BucketSummaries{Buckets: []BucketSummary{{Index: 255, Entries: []byte{1, 2, 3, 4, 5, 6, 7, 8}}}},
 		Want{Buckets: []WantBucket{{Index: 255, IDs: []byte{1, 2, 3, 4}}}},
 		Probe{Target: "worker-1", PeerAddress: "10.0.0.1:7001", Incarnation: 7, Counter: 3},
 		ProbeReply{Target: "worker-1", Incarnation: 7},
-		LinkReject{},
+		LinkReject{Others: []MemberRecord{record}},
 	} {
 		data, err := Encode(m)
 		if err != nil {
