Bound what a data centre's death and restart cost the fleet

Cause: when a data centre died at once, observers used links to it that were about to break as proof that it could be reached, accused all of it and declared a third gone; 8.6 MB of accusations crossed a fleet of 500 in a second. When it restarted, nodes passed partial views around and told on what only they lacked.

--- a/internal/member/accuse.go
+++ b/internal/member/accuse.go
@@ -19,6 +19,9 @@
 	// refuteWindow is the time that the accused has to object, from the moment
 	// when enough accuse it.
 	refuteWindow = time.Second
+	// maxSuspects bounds the targets of one data centre under accusation at once;
+	// the others are accused later, when these have been judged.
+	maxSuspects = 16
 	// accusationFor is how long an accusation counts.
 	accusationFor = 30 * time.Second
 	// maxAccused bounds the targets under accusation.
@@ -128,7 +131,7 @@
 	k := &c.checks
 	at, ok := slices.BinarySearchFunc(k.accused, a.Target, compareAccused)
 	if !ok {
-		if len(k.accused) >= maxAccused {
+		if r, _ := c.table.get(a.Target); len(k.accused) >= maxAccused || c.suspectsIn(r.DataCentre) >= maxSuspects {
 			return false
 		}
 		k.accused = slices.Insert(k.accused, at, &accused{id: a.Target})
@@ -196,12 +199,7 @@
 
 // looksCutOff reports whether too large a share of a data centre looks dead.
 func (c *Controller) looksCutOff(dc model.DataCentre) bool {
-	dead := 0
-	for _, a := range c.checks.accused {
-		if r, ok := c.table.get(a.id); ok && serving(r.State) && r.DataCentre == dc {
-			dead++
-		}
-	}
+	dead := c.suspectsIn(dc)
 	total := c.table.serving[dc]
 	for _, l := range c.checks.losses {
 		if l.dataCentre == dc {
@@ -212,6 +210,17 @@
 	return dead > max(1, total/lossShare)
 }
 
+// suspectsIn returns the number of serving instances of dc under accusation.
+func (c *Controller) suspectsIn(dc model.DataCentre) int {
+	n := 0
+	for _, a := range c.checks.accused {
+		if r, ok := c.table.get(a.id); ok && serving(r.State) && r.DataCentre == dc {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Controller) sayDoubt(now time.Time, dc model.DataCentre) {
 	k := &c.checks
 	if k.doubtSaid == nil {
--- a/internal/member/check.go
+++ b/internal/member/check.go
@@ -74,7 +74,7 @@
 // reached notes that this node has a link to id.
 func (k *checker) reached(id model.InstanceID) { k.settle(id, reachable) }
 
-// unreached notes that this node could not open a link to id.
+// unreached notes that this node could not open a link to id, or lost it.
 func (k *checker) unreached(id model.InstanceID) { k.settle(id, unreachable) }
 
 func (k *checker) settle(id model.InstanceID, v verdict) {
@@ -151,7 +151,8 @@
 	}
 	for _, l := range c.links.fresh(now) {
 		if r, ok := c.table.get(l.peer); ok && other(r) {
-			x.controlReach = reachable
+			x.control = l.peer
+			c.send(l.peer, wire.Probe{})
 			return
 		}
 	}
@@ -193,7 +194,11 @@
 
 // probe takes a peer's wish that this node sees for itself.
 func (c *Controller) probe(now time.Time, l *link, m wire.Probe) {
-	if m.Target == c.cfg.Self.ID {
+	switch m.Target {
+	case "":
+		c.send(l.peer, wire.ProbeReply{})
+		return
+	case c.cfg.Self.ID:
 		c.refute(now, wire.Accusation{Target: m.Target, Incarnation: m.Incarnation, Counter: m.Counter, Observer: l.peer})
 		return
 	}
@@ -218,8 +223,12 @@
 }
 
 // probeReply takes that a peer reaches a target: this node's own trouble with
-// it is no reason to accuse.
-func (c *Controller) probeReply(now time.Time, m wire.ProbeReply) {
+// it is no reason to accuse. A reply without a target is a control's.
+func (c *Controller) probeReply(now time.Time, l *link, m wire.ProbeReply) {
+	if m.Target == "" {
+		c.checks.reached(l.peer)
+		return
+	}
 	if x := c.checks.find(m.Target); x != nil {
 		x.reach = reachable
 	}
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -129,7 +129,9 @@
 }
 
 // rumours takes a peer's rumours. Where this node knows a newer word of an
-// owner, it tells the peer.
+// owner, it tells the peer. What a digest exchange brought is told on, but for
+// instances that were not known at all: that this node lacked them says nothing
+// of others.
 func (c *Controller) rumours(now time.Time, l *link, m wire.Rumours) {
 	if len(m.Records) > wire.MaxMemberRecords || len(m.Accusations) > wire.MaxAccusations {
 		c.record(event.MemberMalformed, string(l.peer), "too many rumours in one message")
@@ -141,7 +143,8 @@
 			c.record(event.MemberMalformed, string(l.peer), "record out of bounds")
 			continue
 		}
-		done := c.learn(now, r, l.peer, false)
+		_, known := c.table.get(r.ID)
+		done := c.learn(now, r, l.peer, m.Repair && !known && serving(r.State))
 		if done.behind && c.gossip.pendingFor(r.ID) == nil {
 			newer = append(newer, done.now)
 		}
--- a/internal/member/links.go
+++ b/internal/member/links.go
@@ -156,6 +156,7 @@
 	}
 	planned := !e.Failed || !l.closingSince.IsZero()
 	c.links.remove(l)
+	c.checks.unreached(l.peer)
 	c.peers.delay(now, c.refillWithin())
 	if !planned {
 		c.suspect(now, l.peer, "its link broke")
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -208,7 +208,7 @@
 	case wire.Probe:
 		c.probe(now, l, m)
 	case wire.ProbeReply:
-		c.probeReply(now, m)
+		c.probeReply(now, l, m)
 	case wire.LinkReject:
 		c.rejected(now, l, m)
 	}
--- a/internal/member/scale_test.go
+++ b/internal/member/scale_test.go
@@ -70,7 +70,9 @@
 	b.ReportMetric(took.Seconds(), "s-fresh")
 	b.ReportMetric(float64(fresh.received), "B-fresh")
 
+	before = f.newsPerNode()
 	took, peak = f.restartDataCentre("dc-1")
+	b.ReportMetric(f.newsPerNode()-before, "B-dc-restart")
 	b.ReportMetric(took.Seconds(), "s-dc-restart")
 	b.ReportMetric(float64(peak), "B/s-dc-restart")
 }
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -20,22 +20,24 @@
 	greetWithin = 3 * time.Second
 	// snapshotPieceRecords is the number of records of one piece.
 	snapshotPieceRecords = 512
-	// snapshotPace is the time between a piece and the request for the next one.
-	snapshotPace = 200 * time.Millisecond
+	// snapshotPace is the least time between a piece and the request for the next
+	// one.
+	snapshotPace = 150 * time.Millisecond
 	// snapshotWait is the time after which an unanswered request is repeated.
 	snapshotWait = time.Second
-	// snapshotTries bounds the partial views that a node takes over; then all have
-	// started together, and digests do the rest.
-	snapshotTries = 3
+	// snapshotTries bounds the peers without the whole fleet that a node asks;
+	// then all have started together, and digests do the rest.
+	snapshotTries = 5
 	// snapshotsPerSecond bounds the pieces that a node serves.
 	snapshotsPerSecond = 2
 	// digestsPerSecond bounds the digests with another root that a node answers,
 	// so that a healed partition is repaired steadily and not all at once.
 	digestsPerSecond = 2
-	// summariesPerExchange and recordsPerExchange bound one exchange; the next
-	// one goes on with what is left.
-	summariesPerExchange = 8
-	recordsPerExchange   = 64
+	// recordsPerExchange bounds the records that one exchange compares (by the
+	// number of buckets, at least minSummaries) and sends; the next one goes on
+	// with what is left.
+	recordsPerExchange = 128
+	minSummaries       = 4
 	// shortHashBytes is the size of a hash in a summary.
 	shortHashBytes = 4
 	entryBytes     = 2 * shortHashBytes
@@ -50,9 +52,8 @@
 	loaded bool
 	// linked is when this node first had a link to ask; zero before.
 	linked time.Time
-	// after is the last id taken over; partial says that a piece was.
+	// after is the last id taken over; tries counts the peers that had nothing.
 	after    model.InstanceID
-	partial  bool
 	tries    int
 	askAgain time.Time
 	served   budget
@@ -127,13 +128,17 @@
 }
 
 // serveSnapshot answers with one piece; requests over the rate are dropped, and
-// repeated by the peer at another node.
+// repeated by the peer at another node. A node without the whole fleet says so.
 func (c *Controller) serveSnapshot(now time.Time, l *link, m wire.SnapshotRequest) {
+	if !c.sync.loaded {
+		c.send(l.peer, wire.SnapshotPiece{After: m.After, Partial: true})
+		return
+	}
 	if !c.sync.served.take(now, snapshotsPerSecond) {
 		return
 	}
 	records, last := c.table.after(m.After, snapshotPieceRecords)
-	c.send(l.peer, wire.SnapshotPiece{After: m.After, Records: records, Last: last, Partial: !c.sync.loaded})
+	c.send(l.peer, wire.SnapshotPiece{After: m.After, Records: records, Last: last})
 }
 
 // snapshotPiece takes a piece over. It is no news to others, so it starts no
@@ -150,15 +155,11 @@
 		c.takeOver(now, l, r)
 		c.sync.after = r.ID
 	}
-	c.sync.partial = c.sync.partial || m.Partial
-	if !m.Last && len(m.Records) > 0 {
-		c.sync.askAgain = now.Add(snapshotPace)
-		return
+	if m.Partial {
+		c.sync.tries++
 	}
-	c.sync.tries++
-	if c.sync.partial && c.sync.tries < snapshotTries {
-		c.sync.after = ""
-		c.sync.partial = false
+	if !m.Last && c.sync.tries < snapshotTries {
+		c.sync.askAgain = now.Add(c.between(snapshotPace, 2*snapshotPace))
 		return
 	}
 	c.sync.loaded = true
@@ -194,11 +195,12 @@
 	}
 	var marked bucketSet
 	n := 0
+	limit := c.summariesPerExchange()
 	start := c.rng.IntN(wire.DigestBucketCount)
 	for i := range wire.DigestBucketCount {
 		at := (start + i) % wire.DigestBucketCount
 		theirs := binary.BigEndian.Uint32(m.Hashes[at*shortHashBytes:])
-		if theirs != uint32(c.table.buckets[at]) && n < summariesPerExchange {
+		if theirs != uint32(c.table.buckets[at]) && n < limit {
 			marked[at] = true
 			n++
 		}
@@ -206,12 +208,18 @@
 	if n == 0 {
 		return
 	}
-	if n == summariesPerExchange {
+	if n == limit {
 		c.sync.next = now.Add(c.between(repairMin, repairMax))
 	}
 	c.send(l.peer, wire.BucketSummaries{Buckets: c.summaries(&marked)})
 }
 
+// summariesPerExchange returns the number of buckets to compare in full.
+func (c *Controller) summariesPerExchange() int {
+	n := recordsPerExchange * wire.DigestBucketCount / c.FleetSize()
+	return min(max(n, minSummaries), wire.MaxSummaries)
+}
+
 func (c *Controller) summaries(marked *bucketSet) []wire.BucketSummary {
 	var entries [wire.DigestBucketCount][]byte
 	for _, e := range c.table.inBuckets(marked) {
@@ -319,5 +327,5 @@
 		return
 	}
 	records = records[:min(len(records), recordsPerExchange)]
-	c.send(l.peer, wire.Rumours{Records: records})
+	c.send(l.peer, wire.Rumours{Records: records, Repair: true})
 }
--- a/internal/wire/member.go
+++ b/internal/wire/member.go
@@ -33,7 +33,7 @@
 	// instances into, by the hash of their ids.
 	DigestBucketCount = 256
 	// MaxSummaries bounds the buckets that one exchange compares in full.
-	MaxSummaries = 32
+	MaxSummaries = 128
 	// MaxWanted bounds the ids of one Want.
 	MaxWanted = 512
 )
@@ -136,6 +136,8 @@
 type Rumours struct {
 	Records     []MemberRecord `cbor:"1,keyasint,omitempty"`
 	Accusations []Accusation   `cbor:"2,keyasint,omitempty"`
+	// Repair says that the records are the answer of a digest exchange.
+	Repair bool `cbor:"3,keyasint,omitempty"`
 }
 
 // SnapshotRequest asks for the records whose id comes after After.
@@ -150,7 +152,8 @@
 	Records []MemberRecord   `cbor:"2,keyasint,omitempty"`
 	// Last says that no record comes after these.
 	Last bool `cbor:"3,keyasint,omitempty"`
-	// Partial says that the sender has not loaded the whole fleet itself.
+	// Partial says that the sender has not loaded the whole fleet itself and
+	// sends nothing.
 	Partial bool `cbor:"4,keyasint,omitempty"`
 }
 
@@ -191,10 +194,11 @@
 	IDs []byte `cbor:"2,keyasint"`
 }
 
-// Probe asks a peer to see for itself whether it reaches an instance.
+// Probe asks a peer to see for itself whether it reaches an instance. Without a
+// target it asks for an answer only.
 type Probe struct {
-	Target      model.InstanceID  `cbor:"1,keyasint"`
-	PeerAddress string            `cbor:"2,keyasint"`
+	Target      model.InstanceID  `cbor:"1,keyasint,omitempty"`
+	PeerAddress string            `cbor:"2,keyasint,omitempty"`
 	Incarnation model.Incarnation `cbor:"3,keyasint,omitempty"`
 	Counter     uint64            `cbor:"4,keyasint,omitempty"`
 }
@@ -202,7 +206,7 @@
 // ProbeReply says that the sender reaches the instance. A peer that does not
 // reach it accuses it by a rumour instead.
 type ProbeReply struct {
-	Target      model.InstanceID  `cbor:"1,keyasint"`
+	Target      model.InstanceID  `cbor:"1,keyasint,omitempty"`
 	Incarnation model.Incarnation `cbor:"2,keyasint,omitempty"`
 }
 
