fakes, load: tests that each fail when their code is broken

Of 47 hand-made faults in the code, eight went unnoticed (order of the queue, a slot handed over, a slot freed before the answer's end, a replay of a call below, cut connections of a cold worker, refused faults that leaked, copies to the same target, an early size check). Each but the last now fails a test; the last is an early exit before the same check.

--- a/internal/fake/listen/listen.go
+++ b/internal/fake/listen/listen.go
@@ -128,8 +128,8 @@
 }
 
 // Refuse closes the listening socket but keeps the port, so that the system
-// refuses connections; open connections stay. It does nothing when they are
-// refused already.
+// refuses connections; accepted connections stay, those not yet accepted are
+// reset. It does nothing when connections are refused already.
 func (l *Listener) Refuse() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/fake/listen/listen_test.go
+++ b/internal/fake/listen/listen_test.go
@@ -59,6 +59,9 @@
 func TestRefusedPortIsRefusedAndKept(t *testing.T) {
 	l := serve(t)
 	old := dial(t, l)
+	if !echoes(old) { // now it is accepted; the system resets those that are not
+		t.Fatal("no answer before Refuse")
+	}
 	for range 3 {
 		if err := l.Refuse(); err != nil {
 			t.Fatal(err)
@@ -91,8 +94,12 @@
 	if !echoes(a) || !echoes(b) {
 		t.Fatal("a connection within the limit was cut")
 	}
-	if echoes(dial(t, l)) {
-		t.Error("a connection over the limit was served")
+	// The reset may come while the client still connects.
+	if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		defer c.Close()
+		if echoes(c) {
+			t.Error("a connection over the limit was served")
+		}
 	}
 	if got := l.Counts(); got.OverLimit != 1 || got.Peak != 2 || got.Accepted != 2 {
 		t.Errorf("counts %+v", got)
--- a/internal/fake/worker/parts_test.go
+++ b/internal/fake/worker/parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -148,8 +149,13 @@
 			t.Fatal(err)
 		}
 		var budgets, timeouts []string
+		loseBelow, lost := false, 0
 		inner := w.Handler()
 		server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			if loseBelow && strings.Contains(r.Header.Get(wire.HeaderIdempotencyKey), ".") {
+				lost++
+				panic(http.ErrAbortHandler)
+			}
 			budgets = append(budgets, r.Header.Get(wire.HeaderRetryBudget))
 			timeouts = append(timeouts, r.Header.Get(wire.HeaderTimeout))
 			inner.ServeHTTP(rw, r)
@@ -186,7 +192,11 @@
 		if r := s.do(t, call{path: "/a?depth=1", id: "y"}); r.status != http.StatusBadGateway {
 			t.Errorf("a crossed answer below: status %d, want 502", r.status)
 		}
-		if got := w.Counters(); got.Calls != 4 || got.CallsFailed != 1 {
+		loseBelow = true
+		if r := s.do(t, call{path: "/a?depth=1", id: "z"}); r.status != http.StatusBadGateway || lost != 1 {
+			t.Errorf("a lost answer below: status %d, sent %d times; want 502, once", r.status, lost)
+		}
+		if got := w.Counters(); got.Calls != 5 || got.CallsFailed != 2 {
 			t.Errorf("%+v", got)
 		}
 		transport.CloseIdleConnections()
@@ -216,6 +226,7 @@
 	get := func() error {
 		resp, err := http.Get("http://" + l.Addr().String() + "/a")
 		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body) // so that the connection stays open
 			_ = resp.Body.Close()
 		}
 		return err
@@ -224,15 +235,18 @@
 		t.Fatal(err)
 	}
 	for range 2 {
+		if open := w.Counters().Connections.Open; open != 1 {
+			t.Errorf("%d connections open while warm", open)
+		}
 		if err := w.ChangeFaults(func(f *Faults) { f.Cold = ColdRefuse }); err != nil {
 			t.Fatal(err)
 		}
-		if err := get(); !errors.Is(err, syscall.ECONNREFUSED) {
-			t.Errorf("cold: %v, want connection refused", err)
-		}
 		if open := w.Counters().Connections.Open; open != 0 {
 			t.Errorf("%d connections open while cold", open)
 		}
+		if err := get(); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("cold: %v, want connection refused", err)
+		}
 		if err := w.ChangeFaults(func(f *Faults) { f.Cold = ColdNone }); err != nil {
 			t.Fatal(err)
 		}
@@ -242,6 +256,24 @@
 	}
 }
 
+func TestRefusedFaultsChangeNothing(t *testing.T) {
+	w, err := New(Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.ChangeFaults(func(f *Faults) { f.LieRunning, f.LieHealthy = new(1), new(true) }); err != nil {
+		t.Fatal(err)
+	}
+	want := w.Faults()
+	refused := w.ChangeFaults(func(f *Faults) { *f.LieRunning, *f.LieHealthy, f.CutShare = 2, false, 2 })
+	if refused == nil {
+		t.Error("a share of 2 was taken")
+	}
+	if diff := cmp.Diff(want, w.Faults()); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestControlDrivesTheWorker(t *testing.T) {
 	w, err := New(Config{})
 	if err != nil {
@@ -257,6 +289,7 @@
 	}{
 		{"PATCH", "/faults", `{"cold":"shed","lie_running":3}`, 204, ""},
 		{"PATCH", "/faults", `{"lie_running":4,"cut_share":2}`, 400, "cut_share: must be from 0 to 1"},
+		{"PATCH", "/faults", `{"lie_running":5,"colour":1}`, 400, "unknown field"},
 		{"PATCH", "/faults", `{"slow_factor":5}`, 204, ""},
 		{"PATCH", "/faults", `{"colour":1}`, 400, "unknown field"},
 		{"PATCH", "/faults", `{"cold":"icy"}`, 400, "icy"},
--- a/internal/fake/worker/worker_test.go
+++ b/internal/fake/worker/worker_test.go
@@ -41,23 +41,51 @@
 }
 
 func TestRequestsOverTheSlotsWaitInOrderOrAreShed(t *testing.T) {
-	inBubble(t, Config{Slots: 2, QueueLimit: 2, QueueMs: 60_000, Profiles: slow}, func(t *testing.T, s stand) {
-		cs := calls(5, "/a")
+	inBubble(t, Config{Slots: 2, QueueLimit: 3, QueueMs: 60_000, Profiles: slow}, func(t *testing.T, s stand) {
+		cs := calls(6, "/a")
 		rs := s.together(t, cs...)
-		for i, want := range []time.Duration{1, 1, 2, 2} {
+		for i, want := range []time.Duration{1, 1, 2, 2, 3} {
 			checkOwn(t, cs[i], rs[i])
 			if rs[i].took != want*time.Second {
 				t.Errorf("request %d took %v, want %ds", i, rs[i].took, want)
 			}
 		}
-		s.checkNotRun(t, cs[4], rs[4])
+		s.checkNotRun(t, cs[5], rs[5])
 		got := s.Counters()
-		if got.PeakRunning != 2 || got.OverSlots != 3 || got.Started != 4 || got.Finished != 4 || got.Shed != 1 {
+		if got.PeakRunning != 2 || got.OverSlots != 4 || got.Started != 5 || got.Finished != 5 || got.Shed != 1 {
 			t.Errorf("%+v", got)
 		}
 	})
 }
 
+// TestASlotHandedOverCountsAsTaken: whoever gives up at that moment has it.
+func TestASlotHandedOverCountsAsTaken(t *testing.T) {
+	s := newSlots(1, 1, func() {})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	turn := make(chan struct{})
+	close(turn)
+	for range 100 { // select picks among the ready at random
+		if got := s.wait(ctx, time.Hour, turn); got != slotTaken {
+			t.Fatalf("result %d, want slotTaken", got)
+		}
+	}
+}
+
+func TestTheSlotIsFreeBeforeTheAnswerEnds(t *testing.T) {
+	inBubble(t, Config{Profiles: []Profile{{Path: "/", SizeBytes: 1 << 20}}}, func(t *testing.T, s stand) {
+		resp, err := s.client.Get("http://worker/a")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		synctest.Wait() // the worker waits until the body is read
+		if running, _ := s.slots.load(); running != 0 || s.Counters().PeakRunning != 1 {
+			t.Errorf("%d running, at most %d", running, s.Counters().PeakRunning)
+		}
+	})
+}
+
 func TestTheWaitForASlotIsBounded(t *testing.T) {
 	inBubble(t, Config{Slots: 1, QueueMs: 300, Profiles: slow}, func(t *testing.T, s stand) {
 		cs := calls(3, "/a")
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -226,9 +226,9 @@
 			return inner(ctx, network, address)
 		}
 		p := directPlan(Stream{RatePerSecond: 20, Method: http.MethodPost, CopyShare: 1})
-		p.DurationMs = 1000
+		p.MaxRequests = 1
 		r := run(t, p, opts)
-		if c := r.Total.Counts; c.Copies != c.Sent || r.Oracle.Duplicates != c.Sent || r.PromisesKept() {
+		if c := r.Total.Counts; c.Sent != 1 || c.Copies != c.Sent || r.Oracle.Duplicates != c.Sent || r.PromisesKept() {
 			t.Errorf("%+v %+v", c, r.Oracle)
 		}
 		close(dialled)
