--- /dev/null
+++ b/internal/proof/ledger_test.go
@@ -0,0 +1,241 @@
+package proof
+
+import (
+	"fmt"
+	"time"
+
+	"gypsumstand/internal/entry"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/owner"
+)
+
+// promise names what must always hold.
+type promise string
+
+const (
+	promiseBudget  promise = "measuring stays within the budget"
+	promiseAnswer  promise = "a caller gets the whole answer to its own request"
+	promiseNotRun  promise = "what a caller is told was not run was not run"
+	promiseOnce    promise = "a non-idempotent request runs at most once"
+	promiseLeaving promise = "a leaving upstream receives no new work"
+	promiseStop    promise = "a planned stop cuts off no request"
+	promiseBundle  promise = "a bundle in force spreads and never reverts"
+	// recovery is no promise of its own: once faults stop, service is full.
+	recovery promise = "service returns once faults stop"
+)
+
+// violation is one breach that the oracle found.
+type violation struct {
+	promise promise
+	at      time.Time
+	text    string
+}
+
+func (v violation) String() string {
+	return fmt.Sprintf("%s: at %v: %s", v.promise, v.at.Sub(epoch), v.text)
+}
+
+// ledger is the oracle's record of what happened, kept outside the cores.
+type ledger struct {
+	w          *world
+	violations []violation
+	counts     map[string]int
+
+	requests map[model.RequestID]*request
+	// sendings in the order in which callers made them; attempts by their ids.
+	sendings []*sending
+	attempts map[model.AttemptID]*sending
+
+	lives    map[*life]*lifeRecord
+	measures map[*node][]time.Time
+	// newest is the newest bundle version in force anywhere, since newestAt.
+	newest   uint64
+	newestAt time.Time
+	// disturbedAt is the last time at which nodes were kept from talking.
+	disturbedAt time.Time
+}
+
+// request is what callers mean by one id.
+type request struct {
+	id       model.RequestID
+	sendings []*sending
+	runs     []workerRun
+}
+
+// sending is one time that a caller sent a request.
+type sending struct {
+	number     int
+	request    model.RequestID
+	keyed      bool
+	route      callerRoute
+	tenant     model.TenantName
+	begun      time.Time
+	exchange   *exchange
+	home       homeRecord
+	ended      bool
+	told       bool
+	outcome    model.Outcome
+	toldAt     time.Time
+	candidates string
+}
+
+// homeRecord is what a sending had to do with its id's home.
+type homeRecord struct {
+	// life is the home's process that was asked last.
+	life *life
+	// registered is when that process first took the id for this sending; zero
+	// when it never did. word is when it last spoke to it.
+	registered, word time.Time
+}
+
+// workerRun is one run of a request at a worker.
+type workerRun struct {
+	attempt model.AttemptID
+	sending *sending
+	home    *life
+	worker  model.InstanceID
+	at      time.Time
+}
+
+// lifeRecord is what the oracle knows of one process.
+type lifeRecord struct {
+	born    time.Time
+	version uint64
+	// leaves is when its upstream began to leave; zero when it has not.
+	leaves time.Time
+}
+
+func newLedger(w *world) *ledger {
+	return &ledger{
+		w: w, counts: map[string]int{}, requests: map[model.RequestID]*request{},
+		attempts: map[model.AttemptID]*sending{}, lives: map[*life]*lifeRecord{},
+		measures: map[*node][]time.Time{}, disturbedAt: w.now,
+	}
+}
+
+func (g *ledger) count(what string) { g.counts[what]++ }
+
+func (g *ledger) violate(p promise, format string, args ...any) {
+	g.violations = append(g.violations, violation{promise: p, at: g.w.now, text: fmt.Sprintf(format, args...)})
+}
+
+// disturb notes that nodes have just been kept from talking.
+func (g *ledger) disturb() { g.disturbedAt = g.w.now }
+
+// calmSince returns when nodes could last not talk freely.
+func (g *ledger) calmSince() time.Time {
+	w := g.w
+	if len(w.net.cuts) > 0 || w.net.loss > 0 || w.net.slow > 1 {
+		return w.now
+	}
+	for _, n := range w.nodes {
+		if n.life != nil && n.life.paused {
+			return w.now
+		}
+	}
+	return g.disturbedAt
+}
+
+func (g *ledger) born(l *life) { g.lives[l] = &lifeRecord{born: g.w.now} }
+
+// begin notes a caller's sending.
+func (g *ledger) begin(s *sending) {
+	s.number = len(g.sendings)
+	s.begun = g.w.now
+	g.sendings = append(g.sendings, s)
+	r := g.requests[s.request]
+	if r == nil {
+		r = &request{id: s.request}
+		g.requests[s.request] = r
+	}
+	r.sendings = append(r.sendings, s)
+	g.count("sendings")
+}
+
+// bound tells whether the sending's id has a home.
+func (s *sending) bound() bool { return s.keyed && !s.route.idempotent }
+
+// sent notes an attempt that an entry makes.
+func (g *ledger) sent(x *exchange, step entry.Step) {
+	g.attempts[step.Attempt.ID] = x.sending
+	g.count("attempts")
+	g.w.trace.add(g.w, "sent", step.Attempt.ID, step.To.ID)
+	if x.sending.bound() && !step.Attempt.Delegated {
+		x.sending.candidates = candidates(x.l, step.Attempt.Service)
+	}
+}
+
+// candidates names the upstreams among which an entry sees an id's home.
+func candidates(l *life, service model.ServiceName) string {
+	out := ""
+	for _, in := range l.core.Board.Fleet.Get().Instances {
+		if in.Service == service && in.State < model.StateLeaving {
+			out += string(in.ID) + " "
+		}
+	}
+	return out
+}
+
+// offered notes an owner's verdict; knew tells whether it knew that its upstream
+// leaves.
+func (g *ledger) offered(j *job, knew bool, v owner.Verdict, r model.Refusal) {
+	if v == owner.Refuse {
+		g.count("refused " + r.Reason.String())
+	}
+	if knew && v != owner.Refuse {
+		g.violate(promiseLeaving, "%s admitted %s although it knows that it leaves", j.l.node.id, j.attempt.ID)
+	}
+	s := g.attempts[j.attempt.ID]
+	if !s.bound() || j.attempt.Delegated {
+		return
+	}
+	if s.home.life != j.l {
+		s.home = homeRecord{life: j.l}
+	}
+	s.home.word = g.w.now
+	registers := v != owner.Refuse || r.Reason == model.ReasonDelegated
+	if registers && s.home.registered.IsZero() {
+		s.home.registered = g.w.now
+	}
+}
+
+// ran notes a run at a worker.
+func (g *ledger) ran(wk *worker, j *job) {
+	s := g.attempts[j.attempt.ID]
+	r := g.requests[s.request]
+	run := workerRun{attempt: j.attempt.ID, sending: s, home: s.home.life, worker: wk.n.id, at: g.w.now}
+	g.w.trace.add(g.w, "ran", j.attempt.ID, wk.n.id)
+	g.count("runs")
+	g.checkOnce(r, run)
+	r.runs = append(r.runs, run)
+	for _, other := range r.sendings {
+		g.checkNotRun(other, run)
+	}
+	g.checkLeaving(j)
+}
+
+// told notes what a caller was told.
+func (g *ledger) told(s *sending, o model.Outcome, reason model.Reason, a *answer) {
+	s.ended, s.told, s.outcome, s.toldAt = true, true, o, g.w.now
+	g.w.trace.add(g.w, "told", s.number, o, reason)
+	g.count("told " + o.String())
+	if o == model.OutcomeAnswered {
+		g.checkAnswer(s, a)
+	}
+	for _, run := range g.requests[s.request].runs {
+		g.checkNotRun(s, run)
+	}
+}
+
+// disconnected notes that a caller's connection broke without an outcome.
+func (g *ledger) disconnected(s *sending) {
+	s.ended = true
+	g.count("callers disconnected")
+}
+
+// leaves notes that a process's upstream begins to leave.
+func (g *ledger) leaves(l *life) {
+	if r := g.lives[l]; r.leaves.IsZero() {
+		r.leaves = g.w.now
+	}
+}
--- /dev/null
+++ b/internal/proof/oracle_test.go
@@ -0,0 +1,196 @@
+package proof
+
+import (
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// Bounds of the promises.
+const (
+	// leavingSeconds is the brief's "a few seconds".
+	leavingSeconds = 3 * time.Second
+	// spreadSeconds is how long a bundle in force anywhere takes to every process.
+	spreadSeconds = 7 * time.Second
+)
+
+// checkOnce holds a new run against the earlier ones of its request. Runs of two
+// sendings of a caller's own id are excused only as docs/DESIGN.md, "At most
+// once", says: the home's memory was lost with its process, or two views named
+// different homes.
+func (g *ledger) checkOnce(r *request, run workerRun) {
+	if run.sending.route.idempotent {
+		return
+	}
+	for _, before := range r.runs {
+		switch {
+		case before.sending == run.sending:
+			g.violate(promiseOnce, "%s ran at %s (%s) and again at %s (%s)",
+				r.id, before.worker, before.attempt, run.worker, run.attempt)
+		case before.home == run.home:
+			g.violate(promiseOnce, "%s ran for sendings %d (%s) and %d (%s), both registered at %s",
+				r.id, before.sending.number, before.attempt, run.sending.number, run.attempt, run.home.node.id)
+		default:
+			g.excuse(promiseOnce, before.sending, run.sending, before.home, run.home)
+		}
+	}
+}
+
+// excuse counts a breach that the design names, by its cause, and reports one
+// that it does not name: equal views with different homes.
+func (g *ledger) excuse(p promise, a, b *sending, homeA, homeB *life) {
+	switch {
+	case homeA.node == homeB.node:
+		g.count("excused: the home restarted")
+	case a.candidates == b.candidates:
+		g.violate(p, "sendings %d and %d of %s had the homes %s and %s under equal views (%s)",
+			a.number, b.number, a.request, homeA.node.id, homeB.node.id, a.candidates)
+	case !homeA.alive:
+		g.count("excused: the home was lost")
+	default:
+		g.count("excused: the views differed")
+	}
+}
+
+// checkNotRun holds a caller's "not run" against a run. For a caller's own id it
+// speaks of all sendings that the home knew of when it gave its word.
+func (g *ledger) checkNotRun(s *sending, run workerRun) {
+	if !s.told || s.outcome != model.OutcomeNotRun {
+		return
+	}
+	a := run.sending
+	switch {
+	case a == s:
+		g.violate(promiseNotRun, "sending %d of %s was told not-run at %v; %s ran at %s at %v",
+			s.number, s.request, s.toldAt.Sub(epoch), run.attempt, run.worker, run.at.Sub(epoch))
+	case !s.bound() || a.begun.After(s.toldAt):
+		// An idempotent request's outcome speaks of its own sending.
+	case s.home.life == nil:
+		if run.at.Before(s.toldAt) {
+			g.violate(promiseNotRun, "sending %d of %s was told not-run without the home's word; sending %d ran",
+				s.number, s.request, a.number)
+		}
+	case s.home.life != run.home:
+		g.excuse(promiseNotRun, a, s, run.home, s.home.life)
+	case !a.home.registered.After(s.home.word):
+		g.violate(promiseNotRun, "sending %d of %s was told not-run; sending %d, which %s knew of, ran",
+			s.number, s.request, a.number, run.home.node.id)
+	}
+}
+
+// checkAnswer holds an answer against its caller's request.
+func (g *ledger) checkAnswer(s *sending, a *answer) {
+	switch {
+	case a == nil:
+		g.violate(promiseAnswer, "sending %d was told answered without an answer", s.number)
+	case a.cut:
+		g.violate(promiseAnswer, "sending %d of %s got a part of its answer for the whole", s.number, s.request)
+	case a.request != s.request:
+		g.violate(promiseAnswer, "sending %d of %s got the answer to %s", s.number, s.request, a.request)
+	}
+}
+
+// checkLeaving holds the start of work against its upstream's leaving.
+func (g *ledger) checkLeaving(j *job) {
+	left := g.lives[j.l].leaves
+	if !left.IsZero() && j.offered.Sub(left) > leavingSeconds {
+		g.violate(promiseLeaving, "%s began work on %s that arrived %v after it began to leave",
+			j.l.node.id, j.attempt.ID, j.offered.Sub(left))
+	}
+}
+
+// measured counts a measuring message at a worker.
+func (g *ledger) measured(n *node) {
+	g.count("measuring messages")
+	kept := g.measures[n][:0]
+	for _, at := range g.measures[n] {
+		if g.w.now.Sub(at) < time.Second {
+			kept = append(kept, at)
+		}
+	}
+	kept = append(kept, g.w.now)
+	g.measures[n] = kept
+	if len(kept) > measuringPerSecond {
+		g.violate(promiseBudget, "%s received %d measuring messages within a second", n.id, len(kept))
+	}
+}
+
+// stopped checks the end of a planned stop.
+func (g *ledger) stopped(l *life) {
+	g.count("planned stops")
+	if l.stop.disturbed {
+		return
+	}
+	if len(l.exchanges) > 0 || l.busy() {
+		g.violate(promiseStop, "%s stopped with %d calls and %d attempts in flight",
+			l.node.id, len(l.exchanges), len(l.jobs))
+	}
+}
+
+// looked checks a process's bundle after each event of its loop.
+func (g *ledger) looked(l *life) {
+	r := g.lives[l]
+	version := l.version()
+	switch {
+	case version < r.version:
+		g.violate(promiseBundle, "%s went from version %d back to %d", l.node.id, r.version, version)
+	case r.version == 0 && version > 0:
+		g.checkFirst(l, r, version)
+	}
+	r.version = version
+	if version > g.newest {
+		g.newest, g.newestAt = version, g.w.now
+	}
+}
+
+// checkFirst holds what a fresh process puts in force against what older ones
+// that it could ask had in force at its start.
+func (g *ledger) checkFirst(l *life, r *lifeRecord, version uint64) {
+	if version >= g.newest || !g.newestAt.Before(r.born) {
+		return
+	}
+	if !g.calmSince().Before(r.born) {
+		g.count("excused: a fresh node began with an older version")
+		return
+	}
+	for _, n := range g.w.nodes {
+		if o := n.life; o != nil && o != l && g.lives[o].born.Before(r.born) && g.lives[o].version == g.newest {
+			g.violate(promiseBundle, "%s began with version %d; %s had %d in force", l.node.id, version, n.id, g.newest)
+			return
+		}
+	}
+}
+
+// version returns the bundle version in force; zero for none.
+func (l *life) version() uint64 {
+	b := l.core.Board.Bundles.Get().Bundle(bundleName)
+	if b == nil {
+		return 0
+	}
+	return b.Version
+}
+
+// checkSpread holds every process against the newest version in force.
+func (g *ledger) checkSpread() {
+	calm := g.calmSince()
+	for _, n := range g.w.nodes {
+		if n.life == nil {
+			continue
+		}
+		since := latest(calm, g.newestAt, g.lives[n.life].born)
+		if g.w.now.Sub(since) > spreadSeconds && n.life.version() < g.newest {
+			g.violate(promiseBundle, "%s has version %d; %d has been in force for %v",
+				n.id, n.life.version(), g.newest, g.w.now.Sub(g.newestAt))
+		}
+	}
+}
+
+func latest(times ...time.Time) time.Time {
+	out := times[0]
+	for _, t := range times {
+		if t.After(out) {
+			out = t
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/proof/promises_test.go
@@ -0,0 +1,113 @@
+package proof
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// fuzzTime, when set, fuzzes with fresh seeds for that long (make fuzz).
+var fuzzTime = flag.Duration("proof.fuzz", 0, "fuzz with fresh seeds for this long")
+
+// Fixed seeds, so that the same test has the same verdict each time.
+const (
+	fixedSeed   = "20250301"
+	fixedChecks = "12"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	settings := map[string]string{"rapid.nofailfile": "true", "rapid.steps": "40", "rapid.shrinktime": "20s"}
+	if *fuzzTime == 0 {
+		settings["rapid.seed"], settings["rapid.checks"] = fixedSeed, fixedChecks
+	}
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range settings {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// switches break, each, the code that keeps one promise; see teeth_test.go.
+type switches struct {
+	skipSettle     bool
+	brokenIsNotRun bool
+	replay         bool
+	acceptCrossed  bool
+	acceptCut      bool
+	ignoreLeaving  bool
+	cutOff         bool
+	dropBudget     bool
+	olderBundle    bool
+}
+
+// rapidChooser draws a plan's choices by rapid, which can then shrink them.
+type rapidChooser struct{ t *rapid.T }
+
+func (r rapidChooser) pick(what string, n int) int { return rapid.IntRange(0, n-1).Draw(r.t, what) }
+
+// TestPromisesHoldUnderFaults draws plans of actions and checks the oracle after
+// each, and that service returns once faults stop.
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	counts := map[string]int{}
+	check := func(rt *rapid.T) { runDrawnPlan(rt, counts) }
+	end := time.Now().Add(*fuzzTime)
+	for {
+		rapid.Check(t, check)
+		if t.Failed() || !time.Now().Before(end) {
+			break
+		}
+	}
+	report(t, counts)
+}
+
+func runDrawnPlan(rt *rapid.T, counts map[string]int) {
+	c := rapidChooser{rt}
+	w := newWorld(uint64(c.pick("seed", 1<<20)), switches{})
+	w.advance(w.wait(c, "start", 5*time.Second))
+	steps := map[string]func(*rapid.T){"": func(rt *rapid.T) { failOn(rt, w) }}
+	for _, a := range actions {
+		steps[a.name] = func(rt *rapid.T) {
+			a.do(w, rapidChooser{rt})
+			w.advance(w.wait(rapidChooser{rt}, "then", 400*time.Millisecond))
+		}
+	}
+	rt.Repeat(steps)
+	w.recover()
+	failOn(rt, w)
+	for what, n := range w.ledger.counts {
+		counts[what] += n
+	}
+}
+
+// failOn fails the check with all that the oracle found.
+func failOn(rt *rapid.T, w *world) {
+	w.ledger.checkSpread()
+	for _, v := range w.ledger.violations {
+		rt.Errorf("%v", v)
+	}
+}
+
+// report prints what the plans brought about.
+func report(t *testing.T, counts map[string]int) {
+	names := make([]string, 0, len(counts))
+	for name := range counts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		t.Logf("%8d %s", counts[name], name)
+	}
+}
--- /dev/null
+++ b/internal/proof/recover_test.go
@@ -0,0 +1,101 @@
+package proof
+
+import (
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// Bounds of recovery.
+const (
+	// recoverySeconds is how long after the last fault service is full again.
+	recoverySeconds = 15 * time.Second
+	// lastCalls is how long the calls then made take.
+	lastCalls = 3 * time.Second
+)
+
+// recover ends all faults, lets the stated time pass and checks that every
+// process serves every route on the newest version.
+func (w *world) recover() {
+	w.endFaults()
+	w.advance(recoverySeconds)
+	w.checkViews()
+	probes := w.probe()
+	w.advance(lastCalls)
+	w.checkEnded(probes)
+	w.ledger.checkSpread()
+}
+
+// endFaults ends what is under way; processes that are leaving or gone, and
+// workers that drain, are replaced first.
+func (w *world) endFaults() {
+	w.net.calm()
+	w.platform.calm()
+	for _, n := range w.nodes {
+		n.worker.calm()
+		if n.worker.draining && n.life != nil {
+			n.life.data(n.life.leave)
+		}
+	}
+	w.advance(stopTimeout + 4*time.Second)
+	for _, n := range w.nodes {
+		if n.worker.draining || n.worker.cold {
+			n.worker.replace()
+		}
+		n.boot()
+	}
+	// Stops that began late, with the starts after them.
+	w.advance(stopTimeout + 4*time.Second)
+	w.ledger.disturb()
+}
+
+func (w *world) checkViews() {
+	for _, n := range w.nodes {
+		if n.life == nil {
+			w.ledger.violate(recovery, "%s does not run", n.id)
+			continue
+		}
+		fleet := n.life.core.Board.Fleet.Get()
+		if len(fleet.Instances) != len(w.nodes) {
+			w.ledger.violate(recovery, "%s sees %d instances of %d", n.id, len(fleet.Instances), len(w.nodes))
+		}
+		for _, in := range fleet.Instances {
+			if in.State != model.StateLive {
+				w.ledger.violate(recovery, "%s sees %s as %s", n.id, in.ID, in.State)
+			}
+		}
+	}
+}
+
+// probe sends a request of every route, with and without the caller's own id, to
+// every entry.
+func (w *world) probe() []*sending {
+	var out []*sending
+	for i, n := range w.nodes {
+		for kind := range 2 * len(callerRoutes) {
+			s := w.newSending(fixedChooser(kind))
+			s.tenant = "nobody"
+			w.after(time.Duration(i*2*len(callerRoutes)+kind)*20*time.Millisecond, func() { s.to(n) })
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+type fixedChooser int
+
+func (f fixedChooser) pick(string, int) int { return int(f) }
+
+// checkEnded checks that probes were answered and that no caller waits still.
+func (w *world) checkEnded(probes []*sending) {
+	for _, s := range probes {
+		if !s.told || s.outcome != model.OutcomeAnswered {
+			w.ledger.violate(recovery, "sending %d (%s) ended as: %s", s.number, s.route.path, s.state())
+		}
+	}
+	for _, s := range w.ledger.sendings {
+		if !s.ended {
+			w.ledger.violate(recovery, "sending %d of %v was never told anything", s.number, s.begun.Sub(epoch))
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/world_test.go
@@ -0,0 +1,139 @@
+package proof
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// epoch is the fake clock's start.
+var epoch = time.Date(2025, time.March, 1, 8, 0, 0, 0, time.UTC)
+
+// event is something that happens at a time of the fake clock.
+type event struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+// eventQueue is a heap of events, the earliest first; those of one time come in
+// the order in which they were made.
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].order < q[j].order
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return last
+}
+
+// world is a fleet of simulated processes, their workers and callers, and the
+// platform. One goroutine runs all of it.
+type world struct {
+	now      time.Time
+	queue    eventQueue
+	order    uint64
+	rng      *rand.Rand
+	switches switches
+
+	net      *network
+	platform *platform
+	nodes    []*node
+	ledger   *ledger
+	// trace hashes what happened, so that two runs can be compared.
+	trace trace
+}
+
+// newWorld returns a fleet whose processes have just started.
+func newWorld(seed uint64, s switches) *world {
+	w := &world{now: epoch, rng: rand.New(rand.NewPCG(seed, 0)), switches: s}
+	w.ledger = newLedger(w)
+	w.net = newNetwork(w)
+	w.platform = newPlatform(w)
+	w.platform.signOff()
+	for i, p := range layout {
+		w.nodes = append(w.nodes, newNode(w, i, p))
+	}
+	for _, n := range w.nodes {
+		n.boot()
+	}
+	return w
+}
+
+// after runs f once d has passed.
+func (w *world) after(d time.Duration, f func()) {
+	w.order++
+	heap.Push(&w.queue, event{at: w.now.Add(max(d, 0)), order: w.order, run: f})
+}
+
+// advance runs the world for d.
+func (w *world) advance(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		next := heap.Pop(&w.queue).(event)
+		w.now = next.at
+		next.run()
+	}
+	w.now = end
+}
+
+// chance reports true with probability p.
+func (w *world) chance(p float64) bool { return p > 0 && w.rng.Float64() < p }
+
+// between draws a time from low up to high.
+func (w *world) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.rng.Int64N(int64(high-low)+1))
+}
+
+// node returns the place of that name, or nil.
+func (w *world) node(id model.InstanceID) *node {
+	for _, n := range w.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
+// at returns the place with that peer address, or nil.
+func (w *world) at(address string) *node {
+	for _, n := range w.nodes {
+		if n.address == address {
+			return n
+		}
+	}
+	return nil
+}
+
+// trace is a running hash (FNV-1a).
+type trace struct{ sum uint64 }
+
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+// add mixes the text of values in.
+func (t *trace) add(w *world, what string, values ...any) {
+	if t.sum == 0 {
+		t.sum = fnvOffset
+	}
+	text := strconv.FormatInt(w.now.Sub(epoch).Nanoseconds(), 10) + what + fmt.Sprint(values...)
+	for i := range len(text) {
+		t.sum = (t.sum ^ uint64(text[i])) * fnvPrime
+	}
+}
