server: a node that is not ready no longer tells a caller's own id was not run

Cause: a fresh node holds no bundle, so no route matched and it answered 404 not-run, also for an Idempotency-Key that had been run through another node; the fuzzing of internal/proof found it (sending told not-run without the home's word). Change: until ready it answers 503 not-ready with Retry-After, and unknown when the request carries the caller's own id.

--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -83,7 +83,7 @@
 	set := c.Board.Bundles.Get()
 	target, ok := set.Match(r.Method, r.URL.Path)
 	if !ok || r.Method == http.MethodConnect {
-		endWith(w, http.StatusNotFound, model.OutcomeNotRun, model.ReasonNoRoute, 0)
+		c.refuseUnrouted(w, r)
 		return
 	}
 	w.Header().Set(wire.HeaderBundle, target.Bundle.VersionID().String())
@@ -104,6 +104,24 @@
 	x.serve()
 }
 
+// notReadyRetry is the advice to a caller who came before this node was ready.
+const notReadyRetry = time.Second
+
+// refuseUnrouted refuses a request that no route of this node matches. A node
+// that is not ready yet knows too little to say that there is none, nor that an
+// earlier sending of the caller's own id was not run.
+func (c *Caller) refuseUnrouted(w http.ResponseWriter, r *http.Request) {
+	if ready := c.Board.Readiness.Get(); ready != nil && ready.Ready {
+		endWith(w, http.StatusNotFound, model.OutcomeNotRun, model.ReasonNoRoute, 0)
+		return
+	}
+	outcome := model.OutcomeNotRun
+	if r.Header.Get(wire.HeaderIdempotencyKey) != "" {
+		outcome = model.OutcomeUnknown
+	}
+	endWith(w, http.StatusServiceUnavailable, outcome, model.ReasonNotReady, notReadyRetry)
+}
+
 func (c *Caller) refuseBody(w http.ResponseWriter, err error) {
 	if errors.Is(err, errBodyTooLarge) {
 		w.Header().Set("Connection", "close")
