--- a/internal/proof/exchange_test.go
+++ b/internal/proof/exchange_test.go
@@ -43,7 +43,7 @@
 func (l *life) receive(s *sending) {
 	target, ok := l.core.Board.Bundles.Get().Match(s.route.method, s.route.path)
 	if !ok {
-		l.w.ledger.told(s, model.OutcomeNotRun, model.ReasonNoRoute, nil)
+		l.unrouted(s)
 		return
 	}
 	req := entry.Request{
@@ -67,6 +67,19 @@
 	x.drive()
 }
 
+// unrouted stands for Caller.refuseUnrouted.
+func (l *life) unrouted(s *sending) {
+	ready := l.core.Board.Readiness.Get()
+	switch {
+	case ready != nil && ready.Ready:
+		l.w.ledger.told(s, model.OutcomeNotRun, model.ReasonNoRoute, nil)
+	case s.keyed:
+		l.w.ledger.told(s, model.OutcomeUnknown, model.ReasonNotReady, nil)
+	default:
+		l.w.ledger.told(s, model.OutcomeNotRun, model.ReasonNotReady, nil)
+	}
+}
+
 // drive carries out the next step.
 func (x *exchange) drive() {
 	if x.over {
