--- a/internal/proof/exchange_test.go
+++ b/internal/proof/exchange_test.go
@@ -41,6 +41,7 @@
 
 // receive takes a caller's request at this entry (server.Caller.ServeHTTP).
 func (l *life) receive(s *sending) {
+	l.arriving = slices.DeleteFunc(l.arriving, func(o *sending) bool { return o == s })
 	target, ok := l.core.Board.Bundles.Get().Match(s.route.method, s.route.path)
 	if !ok {
 		l.unrouted(s)
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -96,6 +96,7 @@
 			s.ended = true
 			return
 		}
+		l.arriving = append(l.arriving, s)
 		l.data(func() { l.receive(s) })
 	})
 }
--- a/internal/proof/life_test.go
+++ b/internal/proof/life_test.go
@@ -68,6 +68,8 @@
 	// waiting are the attempts in the owner's queue, jobs all that are not over.
 	waiting map[model.AttemptID]*job
 	jobs    []*job
+	// arriving are the callers that wait for this process to take their requests.
+	arriving []*sending
 	// exchanges are the calls of this entry, inbound the attempts on their way
 	// to or at this owner, settling the calls that wait for an owner's word.
 	exchanges []*exchange
@@ -101,7 +103,7 @@
 	}
 	l.links = newLinks(l)
 	l.core = core.New(core.Config{
-		Self: l.self, Trusted: trusted, LocalDelay: nearDelay, RemoteDelay: farDelay,
+		Self: l.self, Trusted: trusted, Seeds: w.seeds(), LocalDelay: nearDelay, RemoteDelay: farDelay,
 		Started: w.now, Seed: w.rng.Uint64(), Random: w.rng.Uint64,
 	})
 	n.life = l
@@ -233,6 +235,9 @@
 	l.node.life = nil
 	l.w.platform.remove(l.node)
 	l.links.closeAll()
+	for _, s := range l.arriving {
+		l.w.ledger.disconnected(s)
+	}
 	for _, x := range l.exchanges {
 		x.lost()
 	}
--- a/internal/proof/promises_test.go
+++ b/internal/proof/promises_test.go
@@ -14,6 +14,9 @@
 // fuzzTime, when set, fuzzes with fresh seeds for that long (make fuzz).
 var fuzzTime = flag.Duration("proof.fuzz", 0, "fuzz with fresh seeds for this long")
 
+// showTrace prints what happens, to look into one failure.
+var showTrace = flag.Bool("proof.trace", false, "print what happens")
+
 // Fixed seeds, so that the same test has the same verdict each time.
 const (
 	fixedSeed   = "20250301"
--- a/internal/proof/recover_test.go
+++ b/internal/proof/recover_test.go
@@ -12,6 +12,9 @@
 	recoverySeconds = 15 * time.Second
 	// lastCalls is how long the calls then made take.
 	lastCalls = 3 * time.Second
+	// replaceRounds is how often leaving processes are replaced: a stop that was
+	// under way may have been followed by a start beside a worker that drains.
+	replaceRounds = 2
 )
 
 // recover ends all faults, lets the stated time pass and checks that every
@@ -27,25 +30,25 @@
 }
 
 // endFaults ends what is under way; processes that are leaving or gone, and
-// workers that drain, are replaced first.
+// workers that drain, are replaced.
 func (w *world) endFaults() {
 	w.net.calm()
 	w.platform.calm()
-	for _, n := range w.nodes {
-		n.worker.calm()
-		if n.worker.draining && n.life != nil {
-			n.life.data(n.life.leave)
+	for range replaceRounds {
+		for _, n := range w.nodes {
+			n.worker.calm()
+			if l := n.life; l != nil && (n.worker.draining || l.leaving()) {
+				l.data(l.leave)
+			}
 		}
-	}
-	w.advance(stopTimeout + 4*time.Second)
-	for _, n := range w.nodes {
-		if n.worker.draining || n.worker.cold {
-			n.worker.replace()
+		w.advance(stopTimeout + 4*time.Second)
+		for _, n := range w.nodes {
+			if n.life == nil {
+				n.worker.replace()
+				n.boot()
+			}
 		}
-		n.boot()
 	}
-	// Stops that began late, with the starts after them.
-	w.advance(stopTimeout + 4*time.Second)
 	w.ledger.disturb()
 }
 
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -132,8 +132,14 @@
 	if t.sum == 0 {
 		t.sum = fnvOffset
 	}
+	if *showTrace {
+		fmt.Println(w.now.Sub(epoch), what, fmt.Sprint(values...))
+	}
 	text := strconv.FormatInt(w.now.Sub(epoch).Nanoseconds(), 10) + what + fmt.Sprint(values...)
 	for i := range len(text) {
 		t.sum = (t.sum ^ uint64(text[i])) * fnvPrime
 	}
 }
+
+// seeds are the peer addresses that every process's settings name.
+func (w *world) seeds() []string { return []string{w.nodes[0].address, w.nodes[1].address} }
