spread: a version that only the index names keeps no fresh node from serving

Cause: a fresh node waited up to a minute (wantLife), and again after each new name, for a version that the index had listed before the configuration service went down, although every ready peer served the version before it; found by internal/proof (n1 had version 0, 1 had been in force for 7 s). Change: such a version, tried twice in vain and held by no peer, is not waited for once a ready peer has answered.

--- a/internal/spread/ready.go
+++ b/internal/spread/ready.go
@@ -11,7 +11,7 @@
 )
 
 // Rules of readiness. A fresh node publishes nothing before it is ready, and is
-// ready once it holds every version that anybody named to it and
+// ready once it holds every version that anybody named to it (but see hearsay) and
 //
 //   - enough ready peers have told it what they hold: peerQuorum, or all that are
 //     linked once peerWait has passed; and the platform has been read, by this
@@ -26,6 +26,8 @@
 	peerWait     = 2 * time.Second
 	platformWait = 3 * time.Second
 	aloneWait    = 3 * time.Second
+	// hearsayTries is how often a version that no peer holds is tried in vain.
+	hearsayTries = 2
 )
 
 // startState is the way from the first event to readiness.
@@ -70,6 +72,9 @@
 	}
 	var out []string
 	for _, w := range c.wants.list {
+		if c.hearsay(w) {
+			continue
+		}
 		out = append(out, "bundle "+model.BundleVersion{Name: w.name, Version: w.target}.String())
 	}
 	if c.links.answers(true) > 0 {
@@ -78,6 +83,13 @@
 	return append(out, c.missingAlone()...)
 }
 
+// hearsay tells whether a version is known by the index alone, cannot be had, and
+// is in force at none of the ready peers that answered: it must not keep a fresh
+// node from serving what they serve for as long as the platform is down.
+func (c *Controller) hearsay(w *want) bool {
+	return len(w.peers) == 0 && w.tries >= hearsayTries && c.links.answers(true) > 0
+}
+
 // missingBesidePeers is what is missing when ready peers answer.
 func (c *Controller) missingBesidePeers() []string {
 	var out []string
