member: parts that declared each other gone join again after a partition

Cause: explore dialled only serving instances, and nothing else opens a link to one declared gone. In a fleet of five, each side of a 10 s partition declared the other gone and the fleet stayed split for good after it healed, with two homes per caller's own id; found by internal/proof (n0 sees 2 instances of 5). Change: explore also tries instances that are taken for gone although the list names them as live, at its old pace; one that answers is told by the rumours and takes a greater incarnation. The test fails without it (no common view 60 s after the heal), with it within 20 s.

--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -218,7 +218,7 @@
 
 // explore opens a link beyond the outgoing ones, which replaces one of them
 // when it succeeds: to another data centre when none goes there, or else to a
-// peer that could not be reached before.
+// peer that could not be reached before or was declared gone.
 func (c *Controller) explore(now time.Time) {
 	own := c.cfg.Self.DataCentre
 	free := func(r wire.MemberRecord) bool {
@@ -233,20 +233,43 @@
 	}
 	wait := max(exploreMin, time.Duration(c.FleetSize())*explorePerNode)
 	c.peers.nextExplore = now.Add(c.between(wait/2, wait+wait/2))
-	var missed []wire.MemberRecord
-	for id, b := range c.peers.backoffs {
-		if r, ok := c.table.get(id); ok && b.failures > 0 && free(r) {
-			missed = append(missed, r)
-		}
-	}
+	missed := append(c.missedPeers(free), c.lostPeers()...)
 	if len(missed) == 0 {
 		return
 	}
-	slices.SortFunc(missed, func(a, b wire.MemberRecord) int { return cmp.Compare(a.ID, b.ID) })
 	r := missed[c.rng.IntN(len(missed))]
 	c.dial(now, r.ID, r.PeerAddress, true)
 }
 
+// missedPeers returns the peers that could not be reached, by id.
+func (c *Controller) missedPeers(free func(wire.MemberRecord) bool) []wire.MemberRecord {
+	var out []wire.MemberRecord
+	for id, b := range c.peers.backoffs {
+		if r, ok := c.table.get(id); ok && b.failures > 0 && free(r) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b wire.MemberRecord) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// lostPeers returns the instances that are taken for gone although the list
+// names them as live: after a partition, those of the other part. One that
+// answers is told, and takes a greater incarnation.
+func (c *Controller) lostPeers() []wire.MemberRecord {
+	var out []wire.MemberRecord
+	for _, t := range c.reaper.tombstones {
+		r, ok := c.table.get(t.id)
+		if !ok || r.State != model.StateGone || r.Incarnation != t.incarnation {
+			continue
+		}
+		if r.ListMark == wire.ListLive && r.PeerAddress != "" && c.links.get(r.ID) == nil && !c.peers.dialing(r.ID) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // endDial ends the opening that a link came of, and reports whether it was for
 // one of the outgoing links. Another instance may have answered at the address
 // than was asked for.
