Show the blackboard and its counters in the metrics

Cause: /metrics held calls only. Change: a collector that reads the blackboard, owner, measuring and link counters at each scrape; the core publishes the controllers' counts. Measured: the page's test passes under -race; a tenant that a caller made up is in no label. Conclusion: staleness of each source and measuring against its budget are seen.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -52,6 +52,8 @@
 	Table  *route.Table
 	Owner  *owner.Owner
 	Engine *entry.Engine
+	// Stats shows what the controllers count; published at each tick.
+	Stats blackboard.Section[Stats]
 	// Landing admits what measures this node's own worker.
 	Landing *measure.Landing
 	// Origin bounds the probes that this node sends.
@@ -63,6 +65,12 @@
 	derived derived
 }
 
+// Stats are the controllers' counts, for metrics and status.
+type Stats struct {
+	Links  []member.Link
+	Spread spread.Counters
+}
+
 // derived remembers which snapshots the derived state was made from.
 type derived struct {
 	fleet   uint64
@@ -103,12 +111,6 @@
 	}
 }
 
-// Links returns the open peer links.
-func (n *Node) Links() []member.Link { return n.member.Links() }
-
-// SpreadCounters returns the counts of bundle spread.
-func (n *Node) SpreadCounters() spread.Counters { return n.spread.Counters() }
-
 // Handle takes one event. It is called from one goroutine and does not block.
 func (n *Node) Handle(now time.Time, ev control.Event) Output {
 	var out Output
@@ -216,6 +218,7 @@
 		ListReads:       n.member.ListReads(),
 	})
 	n.Board.Readiness.Put(n.readiness())
+	n.Stats.Put(&Stats{Links: n.member.Links(), Spread: n.spread.Counters()})
 }
 
 func (n *Node) readiness() *blackboard.Readiness {
--- /dev/null
+++ b/internal/node/collector.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"gypsumstand/internal/blackboard"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/spread"
+)
+
+// collector shows the node's blackboard and counters to Prometheus, read anew at
+// each scrape.
+type collector struct{ node *Node }
+
+var _ prometheus.Collector = collector{}
+
+func describe(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("gypsum_"+name, help, labels, nil)
+}
+
+var (
+	descReady      = describe("ready", "1 when the node serves callers.")
+	descBundle     = describe("bundle_version", "Version in force.", "bundle")
+	descInstances  = describe("instances", "Known instances by service and state.", "service", "state")
+	descSourceAge  = describe("source_age_seconds", "Time since the source was last confirmed, by this node or a peer; absent when never.", "source")
+	descReads      = describe("platform_reads_total", "This node's own reads of the platform.", "source")
+	descLimit      = describe("owner_limit", "Requests that the owner runs at once now.")
+	descInFlight   = describe("owner_in_flight", "Requests at the worker.")
+	descQueued     = describe("owner_queued", "Requests that wait at the owner.")
+	descService    = describe("owner_service_seconds", "Smoothed time of the worker per request.")
+	descFailures   = describe("owner_failure_ratio", "Smoothed share of the worker's answers that failed.")
+	descMeasuring  = describe("measuring_messages_total", "Messages that only measure, by kind: polls and probes of this node's worker, probes sent.", "kind")
+	descBudget     = describe("measuring_budget_per_second", "The bundle's budget for this node's upstream.")
+	descLinks      = describe("links", "Open peer links.")
+	descLinkEvents = describe("link_messages_total", "Messages on control links.", "kind")
+	descLinkBytes  = describe("link_bytes_total", "Bytes on control links.", "direction")
+	descRefused    = describe("bundles_refused_total", "Bundles refused, by reason.", "reason")
+)
+
+// Describe implements prometheus.Collector.
+func (c collector) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(c, ch) }
+
+// Collect implements prometheus.Collector.
+func (c collector) Collect(ch chan<- prometheus.Metric) {
+	c.board(ch)
+	c.owner(ch)
+	c.measuring(ch)
+	c.links(ch)
+	c.bundles(ch)
+}
+
+func gauge(ch chan<- prometheus.Metric, d *prometheus.Desc, v float64, labels ...string) {
+	ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+}
+
+func counter(ch chan<- prometheus.Metric, d *prometheus.Desc, v uint64, labels ...string) {
+	ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+}
+
+func (c collector) board(ch chan<- prometheus.Metric) {
+	board := c.node.core.Board
+	ready := 0.0
+	if r := board.Readiness.Get(); r != nil && r.Ready {
+		ready = 1
+	}
+	gauge(ch, descReady, ready)
+	for _, b := range board.Bundles.Get().All() {
+		gauge(ch, descBundle, float64(b.Version), string(b.Name))
+	}
+	for key, n := range countInstances(board.Fleet.Get()) {
+		gauge(ch, descInstances, float64(n), string(key.service), key.state.String())
+	}
+	if s := board.Sources.Get(); s != nil {
+		c.sources(ch, s)
+	}
+}
+
+// instanceKey groups instances.
+type instanceKey struct {
+	service model.ServiceName
+	state   model.UpstreamState
+}
+
+func countInstances(f *model.Fleet) map[instanceKey]int {
+	out := map[instanceKey]int{}
+	for i := range f.Instances {
+		in := &f.Instances[i]
+		out[instanceKey{in.Service, in.State}]++
+	}
+	return out
+}
+
+func (c collector) sources(ch chan<- prometheus.Metric, s *blackboard.Sources) {
+	now := time.Now()
+	if !s.ConfigConfirmed.IsZero() {
+		gauge(ch, descSourceAge, now.Sub(s.ConfigConfirmed).Seconds(), "config")
+	}
+	if !s.ListConfirmed.IsZero() {
+		gauge(ch, descSourceAge, now.Sub(s.ListConfirmed).Seconds(), "list")
+	}
+	counter(ch, descReads, s.ConfigReads, "config")
+	counter(ch, descReads, s.ListReads, "list")
+}
+
+// failureUnit is the unit of model.LoadReport.FailureRate.
+const failureUnit = 1000
+
+func (c collector) owner(ch chan<- prometheus.Metric) {
+	r := c.node.core.Owner.Report(time.Now())
+	gauge(ch, descLimit, float64(r.Limit))
+	gauge(ch, descInFlight, float64(r.InFlight))
+	gauge(ch, descQueued, float64(r.Queued))
+	gauge(ch, descService, r.ServiceTime.Seconds())
+	gauge(ch, descFailures, float64(r.FailureRate)/failureUnit)
+}
+
+func (c collector) measuring(ch chan<- prometheus.Metric) {
+	landing, origin := c.node.core.Landing.Counts(), c.node.core.Origin.Counts()
+	counter(ch, descMeasuring, landing.PollsSent, "poll")
+	counter(ch, descMeasuring, landing.PollsDeferred, "poll-deferred")
+	counter(ch, descMeasuring, landing.ProbesTaken, "probe-taken")
+	counter(ch, descMeasuring, landing.ProbesRefused, "probe-refused")
+	counter(ch, descMeasuring, origin.Sent, "probe-sent")
+	if _, b := c.node.core.Board.Bundles.Get().Service(c.node.cfg.Service); b != nil {
+		gauge(ch, descBudget, b.Measuring.PerUpstreamPerSecond)
+	}
+}
+
+func (c collector) links(ch chan<- prometheus.Metric) {
+	l := &c.node.links.Counters
+	if s := c.node.core.Stats.Get(); s != nil {
+		gauge(ch, descLinks, float64(len(s.Links)))
+	}
+	counter(ch, descLinkEvents, l.MessagesIn.Load(), "in")
+	counter(ch, descLinkEvents, l.MessagesOut.Load(), "out")
+	counter(ch, descLinkEvents, l.Dropped.Load(), "dropped")
+	counter(ch, descLinkEvents, l.Unknown.Load(), "unknown")
+	counter(ch, descLinkEvents, l.Malformed.Load(), "malformed")
+	counter(ch, descLinkBytes, l.BytesIn.Load(), "in")
+	counter(ch, descLinkBytes, l.BytesOut.Load(), "out")
+}
+
+func (c collector) bundles(ch chan<- prometheus.Metric) {
+	s := c.node.core.Stats.Get()
+	if s == nil {
+		return
+	}
+	for reason, n := range s.Spread.Refused {
+		counter(ch, descRefused, n, spread.Reason(reason).String())
+	}
+}
--- /dev/null
+++ b/internal/node/operators_test.go
@@ -0,0 +1,55 @@
+package node_test
+
+import (
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+func get(t *testing.T, url string) (int, string) {
+	t.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+func TestMetricsShowCallsAndBlackboardWithLabelsOfTheBundleOnly(t *testing.T) {
+	f := newFleet(t, 2, &httpWorker{runs: map[string]int{}})
+	header := http.Header{"Gypsum-Tenant": {"made-up-by-the-caller"}}
+	if _, _, err := do(t, f, http.MethodGet, "/", "", header); err != nil {
+		t.Fatal(err)
+	}
+	status, page := get(t, "http://"+f.Members()[0].Node.OperatorAddress()+"/metrics")
+	if status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	for _, want := range []string{
+		`gypsum_calls_total\{class="view",outcome="answered",reason="none",service="ledger",tenant="other"\} 1\n`,
+		`gypsum_call_seconds_count\{class="view",tenant="other"\} 1\n`,
+		`gypsum_added_seconds_count\{class="view",tenant="other"\} 1\n`,
+		`gypsum_bundle_version\{bundle="test"\} 1\n`,
+		`gypsum_instances\{service="ledger",state="live"\} 2\n`,
+		`gypsum_ready 1\n`,
+		`gypsum_measuring_messages_total\{kind="poll"\} [1-9]`,
+		`gypsum_source_age_seconds\{source="config"\} `,
+		`gypsum_source_age_seconds\{source="list"\} `,
+		`gypsum_bundles_refused_total\{reason="older"\} 0\n`,
+		`gypsum_links 1\n`,
+	} {
+		if !regexp.MustCompile(want).MatchString(page) {
+			t.Errorf("no line like %s", want)
+		}
+	}
+	if strings.Contains(page, "made-up-by-the-caller") {
+		t.Error("a label holds what the caller sent")
+	}
+}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -73,6 +73,7 @@
 }
 
 func (n *Node) operatorRoutes() http.Handler {
+	n.metrics.Registry().MustRegister(collector{n})
 	r := newRouter()
 	r.Path("/metrics").Handler(promhttp.HandlerFor(n.metrics.Registry(), promhttp.HandlerOpts{}))
 	r.Path("/healthz").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
