--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -44,6 +44,8 @@
 	explorePerNode = 200 * time.Millisecond
 	// isolatedAfter is the time without any link after which it is logged.
 	isolatedAfter = 10 * time.Second
+	// redirects is the number of others that a rejection names.
+	redirects = 4
 	// maxBackoffs bounds the memory of unreachable peers.
 	maxBackoffs = 512
 )
@@ -218,7 +220,7 @@
 
 // explore opens a link beyond the outgoing ones, which replaces one of them
 // when it succeeds: to another data centre when none goes there, or else to a
-// peer that could not be reached before.
+// peer that could not be reached before or was declared gone.
 func (c *Controller) explore(now time.Time) {
 	own := c.cfg.Self.DataCentre
 	free := func(r wire.MemberRecord) bool {
@@ -233,20 +235,43 @@
 	}
 	wait := max(exploreMin, time.Duration(c.FleetSize())*explorePerNode)
 	c.peers.nextExplore = now.Add(c.between(wait/2, wait+wait/2))
-	var missed []wire.MemberRecord
-	for id, b := range c.peers.backoffs {
-		if r, ok := c.table.get(id); ok && b.failures > 0 && free(r) {
-			missed = append(missed, r)
-		}
-	}
+	missed := append(c.missedPeers(free), c.lostPeers()...)
 	if len(missed) == 0 {
 		return
 	}
-	slices.SortFunc(missed, func(a, b wire.MemberRecord) int { return cmp.Compare(a.ID, b.ID) })
 	r := missed[c.rng.IntN(len(missed))]
 	c.dial(now, r.ID, r.PeerAddress, true)
 }
 
+// missedPeers returns the peers that could not be reached, by id.
+func (c *Controller) missedPeers(free func(wire.MemberRecord) bool) []wire.MemberRecord {
+	var out []wire.MemberRecord
+	for id, b := range c.peers.backoffs {
+		if r, ok := c.table.get(id); ok && b.failures > 0 && free(r) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b wire.MemberRecord) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// lostPeers returns the instances that are taken for gone although the list
+// names them as live: after a partition, those of the other part. One that
+// answers is told, and takes a greater incarnation.
+func (c *Controller) lostPeers() []wire.MemberRecord {
+	var out []wire.MemberRecord
+	for _, t := range c.reaper.tombstones {
+		r, ok := c.table.get(t.id)
+		if !ok || r.State != model.StateGone || r.Incarnation != t.incarnation {
+			continue
+		}
+		if r.ListMark == wire.ListLive && r.PeerAddress != "" && c.links.get(r.ID) == nil && !c.peers.dialing(r.ID) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // endDial ends the opening that a link came of, and reports whether it was for
 // one of the outgoing links. Another instance may have answered at the address
 // than was asked for.
@@ -316,6 +341,10 @@
 	if c.links.count(l.outgoing) <= linkLimit(l.outgoing) {
 		return
 	}
+	if !l.outgoing {
+		c.redirect(now, l)
+		return
+	}
 	if !stays {
 		c.closeLink(now, l)
 		return
@@ -331,8 +360,26 @@
 	return incomingLinks
 }
 
-// rejected closes a link whose peer has enough.
-func (c *Controller) rejected(now time.Time, l *link) {
+// redirect rejects a peer's link and names others to try.
+func (c *Controller) redirect(now time.Time, l *link) {
+	l.closingSince = now
+	var m wire.LinkReject
+	for range redirects {
+		r, ok := c.table.pick(c.rng, func(r wire.MemberRecord) bool {
+			return serving(r.State) && r.ID != l.peer && r.ID != c.cfg.Self.ID
+		})
+		if ok {
+			m.Others = append(m.Others, r)
+		}
+	}
+	c.send(l.peer, m)
+}
+
+// rejected closes a link whose peer has enough, and takes over whom it named.
+func (c *Controller) rejected(now time.Time, l *link, m wire.LinkReject) {
+	for _, r := range m.Others[:min(len(m.Others), redirects)] {
+		c.takeOver(now, l, r)
+	}
 	c.closeLink(now, l)
 	c.putBackoff(now, l.peer, backoff{until: now.Add(rejectedFor + c.between(0, rejectedFor))})
 }
