Test the spread's refusals, faults and readiness; one flood tells of a read and its success

Cause: a beacon of an attempt without its success made every timer believe that reads fail, so the index was read every 1.6 s instead of every second; a linked peer that never answers kept a fresh node from being ready.

Change: a node's beacon waits up to 300 ms for its own read's answer. Five seconds after its start a fresh node is content with one ready peer.

--- a/internal/spread/beacon.go
+++ b/internal/spread/beacon.go
@@ -18,6 +18,10 @@
 	readingNews = 3 * time.Second
 	// beaconGap is the least time between two beacons on one link.
 	beaconGap = 200 * time.Millisecond
+	// answerWait is how long the beacon of an own attempt waits for its answer, so
+	// that one flood tells of both. An attempt whose success is not known makes
+	// every timer believe that reads fail.
+	answerWait = 300 * time.Millisecond
 )
 
 // beaconTimes are the contents of a beacon as times of this node's clock, zero
@@ -70,6 +74,9 @@
 
 // sendBeacons tells each peer what it does not know yet.
 func (c *Controller) sendBeacons() {
+	if c.platform.awaits(c.now) {
+		return
+	}
 	attempt, success := c.timer.Ages(c.now)
 	known := beaconTimes{attempt: c.timeOf(attempt), success: c.timeOf(success), read: c.confirm.newest.at}
 	var m wire.BundleBeacon
--- /dev/null
+++ b/internal/spread/faults_test.go
@@ -0,0 +1,293 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+// bound is the promised time from publication to force everywhere.
+const bound = 7 * time.Second
+
+func TestNewVersionIsInForceEverywhereWithinSevenSeconds(t *testing.T) {
+	for _, loss := range []float64{0, 0.1} {
+		f := newFleet(100, 1)
+		f.loss = loss
+		f.publish("a", 1, 5000)
+		f.linkAll(4)
+		f.settle(t)
+		for version := uint64(2); version < 8; version++ {
+			times := f.rollOut(t, "a", version, 5000)
+			if last := times[len(times)-1]; last > bound {
+				t.Errorf("loss %.1f: version %d was in force everywhere after %s", loss, version, last)
+			}
+		}
+	}
+}
+
+// settledFleet is n ready nodes with a@1 in force.
+func settledFleet(t *testing.T, n int) *fleet {
+	f := newFleet(n, 7)
+	f.publish("a", 1, 1000)
+	f.linkAll(4)
+	f.settle(t)
+	return f
+}
+
+// wantAll fails unless the nodes have the version in force within d.
+func (f *fleet) wantAll(t *testing.T, nodes []*node, version uint64, d time.Duration) {
+	t.Helper()
+	if !f.runUntil(f.now.Add(d), func() bool { return allHave(nodes, "a", version) }) {
+		t.Errorf("a@%d is not in force on all of %d nodes after %s", version, len(nodes), d)
+	}
+}
+
+func TestOutageOfAnHour(t *testing.T) {
+	f := settledFleet(t, 12)
+	f.platform.down = true
+	before := f.platform.reads
+	f.run(50 * time.Minute)
+	if perSecond := float64(f.platform.reads-before) / 3000; perSecond > 2 || perSecond == 0 {
+		t.Errorf("%.2f reads/s in the outage", perSecond)
+	}
+	for _, nd := range f.nodes {
+		if age := f.now.Sub(nd.c.Confirmed()); age < 49*time.Minute || nd.records[event.ConfigUnconfirmed] == 0 {
+			t.Fatalf("%s counts itself confirmed %s ago, %d alarms", nd.id, age, nd.records[event.ConfigUnconfirmed])
+		}
+		if n := nd.records[event.ConfigUnreachable]; n > 6 {
+			t.Errorf("%s logged the outage %d times", nd.id, n)
+		}
+	}
+	fresh := f.addNode()
+	f.showFleet()
+	f.linkSome(fresh, 4, f.nodes)
+	f.run(10 * time.Minute)
+	if !fresh.c.Ready() || fresh.inForce("a") != 1 {
+		t.Errorf("a node that started in the outage lacks %v", fresh.c.Missing())
+	}
+	f.publish("a", 2, 1000)
+	f.platform.down = false
+	f.wantAll(t, f.nodes, 2, 15*time.Second)
+}
+
+func TestStaleConfigurationServiceTurnsNothingBack(t *testing.T) {
+	f := settledFleet(t, 30)
+	f.platform.stale = map[model.BundleName]platformValue{"a": f.platform.values["a"]}
+	old := f.platform.stale
+	f.platform.stale = nil
+	f.rollOut(t, "a", 2, 1000)
+	f.run(5 * time.Second)
+	f.platform.stale = old
+	turned := f.now
+	f.run(20 * time.Second)
+	fresh := f.addNode()
+	f.restart(f.nodes[3])
+	f.showFleet()
+	f.linkSome(fresh, 4, f.nodes[:30])
+	f.linkSome(f.nodes[3], 4, f.nodes[:30])
+	f.run(30 * time.Second)
+	logged := 0
+	for _, nd := range f.nodes {
+		logged += nd.records[event.ConfigStale]
+		if nd.inForce("a") != 2 {
+			t.Errorf("%s has a@%d in force", nd.id, nd.inForce("a"))
+		}
+		if nd.c.Confirmed().After(turned) {
+			t.Errorf("%s counts a stale answer as a confirmation", nd.id)
+		}
+	}
+	if logged == 0 || logged > len(f.nodes) {
+		t.Errorf("%d log lines for %d nodes", logged, len(f.nodes))
+	}
+}
+
+func TestPartitionHeals(t *testing.T) {
+	f := settledFleet(t, 40)
+	left := func(nd *node) bool { return nd.at < 20 }
+	f.cut = func(a, b *node) bool { return left(a) != left(b) }
+	f.platform.values["a"] = platformValue{version: 2, raw: signed("a", 2, 1000)}
+	f.wantAll(t, f.nodes, 2, bound)
+	f.publish("a", 3, 1000)
+	f.wantAll(t, f.nodes, 3, bound)
+	f.platform.down = true
+	f.nodes[0].c.Handle(f.now, control.ValueRead{Name: "a", Data: signed("a", 4, 1000)})
+	f.wantAll(t, f.nodes[:20], 4, bound)
+	f.run(time.Minute)
+	if f.nodes[30].inForce("a") != 3 {
+		t.Fatal("the partition does not separate")
+	}
+	f.cut = func(a, b *node) bool { return false }
+	f.wantAll(t, f.nodes, 4, 2*compareInterval)
+}
+
+func TestReaderIsLostBeforeItTellsAnyone(t *testing.T) {
+	f := settledFleet(t, 30)
+	f.publish("a", 2, 1000)
+	for range 3 {
+		reads := f.platform.reads
+		f.runUntil(f.now.Add(time.Minute), func() bool { return f.platform.reads > reads })
+		for _, nd := range f.nodes {
+			if len(nd.c.platform.indexBegun) > 0 {
+				f.stop(nd)
+			}
+		}
+	}
+	var alive []*node
+	for _, nd := range f.nodes {
+		if !nd.stopped {
+			alive = append(alive, nd)
+		}
+	}
+	if len(alive) == len(f.nodes) {
+		t.Fatal("no reader was stopped")
+	}
+	f.wantAll(t, alive, 2, bound)
+}
+
+func TestPausedNodeConfirmsAnew(t *testing.T) {
+	f := settledFleet(t, 20)
+	nd := f.nodes[5]
+	f.stop(nd)
+	f.run(5 * time.Second)
+	f.platform.down = true
+	f.run(5 * time.Minute)
+	f.publish("a", 2, 1000)
+	f.wake(nd)
+	if got := nd.c.Confirmed(); !got.IsZero() {
+		t.Errorf("confirmed at %s by what waited through the pause", got)
+	}
+	f.run(10 * time.Second)
+	if age := f.now.Sub(nd.c.Confirmed()); age < 5*time.Minute {
+		t.Errorf("confirmed %s ago, while nobody could read", age)
+	}
+	f.platform.down = false
+	f.wantAll(t, f.nodes, 2, 15*time.Second)
+	f.run(5 * time.Second)
+	if age := f.now.Sub(nd.c.Confirmed()); age > 5*time.Second {
+		t.Errorf("confirmed %s ago", age)
+	}
+}
+
+func TestDataCentreStartsAtOnce(t *testing.T) {
+	f := newFleet(90, 3)
+	for i := range 60 {
+		f.publish(fmt.Sprintf("b%02d", i), 1, 5000)
+	}
+	f.showFleet()
+	old, fresh := f.nodes[:60], f.nodes[60:]
+	for _, nd := range fresh {
+		f.stop(nd)
+	}
+	for _, nd := range old {
+		f.linkSome(nd, 4, old)
+	}
+	f.run(20 * time.Second)
+	for _, nd := range fresh {
+		nd.held = nil
+		f.restart(nd)
+		nd.stopped = false
+	}
+	for _, nd := range fresh {
+		f.linkSome(nd, 2, old)
+		f.linkSome(nd, 2, fresh)
+	}
+	reads := f.platform.reads
+	if !f.runUntil(f.now.Add(bound), f.allReady) {
+		t.Errorf("not ready after %s: %v", bound, fresh[0].c.Missing())
+	}
+	if got := f.platform.reads - reads; got > 100 {
+		t.Errorf("%d reads of the platform for 30 nodes of 60 bundles", got)
+	}
+	for _, nd := range fresh {
+		if n, _ := nd.c.Held(); n != 60 {
+			t.Errorf("%s is ready with %d bundles", nd.id, n)
+		}
+	}
+}
+
+func TestManyChangesAfterAnOutageStayUnderThePlatformsRate(t *testing.T) {
+	f := newFleet(30, 4)
+	name := func(i int) string { return fmt.Sprintf("b%03d", i) }
+	for i := range 150 {
+		f.publish(name(i), 1, 300)
+	}
+	f.linkAll(4)
+	f.settle(t)
+	for i := range 150 {
+		f.publish(name(i), 2, 300)
+	}
+	clear(f.platform.perSec)
+	begun := f.now
+	f.runUntil(f.now.Add(time.Minute), func() bool {
+		for i := range 150 {
+			if !allHave(f.nodes, name(i), 2) {
+				return false
+			}
+		}
+		return true
+	})
+	if took := f.now.Sub(begun); took > 15*time.Second {
+		t.Errorf("150 changes took %s", took)
+	}
+	for second, n := range f.platform.perSec {
+		if n > 500 {
+			t.Errorf("%d reads in second %d", n, second)
+		}
+	}
+}
+
+func TestVersionOnACallIsAskedOfItsSender(t *testing.T) {
+	seen := control.VersionSeen{From: "p", Version: model.BundleVersion{Name: "a", Version: 6}}
+	ask := wire.BundleWant{Versions: []model.BundleVersion{{Name: "a", Version: 6}}}
+
+	s := newSingle(t, "p", "q")
+	if got := sentTo[wire.BundleWant](s.handle(seen), "p"); len(got) != 1 || got[0].Versions[0] != ask.Versions[0] {
+		t.Errorf("linked sender was asked %v", got)
+	}
+	s = newSingle(t, "q")
+	if got := sentTo[wire.BundleWant](s.handle(seen), "q"); len(got) != 1 {
+		t.Errorf("another link was asked %v", got)
+	}
+	s = newSingle(t)
+	s.handle(seen)
+	if !hasAction(s.wait(2*platformGrace), control.ReadValue{Name: "a"}) {
+		t.Error("without a link the platform was not asked")
+	}
+}
+
+func TestWantGoesToAnotherPeerAfterSilenceOrDecline(t *testing.T) {
+	newest := []model.BundleVersion{{Name: "a", Version: 6}}
+	s := newSingle(t, "p", "q")
+	s.from("p", wire.BundleNotice{Versions: newest})
+	if out := s.from("q", wire.BundleNotice{Versions: newest}); len(sentTo[wire.BundleWant](out, "q")) > 0 {
+		t.Error("asked two peers at once")
+	}
+	if out := s.wait(askTimeout + askJitter); len(sentTo[wire.BundleWant](out, "q")) == 0 {
+		t.Error("silence was not followed by another question")
+	}
+	out := s.from("q", wire.BundleDecline{Versions: newest})
+	out = append(out, s.wait(time.Second)...)
+	if len(sentTo[wire.BundleWant](out, "p")) == 0 {
+		t.Error("decline was not followed by another question")
+	}
+}
+
+func TestFalseVersionBlocksNoTrueOne(t *testing.T) {
+	s := newSingle(t, "liar", "p")
+	s.from("liar", wire.BundleNotice{Versions: []model.BundleVersion{{Name: "a", Version: 1 << 60}}})
+	s.from("p", wire.BundleNotice{Versions: []model.BundleVersion{{Name: "a", Version: 6}}})
+	out := s.wait(5 * time.Second)
+	if len(sentTo[wire.BundleWant](out, "p")) == 0 {
+		t.Fatal("the honest peer was not asked")
+	}
+	s.from("p", packedBody("a", 6, signed("a", 6, 0)))
+	out = s.wait(2 * wantLife)
+	if s.inForce() != 6 || len(s.c.wants.list) > 0 || recorded(out, event.BundleUnobtainable) != 1 {
+		t.Errorf("a@%d in force, %d wants, %d alarms", s.inForce(), len(s.c.wants.list), recorded(out, event.BundleUnobtainable))
+	}
+}
--- a/internal/spread/fleet_test.go
+++ b/internal/spread/fleet_test.go
@@ -100,8 +100,8 @@
 	stoppedAt time.Time
 	held      []delivery
 
-	sentBytes, sentMessages, gotBytes, peakGot int
-	records                                    map[event.ID]int
+	sentBytes, sentMessages, gotBytes int
+	records                           map[event.ID]int
 }
 
 // fakePlatform is the configuration service.
--- a/internal/spread/platform.go
+++ b/internal/spread/platform.go
@@ -61,6 +61,12 @@
 	p.inFlight = 0
 }
 
+// awaits reports whether the answer to a young index read may come at once.
+func (p *platformState) awaits(now time.Time) bool {
+	n := len(p.indexBegun)
+	return n > 0 && now.Sub(p.indexBegun[n-1]) < answerWait
+}
+
 // expire forgets index reads whose end was never told.
 func (p *platformState) expire(now time.Time, c *Controller) {
 	for len(p.indexBegun) > 0 && now.Sub(p.indexBegun[0]) >= valueReadExpiry {
--- a/internal/spread/ready.go
+++ b/internal/spread/ready.go
@@ -14,18 +14,20 @@
 // ready once it holds every version that anybody named to it and
 //
 //   - enough ready peers have told it what they hold: peerQuorum, or all that are
-//     linked once peerWait has passed; and the platform has been read, by this
-//     node or a peer, or has failed, or platformWait has passed; or
+//     linked once peerWait has passed, or one once quorumWait has passed; and the
+//     platform has been read, by this node or a peer, or has failed, or
+//     sourceWait has passed; or
 //   - no ready peer has answered by aloneWait and the platform's word is in force
 //     (its own reading or another fresh node's). When nobody at all answered, the
 //     node is ready alone: Confirmed stays zero until a peer has compared.
 //
 // With neither peers nor the platform it is not ready, for as long as that lasts.
 const (
-	peerQuorum   = 3
-	peerWait     = 2 * time.Second
-	platformWait = 3 * time.Second
-	aloneWait    = 3 * time.Second
+	peerQuorum = 3
+	peerWait   = 2 * time.Second
+	quorumWait = 5 * time.Second
+	sourceWait = 3 * time.Second
+	aloneWait  = 3 * time.Second
 )
 
 // startState is the way from the first event to readiness.
@@ -83,10 +85,11 @@
 	var out []string
 	age := c.now.Sub(c.start.begun)
 	settled, answered := c.links.answers(true), c.links.answers(false)
-	if settled < peerQuorum && (age < peerWait || answered < len(c.links.list)) {
+	all := answered == len(c.links.list) && age >= peerWait
+	if settled < peerQuorum && !all && age < quorumWait {
 		out = append(out, fmt.Sprintf("peers: %d of %d have told their bundles", answered, len(c.links.list)))
 	}
-	if !c.platform.tried && c.confirm.at.IsZero() && age < platformWait {
+	if !c.platform.tried && c.confirm.at.IsZero() && age < sourceWait {
 		out = append(out, "configuration service: not read yet")
 	}
 	return out
