--- a/internal/deploy/deploy.go
+++ b/internal/deploy/deploy.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"gypsumstand/internal/bundle"
@@ -24,6 +26,8 @@
 	Bundle *bundle.Bundle
 	// Workers counts the workers of each of the bundle's services, in its order.
 	Workers []int
+	// MeanMs is the workers' mean service time in milliseconds.
+	MeanMs float64
 }
 
 // The examples' sizes (brief, "Sizes of today").
@@ -42,9 +46,9 @@
 
 // Service times of the stand-in workers.
 const (
-	meanMs      = 10.0
-	sigma       = 0.5
-	answerBytes = 2 << 10
+	defaultMeanMs = 10.0
+	sigma         = 0.5
+	answerBytes   = 2 << 10
 )
 
 // New reads a deployment's bundle.
@@ -56,7 +60,7 @@
 	if len(b.Services) != len(workers) {
 		return nil, fmt.Errorf("%s: %d services, %d numbers of workers", name, len(b.Services), len(workers))
 	}
-	return &Deployment{Name: name, TOML: toml, Bundle: b, Workers: workers}, nil
+	return &Deployment{Name: name, TOML: toml, Bundle: b, Workers: workers, MeanMs: defaultMeanMs}, nil
 }
 
 // Fleet returns the configuration of its fleet on loopback.
@@ -82,7 +86,7 @@
 		out.Profiles = append(out.Profiles, worker.Profile{
 			Path:         r.Path,
 			Distribution: worker.Lognormal,
-			MeanMs:       meanMs,
+			MeanMs:       d.MeanMs,
 			Sigma:        sigma,
 			SizeBytes:    answerBytes,
 		})
@@ -93,7 +97,7 @@
 // Capacity returns the requests per second that a service's workers can answer.
 func (d *Deployment) Capacity(i int) float64 {
 	slots := float64(d.Bundle.Services[i].Slots * d.Workers[i])
-	return slots / meanMs * float64(time.Second/time.Millisecond)
+	return slots / d.MeanMs * float64(time.Second/time.Millisecond)
 }
 
 // Weights of a service's routes in its load.
@@ -165,3 +169,12 @@
 	m := method(r)
 	return m != http.MethodPost && m != http.MethodPatch
 }
+
+// Load reads the bundle of an example from its folder.
+func Load(examples, name string, workers []int) (*Deployment, error) {
+	data, err := os.ReadFile(filepath.Join(examples, name, "bundle.toml"))
+	if err != nil {
+		return nil, fmt.Errorf("example %s: %w", name, err)
+	}
+	return New(name, data, workers)
+}
--- /dev/null
+++ b/internal/experiment/added.go
@@ -0,0 +1,134 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"gypsumstand/internal/deploy"
+	"gypsumstand/internal/load"
+	"gypsumstand/internal/local"
+)
+
+// Added is the time that two nodes add to a call, beside the worker called
+// directly in the same run.
+type Added struct {
+	RatePerSecond float64 `json:"rate_per_second"`
+	Repeat        int     `json:"repeat"`
+	DirectP50Ms   float64 `json:"direct_p50_ms"`
+	DirectP99Ms   float64 `json:"direct_p99_ms"`
+	ThroughP50Ms  float64 `json:"through_p50_ms"`
+	ThroughP99Ms  float64 `json:"through_p99_ms"`
+}
+
+// P50Ms and P99Ms are the differences of the quantiles.
+func (a *Added) P50Ms() float64 { return a.ThroughP50Ms - a.DirectP50Ms }
+
+// P99Ms is the difference at the 99th percentile.
+func (a *Added) P99Ms() float64 { return a.ThroughP99Ms - a.DirectP99Ms }
+
+// addedBundle has one service that answers at once.
+const addedBundle = `
+name = "added"
+version = 1
+[[class]]
+name = "view"
+worth = 1.0
+deadline_ms = 2000
+[[service]]
+name = "echo"
+slots = 64
+connections = 256
+health_path = "/health"
+[[service.route]]
+path = "/"
+class = "view"
+[[service]]
+name = "entry"
+slots = 64
+connections = 256
+health_path = "/health"
+[[service.route]]
+path = "/entry"
+class = "view"
+`
+
+// addedServiceMs is the constant service time of the worker: short, so that the
+// added time is seen, and constant, so that quantiles may be subtracted.
+const addedServiceMs = 2
+
+// MeasureAdded calls a worker directly and through another node's caller port,
+// one after the other and repeated, each time at the same rate.
+func MeasureAdded(ctx context.Context, rate float64, repeats int, d time.Duration) ([]Added, error) {
+	dep, err := deploy.New("added", []byte(addedBundle), []int{1, 1})
+	if err != nil {
+		return nil, err
+	}
+	dep.MeanMs = addedServiceMs
+	cfg := dep.Fleet()
+	cfg.DataCentres = 1
+	cfg.CrossDelay = 0
+	cfg.Services[0].Profiles[0].Distribution = "constant"
+	fleet, err := local.Start(cfg)
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	// The entry is the node of another service, so that each call crosses two.
+	entry := fleet.Members()[1]
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := fleet.Await(ready, fleet.Warm); err != nil {
+		return nil, err
+	}
+	pause(ctx, time.Second)
+	var out []Added
+	for i := range repeats {
+		a, err := addedOnce(ctx, fleet, entry, rate, d)
+		if err != nil {
+			return out, err
+		}
+		a.Repeat = i
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+func addedOnce(ctx context.Context, fleet *local.Fleet, entry *local.Member, rate float64, d time.Duration) (Added, error) {
+	direct, err := addedRun(ctx, fleet.Members()[0].WorkerAddress(), true, rate, d)
+	if err != nil {
+		return Added{}, err
+	}
+	through, err := addedRun(ctx, entry.Node.CallerAddress(), false, rate, d)
+	if err != nil {
+		return Added{}, err
+	}
+	return Added{
+		RatePerSecond: rate,
+		DirectP50Ms:   float64(direct.P50Us) / usPerMs,
+		DirectP99Ms:   float64(direct.P99Us) / usPerMs,
+		ThroughP50Ms:  float64(through.P50Us) / usPerMs,
+		ThroughP99Ms:  float64(through.P99Us) / usPerMs,
+	}, nil
+}
+
+func addedRun(ctx context.Context, target string, direct bool, rate float64, d time.Duration) (load.Quantiles, error) {
+	p := load.NewPlan()
+	p.Targets = []string{target}
+	p.Direct = direct
+	p.DurationMs = d.Milliseconds()
+	p.MaxInFlight = maxInFlight
+	p.Streams = []load.Stream{{Class: "view", Worth: 1, Method: "GET", Path: "/", TimeoutMs: 2000, RatePerSecond: rate}}
+	p, err := load.CheckPlan(p)
+	if err != nil {
+		return load.Quantiles{}, err
+	}
+	result, err := load.Run(ctx, p, load.Options{})
+	if err != nil {
+		return load.Quantiles{}, err
+	}
+	if c := result.Total.Counts; c.Answered != c.Sent {
+		return load.Quantiles{}, fmt.Errorf("%d of %d calls were not answered", c.Sent-c.Answered, c.Sent)
+	}
+	return result.Total.Latency, nil
+}
--- a/internal/spread/ready.go
+++ b/internal/spread/ready.go
@@ -14,18 +14,20 @@
 // ready once it holds every version that anybody named to it (but see hearsay) and
 //
 //   - enough ready peers have told it what they hold: peerQuorum, or all that are
-//     linked once peerWait has passed; and the platform has been read, by this
-//     node or a peer, or has failed, or platformWait has passed; or
+//     linked once peerWait has passed, or one once quorumWait has passed; and the
+//     platform has been read, by this node or a peer, or has failed, or
+//     sourceWait has passed; or
 //   - no ready peer has answered by aloneWait and the platform's word is in force
 //     (its own reading or another fresh node's). When nobody at all answered, the
 //     node is ready alone: Confirmed stays zero until a peer has compared.
 //
 // With neither peers nor the platform it is not ready, for as long as that lasts.
 const (
-	peerQuorum   = 3
-	peerWait     = 2 * time.Second
-	platformWait = 3 * time.Second
-	aloneWait    = 3 * time.Second
+	peerQuorum = 3
+	peerWait   = 2 * time.Second
+	quorumWait = 5 * time.Second
+	sourceWait = 3 * time.Second
+	aloneWait  = 3 * time.Second
 	// hearsayTries is how often a version that no peer holds is tried in vain.
 	hearsayTries = 2
 )
@@ -87,7 +89,7 @@
 // is in force at none of the ready peers that answered: it must not keep a fresh
 // node from serving what they serve for as long as the platform is down.
 func (c *Controller) hearsay(w *want) bool {
-	return len(w.peers) == 0 && w.tries >= hearsayTries && c.links.answers(true) > 0
+	return !w.vouched && w.tries >= hearsayTries && c.links.answers(true) > 0
 }
 
 // missingBesidePeers is what is missing when ready peers answer.
@@ -95,10 +97,11 @@
 	var out []string
 	age := c.now.Sub(c.start.begun)
 	settled, answered := c.links.answers(true), c.links.answers(false)
-	if settled < peerQuorum && (age < peerWait || answered < len(c.links.list)) {
+	all := answered == len(c.links.list) && age >= peerWait
+	if settled < peerQuorum && !all && age < quorumWait {
 		out = append(out, fmt.Sprintf("peers: %d of %d have told their bundles", answered, len(c.links.list)))
 	}
-	if !c.platform.tried && c.confirm.at.IsZero() && age < platformWait {
+	if !c.platform.tried && c.confirm.at.IsZero() && age < sourceWait {
 		out = append(out, "configuration service: not read yet")
 	}
 	return out
--- a/internal/spread/want.go
+++ b/internal/spread/want.go
@@ -43,6 +43,9 @@
 	target uint64
 	// peers have said that they hold a newer version.
 	peers []model.InstanceID
+	// vouched says that a peer has ever said so, also one that was since given up
+	// as a source.
+	vouched bool
 	// listed says that this node's own index reading named it.
 	listed bool
 	// since is when target was last raised.
@@ -79,6 +82,7 @@
 		w.peers = append(w.peers[:0], w.peers[1:]...)
 	}
 	w.peers = append(w.peers, id)
+	w.vouched = true
 }
 
 func (w *want) dropPeer(id model.InstanceID) {
