--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,100 @@
+// Package keys makes, reads and writes the Ed25519 keys (RFC 8032) that people
+// sign bundles off with. A key file is TOML: a private one holds name, public
+// and private, a public one name and public. Keys are base64 (RFC 4648,
+// section 4); a private key is its 32-byte seed.
+package keys
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"fmt"
+	"io"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/tomlfile"
+)
+
+// fingerprintBytes is the length of a public key's fingerprint.
+const fingerprintBytes = 8
+
+// Key is a named person's key. Its private half is never formatted.
+type Key struct {
+	Name    string
+	Public  ed25519.PublicKey
+	private ed25519.PrivateKey
+}
+
+// file is the form of both kinds of key file.
+type file struct {
+	Name    string `toml:"name"`
+	Public  string `toml:"public"`
+	Private string `toml:"private"`
+}
+
+// Generate makes a key of that name; source is crypto/rand's when it is nil.
+func Generate(name string, source io.Reader) (*Key, error) {
+	if !tomlfile.ValidName(name) {
+		return nil, fmt.Errorf("key name %q: want 1 to %d characters of a-z, 0-9, '.', '_' and '-'", name, tomlfile.MaxNameBytes)
+	}
+	if source == nil {
+		source = rand.Reader
+	}
+	seed := make([]byte, ed25519.SeedSize)
+	if _, err := io.ReadFull(source, seed); err != nil {
+		return nil, fmt.Errorf("make key: %w", err)
+	}
+	return fromSeed(name, seed), nil
+}
+
+func fromSeed(name string, seed []byte) *Key {
+	private := ed25519.NewKeyFromSeed(seed)
+	return &Key{Name: name, Public: private.Public().(ed25519.PublicKey), private: private}
+}
+
+// Private returns the private half, or nil when the key is public only.
+func (k *Key) Private() ed25519.PrivateKey { return k.private }
+
+// Signer returns the key's public half under its name.
+func (k *Key) Signer() bundle.Signer { return bundle.Signer{Name: k.Name, Key: k.Public} }
+
+// Sign signs the exact bytes of a bundle off. The key must have its private
+// half.
+func (k *Key) Sign(data []byte) bundle.Signed { return bundle.Sign(k.Name, k.private, data) }
+
+// String returns the name and the public half's fingerprint.
+func (k Key) String() string { return k.Name + " (" + Fingerprint(k.Public) + ")" }
+
+// Format writes what String returns for every verb, so that none writes the
+// private half.
+func (k Key) Format(f fmt.State, _ rune) { _, _ = io.WriteString(f, k.String()) }
+
+// Fingerprint returns the first bytes of a public key's SHA-256 in hex, for
+// people to compare.
+func Fingerprint(public ed25519.PublicKey) string {
+	sum := sha256.Sum256(public)
+	return fmt.Sprintf("%x", sum[:fingerprintBytes])
+}
+
+// EncodePublic returns the form that settings and key files hold.
+func EncodePublic(public ed25519.PublicKey) string {
+	return base64.StdEncoding.EncodeToString(public)
+}
+
+// DecodePublic reads the form that EncodePublic writes.
+func DecodePublic(s string) (ed25519.PublicKey, error) {
+	raw, err := decode(s, ed25519.PublicKeySize)
+	return ed25519.PublicKey(raw), err
+}
+
+func decode(s string, size int) ([]byte, error) {
+	raw, err := base64.StdEncoding.Strict().DecodeString(s)
+	if err != nil {
+		return nil, fmt.Errorf("must be base64")
+	}
+	if len(raw) != size {
+		return nil, fmt.Errorf("must be %d bytes in base64, found %d", size, len(raw))
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/internal/settings/parse.go
@@ -0,0 +1,232 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"gypsumstand/internal/finding"
+	"gypsumstand/internal/keys"
+	"gypsumstand/internal/tomlfile"
+)
+
+// Defaults of absent fields.
+const (
+	defaultLogLevel           = "info"
+	defaultStopTimeoutMs      = 30_000
+	defaultLeaveGraceMs       = 2000
+	defaultMaxHeaderBytes     = 32 << 10
+	defaultMaxIdleConnections = 256
+	defaultLocalDelayUs       = 100
+	defaultRemoteDelayUs      = 1000
+	defaultPlatformTimeoutMs  = 1000
+)
+
+// Bounds of fields.
+const (
+	maxFileBytes         = 1 << 20
+	minStopTimeoutMs     = 100
+	maxStopTimeoutMs     = 3_600_000
+	minHeaderBytes       = 4 << 10
+	maxHeaderBytes       = 1 << 20
+	maxIdleConnections   = 1 << 16
+	maxDelayUs           = 10_000_000
+	maxPlatformTimeoutMs = 60_000
+	maxPeers             = 1000
+)
+
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// Parse reads settings from TOML, fills defaults and checks them. file names
+// the input in findings. The error is a finding.List with every fault.
+func Parse(file string, data []byte) (*Settings, error) { return parse(file, data, check) }
+
+// parse is Parse with the given checks.
+func parse(file string, data []byte, check func(*Settings, *tomlfile.Document)) (*Settings, error) {
+	if len(data) > maxFileBytes {
+		return nil, finding.List{{File: file, Message: fmt.Sprintf("%d bytes are over the bound of %d", len(data), maxFileBytes)}}
+	}
+	s := defaults()
+	doc := tomlfile.Decode(file, data, s)
+	if doc.Broken() {
+		return nil, doc.Err()
+	}
+	check(s, doc)
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func defaults() *Settings {
+	return &Settings{
+		LogLevel:           defaultLogLevel,
+		StopTimeoutMs:      defaultStopTimeoutMs,
+		LeaveGraceMs:       defaultLeaveGraceMs,
+		MaxHeaderBytes:     defaultMaxHeaderBytes,
+		MaxIdleConnections: defaultMaxIdleConnections,
+		LocalDelayUs:       defaultLocalDelayUs,
+		RemoteDelayUs:      defaultRemoteDelayUs,
+		Platform:           Platform{TimeoutMs: defaultPlatformTimeoutMs},
+	}
+}
+
+// check notes every fault of s in doc.
+func check(s *Settings, doc *tomlfile.Document) {
+	doc.Name("instance", string(s.Instance))
+	doc.Name("service", string(s.Service))
+	doc.Name("data_centre", string(s.DataCentre))
+	checkAddresses(s, doc)
+	checkPeers(s, doc)
+	checkSigners(s, doc)
+	checkTLS(&s.TLS, doc)
+	checkNumbers(s, doc)
+	if !slices.Contains(logLevels, s.LogLevel) {
+		doc.Add("log_level", "%q is not one of %s", s.LogLevel, strings.Join(logLevels, ", "))
+	}
+}
+
+func checkAddresses(s *Settings, doc *tomlfile.Document) {
+	own := ownAddresses{doc: doc}
+	own.add("caller_address", s.CallerAddress)
+	own.add("peer_address", s.PeerAddress)
+	own.add("operator_address", s.OperatorAddress)
+	own.add("worker_address", s.WorkerAddress)
+	reachable(doc, "peer_address", s.PeerAddress)
+	reachable(doc, "worker_address", s.WorkerAddress)
+	doc.Address("platform.config_address", s.Platform.ConfigAddress)
+	reachable(doc, "platform.config_address", s.Platform.ConfigAddress)
+	doc.Address("platform.list_address", s.Platform.ListAddress)
+	reachable(doc, "platform.list_address", s.Platform.ListAddress)
+	doc.IntRange("platform.timeout_ms", s.Platform.TimeoutMs, 1, maxPlatformTimeoutMs)
+}
+
+// ownAddresses notes addresses that cannot be told apart.
+type ownAddresses struct {
+	doc  *tomlfile.Document
+	keys []string
+	seen []netip.AddrPort
+}
+
+func (o *ownAddresses) add(key, value string) {
+	addr, ok := o.doc.Address(key, value)
+	if !ok {
+		return
+	}
+	for i, other := range o.seen {
+		if collide(addr, other) {
+			o.doc.Add(key, "%s collides with %s %s", addr, o.keys[i], other)
+		}
+	}
+	o.keys = append(o.keys, key)
+	o.seen = append(o.seen, addr)
+}
+
+// collide tells whether two listeners could not have both addresses.
+func collide(a, b netip.AddrPort) bool {
+	if a.Port() != b.Port() {
+		return false
+	}
+	return a.Addr().Unmap() == b.Addr().Unmap() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+}
+
+// reachable notes an address that others cannot connect to.
+func reachable(doc *tomlfile.Document, key, value string) {
+	addr, err := netip.ParseAddrPort(value)
+	if err == nil && (addr.Addr().IsUnspecified() || addr.Addr().IsMulticast()) {
+		doc.Add(key, "%s is no address to connect to", value)
+	}
+}
+
+func checkPeers(s *Settings, doc *tomlfile.Document) {
+	if len(s.Peers) > maxPeers {
+		doc.Add("peers", "%d peers are over the bound of %d", len(s.Peers), maxPeers)
+	}
+	for i, peer := range s.Peers {
+		if _, ok := doc.Address("peers", peer); !ok {
+			continue
+		}
+		reachable(doc, "peers", peer)
+		if slices.Contains(s.Peers[:i], peer) {
+			doc.Add("peers", "%s stands twice", peer)
+		}
+	}
+}
+
+func checkSigners(s *Settings, doc *tomlfile.Document) {
+	if len(s.Signers) == 0 {
+		doc.Add("signer", "missing: without a trusted signer no bundle is ever accepted")
+	}
+	names, public := map[string]string{}, map[string]string{}
+	for i, signer := range s.Signers {
+		key := fmt.Sprintf("signer[%d]", i)
+		doc.Name(key+".name", signer.Name)
+		unique(doc, names, key+".name", signer.Name)
+		if !doc.Required(key + ".key") {
+			continue
+		}
+		if _, err := keys.DecodePublic(signer.Key); err != nil {
+			doc.Add(key+".key", "%v", err)
+			continue
+		}
+		unique(doc, public, key+".key", signer.Key)
+	}
+}
+
+// unique notes a value that another key has already.
+func unique(doc *tomlfile.Document, seen map[string]string, key, value string) {
+	if value == "" {
+		return
+	}
+	first, taken := seen[value]
+	if !taken {
+		seen[value] = key
+		return
+	}
+	line, _ := doc.Position(first)
+	doc.Add(key, "is the same as %s on line %d", first, line)
+}
+
+func checkTLS(t *TLS, doc *tomlfile.Document) {
+	if !doc.Has("tls") {
+		return
+	}
+	for _, f := range []struct{ key, value string }{
+		{"tls.certificate", t.Certificate}, {"tls.key", t.Key}, {"tls.authority", t.Authority},
+	} {
+		if f.value == "" {
+			doc.Add(f.key, "missing: certificate, key and authority stand together")
+		}
+	}
+}
+
+// checkTLSFiles notes the TLS files that cannot be used.
+func checkTLSFiles(t *TLS, doc *tomlfile.Document) {
+	if t.Certificate != "" && t.Key != "" {
+		if _, err := t.loadPair(); err != nil {
+			doc.Add("tls.certificate", "%v", err)
+		}
+	}
+	if t.Authority != "" {
+		if _, err := t.loadAuthority(); err != nil {
+			doc.Add("tls.authority", "%v", err)
+		}
+	}
+}
+
+func checkNumbers(s *Settings, doc *tomlfile.Document) {
+	doc.IntRange("stop_timeout_ms", s.StopTimeoutMs, minStopTimeoutMs, maxStopTimeoutMs)
+	doc.IntRange("leave_grace_ms", s.LeaveGraceMs, 0, maxStopTimeoutMs)
+	if s.LeaveGraceMs >= s.StopTimeoutMs {
+		key := "leave_grace_ms"
+		if !doc.Has(key) {
+			key = "stop_timeout_ms"
+		}
+		doc.Add(key, "leave_grace_ms of %d must be under stop_timeout_ms of %d", s.LeaveGraceMs, s.StopTimeoutMs)
+	}
+	doc.IntRange("max_header_bytes", int64(s.MaxHeaderBytes), minHeaderBytes, maxHeaderBytes)
+	doc.IntRange("max_idle_connections", int64(s.MaxIdleConnections), 1, maxIdleConnections)
+	doc.IntRange("local_delay_us", s.LocalDelayUs, 1, maxDelayUs)
+	doc.IntRange("remote_delay_us", s.RemoteDelayUs, 1, maxDelayUs)
+}
