--- /dev/null
+++ b/internal/bundle/diff_fields.go
@@ -0,0 +1,145 @@
+package bundle
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// field is one comparable field of a T. The sentence's arguments are the
+// subject's name, the old and the new value.
+type field[T any] struct {
+	key      string
+	value    func(*T) string
+	sentence string
+}
+
+type fieldList[T any] []field[T]
+
+// fieldValue is the value of one field.
+type fieldValue struct {
+	key      string
+	value    string
+	sentence string
+}
+
+func (l fieldList[T]) values(t *T) []fieldValue {
+	out := make([]fieldValue, len(l))
+	for i, f := range l {
+		out[i] = fieldValue{key: f.key, value: f.value(t), sentence: f.sentence}
+	}
+	return out
+}
+
+var measuringFields = fieldList[Measuring]{
+	{"per_upstream_per_second", func(m *Measuring) string { return number(m.PerUpstreamPerSecond) },
+		"Each upstream%[1]s may get %[3]s measuring messages a second instead of %[2]s."},
+	{"poll_share", func(m *Measuring) string { return percent(m.PollShare) },
+		"Owners' polls of their workers%[1]s have %[3]s of the measuring budget instead of %[2]s."},
+}
+
+var retryFields = fieldList[Retry]{
+	{"per_path", func(r *Retry) string { return strconv.Itoa(r.PerPath) },
+		"Each request%[1]s may cause %[3]s extra attempts in all hops together instead of %[2]s."},
+	{"ratio", func(r *Retry) string { return percent(r.Ratio) },
+		"Each entry node%[1]s may add %[3]s of extra attempts to a service's first ones instead of %[2]s."},
+	{"hedge_after_quantile", func(r *Retry) string { return hedge(r.HedgeAfterQuantile) },
+		"Idempotent requests%[1]s are hedged %[3]s instead of %[2]s."},
+}
+
+var classFields = fieldList[Class]{
+	{"worth", func(c *Class) string { return number(c.Worth) },
+		"An answer of class %[1]s in deadline is worth %[3]s instead of %[2]s."},
+	{"deadline_ms", func(c *Class) string { return ms(c.DeadlineMs) },
+		"Requests of class %[1]s that name no deadline have %[3]s instead of %[2]s."},
+	{"max_deadline_ms", func(c *Class) string { return ms(c.MaxDeadlineMs) },
+		"Requests of class %[1]s may name a deadline of up to %[3]s instead of %[2]s."},
+	{"share", func(c *Class) string { return percent(c.Share) },
+		"Class %[1]s is guaranteed %[3]s of an upstream's slots instead of %[2]s."},
+}
+
+var tenantFields = fieldList[Tenant]{
+	{"rate_per_second", func(t *Tenant) string { return bound(t.RatePerSecond) },
+		"Tenant %[1]s may send %[3]s requests a second to each service instead of %[2]s."},
+	{"burst", func(t *Tenant) string { return bound(t.Burst) },
+		"Tenant %[1]s may send %[3]s requests at once instead of %[2]s."},
+	{"max_share", func(t *Tenant) string { return percent(t.MaxShare) },
+		"Tenant %[1]s may hold %[3]s of an upstream's slots while others wait instead of %[2]s."},
+}
+
+var serviceFields = fieldList[Service]{
+	{"slots", func(s *Service) string { return strconv.Itoa(s.Slots) },
+		"Each upstream of service %[1]s runs %[3]s requests at once instead of %[2]s."},
+	{"connections", func(s *Service) string { return strconv.Itoa(s.Connections) },
+		"Each upstream of service %[1]s takes %[3]s connections instead of %[2]s."},
+	{"queue_limit", func(s *Service) string { return strconv.Itoa(s.QueueLimit) },
+		"Up to %[3]s requests wait at each owner of service %[1]s instead of %[2]s."},
+	{"body_limit_bytes", func(s *Service) string { return strconv.FormatInt(s.BodyLimitBytes, 10) },
+		"Callers of service %[1]s may send bodies of up to %[3]s bytes instead of %[2]s."},
+	{"warmup_ms", func(s *Service) string { return ms(s.WarmupMs) },
+		"A cold upstream of service %[1]s warms up over %[3]s instead of %[2]s."},
+	{"key_memory_ms", func(s *Service) string { return ms(s.KeyMemoryMs) },
+		"Owners of service %[1]s remember a finished request id for %[3]s instead of %[2]s."},
+	{"require_echo", func(s *Service) string { return strconv.FormatBool(s.RequireEcho) },
+		"Workers of service %[1]s must echo the attempt's id: %[3]s instead of %[2]s."},
+	{"health_path", func(s *Service) string { return polled(s.HealthPath) },
+		"The health of workers of service %[1]s is polled at %[3]s instead of %[2]s."},
+	{"load_path", func(s *Service) string { return polled(s.LoadPath) },
+		"The load of workers of service %[1]s is polled at %[3]s instead of %[2]s."},
+}
+
+var upstreamFields = fieldList[Upstream]{
+	{"slots", func(u *Upstream) string { return override(u.Slots) },
+		"Upstream %[1]s runs %[3]s requests at once instead of %[2]s."},
+	{"connections", func(u *Upstream) string { return override(u.Connections) },
+		"Upstream %[1]s takes %[3]s connections instead of %[2]s."},
+}
+
+var routeFields = fieldList[routeUse]{
+	{"service", func(u *routeUse) string { return u.service },
+		"Requests for %[1]s go to service %[3]s instead of %[2]s."},
+	{"class", func(u *routeUse) string { return u.class },
+		"Requests for %[1]s are of class %[3]s instead of %[2]s."},
+	{"idempotent", func(u *routeUse) string { return u.idempotent },
+		"Requests for %[1]s are taken as %[3]s instead of %[2]s."},
+}
+
+func number(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
+
+// percentDigits is the precision of shares that people read.
+const percentDigits = 6
+
+func percent(f float64) string {
+	return strconv.FormatFloat(f*100, 'g', percentDigits, 64) + "%"
+}
+
+func ms(n int64) string { return fmt.Sprintf("%d ms", n) }
+
+// bound reads a bound of which 0 means none.
+func bound(n float64) string {
+	if n == 0 {
+		return "any number of"
+	}
+	return number(n)
+}
+
+// override reads a limit of which 0 means the service's.
+func override(n int) string {
+	if n == 0 {
+		return "its service's"
+	}
+	return strconv.Itoa(n)
+}
+
+func hedge(quantile float64) string {
+	if quantile == 0 {
+		return "never"
+	}
+	return "after the " + number(quantile) + " quantile of their class"
+}
+
+func polled(path string) string {
+	if path == "" {
+		return "no path"
+	}
+	return path
+}
