Bound raises of the own word and events that peers can cause

Cause: two processes under one name would outbid each other at the speed of the links; each malformed record logged a line; every read in flight looked like a failing list for a moment; and an instance that the list had dropped too waited ten minutes when its data centre had lost two of four.

Change: raises are spaced (1 s doubling to 1 min), such events come once in 10 s, a failing list is logged after 5 s, and the list's absence confirms what two observers say. Loaded() tells when the fleet was taken over.

--- a/internal/member/accuse.go
+++ b/internal/member/accuse.go
@@ -178,8 +178,9 @@
 }
 
 // judge declares an accused instance gone when enough accuse it, it has not
-// objected in time, and its data centre does not look cut off. Only those who
-// observed it themselves do so; the others hear it from them.
+// objected in time, and its data centre does not look cut off, unless the
+// platform's list has dropped the instance too. Only those who observed it
+// themselves do so; the others hear it from them.
 func (c *Controller) judge(now time.Time, a *accused) {
 	switch {
 	case c.doubts(now), !a.by(c.cfg.Self.ID):
@@ -188,7 +189,7 @@
 		return
 	}
 	r, _ := c.table.get(a.id)
-	if serving(r.State) && c.looksCutOff(r.DataCentre) {
+	if serving(r.State) && r.ListMark != wire.ListAbsent && c.looksCutOff(r.DataCentre) {
 		c.sayDoubt(now, r.DataCentre)
 		return
 	}
--- a/internal/member/fleetview_test.go
+++ b/internal/member/fleetview_test.go
@@ -188,3 +188,23 @@
 		t.Errorf("%d bytes and %d reads, then %d and %d", bytes1, reads1, bytes2, reads2)
 	}
 }
+
+func TestLinksRotateWithoutSuspicion(t *testing.T) {
+	f := grown(t, 10, 2, 20*time.Second)
+	before := f.nodes[0].c.Links()
+	f.run(2 * rotateMax)
+	outgoing := func(links []Link) (out []model.InstanceID) {
+		for _, l := range links {
+			if l.Outgoing {
+				out = append(out, l.Peer)
+			}
+		}
+		return out
+	}
+	if cmp.Equal(outgoing(before), outgoing(f.nodes[0].c.Links())) {
+		t.Error("the outgoing links are the same half an hour later")
+	}
+	if k := f.eventCount(event.MemberSuspected) + f.eventCount(event.Isolated); k > 0 {
+		t.Errorf("%d suspicions in a healthy fleet", k)
+	}
+}
--- a/internal/member/gossip.go
+++ b/internal/member/gossip.go
@@ -134,13 +134,13 @@
 // of others.
 func (c *Controller) rumours(now time.Time, l *link, m wire.Rumours) {
 	if len(m.Records) > wire.MaxMemberRecords || len(m.Accusations) > wire.MaxAccusations {
-		c.record(event.MemberMalformed, string(l.peer), "too many rumours in one message")
+		c.recordRarely(now, event.MemberMalformed, string(l.peer), "too many rumours in one message")
 		return
 	}
 	var newer []wire.MemberRecord
 	for _, r := range m.Records {
 		if !wellFormed(r) {
-			c.record(event.MemberMalformed, string(l.peer), "record out of bounds")
+			c.recordRarely(now, event.MemberMalformed, string(l.peer), "record out of bounds")
 			continue
 		}
 		_, known := c.table.get(r.ID)
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -20,6 +20,8 @@
 	// announceAfter is the age at which a read in flight is told to peers; a
 	// faster one is told when it ends.
 	announceAfter = 300 * time.Millisecond
+	// failingAfter is how long reads must have failed for it to be logged.
+	failingAfter = 5 * time.Second
 	// relayStep is how much newer than the last relayed one a read must be to be
 	// relayed at once instead of with the next heartbeat.
 	relayStep = suppress.ReadInterval / 2
@@ -90,7 +92,7 @@
 }
 
 func (c *Controller) tickList(now time.Time) {
-	c.noteFailing()
+	c.noteFailing(now)
 	if c.stage == model.StateGone {
 		return
 	}
@@ -118,8 +120,9 @@
 
 // noteFailing records when reads begin to fail for the whole fleet, and when
 // they end to.
-func (c *Controller) noteFailing() {
-	failing := c.list.timer.Failing()
+func (c *Controller) noteFailing(now time.Time) {
+	attempt, confirmed := c.list.timer.Ages(now)
+	failing := attempt != suppress.Never && confirmed > attempt && confirmed-attempt > failingAfter
 	switch {
 	case failing && !c.list.failing:
 		c.record(event.ListFailed, "", "")
@@ -244,7 +247,7 @@
 		r.State = model.StateLeaving
 	}
 	if !wellFormed(r) {
-		c.record(event.MemberMalformed, string(i.ID), "instance of the platform's list out of bounds")
+		c.recordRarely(now, event.MemberMalformed, string(i.ID), "instance of the platform's list out of bounds")
 		return
 	}
 	if known && r == before {
--- a/internal/member/list_test.go
+++ b/internal/member/list_test.go
@@ -89,6 +89,9 @@
 	if age := f.now.Sub(f.nodes[0].c.ListConfirmed()); age > 5*time.Second {
 		t.Errorf("list confirmed %s ago after the outage", age)
 	}
+	if e := f.nodes[0].events; e[event.ListFailed] != 1 || e[event.ListRecovered] != 1 {
+		t.Errorf("failure and recovery recorded %d and %d times", e[event.ListFailed], e[event.ListRecovered])
+	}
 }
 
 func TestInstanceMissingFromTheListStaysWhileItLives(t *testing.T) {
@@ -126,6 +129,9 @@
 	if perSecond < 0.3 || perSecond > 10 {
 		t.Errorf("%.1f reads a second of 100 nodes", perSecond)
 	}
+	if k := f.eventCount(event.ListFailed); k > 0 {
+		t.Errorf("failure recorded %d times while the list answers", k)
+	}
 	if age := f.now.Sub(f.nodes[50].c.ListConfirmed()); age > 5*time.Second {
 		t.Errorf("list confirmed %s ago", age)
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -40,7 +40,10 @@
 	dirty    bool
 	revision uint64
 	// stage is this node's own life stage, as the node's life cycle said.
-	stage model.UpstreamState
+	stage  model.UpstreamState
+	raises raises
+	// said is when an event that peers can cause was last recorded.
+	said map[event.ID]time.Time
 
 	links  links
 	peers  peering
@@ -60,6 +63,7 @@
 func New(cfg Config, board *blackboard.Board, rng *rand.Rand) *Controller {
 	c := &Controller{cfg: cfg, board: board, rng: rng, table: newTable(), stage: cfg.Self.State}
 	c.list.timer = suppress.New(rng)
+	c.said = map[event.ID]time.Time{}
 	c.peers.init()
 	c.gossip.init()
 	c.reaper.init()
@@ -110,6 +114,10 @@
 // included.
 func (c *Controller) FleetSize() int { return max(c.table.present, 1) }
 
+// Loaded reports whether this node has taken over the whole fleet from its
+// peers, or has found that none of them has it.
+func (c *Controller) Loaded() bool { return c.sync.loaded }
+
 // Self returns this node's own instance with its present incarnation.
 func (c *Controller) Self() model.Instance { return instanceOf(c.self()) }
 
@@ -138,6 +146,7 @@
 }
 
 func (c *Controller) tick(now time.Time) {
+	c.tickSelf(now)
 	c.tickLinks(now)
 	c.tickPeering(now)
 	c.tickChecks(now)
@@ -202,9 +211,9 @@
 	case wire.DigestBuckets:
 		c.digestBuckets(now, l, m)
 	case wire.BucketSummaries:
-		c.bucketSummaries(l, m)
+		c.bucketSummaries(now, l, m)
 	case wire.Want:
-		c.want(l, m)
+		c.want(now, l, m)
 	case wire.Probe:
 		c.probe(now, l, m)
 	case wire.ProbeReply:
@@ -218,12 +227,12 @@
 // spreads it when it is news, unless quiet.
 func (c *Controller) learn(now time.Time, r wire.MemberRecord, peer model.InstanceID, quiet bool) merged {
 	if r.ID == c.cfg.Self.ID && peer != "" && c.contradicts(r) {
-		return c.raise(now, r)
+		return c.contradicted(now, r)
 	}
 	m := c.table.merge(r)
 	switch {
 	case m.refused:
-		c.record(event.MemberLimit, string(r.ID), "")
+		c.recordRarely(now, event.MemberLimit, string(r.ID), "")
 		return m
 	case !m.changed:
 		c.gossip.alsoKnownBy(r.ID, peer, m.now == r)
@@ -286,6 +295,18 @@
 	c.act(control.Record{Event: id, Subject: subject, Detail: detail})
 }
 
+// recordInterval is the least time between two records of an event that a peer
+// can cause at will.
+const recordInterval = 10 * time.Second
+
+func (c *Controller) recordRarely(now time.Time, id event.ID, subject, detail string) {
+	if last, ok := c.said[id]; ok && now.Sub(last) < recordInterval {
+		return
+	}
+	c.said[id] = now
+	c.record(id, subject, detail)
+}
+
 // between returns a random duration from low up to high.
 func (c *Controller) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(c.rng.Int64N(int64(high-low)))
--- a/internal/member/self.go
+++ b/internal/member/self.go
@@ -53,6 +53,59 @@
 	return false
 }
 
+const (
+	// Time between two raises of the own word, doubling, so that two processes
+	// with one name do not outbid each other without end.
+	raiseMin = time.Second
+	raiseMax = time.Minute
+	// raiseForget is the quiet time after which the next raise is not delayed.
+	raiseForget = 5 * time.Minute
+)
+
+// raises bounds how often this node raises its own word above peers'.
+type raises struct {
+	count int
+	last  time.Time
+	// seen is the greatest contradicting record that waits.
+	seen    wire.MemberRecord
+	waiting bool
+}
+
+// may reports whether a raise is due at now, and counts it.
+func (r *raises) may(now time.Time) bool {
+	if now.Sub(r.last) > raiseForget {
+		r.count = 0
+	}
+	if r.count > 0 && now.Sub(r.last) < min(raiseMin<<min(r.count, 10), raiseMax) {
+		return false
+	}
+	r.count++
+	r.last = now
+	return true
+}
+
+// contradicted answers a peer's record that this node must overrule, now or as
+// soon as the bound on raises allows.
+func (c *Controller) contradicted(now time.Time, seen wire.MemberRecord) merged {
+	if c.raises.waiting {
+		seen = join(seen, c.raises.seen)
+	}
+	c.raises.waiting = !c.raises.may(now)
+	c.raises.seen = seen
+	if c.raises.waiting {
+		return merged{old: c.self(), now: c.self(), known: true}
+	}
+	return c.raise(now, seen)
+}
+
+// tickSelf overrules what has waited.
+func (c *Controller) tickSelf(now time.Time) {
+	if c.raises.waiting && c.raises.may(now) {
+		c.raises.waiting = false
+		c.raise(now, c.raises.seen)
+	}
+}
+
 // raise takes a greater incarnation than peers remember, or for a newer word
 // within the same incarnation that is not this process's, a greater counter.
 func (c *Controller) raise(now time.Time, seen wire.MemberRecord) merged {
--- a/internal/member/single_test.go
+++ b/internal/member/single_test.go
@@ -298,3 +298,45 @@
 		t.Errorf("state %s by a list that never changed", s.state(1))
 	}
 }
+
+func TestTwoProcessesOfOneNameDoNotOutbidEachOtherWithoutEnd(t *testing.T) {
+	s := newSingle(2)
+	const minutes = 3
+	for range minutes * 60 {
+		ghost := s.c.self()
+		ghost.Incarnation++
+		s.handle(control.Received{From: id(1), Message: wire.Rumours{Records: []wire.MemberRecord{ghost}}})
+		s.run(time.Second, 1, 2)
+	}
+	raised := 0
+	for _, a := range s.actions {
+		if _, ok := a.(control.AdoptIncarnation); ok {
+			raised++
+		}
+	}
+	if raised < 2 || raised > 10 {
+		t.Errorf("raised %d times in %d minutes", raised, minutes)
+	}
+}
+
+func TestListsAbsenceConfirmsWhatObserversSay(t *testing.T) {
+	s := newSingle(4)
+	var all []model.Instance
+	for i := range 5 {
+		all = append(all, instance(i, 1, model.StateLive))
+	}
+	s.handle(control.ListRead{Revision: 1, Full: true, Instances: all})
+	all[1].State = model.StateGone
+	s.handle(control.ListRead{Revision: 2, Instances: all[1:2]})
+	for _, target := range []int{1, 2} {
+		for _, a := range s.handle(control.LinkDown{Peer: id(target), Failed: true}) {
+			s.answer(a)
+		}
+		s.run(300*time.Millisecond, 3, 4)
+		s.accuse(3, target)
+	}
+	s.run(5*time.Second, 3, 4)
+	if s.state(1) != model.StateGone || s.state(2) != model.StateLive {
+		t.Errorf("states %s and %s of two accused among four, want gone and live", s.state(1), s.state(2))
+	}
+}
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -148,7 +148,7 @@
 		return
 	}
 	if len(m.Records) > wire.MaxMemberRecords {
-		c.record(event.MemberMalformed, string(l.peer), "snapshot piece too long")
+		c.recordRarely(now, event.MemberMalformed, string(l.peer), "snapshot piece too long")
 		return
 	}
 	for _, r := range m.Records {
@@ -170,7 +170,7 @@
 // takeOver merges a record that is no news to the fleet.
 func (c *Controller) takeOver(now time.Time, l *link, r wire.MemberRecord) {
 	if !wellFormed(r) {
-		c.record(event.MemberMalformed, string(l.peer), "record out of bounds")
+		c.recordRarely(now, event.MemberMalformed, string(l.peer), "record out of bounds")
 		return
 	}
 	c.learn(now, r, l.peer, true)
@@ -190,7 +190,7 @@
 // digestBuckets sends summaries of buckets that differ, from a random one on.
 func (c *Controller) digestBuckets(now time.Time, l *link, m wire.DigestBuckets) {
 	if len(m.Hashes) != wire.DigestBucketCount*shortHashBytes {
-		c.record(event.MemberMalformed, string(l.peer), "digest of the wrong length")
+		c.recordRarely(now, event.MemberMalformed, string(l.peer), "digest of the wrong length")
 		return
 	}
 	var marked bucketSet
@@ -238,16 +238,16 @@
 
 // bucketSummaries sends the records that the peer lacks or has otherwise, and
 // asks for those that this node lacks or has otherwise.
-func (c *Controller) bucketSummaries(l *link, m wire.BucketSummaries) {
+func (c *Controller) bucketSummaries(now time.Time, l *link, m wire.BucketSummaries) {
 	if len(m.Buckets) > wire.MaxSummaries {
-		c.record(event.MemberMalformed, string(l.peer), "too many bucket summaries")
+		c.recordRarely(now, event.MemberMalformed, string(l.peer), "too many bucket summaries")
 		return
 	}
 	var marked bucketSet
 	theirs := map[uint32]uint32{}
 	for _, b := range m.Buckets {
 		if int(b.Index) >= wire.DigestBucketCount || len(b.Entries)%entryBytes != 0 {
-			c.record(event.MemberMalformed, string(l.peer), "bucket summary out of bounds")
+			c.recordRarely(now, event.MemberMalformed, string(l.peer), "bucket summary out of bounds")
 			return
 		}
 		marked[b.Index] = true
@@ -299,12 +299,12 @@
 }
 
 // want answers with the records asked for.
-func (c *Controller) want(l *link, m wire.Want) {
+func (c *Controller) want(now time.Time, l *link, m wire.Want) {
 	var marked bucketSet
 	ids := map[uint32]bool{}
 	for _, b := range m.Buckets {
 		if int(b.Index) >= wire.DigestBucketCount || len(b.IDs)%shortHashBytes != 0 || len(ids) > wire.MaxWanted {
-			c.record(event.MemberMalformed, string(l.peer), "wanted records out of bounds")
+			c.recordRarely(now, event.MemberMalformed, string(l.peer), "wanted records out of bounds")
 			return
 		}
 		marked[b.Index] = true
