--- a/internal/spread/ready.go
+++ b/internal/spread/ready.go
@@ -86,10 +86,11 @@
 }
 
 // hearsay tells whether a version is known by the index alone, cannot be had, and
-// is in force at none of the ready peers that answered: it must not keep a fresh
-// node from serving what they serve for as long as the platform is down.
+// was named by no peer: it must not keep a fresh node from serving what ready
+// peers serve for as long as the platform is down. A version that a peer has
+// named is waited for, also when that peer falls silent.
 func (c *Controller) hearsay(w *want) bool {
-	return !w.vouched && w.tries >= hearsayTries && c.links.answers(true) > 0
+	return !w.named && w.tries >= hearsayTries && c.links.answers(true) > 0
 }
 
 // missingBesidePeers is what is missing when ready peers answer.
--- a/internal/spread/want.go
+++ b/internal/spread/want.go
@@ -43,10 +43,9 @@
 	target uint64
 	// peers have said that they hold a newer version.
 	peers []model.InstanceID
-	// vouched says that a peer has ever said so, also one that was since given up
-	// as a source.
-	vouched bool
-	// listed says that this node's own index reading named it.
+	// named says that a peer or a call named a version above the one in force,
+	// listed that this node's own index reading did.
+	named  bool
 	listed bool
 	// since is when target was last raised.
 	since time.Time
@@ -82,7 +81,6 @@
 		w.peers = append(w.peers[:0], w.peers[1:]...)
 	}
 	w.peers = append(w.peers, id)
-	w.vouched = true
 }
 
 func (w *want) dropPeer(id model.InstanceID) {
@@ -166,6 +164,7 @@
 		return
 	}
 	w.addPeer(peer)
+	w.named = true
 	if w.idle() {
 		w.nextTry = c.now
 	}
