--- a/internal/proof/ledger_test.go
+++ b/internal/proof/ledger_test.go
@@ -47,7 +47,7 @@
 	requests map[model.RequestID]*request
 	// sendings in the order in which callers made them; attempts by their ids.
 	sendings []*sending
-	attempts map[model.AttemptID]*sending
+	attempts map[model.AttemptID]*attemptRecord
 
 	lives    map[*life]*lifeRecord
 	measures map[*node][]time.Time
@@ -67,35 +67,45 @@
 
 // sending is one time that a caller sent a request.
 type sending struct {
-	number     int
-	request    model.RequestID
-	keyed      bool
-	route      callerRoute
-	tenant     model.TenantName
-	begun      time.Time
-	exchange   *exchange
-	home       homeRecord
-	ended      bool
-	told       bool
-	outcome    model.Outcome
-	toldAt     time.Time
-	candidates string
+	number   int
+	request  model.RequestID
+	keyed    bool
+	route    callerRoute
+	tenant   model.TenantName
+	begun    time.Time
+	exchange *exchange
+	// homes are the processes that were asked as the home of the sending's id;
+	// asked is the last attempt that asked one.
+	homes   map[*life]*homeRecord
+	asked   *attemptRecord
+	ended   bool
+	told    bool
+	outcome model.Outcome
+	toldAt  time.Time
 }
 
-// homeRecord is what a sending had to do with its id's home.
-type homeRecord struct {
-	// life is the home's process that was asked last.
-	life *life
-	// registered is when that process first took the id for this sending; zero
-	// when it never did. word is when it last spoke to it.
-	registered, word time.Time
+// homeRecord is what a sending had to do with a home of its id: registered is
+// when that process first took the id for it, zero when it never did, and word
+// when it last spoke.
+type homeRecord struct{ registered, word time.Time }
+
+// attemptRecord is what the oracle knows of one attempt.
+type attemptRecord struct {
+	sending *sending
+	// home is the process at which the sending's id is registered for this
+	// attempt; nil as long as it was not reached.
+	home *life
+	// to is the home that was asked, candidates are the upstreams among which the
+	// entry saw it.
+	to         model.InstanceID
+	candidates string
 }
 
 // workerRun is one run of a request at a worker.
 type workerRun struct {
 	attempt model.AttemptID
+	record  *attemptRecord
 	sending *sending
-	home    *life
 	worker  model.InstanceID
 	at      time.Time
 }
@@ -111,7 +121,7 @@
 func newLedger(w *world) *ledger {
 	return &ledger{
 		w: w, counts: map[string]int{}, requests: map[model.RequestID]*request{},
-		attempts: map[model.AttemptID]*sending{}, lives: map[*life]*lifeRecord{},
+		attempts: map[model.AttemptID]*attemptRecord{}, lives: map[*life]*lifeRecord{},
 		measures: map[*node][]time.Time{}, disturbedAt: w.now,
 	}
 }
@@ -145,6 +155,7 @@
 func (g *ledger) begin(s *sending) {
 	s.number = len(g.sendings)
 	s.begun = g.w.now
+	s.homes = map[*life]*homeRecord{}
 	g.sendings = append(g.sendings, s)
 	r := g.requests[s.request]
 	if r == nil {
@@ -160,11 +171,22 @@
 
 // sent notes an attempt that an entry makes.
 func (g *ledger) sent(x *exchange, step entry.Step) {
-	g.attempts[step.Attempt.ID] = x.sending
+	s := x.sending
+	rec := &attemptRecord{sending: s}
+	g.attempts[step.Attempt.ID] = rec
 	g.count("attempts")
 	g.w.trace.add(g.w, "sent", step.Attempt.ID, step.To.ID)
-	if x.sending.bound() && !step.Attempt.Delegated {
-		x.sending.candidates = candidates(x.l, step.Attempt.Service)
+	switch {
+	case !s.bound():
+	case step.Attempt.Delegated:
+		rec.home, rec.candidates = s.asked.home, s.asked.candidates
+	default:
+		rec.to, rec.candidates = step.To.ID, candidates(x.l, step.Attempt.Service)
+		if s.asked != nil && s.asked.to == rec.to && !strings.Contains(rec.candidates, string(rec.to)) {
+			// Sent to the same owner again, with a fresh stamp: no new choice.
+			rec.candidates = s.asked.candidates
+		}
+		s.asked = rec
 	}
 }
 
@@ -191,25 +213,30 @@
 	if knew && v != owner.Refuse {
 		g.violate(promiseLeaving, "%s admitted %s although it knows that it leaves", j.l.node.id, j.attempt.ID)
 	}
-	s := g.attempts[j.attempt.ID]
+	rec := g.attempts[j.attempt.ID]
+	s := rec.sending
 	if !s.bound() || j.attempt.Delegated {
 		return
 	}
-	if s.home.life != j.l {
-		s.home = homeRecord{life: j.l}
+	rec.home = j.l
+	h := s.homes[j.l]
+	if h == nil {
+		h = &homeRecord{}
+		s.homes[j.l] = h
 	}
-	s.home.word = g.w.now
+	h.word = g.w.now
 	registers := v != owner.Refuse || r.Reason == model.ReasonDelegated
-	if registers && s.home.registered.IsZero() {
-		s.home.registered = g.w.now
+	if registers && h.registered.IsZero() {
+		h.registered = g.w.now
 	}
 }
 
 // ran notes a run at a worker.
 func (g *ledger) ran(wk *worker, j *job) {
-	s := g.attempts[j.attempt.ID]
+	rec := g.attempts[j.attempt.ID]
+	s := rec.sending
 	r := g.requests[s.request]
-	run := workerRun{attempt: j.attempt.ID, sending: s, home: s.home.life, worker: wk.n.id, at: g.w.now}
+	run := workerRun{attempt: j.attempt.ID, record: rec, sending: s, worker: wk.n.id, at: g.w.now}
 	g.w.trace.add(g.w, "ran", j.attempt.ID, wk.n.id)
 	g.count("runs")
 	g.checkOnce(r, run)
--- a/internal/proof/life_test.go
+++ b/internal/proof/life_test.go
@@ -260,7 +260,12 @@
 func (l *life) act(a control.Action) {
 	switch a := a.(type) {
 	case control.Send:
+		if _, probed := a.Message.(wire.LoadReply); probed {
+			l.w.ledger.measured(l.node)
+		}
 		l.links.send(a.To, a.Message)
+	case control.SendDirect:
+		l.links.sendTo(a.To, a.Message, func(bool) {})
 	case control.OpenLink:
 		l.links.open(a.Peer, a.Address)
 	case control.CloseLink:
--- a/internal/proof/link_test.go
+++ b/internal/proof/link_test.go
@@ -201,6 +201,9 @@
 			panic(err)
 		}
 		w.trace.add(w, "message", e.l.node.id, to.l.node.id, m.Kind(), len(data))
+		if _, probe := m.(wire.LoadProbe); probe {
+			w.ledger.count("probes arrived")
+		}
 		to.l.event(control.Received{From: e.l.node.id, Message: m})
 	}
 	if w.net.isCut(e.l.node, to.l.node) {
--- a/internal/proof/oracle_test.go
+++ b/internal/proof/oracle_test.go
@@ -27,27 +27,27 @@
 		case before.sending == run.sending:
 			g.violate(promiseOnce, "%s ran at %s (%s) and again at %s (%s)",
 				r.id, before.worker, before.attempt, run.worker, run.attempt)
-		case before.home == run.home:
+		case before.record.home == run.record.home:
 			g.violate(promiseOnce, "%s ran for sendings %d (%s) and %d (%s), both registered at %s",
-				r.id, before.sending.number, before.attempt, run.sending.number, run.attempt, run.home.node.id)
+				r.id, before.sending.number, before.attempt, run.sending.number, run.attempt, run.record.home.node.id)
 		default:
-			g.excuse(promiseOnce, before.sending, run.sending, before.home, run.home)
+			g.excuse(promiseOnce, before.record, run.record)
 		}
 	}
 }
 
 // excuse counts a breach that the design names, by its cause, and reports one
 // that it does not name: equal views with different homes.
-func (g *ledger) excuse(p promise, a, b *sending, homeA, homeB *life) {
+func (g *ledger) excuse(p promise, a, b *attemptRecord) {
 	switch {
-	case homeA.node == homeB.node:
+	case a.home.node == b.home.node:
 		g.count("excused: the home restarted")
 	case a.candidates == b.candidates:
 		g.violate(p, "sendings %d and %d of %s had the homes %s and %s under equal views (%s)",
-			a.number, b.number, a.request, homeA.node.id, homeB.node.id, a.candidates)
-	case !homeA.alive || !homeB.alive:
+			a.sending.number, b.sending.number, a.sending.request, a.home.node.id, b.home.node.id, a.candidates)
+	case !a.home.alive || !b.home.alive:
 		g.count("excused: the home was lost")
-	case homeA.leaving() || homeB.leaving():
+	case a.home.leaving() || b.home.leaving():
 		g.count("excused: the home was leaving")
 	default:
 		g.count("excused: the views differed")
@@ -67,16 +67,16 @@
 			s.number, s.request, s.toldAt.Sub(epoch), run.attempt, run.worker, run.at.Sub(epoch))
 	case !s.bound() || a.begun.After(s.toldAt):
 		// An idempotent request's outcome speaks of its own sending.
-	case s.home.life == nil:
+	case s.asked == nil || s.asked.home == nil:
 		if run.at.Before(s.toldAt) {
 			g.violate(promiseNotRun, "sending %d of %s was told not-run without the home's word; sending %d ran",
 				s.number, s.request, a.number)
 		}
-	case s.home.life != run.home:
-		g.excuse(promiseNotRun, a, s, run.home, s.home.life)
-	case !a.home.registered.After(s.home.word):
+	case s.asked.home != run.record.home:
+		g.excuse(promiseNotRun, run.record, s.asked)
+	case !a.homes[run.record.home].registered.After(s.homes[s.asked.home].word):
 		g.violate(promiseNotRun, "sending %d of %s was told not-run; sending %d, which %s knew of, ran",
-			s.number, s.request, a.number, run.home.node.id)
+			s.number, s.request, a.number, s.asked.home.node.id)
 	}
 }
 
--- a/internal/proof/watch_test.go
+++ b/internal/proof/watch_test.go
@@ -28,7 +28,12 @@
 	if l.w.switches.dropBudget {
 		perSecond *= 10
 	}
-	l.poll(func() { l.after(pollPause(perSecond), l.pollNext) })
+	next := func() { l.after(pollPause(perSecond), l.pollNext) }
+	if !l.w.switches.dropBudget && !l.core.Landing.AllowPoll(l.w.now) {
+		next()
+		return
+	}
+	l.poll(next)
 }
 
 func pollPause(perSecond float64) time.Duration {
