Add gypsumd, /status and /explain

Change: daemon (settings, signals, exit codes; SIGHUP checks the settings file and changes nothing), gypsumd's main, the JSON of the operators' port. Conclusion: a node's settings take force by a planned stop and start only.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,141 @@
+// Package daemon is gypsumd without its main: it reads the settings, runs a node
+// and obeys signals.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+
+	"github.com/rs/zerolog"
+
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/finding"
+	"gypsumstand/internal/node"
+	"gypsumstand/internal/settings"
+)
+
+// Exit codes of gypsumd.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitSettings = 3
+	// ExitCutOff: the stop's bound ended with requests in flight.
+	ExitCutOff = 4
+)
+
+// Run reads the settings at path and serves until ctx ends or SIGTERM or SIGINT
+// comes, then stops gracefully. It returns the exit code.
+func Run(ctx context.Context, path string, out io.Writer) int {
+	log := zerolog.New(out).With().Timestamp().Logger()
+	s, err := settings.Load(path)
+	if err != nil {
+		refuse(&log, err)
+		return ExitSettings
+	}
+	log = log.Level(s.Level())
+	s.Log(&log)
+	cfg, err := config(s, log)
+	if err != nil {
+		refuse(&log, err)
+		return ExitSettings
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	n, err := node.New(cfg)
+	if err != nil {
+		event.Log(&log, event.Fatal).Err(err).Send()
+		return ExitFailed
+	}
+	go watchHangUp(ctx, path, s, &log)
+	return code(n.Run(ctx))
+}
+
+func code(err error) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, node.ErrCutOff):
+		return ExitCutOff
+	}
+	return ExitFailed
+}
+
+// refuse logs every finding of the settings, one a line.
+func refuse(log *zerolog.Logger, err error) {
+	var list finding.List
+	if !errors.As(err, &list) {
+		event.Log(log, event.SettingsRefused).Err(err).Send()
+		return
+	}
+	for _, f := range list {
+		event.Log(log, event.SettingsRefused).Str("finding", f.String()).Send()
+	}
+}
+
+// config turns settings into the node's configuration.
+func config(s *settings.Settings, log zerolog.Logger) (node.Config, error) {
+	secured, err := s.TLS.Load()
+	if err != nil {
+		return node.Config{}, err
+	}
+	return node.Config{
+		Instance:           s.Instance,
+		Service:            s.Service,
+		DataCentre:         s.DataCentre,
+		CallerAddress:      s.CallerAddress,
+		PeerAddress:        s.PeerAddress,
+		OperatorAddress:    s.OperatorAddress,
+		WorkerAddress:      s.WorkerAddress,
+		ListAddresses:      []string{s.Platform.ListAddress},
+		ConfigAddresses:    []string{s.Platform.ConfigAddress},
+		PlatformTimeout:    s.Platform.Timeout(),
+		Seeds:              s.Peers,
+		Trusted:            s.Trusted(),
+		PeerTLS:            secured,
+		StopTimeout:        s.StopTimeout(),
+		LeaveGrace:         s.LeaveGrace(),
+		LocalDelay:         s.LocalDelay(),
+		RemoteDelay:        s.RemoteDelay(),
+		MaxHeaderBytes:     s.MaxHeaderBytes,
+		MaxIdleConnections: s.MaxIdleConnections,
+		IdleTimeout:        node.DefaultIdleTimeout,
+		Log:                log,
+	}, nil
+}
+
+// watchHangUp checks the settings file anew at each SIGHUP and says whether it is
+// sound and differs from the settings in force. Nothing is changed: a node's own
+// settings take force by a planned stop and a start, so that no node runs on
+// half of an edit; all that changes while it runs is in the bundles.
+func watchHangUp(ctx context.Context, path string, inForce *settings.Settings, log *zerolog.Logger) {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUps:
+			checkAnew(path, inForce, log)
+		}
+	}
+}
+
+func checkAnew(path string, inForce *settings.Settings, log *zerolog.Logger) {
+	s, err := settings.Load(path)
+	if err != nil {
+		refuse(log, err)
+		return
+	}
+	word := "as in force"
+	if !reflect.DeepEqual(s, inForce) {
+		word = "sound, and differ from those in force: stop and start the node to use them"
+	}
+	event.Log(log, event.SettingsChecked).Str("settings", word).Send()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,8 @@
 	RemoteDelay time.Duration
 	// MaxHeaderBytes bounds a request's header.
 	MaxHeaderBytes int
+	// MaxIdleConnections bounds the idle connections to other nodes.
+	MaxIdleConnections int
 	// IdleTimeout bounds the idle time of callers' connections.
 	IdleTimeout time.Duration
 	// Policy of routing; others than the zero value are baselines for
@@ -70,6 +72,9 @@
 	Log    zerolog.Logger
 }
 
+// DefaultIdleTimeout is how long a caller's idle connection is kept.
+const DefaultIdleTimeout = time.Minute
+
 // Bounds that are not settings.
 const (
 	maxAcceptedLinks = 64
@@ -187,7 +192,7 @@
 	})
 	n.watch = newWorkerWatch(n)
 	n.executor = server.NewExecutor(n.core.Owner, n.cfg.WorkerAddress, n.watch.traffic)
-	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS)
+	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS, n.cfg.MaxIdleConnections)
 	n.links = link.New(link.Config{Self: n.self, Sink: n.sink, TLS: n.cfg.PeerTLS, Dial: n.cfg.DialPeer, MaxAccepted: maxAcceptedLinks})
 	n.settler = newSettler(n)
 	n.makeServers()
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -11,6 +11,7 @@
 	"gypsumstand/internal/link"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/server"
+	"gypsumstand/internal/status"
 )
 
 // makeServers wires the handlers of the three ports.
@@ -78,6 +79,8 @@
 	r.Path("/metrics").Handler(promhttp.HandlerFor(n.metrics.Registry(), promhttp.HandlerOpts{}))
 	r.Path("/healthz").HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Path("/readyz").HandlerFunc(n.serveReady)
+	r.Path(status.NodePath).Methods(http.MethodGet).HandlerFunc(n.serveStatus)
+	r.Path(status.ExplainPath).Methods(http.MethodGet).HandlerFunc(n.serveExplain)
 	return r
 }
 
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -134,10 +134,14 @@
 )
 
 // NewForwarder returns a forwarder; secured, when not nil, is the mutual TLS of
-// the peers, and a nil dial means TCP.
-func NewForwarder(dial upstream.Dial, secured *tls.Config) *Forwarder {
+// the peers, and a nil dial means TCP. idle bounds the idle connections to all
+// nodes together; zero means the default.
+func NewForwarder(dial upstream.Dial, secured *tls.Config, idle int) *Forwarder {
+	if idle == 0 {
+		idle = peerIdle
+	}
 	t := upstream.NewTransport(dial, peerIdlePerHost, 0)
-	t.MaxIdleConns = peerIdle
+	t.MaxIdleConns = idle
 	t.IdleConnTimeout = peerIdleTimeout
 	t.MaxResponseHeaderBytes = peerMaxHeaderBytes
 	t.ExpectContinueTimeout = peerContinueTimeout
