Tell membership of owners that calls cannot reach; example nodes

Cause: a dead owner was noticed by its peers' links only, and the examples had the settings of one node each. Change: calls tell membership, once a tick and owner; settings of all 21 example nodes and the lists of instances, each loaded by a test.

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -140,3 +140,24 @@
 		t.Error("the two files hold keys of two pairs")
 	}
 }
+
+func TestEveryNodesSettingsLoadAndFitTheBundle(t *testing.T) {
+	want := map[string]int{"inyange": 11, "brethyn": 10}
+	for _, d := range deployments {
+		files, err := filepath.Glob(filepath.Join(d, "nodes", "*.toml"))
+		if err != nil || len(files) != want[d] {
+			t.Fatalf("%s: %d settings, want %d (%v)", d, len(files), want[d], err)
+		}
+		b := openBundle(t, d)
+		for _, file := range files {
+			s, err := settings.Load(file)
+			if err != nil {
+				t.Errorf("%s:\n%v", file, err)
+				continue
+			}
+			if b.Service(s.Service) == nil || string(s.Instance)+".toml" != filepath.Base(file) {
+				t.Errorf("%s: instance %s, service %s", file, s.Instance, s.Service)
+			}
+		}
+	}
+}
--- a/internal/deploy/deploy.go
+++ b/internal/deploy/deploy.go
@@ -15,7 +15,6 @@
 	"gypsumstand/internal/fake/worker"
 	"gypsumstand/internal/load"
 	"gypsumstand/internal/local"
-	"gypsumstand/internal/model"
 )
 
 // Deployment is an example's bundle with the number of workers per service.
@@ -108,13 +107,10 @@
 )
 
 // Streams returns one stream per route that together offer each service the
-// given share of its capacity.
+// given share of its capacity. They name no tenant, so that no tenant's limit
+// bounds the load.
 func (d *Deployment) Streams(share float64) []load.Stream {
 	var out []load.Stream
-	tenant := model.TenantName("")
-	if len(d.Bundle.Tenants) > 0 {
-		tenant = d.Bundle.Tenants[0].Name
-	}
 	for i := range d.Bundle.Services {
 		svc := &d.Bundle.Services[i]
 		total := 0.0
@@ -124,7 +120,6 @@
 		for j := range svc.Routes {
 			r := &svc.Routes[j]
 			s := d.stream(r)
-			s.Tenant = tenant
 			s.RatePerSecond = share * d.Capacity(i) * d.weight(r) / total
 			out = append(out, s)
 		}
--- /dev/null
+++ b/internal/node/callfilter.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"sync"
+
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/model"
+)
+
+// callFilter passes on what calls show: newer bundle versions that rode on
+// them, and owners that could not be reached; each once a tick.
+type callFilter struct {
+	mu        sync.Mutex
+	sent      map[model.BundleVersion]bool
+	unreached map[model.InstanceID]bool
+}
+
+// first reports whether v has not been passed on since the last tick.
+func (f *callFilter) first(v model.BundleVersion) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sent[v] {
+		return false
+	}
+	if f.sent == nil {
+		f.sent = map[model.BundleVersion]bool{}
+	}
+	f.sent[v] = true
+	return true
+}
+
+// reset forgets at each tick what was passed on.
+func (f *callFilter) reset(ev control.Event) {
+	if _, tick := ev.(control.Tick); !tick {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.sent)
+	clear(f.unreached)
+}
+
+// firstUnreached reports whether id has not been passed on since the last tick.
+func (f *callFilter) firstUnreached(id model.InstanceID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unreached[id] {
+		return false
+	}
+	if f.unreached == nil {
+		f.unreached = map[model.InstanceID]bool{}
+	}
+	f.unreached[id] = true
+	return true
+}
+
+// seen is told each version that rode on a call.
+func (n *Node) seen(from model.InstanceID, v model.BundleVersion) {
+	if v.Name == "" {
+		return
+	}
+	held := n.core.Board.Bundles.Get().Bundle(v.Name)
+	if held != nil && held.Version >= v.Version {
+		return
+	}
+	if n.calls.first(v) {
+		n.sink(control.VersionSeen{From: from, Version: v})
+	}
+}
+
+// unreached is told each owner that no connection could be had to.
+func (n *Node) unreached(id model.InstanceID) {
+	if n.calls.firstUnreached(id) {
+		n.sink(control.CallFailed{Peer: id})
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -36,7 +36,7 @@
 		}
 		last = now
 		n.apply(n.core.Handle(now, ev))
-		n.versions.reset(ev)
+		n.calls.reset(ev)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,7 +101,7 @@
 	settler   *settler
 	watch     *workerWatch
 	events    chan control.Event
-	versions  versionFilter
+	calls     callFilter
 
 	ports  ports
 	ctx    context.Context
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -48,6 +48,7 @@
 		Recorder:  recorder{n},
 		Log:       &n.log,
 		Seen:      n.seen,
+		Unreached: n.unreached,
 		Leaving:   func() bool { return n.self().State >= model.StateLeaving },
 	}
 	r := newRouter()
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -70,6 +70,9 @@
 	Log       *zerolog.Logger
 	// Seen is told the bundle versions that owners report; it does not block.
 	Seen func(from model.InstanceID, v model.BundleVersion)
+	// Unreached is told of each owner that no connection could be had to; it does
+	// not block.
+	Unreached func(id model.InstanceID)
 	// Leaving tells whether callers are to be sent away (Connection: close).
 	Leaving func() bool
 }
@@ -256,6 +259,9 @@
 		x.caller.Seen(step.To.ID, result.Report.Bundle)
 		x.call.Report(now, result.Report)
 	}
+	if !heard && result.Refusal.Reason == model.ReasonWorkerUnreachable {
+		x.caller.Unreached(step.To.ID)
+	}
 	if x.body.stream != nil {
 		x.call.SetReplayable(!x.body.touched.Load())
 	}
