--- a/internal/tomlfile/document.go
+++ b/internal/tomlfile/document.go
@@ -20,8 +20,8 @@
 // Refused tells whether the value of key, or of a table that holds it, was not
 // taken, so that the struct's field says nothing.
 func (d *Document) Refused(key string) bool {
-	for _, r := range d.refused {
-		if within(key, r) {
+	for ; key != ""; key = parent(key) {
+		if d.refused[key] {
 			return true
 		}
 	}
@@ -30,18 +30,7 @@
 
 // RefusedBelow tells whether key or anything within it was not taken.
 func (d *Document) RefusedBelow(key string) bool {
-	for _, r := range d.refused {
-		if within(r, key) || within(key, r) {
-			return true
-		}
-	}
-	return false
-}
-
-// within tells whether key is outer or stands in it.
-func within(key, outer string) bool {
-	rest, ok := strings.CutPrefix(key, outer)
-	return ok && (rest == "" || rest[0] == '.' || rest[0] == '[')
+	return d.holders[key] || d.Refused(key)
 }
 
 // Add notes a fault of key with the place of key, or of the innermost table
--- a/internal/tomlfile/index.go
+++ b/internal/tomlfile/index.go
@@ -10,6 +10,13 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
+// Bounds of what is indexed, so that the cost stays proportional to the text. No
+// schema comes near them; a key beyond is unknown anyway.
+const (
+	maxKeyParts = 16
+	maxNesting  = 8
+)
+
 // place is one key of the text: a key with its value, or a table header.
 type place struct {
 	// key is the dotted key with indexes, plain the same without indexes.
@@ -85,7 +92,7 @@
 	case unstable.Table, unstable.ArrayTable:
 		x.header(n)
 	case unstable.KeyValue:
-		x.keyValue(n, x.key, x.plain, nil)
+		x.keyValue(n, x.key, x.plain, nil, 0)
 	}
 }
 
@@ -116,7 +123,7 @@
 
 // keyValue adds a key and what its value holds. outer is the place of the
 // expression that an inline table stands in.
-func (x *indexer) keyValue(n *unstable.Node, key, plain string, outer *place) {
+func (x *indexer) keyValue(n *unstable.Node, key, plain string, outer *place, depth int) {
 	parts, offset := keyParts(n)
 	for _, part := range parts {
 		key, plain = join(key, part), join(plain, part)
@@ -128,21 +135,24 @@
 		outer = &p
 	}
 	x.add(p)
-	x.value(n.Value(), key, plain, outer)
+	x.value(n.Value(), key, plain, outer, depth+1)
 }
 
-func (x *indexer) value(n *unstable.Node, key, plain string, outer *place) {
+func (x *indexer) value(n *unstable.Node, key, plain string, outer *place, depth int) {
+	if depth > maxNesting {
+		return
+	}
 	switch n.Kind {
 	case unstable.InlineTable:
 		for it := n.Children(); it.Next(); {
-			x.keyValue(it.Node(), key, plain, outer)
+			x.keyValue(it.Node(), key, plain, outer, depth)
 		}
 	case unstable.Array:
 		i := 0
 		for it := n.Children(); it.Next(); i++ {
 			element := it.Node()
 			if element.Kind == unstable.InlineTable || element.Kind == unstable.Array {
-				x.value(element, key+"["+strconv.Itoa(i)+"]", plain, outer)
+				x.value(element, key+"["+strconv.Itoa(i)+"]", plain, outer, depth+1)
 			}
 		}
 	}
@@ -212,14 +222,17 @@
 	return lines[sort.SearchInts(lines, offset+1)-1]
 }
 
-// keyParts returns the parts of a node's dotted key and where it begins.
+// keyParts returns the parts of a node's dotted key, up to a bound, and where it
+// begins.
 func keyParts(n *unstable.Node) (parts []string, offset int) {
 	for it := n.Key(); it.Next(); {
 		k := it.Node()
 		if len(parts) == 0 {
 			offset = int(k.Raw.Offset)
 		}
-		parts = append(parts, quotePart(string(k.Data)))
+		if len(parts) < maxKeyParts {
+			parts = append(parts, quotePart(string(k.Data)))
+		}
 	}
 	return parts, offset
 }
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -30,16 +30,19 @@
 	// refused are the keys whose values the decoder did not take. What they
 	// would have set is absent from the struct, so nothing is said about them
 	// a second time.
-	refused []string
+	refused map[string]bool
+	// holders are the keys of all tables around refused keys.
+	holders map[string]bool
 	syntax  bool
 }
 
 // Decode decodes data into v, which holds the defaults, and notes each fault in
-// the returned document. Faulty keys leave v's fields at their defaults. file
-// names the text in findings.
+// the returned document. Faulty keys leave v's fields at their defaults. Of
+// several values of a wrong type in one inline table only the first is noted.
+// file names the text in findings.
 func Decode[T any](file string, data []byte, v *T) *Document {
 	idx, syntax := newIndex(data)
-	d := &Document{file: file, index: idx}
+	d := &Document{file: file, index: idx, refused: map[string]bool{}, holders: map[string]bool{}}
 	sch := schemaOf(reflect.TypeFor[T]())
 	text := bytes.Clone(data)
 	if syntax != nil {
@@ -92,16 +95,21 @@
 		}
 		line, column := d.index.position(p.offset)
 		d.findings.Add(finding.Finding{File: d.file, Line: line, Column: column, Key: p.key, Message: "unknown key"})
+		if p.outer != "" {
+			// The rest of the inline table is still to be decoded.
+			d.noteRefused(p.key)
+			continue
+		}
 		d.blank(text, p)
 	}
 }
 
 // refuse notes the decoder's error and blanks the expression at fault, so that
-// the next decoding finds the next; false means that it cannot go on.
+// the next decoding finds the next; false means that there is no more to find.
 func (d *Document) refuse(sch schema, text []byte, err error) bool {
 	var missing *toml.StrictMissingError
-	if errors.As(err, &missing) && len(missing.Errors) > 0 {
-		return d.refuseAt(sch, text, &missing.Errors[0])
+	if errors.As(err, &missing) {
+		return d.refuseMissing(sch, text, missing)
 	}
 	var one *toml.DecodeError
 	if errors.As(err, &one) {
@@ -111,6 +119,18 @@
 	return false
 }
 
+// refuseMissing notes the first unknown key that refuseUnknown has not noted.
+func (d *Document) refuseMissing(sch schema, text []byte, missing *toml.StrictMissingError) bool {
+	for i := range missing.Errors {
+		err := &missing.Errors[i]
+		p, ok := d.index.at(d.index.offset(err.Position()))
+		if !ok || !d.Refused(p.key) {
+			return d.refuseAt(sch, text, err)
+		}
+	}
+	return false
+}
+
 func (d *Document) refuseAt(sch schema, text []byte, err *toml.DecodeError) bool {
 	line, column := err.Position()
 	f := finding.Finding{File: d.file, Line: line, Column: column, Message: strings.TrimPrefix(err.Error(), "toml: ")}
@@ -137,12 +157,12 @@
 // blank overwrites an expression with spaces and keeps its line ends, so that
 // what follows stays at its place.
 func (d *Document) blank(text []byte, p *place) {
-	d.refused = append(d.refused, p.key)
+	d.noteRefused(p.key)
 	if p.outer != "" {
-		d.refused = append(d.refused, p.outer)
+		d.noteRefused(p.outer)
 	}
 	if p.header {
-		d.refused = append(d.refused, withoutLastIndex(p.key))
+		d.noteRefused(withoutLastIndex(p.key))
 	}
 	for i := p.start; i < min(p.end, len(text)); i++ {
 		if text[i] != '\n' && text[i] != '\r' {
@@ -151,6 +171,13 @@
 	}
 }
 
+func (d *Document) noteRefused(key string) {
+	d.refused[key] = true
+	for key = parent(key); key != ""; key = parent(key) {
+		d.holders[key] = true
+	}
+}
+
 func withoutLastIndex(key string) string {
 	if !strings.HasSuffix(key, "]") {
 		return key
