--- a/internal/route/cell.go
+++ b/internal/route/cell.go
@@ -19,6 +19,9 @@
 	failureGain = 1.0 / 8
 	// pathGain is the weight of one result in the smoothed time of the way.
 	pathGain = 1.0 / 8
+	// sameAnswer is the time within which a report may be the one that rode on a
+	// refusal.
+	sameAnswer = int64(time.Millisecond)
 	// mostlyFailing is the failure rate in thousandths above which a worker's
 	// service time says nothing of its service's.
 	mostlyFailing = 500
@@ -42,7 +45,8 @@
 		return 0
 	}
 	passed := max(0, now-h.at)
-	return h.report.Clock + time.Duration(passed-passed/driftDivisor)
+	allowance := (passed + driftDivisor - 1) / driftDivisor
+	return h.report.Clock + time.Duration(passed-allowance)
 }
 
 // contribution returns what a report adds to its service's statistics.
@@ -73,8 +77,11 @@
 	sentAt [sendTimes]atomic.Int64
 	// silentSince is when the upstream was last heard, or when the oldest
 	// attempt since then was sent.
-	silentSince  atomic.Int64
+	silentSince atomic.Int64
+	// backOffUntil is when a refusal's RetryAfter ends, refusedAt when the
+	// refusal came.
 	backOffUntil atomic.Int64
+	refusedAt    atomic.Int64
 	// leavingIn is the incarnation whose owner refused as leaving.
 	leavingIn atomic.Uint64
 	failure   decaying
@@ -99,6 +106,14 @@
 	return inc
 }
 
+// raiseIncarnation takes the fleet's word; an older one is ignored. Called by
+// Update only.
+func (c *cell) raiseIncarnation(inc model.Incarnation) {
+	if uint64(inc) > c.fleetIncarnation.Load() {
+		c.fleetIncarnation.Store(uint64(inc))
+	}
+}
+
 // setFleetState notes the fleet's word.
 func (c *cell) setFleetState(now int64, s model.UpstreamState) {
 	if c.fleetStateAt.Load() != 0 && c.fleetState.Load() == uint32(s) {
@@ -106,6 +121,7 @@
 	}
 	c.fleetState.Store(uint32(s))
 	c.fleetStateAt.Store(now)
+	c.endBackOff(now)
 }
 
 // sendOne counts an attempt.
@@ -164,12 +180,14 @@
 	if r.Incarnation < model.Incarnation(c.fleetIncarnation.Load()) {
 		return
 	}
-	next := &heard{report: *r, at: now, covered: c.sent.Load() - c.sentAfter(now-u.link.roundTrip())}
+	covered := c.sent.Load() - c.sentAfter(now-u.link.roundTrip())
 	for {
 		last := c.heard.Load()
 		if last == retired || (last != nil && !newer(r, &last.report)) {
 			return
 		}
+		next := &heard{report: *r, at: now, covered: covered}
+		next.report.State = stateAfter(last, r)
 		if !c.heard.CompareAndSwap(last, next) {
 			continue
 		}
@@ -178,10 +196,20 @@
 			c.forget()
 		}
 		c.silentSince.Store(now)
+		c.endBackOff(now)
 		return
 	}
 }
 
+// stateAfter returns the state that r tells; leaving never turns back within an
+// incarnation.
+func stateAfter(last *heard, r *model.LoadReport) model.UpstreamState {
+	if last == nil || last.report.Incarnation != r.Incarnation || last.report.State < model.StateLeaving {
+		return r.State
+	}
+	return max(r.State, last.report.State)
+}
+
 // newer orders two reports of one owner.
 func newer(r, last *model.LoadReport) bool {
 	if r.Incarnation != last.Incarnation {
@@ -225,7 +253,8 @@
 
 func (u *upstream) learnRefusal(now int64, r *Result) {
 	c := u.cell
-	if r.RetryAfter > 0 {
+	if r.RetryAfter > 0 && aboutUpstream(r.Refused) {
+		c.refusedAt.Store(now)
 		c.backOffUntil.Store(now + int64(min(r.RetryAfter, maxBackOff)))
 	}
 	if r.Refused == model.ReasonLeaving {
@@ -234,6 +263,26 @@
 	u.link.sample(now, int64(r.Latency-r.Held))
 }
 
+// aboutUpstream tells whether a refusal speaks of the upstream, not of the
+// request or its tenant.
+func aboutUpstream(r model.Reason) bool {
+	switch r {
+	case model.ReasonOverloaded, model.ReasonQueueFull, model.ReasonLeaving,
+		model.ReasonNotReady, model.ReasonWorkerUnreachable,
+		model.ReasonWorkerShed, model.ReasonPaused:
+		return true
+	}
+	return false
+}
+
+// endBackOff ends the back-off when the upstream's word is later than the
+// refusal: the load that it tells speaks for itself.
+func (c *cell) endBackOff(now int64) {
+	if c.backOffUntil.Load() != 0 && now-c.refusedAt.Load() > sameAnswer {
+		c.backOffUntil.Store(0)
+	}
+}
+
 // learnPath smooths the time of the way beyond the link's usual one.
 func (u *upstream) learnPath(now int64, way time.Duration) {
 	excess := max(0, int64(way)-u.link.roundTrip())
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -15,14 +15,18 @@
 	// speedMemory is that of a report's service time and failure rate: a worker
 	// that nobody calls must look worth a try again.
 	speedMemory = 5 * float64(time.Second)
+	// limitMemory is that of a lowered limit towards the slots: it rises while a
+	// worker warms up or recovers.
+	limitMemory = 500 * float64(time.Millisecond)
 	// failureMemory is that of this node's own count of failures.
 	failureMemory = 5 * float64(time.Second)
 	// pathMemory is that of the time of the way beyond the link's usual one.
 	pathMemory = float64(time.Second)
 	// coldPenalty is the wait at an upstream whose owner says that it is cold,
-	// and coldMemory the decay constant of that word.
-	coldPenalty = float64(time.Second)
-	coldMemory  = float64(time.Second)
+	// and coldMemory the decay constant of that word. A try too early costs a
+	// round trip only, since the owner refuses it.
+	coldPenalty = 100 * float64(time.Millisecond)
+	coldMemory  = 100 * float64(time.Millisecond)
 	// maxBackOff bounds what a refusal's RetryAfter is believed.
 	maxBackOff = 10 * time.Second
 	// failureCost bounds the cost of a failed call; it is the call's remaining
@@ -37,6 +41,11 @@
 const (
 	// defaultSlots is for a service that no bundle describes.
 	defaultSlots = 20
+	// deadZone is the part of its service's mean service time by which an
+	// upstream's must differ to count. Smaller differences are mostly the noise
+	// of the owner's smoothing; since all entry nodes hear the same noise, they
+	// would all prefer the same upstream for it.
+	deadZone = 0.5
 	// startShare is the share of the slots that an upstream is taken to run
 	// before its owner was heard.
 	startShare = 4
@@ -45,21 +54,24 @@
 	silenceFactor = 3
 )
 
-// tuning switches parts of the estimate off, for measurements.
+// tuning holds what measurements vary.
 type tuning struct {
 	// local and remote are the numbers of candidates of the own data centre and
 	// of others.
 	local, remote int
 	loadMemory    float64
+	deadZone      float64
 	ownSends      bool
 	failure       bool
-	noise         bool
-	silence       bool
+	// noise is the number of standard deviations of the load that a normal
+	// deviate of one stands for; 0 switches the deviation off.
+	noise   float64
+	silence bool
 }
 
 var defaultTuning = tuning{
-	local: 2, remote: 2, loadMemory: loadMemory,
-	ownSends: true, failure: true, noise: true, silence: true,
+	local: 2, remote: 2, loadMemory: loadMemory, deadZone: deadZone,
+	ownSends: true, failure: true, noise: 2, silence: true,
 }
 
 // Estimate is what is expected of one candidate, part by part. Expected is the
@@ -116,13 +128,13 @@
 	if h == nil || h == retired {
 		p.unheard(u, meanUse, meanService)
 	} else {
-		p.fromReport(t, c, h, now, meanUse, meanService)
+		p.fromReport(t, u, h, now, meanUse, meanService)
 	}
 	p.load = max(p.load, float64(c.inFlight.Load()))
 	p.failureRate = max(p.failureRate, c.failure.value(now, failureMemory))
 	p.queue(t, deviate)
 	p.wait += c.coldWait(h, now)
-	p.wait = max(p.wait, float64(c.backOffUntil.Load()-now))
+	p.wait += float64(max(0, c.backOffUntil.Load()-now))
 	if t.tuning.silence {
 		p.addSilence(c, now)
 	}
@@ -143,25 +155,39 @@
 
 // fromReport ages the last report towards the service's means and adds the own
 // attempts that it could not count.
-func (p *parts) fromReport(t *Table, c *cell, h *heard, now int64, meanUse, meanService float64) {
+func (p *parts) fromReport(t *Table, u *upstream, h *heard, now int64, meanUse, meanService float64) {
 	r := &h.report
 	p.heard = true
 	p.age = float64(max(0, now-h.at))
 	p.limit = float64(max(1, r.Limit))
+	if slots := float64(u.service.slots); slots > p.limit {
+		p.limit += (slots - p.limit) * (1 - math.Exp(-p.age/limitMemory))
+	}
 	reported := float64(r.InFlight) + float64(r.Queued)
 	mean := meanUse * p.limit
 	p.load = mean + (reported-mean)*math.Exp(-p.age/t.tuning.loadMemory)
 	if t.tuning.ownSends {
-		p.load += float64(c.sentSince(h))
+		p.load += float64(u.cell.sentSince(h))
 	}
 	speed := math.Exp(-p.age / speedMemory)
 	p.service = meanService
 	if r.ServiceTime > 0 {
-		p.service += (float64(r.ServiceTime) - meanService) * speed
+		p.service += beyond(float64(r.ServiceTime)-meanService, t.tuning.deadZone*meanService) * speed
 	}
 	p.failureRate = float64(r.FailureRate) / 1000 * speed
 }
 
+// beyond returns the part of d that is farther than zone from zero.
+func beyond(d, zone float64) float64 {
+	switch {
+	case d > zone:
+		return d - zone
+	case d < -zone:
+		return d + zone
+	}
+	return 0
+}
+
 // queue turns the load into an expected wait: the expected excess of the load,
 // this attempt included, over the limit, in service times per slot. The load is
 // uncertain with the variance of a Poisson number, so that the wait grows
@@ -170,10 +196,7 @@
 func (p *parts) queue(t *Table, deviate float64) {
 	const normalAtZero = 2 / math.Pi
 	variance := (p.load + 1) * p.uncertainty(t)
-	load := p.load
-	if t.tuning.noise {
-		load = max(0, load+deviate*math.Sqrt(variance))
-	}
+	load := max(0, p.load+deviate*math.Sqrt(variance))
 	excess := load + 1 - p.limit
 	p.wait = p.service / p.limit * (excess + math.Sqrt(excess*excess+normalAtZero*(variance+1))) / 2
 }
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -124,6 +124,7 @@
 	if in.Incarnation > before.cell.incarnation() && before.cell.incarnation() != 0 {
 		return newCell(in.Incarnation)
 	}
+	before.cell.raiseIncarnation(in.Incarnation)
 	return before.cell
 }
 
--- a/internal/route/policies.go
+++ b/internal/route/policies.go
@@ -46,25 +46,19 @@
 
 func (expectedTime) choose(t *Table, svc *service, now int64, q Query) *upstream {
 	var c candidates
-	t.sample(&c, svc)
+	t.sample(&c, svc, q.Tried)
 	var best *upstream
 	var least float64
-	for _, u := range c.list[:c.n] {
-		if !u.eligible(q.Tried) {
-			continue
-		}
-		deviate := 0.0
-		if t.tuning.noise {
-			deviate = normal(t.cfg.Random())
-		}
+	start := below(uint32(t.cfg.Random()), c.n)
+	for i := range c.n {
+		// From a random place on, so that ties are broken at random.
+		u := c.list[(start+i)%c.n]
+		deviate := t.tuning.noise * normal(t.cfg.Random())
 		e := t.estimate(u, now, q.Remaining, deviate)
 		if best == nil || e.cost() < least {
 			best, least = u, e.cost()
 		}
 	}
-	if best == nil {
-		return randomChoice{}.choose(t, svc, now, q)
-	}
 	return best
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -108,8 +108,8 @@
 // choice describes a chosen upstream.
 func (t *Table) choice(u *upstream, now int64, q *Query) Choice {
 	c := Choice{Instance: u.instance}
+	c.Instance.Incarnation = u.cell.incarnation()
 	if h := u.cell.heard.Load(); h != nil {
-		c.Instance.Incarnation = max(c.Instance.Incarnation, h.report.Incarnation)
 		c.OwnerClock = h.ownerClock(now)
 	}
 	e := t.estimate(u, now, q.Remaining, 0)
--- a/internal/route/sample.go
+++ b/internal/route/sample.go
@@ -27,34 +27,45 @@
 	return true
 }
 
-// sample fills c with upstreams of the own data centre and of others; what one
-// side lacks the other gives.
-func (t *Table) sample(c *candidates, svc *service) {
+// sample fills c with upstreams that may be chosen, of the own data centre and
+// of others; what one side lacks the other gives.
+func (t *Table) sample(c *candidates, svc *service, tried []model.InstanceID) {
 	local, remote := t.tuning.local, t.tuning.remote
 	lackLocal := max(0, local-len(svc.local))
 	lackRemote := max(0, remote-len(svc.remote))
-	t.draw(c, svc.local, local+lackRemote, false)
-	t.draw(c, svc.remote, remote+lackLocal, true)
+	t.draw(c, svc.local, local+lackRemote, false, tried)
+	t.draw(c, svc.remote, remote+lackLocal, true, tried)
 }
 
 // draw adds up to k distinct upstreams of list at random. With nearer, each is
 // the nearer by link of two draws, so that far data centres do not take the
 // place of near ones.
-func (t *Table) draw(c *candidates, list []*upstream, k int, nearer bool) {
+func (t *Table) draw(c *candidates, list []*upstream, k int, nearer bool, tried []model.InstanceID) {
 	n := len(list)
-	k = min(k, n, maxCandidates-c.n)
-	for range k {
+	for range min(k, n, maxCandidates-c.n) {
 		bits := t.cfg.Random()
 		i := below(uint32(bits), n)
 		if j := below(uint32(bits>>32), n); nearer && list[j].link.roundTrip() < list[i].link.roundTrip() {
 			i = j
 		}
-		for !c.add(list[i]) {
-			i = (i + 1) % n
+		if !c.addFrom(list, i, tried) {
+			return
 		}
 	}
 }
 
+// addFrom adds the first upstream of list from place start on that may be
+// chosen and is not there, and tells whether there was one.
+func (c *candidates) addFrom(list []*upstream, start int, tried []model.InstanceID) bool {
+	for i := range list {
+		u := list[(start+i)%len(list)]
+		if u.eligible(tried) && c.add(u) {
+			return true
+		}
+	}
+	return false
+}
+
 // below maps 32 random bits to 0..n-1.
 func below(bits uint32, n int) int { return int(uint64(bits) * uint64(n) >> 32) }
 
