entry: check calls against a ledger in random worlds

Cause: at-most-once and true refusals hold only if every order of losses, late and crossed messages, restarts and second sendings is survived. Change: a rapid state machine with fake owners and a ledger of runs. It found that a home's word was kept after a later attempt at the home could not reach it; the home's last word counts now.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -195,6 +195,7 @@
 	c.open = true
 	c.hasReport = false
 	c.asks = 0
+	c.home.spoke = c.home.delegated
 	c.phase = phaseSent
 	c.current = model.Attempt{
 		ID:               c.engine.nextAttemptID(),
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -139,6 +139,9 @@
 		"unsettled at the deadline": {2, nil, []move{broken, late}, model.OutcomeUnknown, model.ReasonLinkBroken},
 		"home unreachable": {
 			1, traits{keyed}, []move{unreachable, unreachable, unreachable}, model.OutcomeUnknown, model.ReasonWorkerUnreachable},
+		"home unreachable after it had refused": {
+			1, traits{keyed}, []move{refuse(model.ReasonWorkerShed), unreachable, unreachable},
+			model.OutcomeUnknown, model.ReasonWorkerUnreachable},
 		"owner unreachable without a key": {
 			1, nil, []move{unreachable, unreachable, unreachable}, model.OutcomeNotRun, model.ReasonWorkerUnreachable},
 		"home refuses without registering": {
@@ -263,6 +266,27 @@
 	}
 }
 
+func TestSettlementIsAskedAgainUntilTheDeadline(t *testing.T) {
+	s := start(t, 2).do(broken)
+	asked := 0
+	for s.step.Kind == StepSettle && asked <= 10 {
+		wantStep(t, s.step, StepSettle, "payouts-a")
+		if s.step.Until.After(s.call.Deadline()) {
+			t.Fatalf("asked until %v, after the deadline", s.step.Until)
+		}
+		asked++
+		s.call.SettleFailed(s.now)
+		s.next()
+	}
+	wantEnd(t, s.step, model.OutcomeUnknown, model.ReasonLinkBroken)
+	if !s.now.Equal(s.call.Deadline()) {
+		t.Errorf("gave up at %v", s.now)
+	}
+	if asked < 5 || asked > 10 {
+		t.Errorf("asked %d times", asked)
+	}
+}
+
 func TestFinalAnswerIsGivenAtOnce(t *testing.T) {
 	s := start(t, 6)
 	for range maxOwners {
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -11,8 +11,8 @@
 // homeState is what a call knows from the home of its request's id; see
 // docs/DESIGN.md, "At most once".
 type homeState struct {
-	// spoke: a home looked the id up, found no earlier sending of it, and said
-	// that it does not run it now.
+	// spoke: the home's last word was that it had looked the id up, found no
+	// earlier sending of it, and does not run it now.
 	spoke bool
 	// delegated: the home registered the id and left its placing to this call.
 	delegated bool
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -43,7 +43,6 @@
 	c.done(now, route.Result{Failed: !r.NotRun, Refused: r.Reason, RetryAfter: r.RetryAfter})
 	switch r.Reason {
 	case model.ReasonDuplicateRunning, model.ReasonDuplicateDone:
-		c.doubt = true
 		c.giveUp(r.Reason)
 		return
 	}
--- /dev/null
+++ b/internal/entry/world_test.go
@@ -0,0 +1,456 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/route"
+	"gypsumstand/internal/wire"
+)
+
+// maxSteps bounds the steps of one call in the test's worlds.
+const maxSteps = 100
+
+// world joins calls of one entry node to fake owners by messages that are
+// delayed, lost and crossed, and keeps the ledger of what ran.
+type world struct {
+	t        *rapid.T
+	now      time.Time
+	engine   *Engine
+	owners   []*fakeOwner
+	heard    map[model.InstanceID]heardReport
+	inFlight map[model.InstanceID]int
+	calls    []*liveCall
+	messages []*message
+	replies  []*reply
+	byID     map[model.AttemptID]*liveCall
+	runs     map[model.RequestID]int
+	// tainted ids have a home that lost its memory.
+	tainted map[model.RequestID]bool
+}
+
+type heardReport struct {
+	report model.LoadReport
+	at     time.Time
+}
+
+type liveCall struct {
+	call     *Call
+	req      Request
+	step     Step
+	awaits   bool
+	attempts []model.Attempt
+	ran      int
+	steps    int
+	// word: the home's last word was that it did not run the id. runsAtWord is
+	// the number of runs of the id then.
+	word       bool
+	runsAtWord int
+	ended      bool
+}
+
+type message struct {
+	attempt model.Attempt
+	owner   *fakeOwner
+}
+
+type reply struct {
+	attempt  model.AttemptID
+	report   model.LoadReport
+	refusal  model.Refusal
+	answered bool
+	failed   bool
+}
+
+// Pick, Home, Sent and Done make the world the engine's table.
+func (w *world) Pick(now time.Time, q *route.Query) (route.Choice, bool) {
+	first := rapid.IntRange(0, len(w.owners)-1).Draw(w.t, "first")
+	tried := triedOwners{}
+	for _, id := range q.Tried {
+		tried.add(id)
+	}
+	for i := range w.owners {
+		o := w.owners[(first+i)%len(w.owners)]
+		if !tried.has(o.instance.ID) {
+			return w.choice(o), true
+		}
+	}
+	return route.Choice{}, false
+}
+
+func (w *world) Home(now time.Time, _ model.ServiceName, id model.RequestID) (route.Choice, bool) {
+	return w.choice(w.home(id)), true
+}
+
+func (w *world) home(id model.RequestID) *fakeOwner { return w.owners[int(id[1])%len(w.owners)] }
+
+func (w *world) choice(o *fakeOwner) route.Choice {
+	in := o.instance
+	in.Incarnation = 0
+	h, ok := w.heard[in.ID]
+	if !ok {
+		return route.Choice{Instance: in}
+	}
+	in.Incarnation = h.report.Incarnation
+	return route.Choice{Instance: in, OwnerClock: h.report.Clock + w.now.Sub(h.at)}
+}
+
+func (w *world) Sent(_ time.Time, id model.InstanceID) { w.inFlight[id]++ }
+
+func (w *world) Done(_ time.Time, id model.InstanceID, _ route.Result) { w.inFlight[id]-- }
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: epoch, heard: map[model.InstanceID]heardReport{}, inFlight: map[model.InstanceID]int{},
+		byID: map[model.AttemptID]*liveCall{}, runs: map[model.RequestID]int{}, tainted: map[model.RequestID]bool{},
+	}
+	for i := range 3 {
+		o := &fakeOwner{instance: model.Instance{ID: model.InstanceID("payouts-" + string(rune('a'+i))), Incarnation: 6}}
+		o.restart(epoch)
+		w.owners = append(w.owners, o)
+	}
+	w.engine = testEngine(w)
+	return w
+}
+
+func (w *world) begin(t *rapid.T) {
+	if len(w.calls) == 6 {
+		t.Skip("enough calls")
+	}
+	r := testRequest()
+	r.Idempotent = rapid.IntRange(0, 3).Draw(t, "idempotent") == 0
+	r.Replayable = rapid.IntRange(0, 3).Draw(t, "replayable") > 0
+	r.CallerKey = rapid.IntRange(0, 2).Draw(t, "callerKey") > 0
+	r.ID = model.RequestID("u" + string(rune('0'+len(w.calls))))
+	if r.CallerKey && !r.Idempotent {
+		r.ID = rapid.SampledFrom([]model.RequestID{"k0", "k0", "k0", "k1"}).Draw(t, "key")
+	}
+	w.calls = append(w.calls, &liveCall{call: w.engine.Begin(w.now, r), req: r})
+}
+
+// step asks an idle call for its next step and begins to carry it out.
+func (w *world) step(t *rapid.T) {
+	l := draw(t, w.calls, func(l *liveCall) bool { return !l.awaits && !l.ended })
+	s := l.call.Next(w.now)
+	l.step = s
+	l.steps++
+	if !w.now.Before(l.call.Deadline()) && s.Kind != StepEnd {
+		t.Fatalf("step %v after the deadline", s.Kind)
+	}
+	if l.steps > maxSteps {
+		t.Fatalf("%d steps", l.steps)
+	}
+	switch s.Kind {
+	case StepSend:
+		w.send(t, l)
+	case StepSettle:
+		l.awaits = true
+	case StepWait:
+		if s.Until.After(l.call.Deadline()) || !s.Until.After(w.now) {
+			t.Fatalf("wait at %v until %v", w.now, s.Until)
+		}
+	case StepEnd:
+		w.end(t, l)
+	}
+}
+
+func (w *world) send(t *rapid.T, l *liveCall) {
+	if !l.req.Idempotent {
+		w.wantDead(t, l, "sent again")
+	}
+	a := l.step.Attempt
+	l.word = l.word && a.Delegated
+	if w.byID[a.ID] != nil {
+		t.Fatalf("attempt id %v used twice", a.ID)
+	}
+	l.awaits = true
+	l.attempts = append(l.attempts, a)
+	w.byID[a.ID] = l
+	w.messages = append(w.messages, &message{attempt: a, owner: w.owner(l.step.To.ID)})
+}
+
+func (w *world) end(t *rapid.T, l *liveCall) {
+	l.ended = true
+	if l.step.Outcome == model.OutcomeNotRun {
+		w.wantDead(t, l, "told not-run")
+		if l.call.keyed() && !w.tainted[l.req.ID] && (!l.word || l.runsAtWord > 0) {
+			t.Fatalf("%s told not-run, but an earlier sending may have run", l.req.ID)
+		}
+	}
+	if n := l.step.Notify; n != nil && rapid.IntRange(0, 3).Draw(t, "notify") > 0 {
+		w.owner(l.step.To.ID).keyResult(*n)
+	}
+}
+
+// wantDead fails unless every attempt of l is known never to run.
+func (w *world) wantDead(t *rapid.T, l *liveCall, what string) {
+	if l.ran > 0 {
+		t.Fatalf("%s %s after a run", l.req.ID, what)
+	}
+	for i := range l.attempts {
+		a := &l.attempts[i]
+		if w.posted(a.ID) && !w.owner(a.Owner).dead(w.now, a) {
+			t.Fatalf("%s %s while attempt %v lives", l.req.ID, what, a.ID)
+		}
+	}
+}
+
+// posted tells whether the attempt may be under way or at its owner.
+func (w *world) posted(id model.AttemptID) bool {
+	for _, m := range w.messages {
+		if m.attempt.ID == id {
+			return true
+		}
+	}
+	for _, o := range w.owners {
+		if o.attempts[id] != model.AttemptNeverSeen {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) owner(id model.InstanceID) *fakeOwner {
+	for _, o := range w.owners {
+		if o.instance.ID == id {
+			return o
+		}
+	}
+	return nil
+}
+
+func (w *world) deliver(t *rapid.T) {
+	m := draw(t, w.messages, nil)
+	w.messages = without(w.messages, m)
+	r, ok := m.owner.offer(t, w.now, m.attempt)
+	if !ok {
+		w.refuse(m.owner, &m.attempt, r)
+	}
+}
+
+// refuse sends a refusal. The last reasons are given without a look at the id.
+func (w *world) refuse(o *fakeOwner, a *model.Attempt, r model.Refusal) {
+	w.reply(&reply{attempt: a.ID, report: o.report(w.now), refusal: r})
+	switch r.Reason {
+	case model.ReasonIncarnation, model.ReasonBarred, model.ReasonStale, model.ReasonDuplicateRunning:
+		return
+	}
+	if l := w.byID[a.ID]; !a.Delegated {
+		l.word = true
+		l.runsAtWord = w.runs[a.Request]
+	}
+}
+
+func (w *world) reply(r *reply) { w.replies = append(w.replies, r) }
+
+func (w *world) startQueued(t *rapid.T) {
+	o := draw(t, w.owners, func(o *fakeOwner) bool { return len(o.queued) > 0 })
+	a := anyAttempt(t, o.queued)
+	shed := rapid.IntRange(0, 4).Draw(t, "shed") == 0
+	if shed || o.late(w.now, &a) {
+		o.bar(a.ID, a.Request)
+		reason := model.ReasonExpired
+		if shed {
+			reason = model.ReasonWorkerShed
+		}
+		w.refuse(o, &a, model.Refusal{Reason: reason, NotRun: true})
+		return
+	}
+	delete(o.queued, a.ID)
+	o.running[a.ID] = a
+	o.attempts[a.ID] = model.AttemptStarted
+	w.run(t, &a)
+}
+
+func (w *world) run(t *rapid.T, a *model.Attempt) {
+	l := w.byID[a.ID]
+	l.ran++
+	w.runs[a.Request]++
+	switch {
+	case l.ended && l.step.Outcome == model.OutcomeNotRun:
+		t.Fatalf("%s ran after it was told not-run", a.Request)
+	case !a.Idempotent && l.ran > 1:
+		t.Fatalf("%s ran twice", a.Request)
+	case l.call.keyed() && !w.tainted[a.Request] && w.runs[a.Request] > 1:
+		t.Fatalf("%s, sent twice by its caller, ran twice", a.Request)
+	}
+}
+
+func (w *world) finish(t *rapid.T) {
+	o := draw(t, w.owners, func(o *fakeOwner) bool { return len(o.running) > 0 })
+	a := anyAttempt(t, o.running)
+	delete(o.running, a.ID)
+	o.attempts[a.ID] = model.AttemptDone
+	r := &reply{attempt: a.ID, report: o.report(w.now)}
+	switch rapid.IntRange(0, 3).Draw(t, "end") {
+	case 0:
+		r.refusal = model.Refusal{Reason: model.ReasonWorkerBroken}
+	case 1:
+		r.failed = true
+		fallthrough
+	default:
+		r.answered = true
+	}
+	w.reply(r)
+}
+
+// receive hands a reply to its call, unless the connection is gone.
+func (w *world) receive(t *rapid.T) {
+	r := draw(t, w.replies, nil)
+	w.replies = without(w.replies, r)
+	w.observe(r.report)
+	l := w.byID[r.attempt]
+	if !l.awaits || l.step.Kind != StepSend || l.step.Attempt.ID != r.attempt {
+		return
+	}
+	l.awaits = false
+	l.call.Report(w.now, r.report)
+	if r.answered {
+		l.call.Answered(w.now, r.failed)
+		return
+	}
+	l.call.Refused(w.now, r.refusal)
+}
+
+func (w *world) observe(r model.LoadReport) {
+	if h, ok := w.heard[r.Owner]; !ok || h.report.Incarnation <= r.Incarnation {
+		w.heard[r.Owner] = heardReport{report: r, at: w.now}
+	}
+}
+
+func (w *world) awaiting(t *rapid.T, kind StepKind) *liveCall {
+	return draw(t, w.calls, func(l *liveCall) bool { return l.awaits && l.step.Kind == kind })
+}
+
+func (w *world) breakLink(t *rapid.T) {
+	l := w.awaiting(t, StepSend)
+	l.awaits = false
+	l.call.Broken(w.now, false)
+}
+
+// noConnection reports an attempt whose message never left.
+func (w *world) noConnection(t *rapid.T) {
+	m := draw(t, w.messages, func(m *message) bool {
+		l := w.byID[m.attempt.ID]
+		return l.awaits && l.step.Attempt.ID == m.attempt.ID
+	})
+	w.messages = without(w.messages, m)
+	l := w.byID[m.attempt.ID]
+	l.awaits = false
+	l.call.Refused(w.now, model.Refusal{Reason: model.ReasonWorkerUnreachable, NotRun: true})
+}
+
+func (w *world) settle(t *rapid.T) {
+	l := w.awaiting(t, StepSettle)
+	l.awaits = false
+	a := l.step.Attempt
+	switch rapid.IntRange(0, 3).Draw(t, "way") {
+	case 0:
+		l.call.SettleFailed(w.now)
+	case 1:
+		w.owner(a.Owner).settle(w.now, a)
+		l.call.SettleFailed(w.now)
+	case 2:
+		l.call.Settled(w.now, wire.SettleReply{Attempt: model.AttemptID{Entry: "x"}, Report: w.owner(a.Owner).report(w.now)})
+	default:
+		l.call.Settled(w.now, w.owner(a.Owner).settle(w.now, a))
+	}
+}
+
+// restart loses an owner's memory and its keys.
+func (w *world) restart(t *rapid.T) {
+	if rapid.IntRange(0, 15).Draw(t, "rarely") > 0 {
+		t.Skip("not now")
+	}
+	o := draw(t, w.owners, nil)
+	o.restart(w.now)
+	for _, id := range []model.RequestID{"k0", "k1"} {
+		if w.home(id) == o {
+			w.tainted[id] = true
+		}
+	}
+}
+
+func (w *world) advance(t *rapid.T) {
+	ms := rapid.SampledFrom([]int{1, 5, 20, 60, 300}).Draw(t, "ms")
+	w.now = w.now.Add(time.Duration(ms) * time.Millisecond)
+}
+
+func (w *world) callerGone(t *rapid.T) {
+	l := draw(t, w.calls, func(l *liveCall) bool { return !l.ended })
+	l.awaits = false
+	l.call.CallerGone(w.now)
+}
+
+// check compares the table's counts with the calls that await an owner's word.
+func (w *world) check(t *rapid.T) {
+	want := map[model.InstanceID]int{}
+	for _, l := range w.calls {
+		if l.awaits && l.step.Kind == StepSend {
+			want[l.step.To.ID]++
+		}
+	}
+	for _, o := range w.owners {
+		if id := o.instance.ID; w.inFlight[id] != want[id] {
+			t.Fatalf("%s: %d attempts in flight by Sent and Done, %d in truth", id, w.inFlight[id], want[id])
+		}
+	}
+}
+
+// draw picks one of list that fits, or skips the action.
+func draw[T any](t *rapid.T, list []T, fits func(T) bool) T {
+	var fitting []T
+	for _, x := range list {
+		if fits == nil || fits(x) {
+			fitting = append(fitting, x)
+		}
+	}
+	if len(fitting) == 0 {
+		t.Skip("none")
+	}
+	return fitting[rapid.IntRange(0, len(fitting)-1).Draw(t, "which")]
+}
+
+// anyAttempt draws from a map in the order of the attempts' numbers.
+func anyAttempt(t *rapid.T, from map[model.AttemptID]model.Attempt) model.Attempt {
+	var list []model.Attempt
+	for n := uint64(1); len(list) < len(from); n++ {
+		for id, a := range from {
+			if id.Sequence == n {
+				list = append(list, a)
+			}
+		}
+	}
+	return draw(t, list, nil)
+}
+
+func without[T comparable](list []T, x T) []T {
+	var out []T
+	for _, y := range list {
+		if y != x {
+			out = append(out, y)
+		}
+	}
+	return out
+}
+
+func TestCallsKeepAtMostOnceAndTrueRefusals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		act := func(f func(*rapid.T)) func(*rapid.T) {
+			return func(t *rapid.T) {
+				w.t = t
+				f(t)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": act(w.begin), "step": act(w.step), "step again": act(w.step), "deliver": act(w.deliver),
+			"start": act(w.startQueued), "finish": act(w.finish), "receive": act(w.receive), "receive again": act(w.receive),
+			"break": act(w.breakLink), "no connection": act(w.noConnection), "settle": act(w.settle),
+			"restart": act(w.restart), "advance": act(w.advance), "caller gone": act(w.callerGone), "": w.check,
+		})
+	})
+}
