--- /dev/null
+++ b/cmd/gypsumbench/main.go
@@ -0,0 +1,108 @@
+// Command gypsumbench measures the example deployments on loopback and writes
+// the figures, a page and plots.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"gypsumstand/internal/deploy"
+	"gypsumstand/internal/experiment"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+const usage = `usage: gypsumbench [flags]
+
+Measures routing beside its baselines on the two examples, and the time that two
+nodes add to a call. Writes measurements.json, MEASUREMENTS.md and plots.
+
+  gypsumbench -examples examples -out docs
+  gypsumbench -examples examples -out /some/folder -duration 2s -repeats 1
+
+Exit codes: 0 done, 1 failed, 2 usage.
+
+flags:
+`
+
+// settings are the command line's.
+type settings struct {
+	examples, out string
+	duration      time.Duration
+	repeats       int
+	rate          float64
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var s settings
+	flag.StringVar(&s.examples, "examples", "examples", "folder of the example deployments")
+	flag.StringVar(&s.out, "out", "docs", "folder to write to")
+	flag.DurationVar(&s.duration, "duration", 6*time.Second, "load of one run, 1s to 1m")
+	flag.IntVar(&s.repeats, "repeats", 3, "runs of each cell, 1 to 20")
+	flag.Float64Var(&s.rate, "rate", 2000, "calls a second for the added time, 1 to 20000")
+	flag.Usage = func() {
+		fmt.Fprint(flag.CommandLine.Output(), usage)
+		flag.PrintDefaults()
+	}
+	flag.Parse()
+	if flag.NArg() > 0 || !s.valid() {
+		flag.Usage()
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := bench(ctx, &s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
+
+func (s *settings) valid() bool {
+	return s.duration >= time.Second && s.duration <= time.Minute &&
+		s.repeats >= 1 && s.repeats <= 20 && s.rate >= 1 && s.rate <= 20000
+}
+
+// benchMeanMs is the workers' mean service time: long enough that this machine
+// can offer more than the capacity.
+const benchMeanMs = 40
+
+func bench(ctx context.Context, s *settings) error {
+	inyange, err := deploy.Load(s.examples, "inyange", deploy.InyangeWorkers)
+	if err != nil {
+		return err
+	}
+	brethyn, err := deploy.Load(s.examples, "brethyn", deploy.BrethynWorkers)
+	if err != nil {
+		return err
+	}
+	inyange.MeanMs, brethyn.MeanMs = benchMeanMs, benchMeanMs
+	var m experiment.Measurements
+	m.Added, err = experiment.MeasureAdded(ctx, s.rate, s.repeats, s.duration)
+	if err != nil {
+		return fmt.Errorf("added time: %w", err)
+	}
+	m.Runs, err = experiment.Compare(ctx, experiment.Options{
+		Deployments: []*deploy.Deployment{inyange, brethyn},
+		Contenders:  experiment.Contenders(),
+		Shares:      []float64{0.6, 0.85, 1.1},
+		Repeats:     s.repeats,
+		Duration:    s.duration,
+		Progress:    os.Stdout,
+	})
+	if err != nil {
+		return err
+	}
+	return m.Write(s.out)
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -62,6 +62,8 @@
 	// report is the current owner's, when one came with its word.
 	report    model.LoadReport
 	hasReport bool
+	// held is the owner's part of the current attempt's time.
+	held time.Duration
 	// resent: the current owner was already given a fresh stamp.
 	resent bool
 
@@ -186,7 +188,7 @@
 // send makes an attempt at an owner whose clock is at least ownerClock now.
 func (c *Call) send(now time.Time, to model.Instance, ownerClock time.Duration) {
 	if to.ID == c.engine.cfg.Self.ID {
-		to.Incarnation = c.engine.cfg.Self.Incarnation
+		to.Incarnation = model.Incarnation(c.engine.adopted.Load())
 	}
 	c.to = to
 	c.sentAt = now
@@ -194,6 +196,7 @@
 	c.tried.add(to.ID)
 	c.open = true
 	c.hasReport = false
+	c.held = 0
 	c.asks = 0
 	c.home.spoke = c.home.delegated
 	c.phase = phaseSent
