--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -198,6 +198,7 @@
 	c.hasReport = false
 	c.held = 0
 	c.asks = 0
+	c.home.spoke = c.home.delegated
 	c.phase = phaseSent
 	c.current = model.Attempt{
 		ID:               c.engine.nextAttemptID(),
