spread: test what a broken rule would break; contradictions from bundle.CheckSet

The set of bundles now settles contradictions by itself.

A message on a link whose opening was not told is doubted until a question is answered. A fresh node that no ready peer has answered does not hold its own readings back. The event for two bundles with one service covers routes too; the library's check names them.

--- a/internal/event/spread.go
+++ b/internal/event/spread.go
@@ -27,9 +27,9 @@
 	ConfigUnconfirmed = define(227, zerolog.WarnLevel, "bundles are not confirmed",
 		"For the time in the detail no reading, by this node or a peer, has confirmed the versions in force.",
 		"Look at the configuration service and at this node's links.")
-	ServiceInTwoBundles = define(228, zerolog.ErrorLevel, "service in two bundles",
-		"Two bundles in force define one service. The bundle whose name sorts first governs it on every node.",
-		"Publish a version of the other bundle without the service.")
+	BundlesContradict = define(228, zerolog.ErrorLevel, "bundles contradict each other",
+		"Two bundles in force define one service or one route. The subject is the bundle that loses, the detail the place in it. The bundle whose name sorts first wins, on every node.",
+		"Publish a version of one of the two without the service or route.")
 	BundlesReady = define(229, zerolog.InfoLevel, "bundles ready",
 		"The node has asked its peers and the platform and holds every version that they named.", "none")
 	BundlesReadyAlone = define(230, zerolog.WarnLevel, "bundles ready on the platform's word alone",
--- a/internal/spread/counters.go
+++ b/internal/spread/counters.go
@@ -36,8 +36,8 @@
 	Malformed uint64
 	// WantsDropped counts versions not pursued: too many, or not to be had.
 	WantsDropped uint64
-	// ServicesTwice counts services found in two bundles, at every change.
-	ServicesTwice uint64
+	// Contradictions counts those between bundles in force, at every change.
+	Contradictions uint64
 	// LogsHeldBack counts log lines that would have repeated.
 	LogsHeldBack uint64
 }
--- a/internal/spread/held.go
+++ b/internal/spread/held.go
@@ -71,7 +71,7 @@
 	h.buckets[bucketOf(it.bundle.Name)] ^= sum
 }
 
-// inOrder returns what is in force in the order of names.
+// inOrder returns the items in the order of names.
 func (h *holdings) inOrder() []*item {
 	all := make([]*item, 0, len(h.items))
 	for _, it := range h.items {
@@ -81,6 +81,15 @@
 	return all
 }
 
+// bundles returns what is in force in the order of names.
+func (h *holdings) bundles() []*bundle.Bundle {
+	all := make([]*bundle.Bundle, 0, len(h.items))
+	for _, it := range h.inOrder() {
+		all = append(all, it.bundle)
+	}
+	return all
+}
+
 // entryHash is a hash of name, version and content.
 func entryHash(v model.BundleVersion, content uint64) uint64 {
 	buf := make([]byte, 0, len(v.Name)+2*8)
--- a/internal/spread/links.go
+++ b/internal/spread/links.go
@@ -135,31 +135,43 @@
 	}
 }
 
-// received hands a message to its part. A message without a LinkUp before it
-// proves the link.
+// received hands a message to its part.
 func (c *Controller) received(from model.InstanceID, m wire.Message) {
 	switch m := m.(type) {
 	case wire.BundleBeacon:
-		c.beacon(c.links.add(from), m)
+		c.beacon(c.linkOf(from), m)
 	case wire.BundleNotice:
-		c.notice(c.links.add(from), m)
+		c.notice(c.linkOf(from), m)
 	case wire.BundleWant:
 		c.serve(from, m)
 	case wire.BundleBody:
-		c.body(c.links.add(from), m)
+		c.body(c.linkOf(from), m)
 	case wire.BundleDecline:
-		c.declined(c.links.add(from), m)
+		c.declined(c.linkOf(from), m)
 	case wire.BundleCompare:
 		c.answerCompare(from, m)
 	case wire.BundleCompareReply:
-		c.compared(c.links.add(from), m)
+		c.compared(c.linkOf(from), m)
 	case wire.BundleListAsk:
 		c.answerList(from, m)
 	case wire.BundleList:
-		c.listed(c.links.add(from), m)
+		c.listed(c.linkOf(from), m)
 	}
 }
 
+// linkOf returns the link to a peer. A message proves a link whose opening was
+// not told, or whose end was told wrongly (a second one that could not be
+// opened); the peer has to answer a question before its ages count.
+func (c *Controller) linkOf(id model.InstanceID) *link {
+	if l := c.links.byID[id]; l != nil {
+		return l
+	}
+	l := c.links.add(id)
+	l.fresh = false
+	c.compareWith(l)
+	return l
+}
+
 func send(to model.InstanceID, m wire.Message) control.Send {
 	return control.Send{To: to, Message: m}
 }
--- a/internal/spread/platform.go
+++ b/internal/spread/platform.go
@@ -156,7 +156,7 @@
 }
 
 // wantListed pursues what the index lists and this node lacks. A ready node
-// fetches at once, many over a short time; one that is not ready lets its peers
+// fetches at once, many over a short time; one that is not ready lets ready peers
 // come first.
 func (c *Controller) wantListed(versions []model.BundleVersion) {
 	var lacking []model.BundleVersion
@@ -187,7 +187,7 @@
 		return
 	}
 	at := c.now.Add(c.jitter(spread))
-	if !c.start.ready && len(c.links.list) > 0 {
+	if !c.start.ready && c.links.answers(true) > 0 {
 		at = c.now.Add(c.platformWait())
 	}
 	if !w.listed || w.tries == 0 {
--- a/internal/spread/ready.go
+++ b/internal/spread/ready.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -139,37 +140,10 @@
 	}
 	c.dirty = false
 	c.publishedAt = c.now
-	c.board.Bundles.Put(bundle.NewSet(c.withoutTwice()))
-}
-
-// withoutTwice returns what is in force with each service in one bundle only: of
-// two bundles the one whose name sorts first keeps it, on every node alike.
-func (c *Controller) withoutTwice() []*bundle.Bundle {
-	owner := map[model.ServiceName]model.BundleName{}
-	var out []*bundle.Bundle
-	for _, it := range c.held.inOrder() {
-		out = append(out, c.ownServices(it.bundle, owner))
-	}
-	return out
-}
-
-// ownServices returns b, or a copy without the services that another bundle has.
-func (c *Controller) ownServices(b *bundle.Bundle, owner map[model.ServiceName]model.BundleName) *bundle.Bundle {
-	var kept []bundle.Service
-	for i := range b.Services {
-		name := b.Services[i].Name
-		if first, taken := owner[name]; taken {
-			c.counters.ServicesTwice++
-			c.record(event.ServiceInTwoBundles, string(name), fmt.Sprintf("bundles %s and %s", first, b.Name), nil)
-			continue
-		}
-		owner[name] = b.Name
-		kept = append(kept, b.Services[i])
-	}
-	if len(kept) == len(b.Services) {
-		return b
+	bundles := c.held.bundles()
+	for _, f := range bundle.CheckSet(bundles) {
+		c.counters.Contradictions++
+		c.record(event.BundlesContradict, f.File, f.Key, errors.New(f.Message))
 	}
-	reduced := *b
-	reduced.Services = kept
-	return &reduced
+	c.board.Bundles.Put(bundle.NewSet(bundles))
 }
--- a/internal/spread/ready_test.go
+++ b/internal/spread/ready_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"gypsumstand/internal/blackboard"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/event"
@@ -100,3 +102,135 @@
 		}
 	}
 }
+
+func TestOneReadyPeerOfManyIsNotEnough(t *testing.T) {
+	s := freshSingle(10)
+	answer := func(id model.InstanceID) {
+		nonce := s.c.links.byID[id].compare.nonce
+		s.from(id, wire.BundleCompareReply{Nonce: nonce, Digest: s.c.held.digest, Settled: true})
+	}
+	s.handle(control.LinkUp{Peer: model.Instance{ID: "p"}})
+	s.handle(control.LinkUp{Peer: model.Instance{ID: "q"}})
+	answer("p")
+	s.readIndex()
+	if s.wait(epoch.Add(quorumWait).Sub(s.now) - control.TickInterval); s.c.Ready() {
+		t.Error("ready before the other linked peer answered")
+	}
+	if answer("q"); !s.c.Ready() {
+		t.Errorf("missing %v", s.c.Missing())
+	}
+}
+
+func TestFreshNodeAsksReadyPeersBeforeThePlatform(t *testing.T) {
+	s := freshSingle(10)
+	out := s.handle(control.LinkUp{Peer: model.Instance{ID: "p"}})
+	nonce := sentTo[wire.BundleCompare](out, "p")[0].Nonce
+	s.from("p", wire.BundleCompareReply{Nonce: nonce, Digest: s.c.held.digest, Settled: true})
+	s.readIndex(model.BundleVersion{Name: "a", Version: 1})
+	if out := s.wait(platformGrace - control.TickInterval); hasAction(out, control.ReadValue{Name: "a"}) {
+		t.Error("read the platform at once")
+	}
+	if out := s.wait(time.Second); !hasAction(out, control.ReadValue{Name: "a"}) {
+		t.Error("never read the platform")
+	}
+}
+
+func TestAnswerThatWaitedThroughAPauseConfirmsNothing(t *testing.T) {
+	s := newSingle(t)
+	for !hasAction(s.tick(), control.ReadIndex{}) {
+		s.now = s.now.Add(control.TickInterval)
+	}
+	s.now = s.now.Add(time.Hour)
+	s.handle(control.Paused{For: time.Hour})
+	s.handle(control.IndexRead{Versions: []model.BundleVersion{{Name: "a", Version: 5}}})
+	if got := s.c.Confirmed(); !got.IsZero() {
+		t.Errorf("confirmed as of %s", got)
+	}
+	s.readIndex(model.BundleVersion{Name: "a", Version: 5})
+	if got := s.c.Confirmed(); !got.Equal(s.now) {
+		t.Errorf("confirmed as of %s, now is %s", got, s.now)
+	}
+}
+
+func TestBeaconThatMayHaveWaitedConfirmsNothing(t *testing.T) {
+	events := map[string]control.Event{
+		"pause":                  control.Paused{For: time.Hour},
+		"end of a link not told": control.LinkDown{Peer: "p"},
+	}
+	for name, ev := range events {
+		s := newSingle(t, "p")
+		before := s.c.Confirmed()
+		s.now = s.now.Add(time.Minute)
+		out := s.handle(ev)
+		beacon := wire.BundleBeacon{ReadDigest: s.c.held.digest}
+		out = append(out, s.from("p", beacon)...)
+		s.from("p", wire.BundleCompareReply{Nonce: 1, Digest: s.c.held.digest})
+		s.from("p", beacon)
+		if got := s.c.Confirmed(); got.After(before) {
+			t.Errorf("%s: confirmed as of %s", name, got)
+		}
+		nonce := sentTo[wire.BundleCompare](out, "p")[0].Nonce
+		s.from("p", wire.BundleCompareReply{Nonce: nonce, Digest: s.c.held.digest})
+		s.from("p", beacon)
+		if got := s.c.Confirmed(); !got.Equal(s.now) {
+			t.Errorf("%s: confirmed as of %s, now is %s", name, got, s.now)
+		}
+	}
+}
+
+func TestBeaconTellsOfAReadAndItsSuccessTogether(t *testing.T) {
+	s := newSingle(t, "p")
+	s.index = nil
+	out := s.tick()
+	for ; !hasAction(out, control.ReadIndex{}); out = s.tick() {
+		s.now = s.now.Add(control.TickInterval)
+	}
+	s.now = s.now.Add(answerWait / 2)
+	out = append(out, s.tick()...)
+	if got := sentTo[wire.BundleBeacon](out, "p"); len(got) != 0 {
+		t.Errorf("told of the attempt alone: %+v", got)
+	}
+	got := sentTo[wire.BundleBeacon](s.handle(control.IndexRead{Versions: []model.BundleVersion{{Name: "a", Version: 5}}}), "p")
+	age := uint32((answerWait / 2).Milliseconds())
+	want := []wire.BundleBeacon{{AttemptAgeMs: age, SuccessAgeMs: age, ReadAgeMs: age, ReadDigest: s.c.held.digest}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestVersionThatOvertakesAReadingDoesNotMakeItStale(t *testing.T) {
+	s := newSingle(t, "p")
+	for !hasAction(s.tick(), control.ReadIndex{}) {
+		s.now = s.now.Add(control.TickInterval)
+	}
+	s.now = s.now.Add(time.Millisecond)
+	s.from("p", packedBody("a", 6, signed("a", 6, 0)))
+	s.handle(control.IndexRead{Versions: []model.BundleVersion{{Name: "a", Version: 5}}})
+	if got := s.c.Counters(); got.StaleIndexes != 0 || got.IndexFailures != 0 {
+		t.Errorf("counters %+v", got)
+	}
+}
+
+func TestReadingConfirmsOnlyWhoHoldsWhatItFound(t *testing.T) {
+	s := newSingle(t, "p")
+	before := s.c.Confirmed()
+	s.readIndex(model.BundleVersion{Name: "a", Version: 6})
+	if got := s.c.Confirmed(); !got.Equal(before) {
+		t.Errorf("confirmed as of %s by an own reading whose value is not here", got)
+	}
+	digest := s.c.held.digest ^ entryHash(s.c.held.items["a"].bundle.VersionID(), s.c.held.items["a"].content)
+	raw := signed("a", 7, 0)
+	got, err := openSigned("a", raw, trusted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	digest ^= entryHash(got.bundle.VersionID(), got.content)
+	s.from("p", wire.BundleBeacon{ReadDigest: digest})
+	if got := s.c.Confirmed(); !got.Equal(before) {
+		t.Errorf("confirmed as of %s by a peer's reading whose value is not here", got)
+	}
+	s.from("p", packedBody("a", 7, raw))
+	if got := s.c.Confirmed(); !got.Equal(s.now) {
+		t.Errorf("confirmed as of %s, now is %s", got, s.now)
+	}
+}
