--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -6,6 +6,9 @@
 	"regexp"
 	"strings"
 	"testing"
+
+	"gypsumstand/internal/local"
+	"gypsumstand/internal/model"
 )
 
 func get(t *testing.T, url string) (int, string) {
@@ -22,8 +25,25 @@
 	return resp.StatusCode, string(body)
 }
 
+// seesLive tells whether a member's view of the fleet holds that many live
+// instances.
+func seesLive(want int) func(*local.Member) bool {
+	return func(m *local.Member) bool {
+		live := 0
+		for _, in := range m.Node.Core().Board.Fleet.Get().Instances {
+			if in.State == model.StateLive {
+				live++
+			}
+		}
+		return live == want
+	}
+}
+
 func TestMetricsShowCallsAndBlackboardWithLabelsOfTheBundleOnly(t *testing.T) {
 	f := newFleet(t, 2, &httpWorker{runs: map[string]int{}})
+	if err := f.Await(t.Context(), seesLive(2)); err != nil {
+		t.Fatal(err)
+	}
 	header := http.Header{"Gypsum-Tenant": {"made-up-by-the-caller"}}
 	if _, _, err := do(t, f, http.MethodGet, "/", "", header); err != nil {
 		t.Fatal(err)
