--- a/cmd/gypsumdemo/main.go
+++ b/cmd/gypsumdemo/main.go
@@ -25,6 +25,10 @@
 	exitBroken = 3
 )
 
+// demoMeanMs is the workers' mean service time: so that callers, nodes and workers
+// fit on one machine at any share of the capacity.
+const demoMeanMs = 25
+
 const usage = `usage: gypsumdemo [flags] BUNDLE.toml WORKERS...
 
 Runs the bundle's services with the given numbers of workers, in its order.
@@ -39,7 +43,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	share := flag.Float64("share", 0.5, "share of the workers' capacity to offer, over 0 to 2")
+	share := flag.Float64("share", 0.25, "share of the workers' capacity to offer, over 0 to 2")
 	verbose := flag.Bool("v", false, "log the nodes' events to standard error")
 	flag.Usage = func() {
 		fmt.Fprint(flag.CommandLine.Output(), usage)
@@ -87,5 +91,10 @@
 		}
 		workers = append(workers, n)
 	}
-	return deploy.New(args[0], data, workers)
+	dep, err := deploy.New(args[0], data, workers)
+	if err != nil {
+		return nil, err
+	}
+	dep.MeanMs = demoMeanMs
+	return dep, nil
 }
