--- a/internal/entry/owner_test.go
+++ b/internal/entry/owner_test.go
@@ -66,7 +66,7 @@
 	if rec, known := o.keys[a.Request]; key && known && rec.attempt != a.ID {
 		return model.Refusal{Reason: model.ReasonDuplicateRunning, NotRun: rapid.Bool().Draw(t, "notRun")}, false
 	}
-	if rapid.Bool().Draw(t, "refuse") {
+	if rapid.IntRange(0, 2).Draw(t, "refuse") == 0 {
 		reason := rapid.SampledFrom(refusalReasons).Draw(t, "reason")
 		o.attempts[a.ID] = model.AttemptBarred
 		if key && reason < model.ReasonTenantLimit {
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -28,6 +29,8 @@
 	replies  []*reply
 	byID     map[model.AttemptID]*liveCall
 	runs     map[model.RequestID]int
+	// focus, when set, is the one call that actions are about.
+	focus *liveCall
 	// tainted ids have a home that lost its memory.
 	tainted map[model.RequestID]bool
 }
@@ -133,7 +136,7 @@
 
 // step asks an idle call for its next step and begins to carry it out.
 func (w *world) step(t *rapid.T) {
-	l := draw(t, w.calls, func(l *liveCall) bool { return !l.awaits && !l.ended })
+	l := draw(t, w.calls, func(l *liveCall) bool { return w.about(l) && !l.awaits && !l.ended })
 	s := l.call.Next(w.now)
 	l.step = s
 	l.steps++
@@ -223,7 +226,7 @@
 }
 
 func (w *world) deliver(t *rapid.T) {
-	m := draw(t, w.messages, nil)
+	m := draw(t, w.messages, func(m *message) bool { return w.about(w.byID[m.attempt.ID]) })
 	w.messages = without(w.messages, m)
 	r, ok := m.owner.offer(t, w.now, m.attempt)
 	if !ok {
@@ -247,8 +250,8 @@
 func (w *world) reply(r *reply) { w.replies = append(w.replies, r) }
 
 func (w *world) startQueued(t *rapid.T) {
-	o := draw(t, w.owners, func(o *fakeOwner) bool { return len(o.queued) > 0 })
-	a := anyAttempt(t, o.queued)
+	a := w.attemptIn(t, func(o *fakeOwner) map[model.AttemptID]model.Attempt { return o.queued })
+	o := w.owner(a.Owner)
 	shed := rapid.IntRange(0, 4).Draw(t, "shed") == 0
 	if shed || o.late(w.now, &a) {
 		o.bar(a.ID, a.Request)
@@ -280,8 +283,8 @@
 }
 
 func (w *world) finish(t *rapid.T) {
-	o := draw(t, w.owners, func(o *fakeOwner) bool { return len(o.running) > 0 })
-	a := anyAttempt(t, o.running)
+	a := w.attemptIn(t, func(o *fakeOwner) map[model.AttemptID]model.Attempt { return o.running })
+	o := w.owner(a.Owner)
 	delete(o.running, a.ID)
 	o.attempts[a.ID] = model.AttemptDone
 	r := &reply{attempt: a.ID, report: o.report(w.now)}
@@ -299,7 +302,7 @@
 
 // receive hands a reply to its call, unless the connection is gone.
 func (w *world) receive(t *rapid.T) {
-	r := draw(t, w.replies, nil)
+	r := draw(t, w.replies, func(r *reply) bool { return w.about(w.byID[r.attempt]) })
 	w.replies = without(w.replies, r)
 	w.observe(r.report)
 	l := w.byID[r.attempt]
@@ -322,7 +325,7 @@
 }
 
 func (w *world) awaiting(t *rapid.T, kind StepKind) *liveCall {
-	return draw(t, w.calls, func(l *liveCall) bool { return l.awaits && l.step.Kind == kind })
+	return draw(t, w.calls, func(l *liveCall) bool { return w.about(l) && l.awaits && l.step.Kind == kind })
 }
 
 func (w *world) breakLink(t *rapid.T) {
@@ -362,9 +365,7 @@
 
 // restart loses an owner's memory and its keys.
 func (w *world) restart(t *rapid.T) {
-	if rapid.IntRange(0, 15).Draw(t, "rarely") > 0 {
-		t.Skip("not now")
-	}
+	w.rarely(t)
 	o := draw(t, w.owners, nil)
 	o.restart(w.now)
 	for _, id := range []model.RequestID{"k0", "k1"} {
@@ -374,12 +375,20 @@
 	}
 }
 
+// rarely skips most of an action's turns.
+func (w *world) rarely(t *rapid.T) {
+	if rapid.IntRange(0, 7).Draw(t, "rarely") > 0 {
+		t.Skip("not now")
+	}
+}
+
 func (w *world) advance(t *rapid.T) {
-	ms := rapid.SampledFrom([]int{1, 5, 20, 60, 300}).Draw(t, "ms")
+	ms := rapid.SampledFrom([]int{1, 5, 20, 60, 400}).Draw(t, "ms")
 	w.now = w.now.Add(time.Duration(ms) * time.Millisecond)
 }
 
 func (w *world) callerGone(t *rapid.T) {
+	w.rarely(t)
 	l := draw(t, w.calls, func(l *liveCall) bool { return !l.ended })
 	l.awaits = false
 	l.call.CallerGone(w.now)
@@ -414,12 +423,15 @@
 	return fitting[rapid.IntRange(0, len(fitting)-1).Draw(t, "which")]
 }
 
-// anyAttempt draws from a map in the order of the attempts' numbers.
-func anyAttempt(t *rapid.T, from map[model.AttemptID]model.Attempt) model.Attempt {
+// about tells whether an action may be about l now.
+func (w *world) about(l *liveCall) bool { return w.focus == nil || w.focus == l }
+
+// attemptIn draws an attempt that is in one of the owners' maps.
+func (w *world) attemptIn(t *rapid.T, in func(*fakeOwner) map[model.AttemptID]model.Attempt) model.Attempt {
 	var list []model.Attempt
-	for n := uint64(1); len(list) < len(from); n++ {
-		for id, a := range from {
-			if id.Sequence == n {
+	for _, l := range w.calls {
+		for _, a := range l.attempts {
+			if _, ok := in(w.owner(a.Owner))[a.ID]; ok && w.about(l) {
 				list = append(list, a)
 			}
 		}
@@ -427,6 +439,37 @@
 	return draw(t, list, nil)
 }
 
+// progress does what is due for one call, so that most calls get somewhere.
+func (w *world) progress(t *rapid.T) {
+	w.focus = draw(t, w.calls, func(l *liveCall) bool { return !l.ended })
+	defer func() { w.focus = nil }()
+	switch l := w.focus; {
+	case !l.awaits:
+		w.step(t)
+	case l.step.Kind == StepSettle:
+		w.settle(t)
+	default:
+		w.carry(t, l.step.Attempt)
+	}
+}
+
+// carry brings an attempt that its call waits for one stage on.
+func (w *world) carry(t *rapid.T, a model.Attempt) {
+	o := w.owner(a.Owner)
+	_, queued := o.queued[a.ID]
+	_, running := o.running[a.ID]
+	switch {
+	case queued:
+		w.startQueued(t)
+	case running:
+		w.finish(t)
+	case o.attempts[a.ID] == model.AttemptNeverSeen && w.posted(a.ID):
+		w.deliver(t)
+	default:
+		w.receive(t)
+	}
+}
+
 func without[T comparable](list []T, x T) []T {
 	var out []T
 	for _, y := range list {
@@ -437,20 +480,27 @@
 	return out
 }
 
+// progressWeight is how often a call's due step is drawn beside each other action.
+const progressWeight = 12
+
 func TestCallsKeepAtMostOnceAndTrueRefusals(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
-		act := func(f func(*rapid.T)) func(*rapid.T) {
-			return func(t *rapid.T) {
+		actions := map[string]func(*rapid.T){
+			"begin": w.begin, "begin too": w.begin, "step": w.step, "deliver": w.deliver, "start": w.startQueued,
+			"finish": w.finish, "receive": w.receive, "break": w.breakLink, "no connection": w.noConnection,
+			"settle": w.settle, "restart": w.restart, "advance": w.advance, "caller gone": w.callerGone,
+		}
+		for i := range progressWeight {
+			actions["progress "+strconv.Itoa(i)] = w.progress
+		}
+		for name, f := range actions {
+			actions[name] = func(t *rapid.T) {
 				w.t = t
 				f(t)
 			}
 		}
-		t.Repeat(map[string]func(*rapid.T){
-			"begin": act(w.begin), "step": act(w.step), "step again": act(w.step), "deliver": act(w.deliver),
-			"start": act(w.startQueued), "finish": act(w.finish), "receive": act(w.receive), "receive again": act(w.receive),
-			"break": act(w.breakLink), "no connection": act(w.noConnection), "settle": act(w.settle),
-			"restart": act(w.restart), "advance": act(w.advance), "caller gone": act(w.callerGone), "": w.check,
-		})
+		actions[""] = w.check
+		t.Repeat(actions)
 	})
 }
