Hand callers' request ids over at a planned stop; pass dead homes by

Change: a leaving home hands its memory to the next homes before its leaving is spread, refuses instead of delegating, and passes late results on; an owner whose address refuses connections (ECONNREFUSED: no process, so no memory) is passed by at once, and backed off by routing.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -120,6 +120,10 @@
 			return out
 		}
 	case control.SelfChanged:
+		if e.State == model.StateLeaving && n.Board.Self.Get().Instance.State < model.StateLeaving {
+			n.Owner.SetState(now, e.State)
+			out.Actions = append(out.Actions, n.handOver(now)...)
+		}
 		out.Decisions = append(out.Decisions, n.changeSelf(now, e.State)...)
 	case control.Paused:
 		out.Decisions = append(out.Decisions, n.Owner.Paused(now, e.For)...)
@@ -166,6 +170,9 @@
 		out.Actions = append(out.Actions, control.SettleAnswered{Reply: m})
 	case wire.KeyResult:
 		n.Owner.KeyResult(now, m)
+		out.Actions = append(out.Actions, n.forwardResult(now, m)...)
+	case wire.KeyHandover:
+		n.Owner.TakeOver(now, m.Keys)
 	case wire.LoadProbe:
 		if n.Landing.AllowProbe(now) {
 			out.Actions = append(out.Actions, control.Send{To: e.From, Message: wire.LoadReply{Report: n.Owner.Report(now)}})
--- /dev/null
+++ b/internal/core/handover.go
@@ -0,0 +1,60 @@
+package core
+
+import (
+	"time"
+
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+// handOver gives the memory of callers' request ids to their next homes when this
+// node begins to leave, so that a planned stop forgets none. It comes before
+// membership spreads the word of leaving.
+func (n *Node) handOver(now time.Time) []control.Action {
+	var batches []*handoverBatch
+	byHome := map[model.InstanceID]*handoverBatch{}
+	for _, rec := range n.Owner.Handover(now) {
+		home, ok := n.nextHome(now, rec.Request)
+		if !ok {
+			continue
+		}
+		b := byHome[home.ID]
+		if b == nil || len(b.keys) == wire.MaxHandoverKeys {
+			b = &handoverBatch{to: home}
+			byHome[home.ID] = b
+			batches = append(batches, b)
+		}
+		b.keys = append(b.keys, rec)
+	}
+	out := make([]control.Action, len(batches))
+	for i, b := range batches {
+		out[i] = control.SendDirect{To: b.to, Message: wire.KeyHandover{Keys: b.keys}}
+	}
+	return out
+}
+
+// handoverBatch is one message of a handover.
+type handoverBatch struct {
+	to   model.Instance
+	keys []wire.KeyRecord
+}
+
+// nextHome returns the home of a request id once this node has left.
+func (n *Node) nextHome(now time.Time, id model.RequestID) (model.Instance, bool) {
+	self := []model.InstanceID{n.cfg.Self.ID}
+	home, ok := n.Table.NextHome(now, n.cfg.Self.Service, id, self)
+	return home.Instance, ok
+}
+
+// forwardResult passes a KeyResult that came to a leaving home on to the next.
+func (n *Node) forwardResult(now time.Time, r wire.KeyResult) []control.Action {
+	if n.Board.Self.Get().Instance.State != model.StateLeaving {
+		return nil
+	}
+	home, ok := n.nextHome(now, r.Request)
+	if !ok {
+		return nil
+	}
+	return []control.Action{control.SendDirect{To: home, Message: r}}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,7 +38,7 @@
 // chooser is what an engine needs of a route.Table.
 type chooser interface {
 	Pick(now time.Time, q *route.Query) (route.Choice, bool)
-	Home(now time.Time, service model.ServiceName, id model.RequestID) (route.Choice, bool)
+	NextHome(now time.Time, service model.ServiceName, id model.RequestID, passed []model.InstanceID) (route.Choice, bool)
 	Sent(now time.Time, id model.InstanceID)
 	Done(now time.Time, id model.InstanceID, r route.Result)
 }
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -20,6 +20,33 @@
 	// recorded.
 	instance model.Instance
 	attempt  model.AttemptID
+	// passed are homes that take no part any more: one that is leaving has handed
+	// its memory over, and one whose address refuses connections has none.
+	passed [maxPassed]model.InstanceID
+	passes int
+}
+
+// maxPassed bounds the homes that one call passes by.
+const maxPassed = 3
+
+// passHome goes on to the next home of the order; false when the current one
+// still has the say.
+func (c *Call) passHome(now time.Time, r model.Reason) bool {
+	if !c.bound() || c.home.passes == maxPassed {
+		return false
+	}
+	if r != model.ReasonLeaving && r != model.ReasonOwnerAbsent {
+		return false
+	}
+	c.home.passed[c.home.passes] = c.to.ID
+	c.home.passes++
+	if _, ok := c.chooseHome(now); !ok {
+		c.home.passes--
+		return false
+	}
+	c.home.spoke = false
+	c.phase = phasePlace
+	return true
 }
 
 // keyed tells whether the same request may arrive a second time by another way,
@@ -33,7 +60,7 @@
 // that takes no part any more (leaving or gone) is followed by the next one of
 // the order, which the table names.
 func (c *Call) chooseHome(now time.Time) (route.Choice, bool) {
-	choice, ok := c.engine.table.Home(now, c.req.Target.Service.Name, c.req.ID)
+	choice, ok := c.engine.table.NextHome(now, c.req.Target.Service.Name, c.req.ID, c.home.passed[:c.home.passes])
 	if !ok || c.tried.has(choice.Instance.ID) || c.tried.full() {
 		return route.Choice{}, false
 	}
--- /dev/null
+++ b/internal/entry/home_test.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"testing"
+
+	"gypsumstand/internal/model"
+)
+
+func TestTheNextHomeHasTheSayWhenTheFirstIsAbsentOrLeaving(t *testing.T) {
+	for _, reason := range []model.Reason{model.ReasonOwnerAbsent, model.ReasonLeaving} {
+		s := start(t, 2, keyed).do(refuse(reason))
+		wantStep(t, s.step, StepSend, "payouts-b")
+		if s.step.Attempt.Delegated {
+			t.Errorf("%v: the next home is told that another has registered the id", reason)
+		}
+		s.do(refuse(model.ReasonDelegated))
+		if wantStep(t, s.step, StepSend, "payouts-a"); !s.step.Attempt.Delegated {
+			t.Errorf("%v: the next home's delegation is not passed on", reason)
+		}
+	}
+}
+
+func TestAnAbsentHomeWithoutAnotherProvesNothing(t *testing.T) {
+	s := start(t, 1, keyed).do(refuse(model.ReasonOwnerAbsent))
+	for s.step.Kind != StepEnd {
+		s.now = s.step.Until
+		if s.step.Kind == StepSend {
+			s.do(refuse(model.ReasonOwnerAbsent))
+			continue
+		}
+		s.step = s.call.Next(s.now)
+	}
+	if s.step.Outcome != model.OutcomeUnknown {
+		t.Errorf("outcome %v, want unknown: an earlier sending may have run", s.step.Outcome)
+	}
+}
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -69,6 +69,9 @@
 func (c *Call) refused(now time.Time, r model.Refusal) {
 	c.reason = r.Reason
 	c.advise(now, r.RetryAfter)
+	if c.replaceable() && c.passHome(now, r.Reason) {
+		return
+	}
 	switch r.Reason {
 	case model.ReasonIncarnation, model.ReasonStale:
 		if !c.resent && c.hasReport && c.sends < maxSends && c.replaceable() {
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -87,6 +87,9 @@
 // WorkerAddress returns the address of the member's worker.
 func (m *Member) WorkerAddress() string { return m.workerAddr }
 
+// Over tells whether the member was stopped or killed.
+func (m *Member) Over() bool { return m.over.Load() }
+
 // Fleet is a running deployment.
 type Fleet struct {
 	Platform *platform.Platform
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -112,6 +112,9 @@
 	ReasonLinkBroken
 	// ReasonBadRequest: the request itself is malformed.
 	ReasonBadRequest
+	// ReasonOwnerAbsent: the owner's address refused the connection, so that no
+	// process of the owner lives there, nor its memory.
+	ReasonOwnerAbsent
 
 	reasonCount
 )
@@ -121,7 +124,7 @@
 	"incarnation", "stale", "tenant-limit", "delegated", "duplicate-running",
 	"duplicate-done", "barred", "worker-unreachable", "worker-shed",
 	"worker-broken", "cancelled", "no-upstream", "no-route", "body-too-large",
-	"paused", "link-broken", "bad-request",
+	"paused", "link-broken", "bad-request", "owner-absent",
 }
 
 // String returns the header and label form of r.
--- a/internal/node/e2e_test.go
+++ b/internal/node/e2e_test.go
@@ -51,6 +51,9 @@
 	}
 	t.Cleanup(func() {
 		for _, m := range f.Members() {
+			if m.Over() {
+				continue
+			}
 			if err := f.Stop(m); err != nil {
 				t.Errorf("%s: %v", m.ID, err)
 			}
@@ -97,3 +100,29 @@
 		}
 	}
 }
+
+func TestAPlannedStopOfAHomeForgetsNoRequestID(t *testing.T) {
+	worker := &httpWorker{runs: map[string]int{}}
+	f := newFleet(t, 3, worker)
+	ids := make([]string, 12)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("payout-%d", i)
+		got, _, err := do(t, f, http.MethodPost, "/payouts", "amount=7", http.Header{"Idempotency-Key": {ids[i]}})
+		if err != nil || got.Outcome != "answered" {
+			t.Fatalf("%s: %+v, %v", ids[i], got, err)
+		}
+	}
+	leaving := f.Members()[2]
+	if err := f.Stop(leaving); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range ids {
+		got, _, err := do(t, f, http.MethodPost, "/payouts", "amount=7", http.Header{"Idempotency-Key": {id}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.Outcome == "answered" || worker.count(id) != 1 {
+			t.Errorf("%s sent again after its home left: %+v, %d runs", id, got, worker.count(id))
+		}
+	}
+}
--- /dev/null
+++ b/internal/owner/handover.go
@@ -0,0 +1,66 @@
+package owner
+
+import (
+	"sort"
+	"time"
+
+	"gypsumstand/internal/wire"
+)
+
+// Handover returns what this owner remembers as the home of callers' request ids,
+// for their next homes, in the order of ids. It is called when the owner begins to
+// leave; from then on it registers no id.
+func (o *Owner) Handover(now time.Time) []wire.KeyRecord {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.clock(now)
+	out := make([]wire.KeyRecord, 0, len(o.keys.byID))
+	for id, rec := range o.keys.byID {
+		remaining := rec.until - t
+		if rec.state == keyRunning {
+			remaining = o.keys.memory
+		}
+		out = append(out, wire.KeyRecord{
+			Request:   id,
+			Done:      rec.state == keyDone,
+			Attempt:   rec.attempt,
+			Remaining: remaining,
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Request < out[j].Request })
+	return out
+}
+
+// TakeOver remembers request ids of a home that leaves. What this owner knows
+// itself is not changed, and ids over the bound of its memory are dropped: it
+// returns how many.
+func (o *Owner) TakeOver(now time.Time, records []wire.KeyRecord) (dropped int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.clock(now)
+	for i := range records {
+		if !o.takeOver(t, &records[i]) {
+			dropped++
+		}
+	}
+	return dropped
+}
+
+func (o *Owner) takeOver(t time.Duration, r *wire.KeyRecord) bool {
+	if len(r.Request) > maxKeyBytes || r.Remaining <= 0 {
+		return false
+	}
+	if _, known := o.keys.byID[r.Request]; known {
+		return true
+	}
+	if len(o.keys.byID) >= maxKeys {
+		return false
+	}
+	state := keyDelegated
+	if r.Done {
+		state = keyDone
+	}
+	until := t + min(r.Remaining, maxRemaining)
+	o.keys.lapse(r.Request, keyRecord{state: state, attempt: r.Attempt, until: until})
+	return true
+}
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -255,11 +255,12 @@
 }
 
 // placeable tells whether an entry would try the request at another owner after
-// a refusal for this reason.
+// a refusal for this reason. An owner that leaves delegates nothing: its memory
+// has gone to the next homes (see Handover), and they have the say.
 func placeable(r model.Reason) bool {
 	switch r {
-	case model.ReasonOverloaded, model.ReasonQueueFull, model.ReasonLeaving,
-		model.ReasonNotReady, model.ReasonPaused, model.ReasonDelegated:
+	case model.ReasonOverloaded, model.ReasonQueueFull, model.ReasonNotReady,
+		model.ReasonPaused, model.ReasonDelegated:
 		return true
 	}
 	return false
--- a/internal/route/cell.go
+++ b/internal/route/cell.go
@@ -22,6 +22,9 @@
 	// sameAnswer is the time within which a report may be the one that rode on a
 	// refusal.
 	sameAnswer = int64(time.Millisecond)
+	// absentBackOff is how long an instance whose address refuses connections is
+	// not worth another try while there are others; membership takes it out.
+	absentBackOff = time.Second
 	// mostlyFailing is the failure rate in thousandths above which a worker's
 	// service time says nothing of its service's.
 	mostlyFailing = 500
@@ -253,6 +256,11 @@
 
 func (u *upstream) learnRefusal(now int64, r *Result) {
 	c := u.cell
+	if r.Refused == model.ReasonOwnerAbsent {
+		c.refusedAt.Store(now)
+		c.backOffUntil.Store(now + int64(absentBackOff))
+		return
+	}
 	if r.RetryAfter > 0 && aboutUpstream(r.Refused) {
 		c.refusedAt.Store(now)
 		c.backOffUntil.Store(now + int64(min(r.RetryAfter, maxBackOff)))
--- a/internal/route/home.go
+++ b/internal/route/home.go
@@ -13,12 +13,18 @@
 // the first, by rendezvous hashing of id, among the service's upstreams that
 // are not leaving or gone. Equal views give equal homes, whatever the load.
 func (t *Table) Home(now time.Time, service model.ServiceName, id model.RequestID) (c Choice, ok bool) {
+	return t.NextHome(now, service, id, nil)
+}
+
+// NextHome is Home without the instances passed: the one that registers the id
+// when those take no part any more.
+func (t *Table) NextHome(now time.Time, service model.ServiceName, id model.RequestID, passed []model.InstanceID) (c Choice, ok bool) {
 	p := t.picker.Load()
 	svc := p.services[service]
 	if svc == nil {
 		return Choice{}, false
 	}
-	u := svc.home(xxhash.Sum64String(string(id)))
+	u := svc.home(xxhash.Sum64String(string(id)), passed)
 	if u == nil {
 		return Choice{}, false
 	}
@@ -26,12 +32,12 @@
 }
 
 // home returns the upstream with the highest score for a request's hash, the
-// first of the order of ids among equals.
-func (s *service) home(request uint64) *upstream {
+// first of the order of ids among equals, without those passed.
+func (s *service) home(request uint64, passed []model.InstanceID) *upstream {
 	var best *upstream
 	var highest uint64
 	for _, u := range s.all {
-		if u.cell.leaving() {
+		if !u.eligible(passed) {
 			continue
 		}
 		if score := rendezvous(request, u.hash); best == nil || score > highest {
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -259,7 +259,7 @@
 		x.caller.Seen(step.To.ID, result.Report.Bundle)
 		x.call.Report(now, result.Report)
 	}
-	if !heard && result.Refusal.Reason == model.ReasonWorkerUnreachable {
+	if !heard && err == nil && result.Answer == nil {
 		x.caller.Unreached(step.To.ID)
 	}
 	if x.body.stream != nil {
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"time"
 
 	"gypsumstand/internal/model"
@@ -173,13 +174,21 @@
 	resp, err := f.transport.RoundTrip(req)
 	if err != nil {
 		if proof.NotRun() {
-			return Result{Refusal: model.Refusal{Reason: model.ReasonWorkerUnreachable, NotRun: true}}, false, nil
+			return Result{Refusal: model.Refusal{Reason: unreached(err), NotRun: true}}, false, nil
 		}
 		return Result{}, false, errors.Join(ErrBroken, err)
 	}
 	return f.read(w, resp, &proof)
 }
 
+// unreached tells an owner that is not there from one that cannot be reached.
+func unreached(err error) model.Reason {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return model.ReasonOwnerAbsent
+	}
+	return model.ReasonWorkerUnreachable
+}
+
 func (f *Forwarder) request(ctx context.Context, address string, w *Work, offer string) *http.Request {
 	u := &url.URL{Scheme: f.scheme, Host: address, Path: attemptPath + w.URL.Path, RawQuery: w.URL.RawQuery}
 	if w.URL.RawPath != "" {
--- /dev/null
+++ b/internal/wire/handover.go
@@ -0,0 +1,34 @@
+package wire
+
+import (
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+const kindKeyHandover Kind = 6
+
+// MaxHandoverKeys bounds the request ids of one KeyHandover.
+const MaxHandoverKeys = 500
+
+// KeyHandover gives a request id's next home what the leaving home remembers of
+// it, from memory to memory.
+type KeyHandover struct {
+	Keys []KeyRecord `cbor:"1,keyasint"`
+}
+
+// KeyRecord is the memory of one request id.
+type KeyRecord struct {
+	Request model.RequestID `cbor:"1,keyasint"`
+	// Done: it has run. Otherwise it is running or was placed elsewhere.
+	Done bool `cbor:"2,keyasint"`
+	// Attempt is the one that holds the id.
+	Attempt model.AttemptID `cbor:"3,keyasint"`
+	// Remaining is how long the record is to be remembered.
+	Remaining time.Duration `cbor:"4,keyasint"`
+}
+
+// Kind implements Message.
+func (KeyHandover) Kind() Kind { return kindKeyHandover }
+
+func init() { register(KeyHandover{}) }
