Make the tests catch what trial faults showed them to miss

Cause: faults put into a scratch copy one at a time went unseen: a signature without its context or its signer's name, key memory of refused names, bounds of paths, peers and key files, addresses that none connects to.

Change: a test case for each; CheckSet loses a condition that cannot be false.

--- a/internal/bundle/check_set.go
+++ b/internal/bundle/check_set.go
@@ -58,7 +58,7 @@
 		first := c.routes[id]
 		if first == nil {
 			c.routes[id] = b
-		} else if first != b {
+		} else {
 			c.add(b, key, "%s is also in %s, which wins", id, first.VersionID())
 		}
 	}
--- a/internal/bundle/sign_test.go
+++ b/internal/bundle/sign_test.go
@@ -70,6 +70,9 @@
 		{"altered bundle", with(func(s *Signed) { s.Bundle = []byte(strings.Replace(validBundle, "= 20", "= 21", 1)) }), ErrBadSignature},
 		{"cut signature", with(func(s *Signed) { s.Signature = s.Signature[:63] }), ErrBadSignature},
 		{"signature of the bare bytes", with(func(s *Signed) { s.Signature = ed25519.Sign(aline, s.Bundle) }), ErrBadSignature},
+		{"a signature without its context", with(func(s *Signed) {
+			s.Signature = ed25519.Sign(aline, append([]byte("aline\n"), s.Bundle...))
+		}), ErrBadSignature},
 		{"over a megabyte", with(func(s *Signed) { *s = Sign("aline", aline, make([]byte, MaxBytes)) }), ErrTooLarge},
 	}
 	for _, tt := range tests {
@@ -82,6 +85,25 @@
 	}
 }
 
+func TestSignatureBindsTheNameEvenUnderOneKey(t *testing.T) {
+	key := testKey(1)
+	trusted := []Signer{testSigner("al", key), testSigner("ali", key), testSigner("aline", key)}
+	signed := Sign("ali", key, []byte("name"))
+	if err := signed.Verify(trusted); err != nil {
+		t.Fatalf("Verify: %v", err)
+	}
+	others := []Signed{
+		{Signer: "aline", Bundle: signed.Bundle, Signature: signed.Signature},
+		{Signer: "al", Bundle: []byte("iname"), Signature: signed.Signature},
+		{Signer: "al", Bundle: []byte("i\nname"), Signature: signed.Signature},
+	}
+	for _, other := range others {
+		if err := other.Verify(trusted); !errors.Is(err, ErrBadSignature) {
+			t.Errorf("%s with %q: %v, want %v", other.Signer, other.Bundle, err, ErrBadSignature)
+		}
+	}
+}
+
 func TestOpenRefusesWhatIsNoSignedBundle(t *testing.T) {
 	good := mustMarshal(t, Sign("aline", testKey(1), []byte(validBundle)))
 	tests := map[string][]byte{
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -124,6 +124,7 @@
 		{"not base64", "name = \"aline\"\npublic = \"*\"\nprivate = \"*\"", []string{
 			"key:2:1: public: must be base64", "key:3:1: private: must be base64",
 		}},
+		{"base64 with spare bits", "name = \"aline\"\npublic = \"" + strings.Repeat("A", 42) + "B=\"", []string{"key:2:1: public: must be base64"}},
 		{"short", "name = \"aline\"\npublic = \"AAAA\"\nprivate = \"\"", []string{
 			"key:2:1: public: must be 32 bytes in base64, found 3", "key:3:1: private: must be 32 bytes in base64, found 0",
 		}},
@@ -152,7 +153,8 @@
 		t.Errorf("absent file: %v", err)
 	}
 	big := filepath.Join(dir, "big")
-	if err := os.WriteFile(big, make([]byte, maxFileBytes+1), 0o600); err != nil {
+	padded := append(mustGenerate(t, "aline").MarshalPublic(), bytes.Repeat([]byte("#"), maxFileBytes)...)
+	if err := os.WriteFile(big, padded, 0o600); err != nil {
 		t.Fatal(err)
 	}
 	if _, _, err := Load(big); err == nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -96,6 +97,12 @@
 		{"address within a wildcard", "127.0.0.1:7001", "0.0.0.0:7002", []string{"node.toml:5:1: peer_address: 127.0.0.1:7002 collides with caller_address 0.0.0.0:7002"}},
 		{"same address in IPv6 form", "127.0.0.1:7001", "[::ffff:127.0.0.1]:7002", []string{"node.toml:5:1: peer_address: 127.0.0.1:7002 collides with caller_address [::ffff:127.0.0.1]:7002"}},
 		{"wildcard peer address", "127.0.0.1:7002", "0.0.0.0:7002", []string{"node.toml:5:1: peer_address: 0.0.0.0:7002 is no address to connect to"}},
+		{"addresses that none connects to", "127.0.0.1:7004\"\npeers = [\"127.0.0.1:7012\"]\n[platform]\nconfig_address = \"127.0.0.1:7500\"\nlist_address = \"127.0.0.1:7500", "0.0.0.0:7004\"\n[platform]\nconfig_address = \"[::]:7500\"\nlist_address = \"224.0.0.1:7500", []string{
+			"node.toml:7:1: worker_address: 0.0.0.0:7004 is no address to connect to",
+			"node.toml:9:1: platform.config_address: [::]:7500 is no address to connect to",
+			"node.toml:10:1: platform.list_address: 224.0.0.1:7500 is no address to connect to",
+		}},
+		{"too many seeds", `["127.0.0.1:7012"]`, seeds(maxPeers + 1), []string{"node.toml:8:1: peers: 1001 peers are over the bound of 1000"}},
 		{"bad seed", `["127.0.0.1:7012"]`, `["127.0.0.1", "0.0.0.0:1", "10.0.0.1:2", "10.0.0.1:2"]`, []string{
 			`node.toml:8:1: peers: "127.0.0.1" must be an IP number and a port, as in 10.0.0.7:7100 or [fd00::7]:7100`,
 			"node.toml:8:1: peers: 0.0.0.0:1 is no address to connect to",
@@ -160,6 +167,15 @@
 	}
 }
 
+// seeds returns n different addresses as a TOML array.
+func seeds(n int) string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("\"127.0.0.1:%d\"", 10_000+i)
+	}
+	return "[" + strings.Join(out, ", ") + "]"
+}
+
 func TestParseRefusesOverAMegabyte(t *testing.T) {
 	if _, err := Parse("node.toml", bytes.Repeat([]byte("#"), maxFileBytes+1)); err == nil {
 		t.Error("Parse took a file over the bound")
--- a/internal/tomlfile/tomlfile_test.go
+++ b/internal/tomlfile/tomlfile_test.go
@@ -79,6 +79,9 @@
 			"f:1:9: count: must be an integer, found string", "f:2:1: x: unknown key", "f:3:8: unexpected character U+000A at start of value",
 		}},
 		{"multi-line values", "name = \"\"\"\na\nb\"\"\"\ncount = 1.5", []string{"f:4:9: count: must be an integer, found float"}},
+		{"faults after a multi-line fault", "name = [\n1,\n2,\n]\ncount = \"a\"\n", []string{
+			"f:1:8: name: must be a string, found array", "f:5:9: count: must be an integer, found string",
+		}},
 		{"bytes that are no UTF-8", "name = \"\xff\"", []string{"f:1:9: invalid UTF-8 character in basic string"}},
 	}
 	for _, tt := range tests {
@@ -155,6 +158,10 @@
 func TestAddIsSilentOnRefusedKeys(t *testing.T) {
 	var c config
 	d := Decode("f", []byte("count = \"a\"\npart = 1\nitem = [{name = 1}]\n"), &c)
+	d2 := Decode("f", []byte("[[part]]\nsize = 1\n"), &c)
+	if !d2.Refused("part.size") {
+		t.Error("part.size is not refused with its header")
+	}
 	before := d.Err().Error()
 	for _, key := range []string{"count", "part", "part.size", "item", "item[0].name", "item[0].tags"} {
 		if !d.Refused(key) {
