--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -120,6 +120,12 @@
 	Message wire.Message
 }
 
+// SendDirect sends a message to an instance, over an open link or a brief one.
+type SendDirect struct {
+	To      model.Instance
+	Message wire.Message
+}
+
 // OpenLink opens a control link; LinkUp or LinkDown follows.
 type OpenLink struct {
 	Peer    model.InstanceID
@@ -138,6 +144,9 @@
 // ReadValue reads one signed bundle from the configuration service.
 type ReadValue struct{ Name model.BundleName }
 
+// SettleAnswered hands an owner's settlement to the call that asked for it.
+type SettleAnswered struct{ Reply wire.SettleReply }
+
 // Record logs a numbered event.
 type Record struct {
 	Event event.ID
@@ -147,13 +156,21 @@
 	Err     error
 }
 
-func (Send) isAction()      {}
-func (OpenLink) isAction()  {}
-func (CloseLink) isAction() {}
-func (ReadList) isAction()  {}
-func (ReadIndex) isAction() {}
-func (ReadValue) isAction() {}
-func (Record) isAction()    {}
+// AdoptIncarnation says that this node must take a greater incarnation, since
+// peers remember one as great or have declared its present one gone. The owner
+// must bind new attempts to it from now on.
+type AdoptIncarnation struct{ Incarnation model.Incarnation }
+
+func (Send) isAction()             {}
+func (OpenLink) isAction()         {}
+func (CloseLink) isAction()        {}
+func (ReadList) isAction()         {}
+func (ReadIndex) isAction()        {}
+func (ReadValue) isAction()        {}
+func (Record) isAction()           {}
+func (AdoptIncarnation) isAction() {}
+func (SettleAnswered) isAction()   {}
+func (SendDirect) isAction()       {}
 
 // Controller is one writer of blackboard sections.
 type Controller interface {
