--- a/internal/bundle/parse_test.go
+++ b/internal/bundle/parse_test.go
@@ -137,6 +137,7 @@
 		{"reserved tenant", `"cooperative"`, `"other"`, []string{`test.toml:16:1: tenant[0].name: "other" is kept for tenants that no bundle names`}},
 		{"tenant rate negative", "rate_per_second = 0.5", "rate_per_second = -0.5", []string{"test.toml:17:1: tenant[0].rate_per_second: -0.5 must be from 0 to 1e+06"}},
 		{"burst under one", "rate_per_second = 0.5", "rate_per_second = 0.5\nburst = 0.5", []string{"test.toml:18:1: tenant[0].burst: 0.5 must be from 1 to 1e+06"}},
+		{"burst beside a rate that was not taken", "rate_per_second = 0.5", "rate_per_second = \"x\"\nburst = 5", []string{"test.toml:17:19: tenant[0].rate_per_second: must be a number, found string"}},
 		{"burst without rate", "rate_per_second = 0.5", "burst = 5", []string{"test.toml:17:1: tenant[0].burst: has no meaning without rate_per_second"}},
 		{"tenant share zero", "rate_per_second = 0.5", "max_share = 0.0", []string{"test.toml:17:1: tenant[0].max_share: 0 must be over 0 and at most 1"}},
 		{"duplicate service", "[[service.upstream]]", "[[service]]\nname = \"ledger\"\nslots = 1\nconnections = 1\n[[service.upstream]]", []string{`test.toml:23:1: service[1].name: "ledger" is taken by service[0].name on line 19`, "test.toml:28:1: service[1].upstream[0].slots: 1 connections cannot fill 10 slots"}},
--- a/internal/ctl/remote_test.go
+++ b/internal/ctl/remote_test.go
@@ -140,6 +140,15 @@
 	}
 }
 
+func TestStatusFollowsNoRedirect(t *testing.T) {
+	other, asked := serve(t, http.StatusOK, "{}")
+	server := httptest.NewServer(http.RedirectHandler("http://"+other+"/status", http.StatusFound))
+	defer server.Close()
+	if r := run("status", strings.TrimPrefix(server.URL, "http://")); r.code != ExitFailure || len(*asked) != 0 {
+		t.Errorf("%+v; the other was asked %v", r, *asked)
+	}
+}
+
 func TestStatusFailsWithoutANode(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	address := strings.TrimPrefix(server.URL, "http://")
