State the bounds of each field; say plainly what status and explain know

Cause: a node run by hand showed 'confirmed never, read 6 times' and called an unknown class a missing route; the bundle's fields did not name their bounds.

--- a/internal/bundle/bench_test.go
+++ b/internal/bundle/bench_test.go
@@ -1,10 +1,14 @@
 package bundle
 
 import (
+	"bytes"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"gypsumstand/internal/model"
 )
 
@@ -92,3 +96,29 @@
 		t.Errorf("Match makes %v allocations, want none", n)
 	}
 }
+
+// BenchmarkOpen reports the cost of taking in a signed bundle as a ratio to
+// decoding its TOML alone, as it was before every fault was looked for.
+func BenchmarkOpen(b *testing.B) {
+	text, err := os.ReadFile("../../examples/inyange/bundle.toml")
+	if err != nil {
+		b.Fatal(err)
+	}
+	key := testKey(1)
+	data, trusted := mustMarshal(b, Sign("aline", key, text)), []Signer{testSigner("aline", key)}
+	var open, decode time.Duration
+	for b.Loop() {
+		begin := time.Now()
+		if _, err := Open("f", data, trusted); err != nil {
+			b.Fatal(err)
+		}
+		middle := time.Now()
+		if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(new(Bundle)); err != nil {
+			b.Fatal(err)
+		}
+		open += middle.Sub(begin)
+		decode += time.Since(middle)
+	}
+	b.ReportMetric(float64(open)/float64(decode), "open/decode")
+	b.ReportMetric(float64(open)/float64(b.N), "ns/open")
+}
--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -37,7 +37,7 @@
 type Measuring struct {
 	// PerUpstreamPerSecond is the budget of measuring messages (polls of the
 	// worker by its owner and probes by entry nodes together) that may reach one
-	// upstream in a second. Default 5.
+	// upstream in a second. Default 5, over 0 and at most 1000.
 	PerUpstreamPerSecond float64 `toml:"per_upstream_per_second"`
 	// PollShare is the share of the budget kept for the owner's polls of its
 	// worker. Default 0.5, from 0.1 to 1.
@@ -47,28 +47,30 @@
 // Retry bounds extra attempts.
 type Retry struct {
 	// PerPath is the number of extra attempts that one caller's request may cause
-	// in all hops below it together. Default 2.
+	// in all hops below it together. Default 2, from 0 to 10.
 	PerPath int `toml:"per_path"`
 	// Ratio is the share of extra attempts to first attempts that one entry node
-	// makes for one service over time. Default 0.2.
+	// makes for one service over time. Default 0.2, from 0 to 1.
 	Ratio float64 `toml:"ratio"`
 	// HedgeAfterQuantile hedges an idempotent request once it has taken longer
-	// than this quantile of its class; 0 (default) means never.
+	// than this quantile of its class; 0 (default) means never. From 0 to 0.9999.
 	HedgeAfterQuantile float64 `toml:"hedge_after_quantile"`
 }
 
 // Class groups requests of one worth and deadline.
 type Class struct {
 	Name model.ClassName `toml:"name"`
-	// Worth of an answer in deadline (unitless, from 0). Internal lookups have 0.
+	// Worth of an answer in deadline (unitless, from 0 to 1000000). Internal
+	// lookups have 0, the default.
 	Worth float64 `toml:"worth"`
 	// DeadlineMs is the deadline of requests that name none, in milliseconds.
+	// From 1 to 3600000, with no default.
 	DeadlineMs int64 `toml:"deadline_ms"`
 	// MaxDeadlineMs is the upper bound of a request's own deadline, in
-	// milliseconds. Default: DeadlineMs.
+	// milliseconds. Default: DeadlineMs. From DeadlineMs to 3600000.
 	MaxDeadlineMs int64 `toml:"max_deadline_ms"`
 	// Share is the guaranteed share of an upstream's slots, 0 to 1. Idle shares
-	// may be borrowed. The shares of a bundle's classes sum to at most 1.
+	// may be borrowed. The shares of a bundle's classes sum to at most 1. Default 0.
 	Share float64 `toml:"share"`
 }
 
@@ -87,29 +89,34 @@
 	// fleet, in requests per second; 0 means no bound. Each owner enforces its
 	// part.
 	RatePerSecond float64 `toml:"rate_per_second"`
-	// Burst is the bucket's depth in requests. Default: a second's worth.
+	// Burst is the bucket's depth in requests, from 1. Default: a second's worth,
+	// at least 1. It has no meaning without RatePerSecond.
 	Burst float64 `toml:"burst"`
 	// MaxShare bounds the share of one upstream's slots that the tenant may hold
-	// while others wait, 0 to 1. Default 1.
+	// while others wait, over 0 and at most 1. Default 1.
 	MaxShare float64 `toml:"max_share"`
 }
 
 // Service is a set of like upstreams and the routes that lead to it.
 type Service struct {
 	Name model.ServiceName `toml:"name"`
-	// Slots is the number of requests that one upstream runs at once.
+	// Slots is the number of requests that one upstream runs at once. From 1 to
+	// 65535, with no default.
 	Slots int `toml:"slots"`
-	// Connections is the number of connections that one upstream takes.
+	// Connections is the number of connections that one upstream takes. From
+	// Slots to 65535, with no default.
 	Connections int `toml:"connections"`
 	// QueueLimit bounds the requests that wait at one owner. Default: 4 x slots.
+	// From 0 to 65535; 0 means that none waits.
 	QueueLimit int `toml:"queue_limit"`
-	// BodyLimitBytes bounds a request body. Default 1 MiB.
+	// BodyLimitBytes bounds a request body. Default 1 MiB, from 1 to 64 MiB.
 	BodyLimitBytes int64 `toml:"body_limit_bytes"`
 	// WarmupMs is the slow start of a worker after cold, in milliseconds: its
-	// limit ramps up over it. Default 2000.
+	// limit ramps up over it. Default 2000, from 1 to 600000.
 	WarmupMs int64 `toml:"warmup_ms"`
 	// KeyMemoryMs is how long an owner remembers a finished non-idempotent
-	// request id, in milliseconds. Default 120000.
+	// request id, in milliseconds. Default 120000, from the longest deadline of
+	// the classes whose requests may be non-idempotent to 86400000.
 	KeyMemoryMs int64 `toml:"key_memory_ms"`
 	// RequireEcho refuses an answer that does not echo the attempt's id
 	// (Gypsum-Attempt), the only proof against crossed answers. Default false:
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -68,7 +68,7 @@
 		fmt.Fprintf(w, " of tenant %s", text(e.Tenant))
 	}
 	if !e.Matched {
-		fmt.Fprintf(w, ": no route: %s\n", text(e.Reason))
+		fmt.Fprintf(w, ": leads nowhere: %s\n", text(e.Reason))
 		return nil
 	}
 	fmt.Fprintf(w, ": service %s, class %s, %s, by %s\n", text(e.Service), text(e.Class), idempotency(e.Idempotent), bundleList([]status.Bundle{e.Bundle}))
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -60,8 +60,8 @@
 	row(t, "state", text(n.State))
 	row(t, "ready", readiness(n))
 	row(t, "bundles", bundleList(n.Bundles))
-	row(t, "configuration", fmt.Sprintf("confirmed %s, read %d times by this node", ago(n.Sources.ConfigAge), n.Sources.ConfigReads))
-	row(t, "list", fmt.Sprintf("confirmed %s, read %d times by this node", ago(n.Sources.ListAge), n.Sources.ListReads))
+	row(t, "configuration", sourceWords(n.Sources.ConfigAge, n.Sources.ConfigReads))
+	row(t, "list", sourceWords(n.Sources.ListAge, n.Sources.ListReads))
 	row(t, "own worker", fmt.Sprintf("%d of %d in flight, %d queued, %s a request, %.1f%% failed",
 		n.Owner.InFlight, n.Owner.Limit, n.Owner.Queued, millis(n.Owner.ServiceTime), n.Owner.FailureRate*100))
 	row(t, "measuring", fmt.Sprintf("budget %g/s; %d polls, %d probes sent, %d received, %d refused",
@@ -134,6 +134,14 @@
 	return strings.Join(out, " ")
 }
 
+func sourceWords(age *status.Milliseconds, reads uint64) string {
+	confirmed := "not confirmed"
+	if age != nil {
+		confirmed = "confirmed " + ago(age)
+	}
+	return fmt.Sprintf("%s, read %d times by this node", confirmed, reads)
+}
+
 func ago(age *status.Milliseconds) string {
 	if age == nil {
 		return "never"
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -91,7 +91,7 @@
 // Sources tells how old what was read from the platform is.
 type Sources struct {
 	// ConfigAge and ListAge count from the last confirmation, by this node's own
-	// reading or a peer's; nil means there was none.
+	// reading or a peer's; nil means that there is none that still holds.
 	ConfigAge *Milliseconds `json:"config_age_ms"`
 	ListAge   *Milliseconds `json:"list_age_ms"`
 	// ConfigReads and ListReads count this node's own reads since its start.
@@ -151,7 +151,8 @@
 	Method string           `json:"method"`
 	Path   string           `json:"path"`
 	Tenant model.TenantName `json:"tenant"`
-	// Matched is false when no route leads to a service; Reason then says why.
+	// Matched is false when the request leads to no service and class; Reason
+	// then says why.
 	Matched    bool              `json:"matched"`
 	Reason     string            `json:"reason"`
 	Bundle     Bundle            `json:"bundle"`
