Test a dot segment and that a refused value leaves no part of itself

Change: a case for it, and one for values refused half-way. Conclusion: the first fails with the fault; the second passes with and without the reset between decodings, as the library writes a value only when whole, so the reset stays as a guard that no test needs.

--- a/internal/bundle/parse_test.go
+++ b/internal/bundle/parse_test.go
@@ -161,6 +161,7 @@
 		{"upstream slots over connections", "slots = 10\n", "slots = 261\n", []string{"test.toml:24:1: service[0].upstream[0].slots: 260 connections cannot fill 261 slots"}},
 		{"route path without slash", `path = "/payouts"` + "\nmethods", `path = "payouts"` + "\nmethods", []string{`test.toml:26:1: service[0].route[0].path: "payouts" must start with "/"`}},
 		{"route path with dots", `path = "/payouts"` + "\nmethods", `path = "/a/../b"` + "\nmethods", []string{`test.toml:26:1: service[0].route[0].path: "/a/../b" must have no '.' or '..' segment`}},
+		{"route path with a dot", `path = "/payouts"` + "\nmethods", `path = "/a/./b"` + "\nmethods", []string{`test.toml:26:1: service[0].route[0].path: "/a/./b" must have no '.' or '..' segment`}},
 		{"route path with empty segment", `path = "/payouts"` + "\nmethods", `path = "/a//b"` + "\nmethods", []string{`test.toml:26:1: service[0].route[0].path: "/a//b" must have no empty segment`}},
 		{"route path too long", `path = "/payouts"` + "\nmethods", `path = "/` + strings.Repeat("a", 1024) + `"` + "\nmethods", []string{`test.toml:26:1: service[0].route[0].path: "/` + strings.Repeat("a", 1024) + `" is over 1024 bytes`}},
 		{"class whose name was not taken", `name = "lookup"`, `name = 3`, []string{"test.toml:12:8: class[1].name: must be a string, found integer"}},
--- a/internal/tomlfile/tomlfile_test.go
+++ b/internal/tomlfile/tomlfile_test.go
@@ -103,6 +103,14 @@
 	}
 }
 
+func TestDecodeLeavesNoPartOfARefusedValue(t *testing.T) {
+	c := config{Part: part{Size: 7}}
+	Decode("f", []byte("item = [{name = \"a\"}, {name = 2}]\npart = {size = 1, size = 2}\n"), &c)
+	if diff := cmp.Diff(config{Part: part{Size: 7}}, c); diff != "" {
+		t.Errorf("struct differs (-want +got):\n%s", diff)
+	}
+}
+
 func TestDecodeListsABoundedNumberOfFaults(t *testing.T) {
 	var text strings.Builder
 	for range maxFaults + 10 {
