--- a/internal/finding/finding.go
+++ b/internal/finding/finding.go
@@ -3,8 +3,9 @@
 package finding
 
 import (
+	"cmp"
 	"fmt"
-	"sort"
+	"slices"
 	"strings"
 )
 
@@ -55,11 +56,8 @@
 	if len(l) == 0 {
 		return nil
 	}
-	sort.SliceStable(l, func(i, j int) bool {
-		if l[i].File != l[j].File {
-			return l[i].File < l[j].File
-		}
-		return l[i].Line < l[j].Line
+	slices.SortStableFunc(l, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
 	})
 	return l
 }
--- a/internal/spread/refuse.go
+++ b/internal/spread/refuse.go
@@ -98,6 +98,8 @@
 	switch {
 	case errors.Is(err, bundle.ErrTooLarge):
 		return &refusal{ReasonTooLarge, err}
+	case errors.Is(err, bundle.ErrUnsigned):
+		return &refusal{ReasonUnsigned, err}
 	case errors.Is(err, bundle.ErrUnknownSigner):
 		return &refusal{ReasonUnknownSigner, err}
 	case errors.Is(err, bundle.ErrBadSignature):
