route: tests for own sends, retired cells, cold, far data centres; start link windows at their first sample

Cause: breaking the code on purpose showed eight changes that no test noticed, and that a link's first window closed at once (its start was never set). Change: a test for each, and the first sample opens the window.

--- a/internal/route/link.go
+++ b/internal/route/link.go
@@ -42,6 +42,7 @@
 	if nanos <= 0 {
 		return
 	}
+	l.began.CompareAndSwap(0, now)
 	lower(&l.estimate, nanos)
 	lower(&l.least, nanos)
 	began := l.began.Load()
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -189,6 +189,17 @@
 	}
 }
 
+func TestFastFailureDoesNotAttractWithLittleTimeLeft(t *testing.T) {
+	table := seeded(4)
+	r := report("s-00000", 2*time.Second)
+	r.ServiceTime, r.FailureRate = 100*time.Microsecond, 1000
+	table.Observe(origin, r)
+	q := &Query{Service: "s", Remaining: 3 * time.Millisecond}
+	if got := share(table, origin, q, 500)["s-00000"]; got > 0.05 {
+		t.Errorf("%v of the picks went to the one that fails", got)
+	}
+}
+
 func TestFailureIsForgotten(t *testing.T) {
 	table := seeded(4)
 	r := report("s-00000", 2*time.Second)
@@ -232,23 +243,78 @@
 	}
 }
 
+// loadOf returns the expected load of one upstream.
+func loadOf(table *Table, now time.Time, id model.InstanceID) float64 {
+	for _, e := range table.Explain(now, query) {
+		if e.Instance.ID == id {
+			return e.Load
+		}
+	}
+	return -1
+}
+
 func TestOwnSendsCountOnTopOfTheReport(t *testing.T) {
+	// The round trip of seeded's links is 2 ms.
+	reported := origin.Add(100 * time.Millisecond)
+	cases := []struct {
+		name string
+		// before and after are when 5 attempts are sent, from the report on.
+		sent time.Duration
+		// load is the report's.
+		load uint16
+		want float64
+	}{
+		{"sent well before the report", -50 * time.Millisecond, 15, 15},
+		{"sent too late for the report", -time.Millisecond, 15, 20},
+		{"sent after the report", time.Microsecond, 15, 20},
+		{"more own than reported", -50 * time.Millisecond, 2, 5},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := seeded(2)
+			send := func() {
+				for range 5 {
+					table.Sent(reported.Add(c.sent), "s-00000")
+				}
+			}
+			if c.sent < 0 {
+				send()
+			}
+			r := report("s-00000", 2*time.Second)
+			r.InFlight = c.load
+			table.Observe(reported, r)
+			if c.sent > 0 {
+				send()
+			}
+			if got := loadOf(table, reported, "s-00000"); got < c.want-0.1 || got > c.want+0.1 {
+				t.Errorf("load %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestOwnSendsThatEndedCountNoMore(t *testing.T) {
 	table := seeded(2)
-	for range 30 {
-		table.Sent(origin.Add(10*time.Millisecond), "s-00000")
+	for range 5 {
+		table.Sent(origin.Add(time.Microsecond), "s-00000")
+		table.Done(origin.Add(time.Microsecond), "s-00000", Result{Failed: true})
 	}
-	if got := share(table, origin.Add(11*time.Millisecond), query, 200)["s-00000"]; got > 0.05 {
-		t.Errorf("%v of the picks went where 30 were sent since the report", got)
+	if got := loadOf(table, origin.Add(time.Microsecond), "s-00000"); got > 10.1 {
+		t.Errorf("load %v, want the report's 10", got)
 	}
-	// A report made after they arrived counts them itself.
-	r := report("s-00000", 2*time.Second)
-	r.InFlight = 20
-	now := origin.Add(20 * time.Millisecond)
-	table.Observe(now, r)
-	e := table.Explain(now, &Query{Service: "s"})
-	for _, got := range e {
-		if got.Instance.ID == "s-00000" && got.Load > 31 {
-			t.Errorf("load %v, want the report's 20 or the own 30, not their sum", got.Load)
+}
+
+func TestABurstOfOwnSendsIsSpread(t *testing.T) {
+	table := seeded(4)
+	sent := map[model.InstanceID]int{}
+	for range 80 {
+		c, _ := table.Pick(origin.Add(time.Millisecond), query)
+		table.Sent(origin.Add(time.Millisecond), c.Instance.ID)
+		sent[c.Instance.ID]++
+	}
+	for id, n := range sent {
+		if n < 12 || n > 28 {
+			t.Errorf("%v got %d of 80", id, n)
 		}
 	}
 }
@@ -268,6 +334,12 @@
 
 func TestColdUpstreamIsTriedAgainLater(t *testing.T) {
 	table := seeded(4)
+	for i := 1; i < 4; i++ {
+		// A queue of 25 ms.
+		r := report(model.InstanceID(fmt.Sprintf("s-%05d", i)), 2*time.Second)
+		r.InFlight, r.Queued = 20, 50
+		table.Observe(origin, r)
+	}
 	r := report("s-00000", 2*time.Second)
 	r.State, r.Limit, r.InFlight = model.StateCold, 0, 0
 	table.Observe(origin, r)
@@ -303,6 +375,32 @@
 	}
 }
 
+func TestFarDataCentresDoNotTakeTheSample(t *testing.T) {
+	table := seeded(300)
+	for i := range 100 {
+		now := origin.Add(time.Duration(i) * time.Second)
+		for range linkSamples {
+			table.Done(now, "s-00002", Result{Latency: 50 * time.Millisecond})
+		}
+	}
+	near, far := 0, 0
+	for range 1000 {
+		var c candidates
+		table.sample(&c, table.picker.Load().services["s"], nil)
+		for _, u := range c.list[:c.n] {
+			switch u.instance.DataCentre {
+			case "dc1":
+				near++
+			case "dc2":
+				far++
+			}
+		}
+	}
+	if near < 2*far || far == 0 {
+		t.Errorf("%d candidates are near and %d far, want about three to one", near, far)
+	}
+}
+
 func TestLinkTimeIsLearned(t *testing.T) {
 	const roundTrip = 6 * time.Millisecond
 	rng := rand.New(rand.NewPCG(5, 6))
@@ -373,16 +471,18 @@
 	table.Sent(origin, "b0")
 	now := origin.Add(time.Second)
 	table.Observe(now, report("b1", time.Second))
-	got := table.Stale(now, 500*time.Millisecond, 6)
-	if len(got) != 6 {
-		t.Fatalf("got %d upstreams, want 6", len(got))
-	}
-	for i, in := range got {
-		if in.ID == "b1" {
-			t.Error("an upstream heard just now is named")
+	for range 20 {
+		got := table.Stale(now, 500*time.Millisecond, 6)
+		if len(got) != 6 {
+			t.Fatalf("got %d upstreams, want 6", len(got))
 		}
-		if called := in.Service == "b"; called != (i < 4) {
-			t.Errorf("place %d is %v", i, in.ID)
+		for i, in := range got {
+			if in.ID == "b1" {
+				t.Error("an upstream heard just now is named")
+			}
+			if called := in.Service == "b"; called != (i < 4) {
+				t.Errorf("place %d is %v", i, in.ID)
+			}
 		}
 	}
 }
--- a/internal/route/state_test.go
+++ b/internal/route/state_test.go
@@ -192,6 +192,29 @@
 	}
 }
 
+func TestNewIncarnationForgetsFailureAndBackOff(t *testing.T) {
+	table := seeded(1)
+	table.Done(origin, "s-00000", Result{Failed: true})
+	table.Done(origin, "s-00000", Result{Refused: model.ReasonOverloaded, RetryAfter: time.Second})
+	r := report("s-00000", time.Millisecond)
+	r.Incarnation = 2
+	table.Observe(origin, r)
+	e := table.Explain(origin, query)[0]
+	if e.FailureRate != 0 || e.Wait > 100*time.Millisecond {
+		t.Errorf("failure rate %v, wait %v, want none of the old life's", e.FailureRate, e.Wait)
+	}
+}
+
+func TestReportOfARetiredCellCountsNoMore(t *testing.T) {
+	table := seeded(3)
+	old := table.picker.Load()
+	table.Update(origin, makeFleet(2), nil)
+	r := report("s-00002", 2*time.Second)
+	r.InFlight = 3
+	old.byID["s-00002"].observe(old.nanos(origin), &r)
+	checkSums(table, t.Errorf)
+}
+
 // TestTableUnderConcurrency is for the race detector; the sums must come out
 // even.
 func TestTableUnderConcurrency(t *testing.T) {
