Find parts of a fleet together again that each took the other for gone

Two nodes that had declared each other gone in a partition stayed apart too. A healthy fleet suspected a node whose peer had closed the one of two links that it had opened itself.

Change: leaving instances are linked when no other suits; instances that are gone and that the list has not dropped are tried now and then; a link with two channels outlives the end of one.

Each of the three breaks makes its regression test fail.

--- a/internal/member/failure_test.go
+++ b/internal/member/failure_test.go
@@ -156,3 +156,16 @@
 		}
 	}
 }
+
+func TestPartsThatDeclaredEachOtherGoneFindTogether(t *testing.T) {
+	f := grown(t, 2, 1, 10*time.Second)
+	f.blocked = func(_, _ *node) bool { return true }
+	f.run(2 * time.Minute)
+	if f.count(f.nodes[0].inst.ID, model.StateGone) != 1 || f.count(f.nodes[1].inst.ID, model.StateGone) != 1 {
+		t.Fatal("they did not declare each other gone, so nothing was tried")
+	}
+	f.blocked = func(_, _ *node) bool { return false }
+	if took := f.until(time.Minute, func() bool { return f.converged(2) }); took >= time.Minute {
+		t.Error("no common view a minute after the partition healed")
+	}
+}
--- a/internal/member/links.go
+++ b/internal/member/links.go
@@ -49,6 +49,16 @@
 	return l.closingSince.IsZero() && now.Sub(l.heard) < freshFor
 }
 
+// keepPeers follows the end of one of two channels: after closing its own, this
+// node goes on with the one that the peer opened.
+func (l *link) keepPeers() {
+	if l.closingSince.IsZero() {
+		return
+	}
+	l.closingSince = time.Time{}
+	l.outgoing = false
+}
+
 // echo returns a lower bound of the peer's clock.
 func (l *link) echo(now time.Time) wire.Clock {
 	if l.peerClock == 0 {
@@ -152,6 +162,7 @@
 		return
 	}
 	if l.channels--; l.channels > 0 {
+		l.keepPeers()
 		return
 	}
 	planned := !e.Failed || !l.closingSince.IsZero()
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -170,11 +170,11 @@
 }
 
 // choosePeer picks a random peer for an outgoing link: first one of another
-// data centre, then one of this, then any.
+// data centre, then one of this, then any, and last one that is leaving.
 func (c *Controller) choosePeer(now time.Time) (wire.MemberRecord, bool) {
 	own := c.cfg.Self.DataCentre
 	hasOwn, hasOther := c.outgoingPlaces()
-	suits := func(r wire.MemberRecord) bool { return c.suits(now, r) }
+	suits := func(r wire.MemberRecord) bool { return serving(r.State) && c.suits(now, r) }
 	if !hasOther && len(c.table.serving) > 1 {
 		if r, ok := c.table.pick(c.rng, func(r wire.MemberRecord) bool { return r.DataCentre != own && suits(r) }); ok {
 			return r, true
@@ -185,7 +185,10 @@
 			return r, true
 		}
 	}
-	return c.table.pick(c.rng, suits)
+	if r, ok := c.table.pick(c.rng, suits); ok {
+		return r, true
+	}
+	return c.table.pick(c.rng, func(r wire.MemberRecord) bool { return c.suits(now, r) })
 }
 
 // outgoingPlaces tells whether this node has, or is opening, a link within its
@@ -209,44 +212,61 @@
 
 // suits reports whether r may become an outgoing link's peer.
 func (c *Controller) suits(now time.Time, r wire.MemberRecord) bool {
-	switch {
-	case r.ID == c.cfg.Self.ID, !serving(r.State), r.PeerAddress == "":
-		return false
-	case c.links.get(r.ID) != nil, c.peers.dialing(r.ID):
-		return false
-	}
-	return !now.Before(c.peers.backoffs[r.ID].until)
+	return r.State != model.StateGone && c.unlinked(r) && !now.Before(c.peers.backoffs[r.ID].until)
 }
 
 // explore opens a link beyond the outgoing ones, which replaces one of them
-// when it succeeds: to another data centre when none goes there, or else to a
-// peer that could not be reached before.
+// when it succeeds.
 func (c *Controller) explore(now time.Time) {
-	own := c.cfg.Self.DataCentre
-	free := func(r wire.MemberRecord) bool {
-		return serving(r.State) && r.PeerAddress != "" && c.links.get(r.ID) == nil && !c.peers.dialing(r.ID)
-	}
-	if _, hasOther := c.outgoingPlaces(); !hasOther && len(c.table.serving) > 1 {
-		c.peers.nextExplore = now.Add(c.between(exploreMin, 2*exploreMin))
-		if r, ok := c.table.pick(c.rng, func(r wire.MemberRecord) bool { return r.DataCentre != own && free(r) }); ok {
-			c.dial(now, r.ID, r.PeerAddress, true)
-		}
-		return
+	r, ok := c.chooseFar()
+	wait := exploreMin
+	if !ok {
+		r, ok = c.chooseMissed()
+		wait = max(exploreMin, time.Duration(c.FleetSize())*explorePerNode)
 	}
-	wait := max(exploreMin, time.Duration(c.FleetSize())*explorePerNode)
 	c.peers.nextExplore = now.Add(c.between(wait/2, wait+wait/2))
+	if ok {
+		c.dial(now, r.ID, r.PeerAddress, true)
+	}
+}
+
+// chooseFar picks an instance of another data centre when no link goes to one.
+func (c *Controller) chooseFar() (wire.MemberRecord, bool) {
+	if _, hasOther := c.outgoingPlaces(); hasOther || len(c.table.serving) < 2 {
+		return wire.MemberRecord{}, false
+	}
+	return c.table.pick(c.rng, func(r wire.MemberRecord) bool {
+		return r.DataCentre != c.cfg.Self.DataCentre && serving(r.State) && c.unlinked(r)
+	})
+}
+
+// chooseMissed picks a peer that could not be reached before, or else one that
+// is gone and that the list has not dropped: two parts of a fleet that each
+// declared the other gone find together again by this.
+func (c *Controller) chooseMissed() (wire.MemberRecord, bool) {
 	var missed []wire.MemberRecord
 	for id, b := range c.peers.backoffs {
-		if r, ok := c.table.get(id); ok && b.failures > 0 && free(r) {
+		if r, ok := c.table.get(id); ok && b.failures > 0 && r.State != model.StateGone && c.unlinked(r) {
 			missed = append(missed, r)
 		}
 	}
 	if len(missed) == 0 {
-		return
+		for _, t := range c.reaper.tombstones {
+			if r, ok := c.table.get(t.id); ok && r.State == model.StateGone && r.ListMark <= wire.ListLive && c.unlinked(r) {
+				missed = append(missed, r)
+			}
+		}
+	}
+	if len(missed) == 0 {
+		return wire.MemberRecord{}, false
 	}
 	slices.SortFunc(missed, func(a, b wire.MemberRecord) int { return cmp.Compare(a.ID, b.ID) })
-	r := missed[c.rng.IntN(len(missed))]
-	c.dial(now, r.ID, r.PeerAddress, true)
+	return missed[c.rng.IntN(len(missed))], true
+}
+
+// unlinked reports whether a link to r could be opened: there is none yet.
+func (c *Controller) unlinked(r wire.MemberRecord) bool {
+	return r.ID != c.cfg.Self.ID && r.PeerAddress != "" && c.links.get(r.ID) == nil && !c.peers.dialing(r.ID)
 }
 
 // endDial ends the opening that a link came of, and reports whether it was for
--- a/internal/member/single_test.go
+++ b/internal/member/single_test.go
@@ -340,3 +340,48 @@
 		t.Errorf("states %s and %s of two accused among four, want gone and live", s.state(1), s.state(2))
 	}
 }
+
+func TestFloodOfMalformedRecordsIsLoggedOnceInAWhile(t *testing.T) {
+	s := newSingle(1)
+	for range 100 {
+		s.handle(control.Received{From: id(1), Message: wire.Rumours{Records: []wire.MemberRecord{{}}}})
+	}
+	logged := 0
+	for _, a := range s.actions {
+		if r, ok := a.(control.Record); ok && r.Event == event.MemberMalformed {
+			logged++
+		}
+	}
+	if logged != 1 {
+		t.Errorf("logged %d times", logged)
+	}
+}
+
+func TestClosedOwnChannelKeepsThePeers(t *testing.T) {
+	s := newSingle(1)
+	s.handle(control.LinkUp{Peer: instance(1, 1, model.StateLive)})
+	s.c.closeLink(s.now, s.c.links.get(id(1)))
+	s.handle(control.LinkDown{Peer: id(1)})
+	s.run(closingLimit+time.Second, 1)
+	if links := s.c.Links(); len(links) != 1 || links[0].Outgoing {
+		t.Errorf("links %+v, want the one that the peer opened", links)
+	}
+}
+
+func TestLeavingInstancesAreLinkedWhenNoOtherIsLeft(t *testing.T) {
+	s := newSingle(1)
+	for _, i := range []int{2, 3} {
+		r := recordOf(instance(i, 1, model.StateLeaving))
+		s.handle(control.Received{From: id(1), Message: wire.Rumours{Records: []wire.MemberRecord{r}}})
+	}
+	s.run(3*time.Second, 1)
+	opened := map[model.InstanceID]bool{}
+	for _, a := range s.actions {
+		if o, ok := a.(control.OpenLink); ok {
+			opened[o.Peer] = true
+		}
+	}
+	if !opened[id(2)] || !opened[id(3)] {
+		t.Errorf("opened links to %v only, so a few serving nodes could be cut off", opened)
+	}
+}
