--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -36,12 +35,6 @@
 	// the fleet stay random whatever order its nodes started in.
 	rotateMin = 5 * time.Minute
 	rotateMax = 15 * time.Minute
-	// exploreMin is the least time between two tries to reach a peer that could
-	// not be reached, or another data centre when no link goes to one. It grows
-	// by explorePerNode with the fleet, so the fleet's rate is bounded; one new
-	// link between the parts of a healed partition is enough for all.
-	exploreMin     = 5 * time.Second
-	explorePerNode = 200 * time.Millisecond
 	// isolatedAfter is the time without any link after which it is logged.
 	isolatedAfter = 10 * time.Second
 	// redirects is the number of others that a rejection names.
@@ -215,55 +208,6 @@
 	return r.State != model.StateGone && c.unlinked(r) && !now.Before(c.peers.backoffs[r.ID].until)
 }
 
-// explore opens a link beyond the outgoing ones, which replaces one of them
-// when it succeeds.
-func (c *Controller) explore(now time.Time) {
-	r, ok := c.chooseFar()
-	wait := exploreMin
-	if !ok {
-		r, ok = c.chooseMissed()
-		wait = max(exploreMin, time.Duration(c.FleetSize())*explorePerNode)
-	}
-	c.peers.nextExplore = now.Add(c.between(wait/2, wait+wait/2))
-	if ok {
-		c.dial(now, r.ID, r.PeerAddress, true)
-	}
-}
-
-// chooseFar picks an instance of another data centre when no link goes to one.
-func (c *Controller) chooseFar() (wire.MemberRecord, bool) {
-	if _, hasOther := c.outgoingPlaces(); hasOther || len(c.table.serving) < 2 {
-		return wire.MemberRecord{}, false
-	}
-	return c.table.pick(c.rng, func(r wire.MemberRecord) bool {
-		return r.DataCentre != c.cfg.Self.DataCentre && serving(r.State) && c.unlinked(r)
-	})
-}
-
-// chooseMissed picks a peer that could not be reached before, or else one that
-// is gone and that the list has not dropped: two parts of a fleet that each
-// declared the other gone find together again by this.
-func (c *Controller) chooseMissed() (wire.MemberRecord, bool) {
-	var missed []wire.MemberRecord
-	for id, b := range c.peers.backoffs {
-		if r, ok := c.table.get(id); ok && b.failures > 0 && r.State != model.StateGone && c.unlinked(r) {
-			missed = append(missed, r)
-		}
-	}
-	if len(missed) == 0 {
-		for _, t := range c.reaper.tombstones {
-			if r, ok := c.table.get(t.id); ok && r.State == model.StateGone && r.ListMark <= wire.ListLive && c.unlinked(r) {
-				missed = append(missed, r)
-			}
-		}
-	}
-	if len(missed) == 0 {
-		return wire.MemberRecord{}, false
-	}
-	slices.SortFunc(missed, func(a, b wire.MemberRecord) int { return cmp.Compare(a.ID, b.ID) })
-	return missed[c.rng.IntN(len(missed))], true
-}
-
 // unlinked reports whether a link to r could be opened: there is none yet.
 func (c *Controller) unlinked(r wire.MemberRecord) bool {
 	return r.ID != c.cfg.Self.ID && r.PeerAddress != "" && c.links.get(r.ID) == nil && !c.peers.dialing(r.ID)
--- /dev/null
+++ b/internal/node/e2e_test.go
@@ -0,0 +1,99 @@
+package node_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gypsumstand/internal/local"
+)
+
+const testBundle = `
+name = "test"
+version = %d
+[[class]]
+name = "view"
+worth = 1.0
+deadline_ms = 2000
+[[class]]
+name = "payout"
+worth = 10.0
+deadline_ms = 2000
+[[service]]
+name = "ledger"
+slots = 20
+connections = 40
+[[service.route]]
+path = "/payouts"
+class = "payout"
+[[service.route]]
+path = "/"
+class = "view"
+`
+
+// newFleet runs nodes with workers that handler serves, one a data centre, until
+// the test ends; then every node must stop gracefully.
+func newFleet(t *testing.T, nodes int, handler http.Handler) *local.Fleet {
+	t.Helper()
+	f, err := local.Start(local.Config{
+		Bundle:      fmt.Appendf(nil, testBundle, 1),
+		Services:    []local.Service{{Name: "ledger", Workers: nodes, Handler: handler}},
+		DataCentres: nodes,
+		StopTimeout: 10 * time.Second,
+		Log:         zerolog.Nop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for _, m := range f.Members() {
+			if err := f.Stop(m); err != nil {
+				t.Errorf("%s: %v", m.ID, err)
+			}
+		}
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := f.Await(t.Context(), local.Ready); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func TestARequestIsServedByAWorkerThroughAnyNode(t *testing.T) {
+	echo := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Gypsum-Attempt", r.Header.Get("Gypsum-Attempt"))
+		_, _ = io.WriteString(w, "for "+r.Header.Get("Idempotency-Key"))
+	}
+	f := newFleet(t, 3, http.HandlerFunc(echo))
+	for i, address := range f.Callers() {
+		req, err := http.NewRequest(http.MethodGet, "http://"+address+"/vouchers/7", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Idempotency-Key", fmt.Sprintf("key-%d", i))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := string(body), fmt.Sprintf("for key-%d", i); got != want {
+			t.Errorf("node %d: body %q, want %q", i, got, want)
+		}
+		if got := resp.Header.Get("Gypsum-Outcome"); got != "answered" {
+			t.Errorf("node %d: outcome %q", i, got)
+		}
+		if got := resp.Header.Get("Gypsum-Bundle"); got != "test@1" {
+			t.Errorf("node %d: bundle %q", i, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/spread/ready_test.go
@@ -0,0 +1,236 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumstand/internal/blackboard"
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+// fleetOf is a view of n instances.
+func fleetOf(n int) *model.Fleet { return &model.Fleet{Instances: make([]model.Instance, n)} }
+
+func freshSingle(fleetSize int) *single {
+	s := &single{board: &blackboard.Board{}, now: epoch}
+	s.board.Fleet.Put(fleetOf(fleetSize))
+	s.c = New(Config{Self: model.Instance{ID: "self"}, Trusted: trusted}, s.board, rand.New(rand.NewPCG(2, 2)))
+	return s
+}
+
+func TestFreshNodeThatReachesNobodyIsNotReady(t *testing.T) {
+	s := freshSingle(10)
+	for range 600 {
+		out := s.wait(control.TickInterval)
+		if hasAction(out, control.ReadIndex{}) {
+			s.handle(control.IndexReadFailed{})
+		}
+	}
+	if s.c.Ready() || len(s.c.Missing()) == 0 || s.board.Bundles.Get() != nil {
+		t.Errorf("ready %v, missing %v", s.c.Ready(), s.c.Missing())
+	}
+}
+
+func TestFreshNodeOnThePlatformsWordAloneIsUnconfirmed(t *testing.T) {
+	s := freshSingle(10)
+	s.readIndex(model.BundleVersion{Name: "a", Version: 1})
+	out := s.wait(2 * time.Second)
+	if !hasAction(out, control.ReadValue{Name: "a"}) {
+		t.Fatal("the value was not read")
+	}
+	s.handle(control.ValueRead{Name: "a", Data: signed("a", 1, 0)})
+	out = s.wait(aloneWait)
+	if !s.c.Ready() || recorded(out, event.BundlesReadyAlone) != 1 || !s.c.Confirmed().IsZero() {
+		t.Fatalf("ready %v, confirmed %s, missing %v", s.c.Ready(), s.c.Confirmed(), s.c.Missing())
+	}
+	s.handle(control.LinkUp{Peer: model.Instance{ID: "p"}})
+	asked := sentTo[wire.BundleCompare](s.wait(2*compareInterval), "p")
+	if len(asked) == 0 {
+		t.Fatal("the peer was not asked")
+	}
+	last := asked[len(asked)-1]
+	s.from("p", wire.BundleCompareReply{Nonce: last.Nonce, Digest: last.Digest, Settled: true})
+	if s.c.Confirmed().IsZero() {
+		t.Error("unconfirmed although a peer holds the same")
+	}
+}
+
+func TestFreshNodeWaitsForWhatAPeerHolds(t *testing.T) {
+	s := freshSingle(10)
+	out := s.handle(control.LinkUp{Peer: model.Instance{ID: "p"}})
+	nonce := sentTo[wire.BundleCompare](out, "p")[0].Nonce
+	s.from("p", wire.BundleCompareReply{Nonce: nonce, Digest: 1, Settled: true, Buckets: append([]uint64{1}, make([]uint64, 63)...)})
+	newest := wire.BundleList{Nonce: nonce, Buckets: 1, Held: []wire.HeldBundle{{Name: "a", Version: 2, Content: 1}}}
+	if out := s.from("p", newest); len(sentTo[wire.BundleWant](out, "p")) != 1 {
+		t.Fatal("the peer was not asked for its bundle")
+	}
+	s.readIndex(model.BundleVersion{Name: "a", Version: 1})
+	s.handle(control.ValueRead{Name: "a", Data: signed("a", 1, 0)})
+	s.wait(5 * time.Second)
+	if s.c.Ready() || s.board.Bundles.Get() != nil {
+		t.Fatal("ready with the platform's older version")
+	}
+	s.from("p", packedBody("a", 2, signed("a", 2, 0)))
+	if !s.c.Ready() || s.inForce() != 2 {
+		t.Errorf("missing %v", s.c.Missing())
+	}
+}
+
+func TestReadyWithPeersWhileThePlatformIsDown(t *testing.T) {
+	f := settledFleet(t, 10)
+	f.platform.down = true
+	f.restart(f.nodes[4])
+	f.linkSome(f.nodes[4], 4, f.nodes)
+	f.wantAll(t, f.nodes, 1, bound)
+}
+
+func TestWholeFleetStartsOnThePlatformsWord(t *testing.T) {
+	f := newFleet(10, 5)
+	f.publish("a", 1, 1000)
+	f.linkAll(4)
+	f.wantAll(t, f.nodes, 1, bound)
+	f.run(compareInterval * 2)
+	for _, nd := range f.nodes {
+		if age := f.now.Sub(nd.c.Confirmed()); age > 5*time.Second {
+			t.Errorf("%s was confirmed %s ago", nd.id, age)
+		}
+	}
+}
+
+func TestOneReadyPeerOfManyIsNotEnough(t *testing.T) {
+	s := freshSingle(10)
+	answer := func(id model.InstanceID) {
+		nonce := s.c.links.byID[id].compare.nonce
+		s.from(id, wire.BundleCompareReply{Nonce: nonce, Digest: s.c.held.digest, Settled: true})
+	}
+	s.handle(control.LinkUp{Peer: model.Instance{ID: "p"}})
+	s.handle(control.LinkUp{Peer: model.Instance{ID: "q"}})
+	answer("p")
+	s.readIndex()
+	if s.wait(epoch.Add(quorumWait).Sub(s.now) - control.TickInterval); s.c.Ready() {
+		t.Error("ready before the other linked peer answered")
+	}
+	if answer("q"); !s.c.Ready() {
+		t.Errorf("missing %v", s.c.Missing())
+	}
+}
+
+func TestFreshNodeAsksReadyPeersBeforeThePlatform(t *testing.T) {
+	s := freshSingle(10)
+	out := s.handle(control.LinkUp{Peer: model.Instance{ID: "p"}})
+	nonce := sentTo[wire.BundleCompare](out, "p")[0].Nonce
+	s.from("p", wire.BundleCompareReply{Nonce: nonce, Digest: s.c.held.digest, Settled: true})
+	s.readIndex(model.BundleVersion{Name: "a", Version: 1})
+	if out := s.wait(platformGrace - control.TickInterval); hasAction(out, control.ReadValue{Name: "a"}) {
+		t.Error("read the platform at once")
+	}
+	if out := s.wait(time.Second); !hasAction(out, control.ReadValue{Name: "a"}) {
+		t.Error("never read the platform")
+	}
+}
+
+func TestAnswerThatWaitedThroughAPauseConfirmsNothing(t *testing.T) {
+	s := newSingle(t)
+	for !hasAction(s.tick(), control.ReadIndex{}) {
+		s.now = s.now.Add(control.TickInterval)
+	}
+	s.now = s.now.Add(time.Hour)
+	s.handle(control.Paused{For: time.Hour})
+	s.handle(control.IndexRead{Versions: []model.BundleVersion{{Name: "a", Version: 5}}})
+	if got := s.c.Confirmed(); !got.IsZero() {
+		t.Errorf("confirmed as of %s", got)
+	}
+	s.readIndex(model.BundleVersion{Name: "a", Version: 5})
+	if got := s.c.Confirmed(); !got.Equal(s.now) {
+		t.Errorf("confirmed as of %s, now is %s", got, s.now)
+	}
+}
+
+func TestBeaconThatMayHaveWaitedConfirmsNothing(t *testing.T) {
+	events := map[string]control.Event{
+		"pause":                  control.Paused{For: time.Hour},
+		"end of a link not told": control.LinkDown{Peer: "p"},
+	}
+	for name, ev := range events {
+		s := newSingle(t, "p")
+		before := s.c.Confirmed()
+		s.now = s.now.Add(time.Minute)
+		out := s.handle(ev)
+		beacon := wire.BundleBeacon{ReadDigest: s.c.held.digest}
+		out = append(out, s.from("p", beacon)...)
+		s.from("p", wire.BundleCompareReply{Nonce: 1, Digest: s.c.held.digest})
+		s.from("p", beacon)
+		if got := s.c.Confirmed(); got.After(before) {
+			t.Errorf("%s: confirmed as of %s", name, got)
+		}
+		nonce := sentTo[wire.BundleCompare](out, "p")[0].Nonce
+		s.from("p", wire.BundleCompareReply{Nonce: nonce, Digest: s.c.held.digest})
+		s.from("p", beacon)
+		if got := s.c.Confirmed(); !got.Equal(s.now) {
+			t.Errorf("%s: confirmed as of %s, now is %s", name, got, s.now)
+		}
+	}
+}
+
+func TestBeaconTellsOfAReadAndItsSuccessTogether(t *testing.T) {
+	s := newSingle(t, "p")
+	s.index = nil
+	out := s.tick()
+	for ; !hasAction(out, control.ReadIndex{}); out = s.tick() {
+		s.now = s.now.Add(control.TickInterval)
+	}
+	s.now = s.now.Add(answerWait / 2)
+	out = append(out, s.tick()...)
+	if got := sentTo[wire.BundleBeacon](out, "p"); len(got) != 0 {
+		t.Errorf("told of the attempt alone: %+v", got)
+	}
+	got := sentTo[wire.BundleBeacon](s.handle(control.IndexRead{Versions: []model.BundleVersion{{Name: "a", Version: 5}}}), "p")
+	age := uint32((answerWait / 2).Milliseconds())
+	want := []wire.BundleBeacon{{AttemptAgeMs: age, SuccessAgeMs: age, ReadAgeMs: age, ReadDigest: s.c.held.digest}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestVersionThatOvertakesAReadingDoesNotMakeItStale(t *testing.T) {
+	s := newSingle(t, "p")
+	for !hasAction(s.tick(), control.ReadIndex{}) {
+		s.now = s.now.Add(control.TickInterval)
+	}
+	s.now = s.now.Add(time.Millisecond)
+	s.from("p", packedBody("a", 6, signed("a", 6, 0)))
+	s.handle(control.IndexRead{Versions: []model.BundleVersion{{Name: "a", Version: 5}}})
+	if got := s.c.Counters(); got.StaleIndexes != 0 || got.IndexFailures != 0 {
+		t.Errorf("counters %+v", got)
+	}
+}
+
+func TestReadingConfirmsOnlyWhoHoldsWhatItFound(t *testing.T) {
+	s := newSingle(t, "p")
+	before := s.c.Confirmed()
+	s.readIndex(model.BundleVersion{Name: "a", Version: 6})
+	if got := s.c.Confirmed(); !got.Equal(before) {
+		t.Errorf("confirmed as of %s by an own reading whose value is not here", got)
+	}
+	digest := s.c.held.digest ^ entryHash(s.c.held.items["a"].bundle.VersionID(), s.c.held.items["a"].content)
+	raw := signed("a", 7, 0)
+	got, err := openSigned("a", raw, trusted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	digest ^= entryHash(got.bundle.VersionID(), got.content)
+	s.from("p", wire.BundleBeacon{ReadDigest: digest})
+	if got := s.c.Confirmed(); !got.Equal(before) {
+		t.Errorf("confirmed as of %s by a peer's reading whose value is not here", got)
+	}
+	s.from("p", packedBody("a", 7, raw))
+	if got := s.c.Confirmed(); !got.Equal(s.now) {
+		t.Errorf("confirmed as of %s, now is %s", got, s.now)
+	}
+}
