--- a/internal/proof/exchange_test.go
+++ b/internal/proof/exchange_test.go
@@ -37,6 +37,14 @@
 	over    bool
 	// gone: the caller gave up.
 	gone bool
+	// refused is the reason of the last refusal.
+	refused model.Reason
+}
+
+// resends tells whether the attempt that follows is sent to the same owner again
+// with a fresh stamp, which is no new choice.
+func (x *exchange) resends() bool {
+	return x.refused == model.ReasonStale || x.refused == model.ReasonIncarnation
 }
 
 // receive takes a caller's request at this entry (server.Caller.ServeHTTP).
@@ -132,6 +140,7 @@
 	}
 	x.turn++
 	x.current, x.local = nil, nil
+	x.refused = r.refusal.Reason
 	now := x.l.w.now
 	if r.heard {
 		x.l.core.Table.Observe(now, r.report)
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -177,7 +177,11 @@
 
 func (w *world) timePasses(c chooser) { w.advance(w.wait(c, "time", 3*time.Second)) }
 
-func (w *world) fault(c chooser) { faults[c.pick("fault", len(faults))].do(w, c) }
+func (w *world) fault(c chooser) {
+	f := faults[c.pick("fault", len(faults))]
+	w.trace.add(w, "fault", f.name)
+	f.do(w, c)
+}
 
 func (w *world) twoFaults(c chooser) {
 	w.fault(c)
--- a/internal/proof/ledger_test.go
+++ b/internal/proof/ledger_test.go
@@ -175,15 +175,14 @@
 	rec := &attemptRecord{sending: s}
 	g.attempts[step.Attempt.ID] = rec
 	g.count("attempts")
-	g.w.trace.add(g.w, "sent", step.Attempt.ID, step.To.ID)
+	g.w.trace.add(g.w, "sent", s.number, step.Attempt.ID, step.To.ID, step.Attempt.Delegated, candidates(x.l, step.Attempt.Service))
 	switch {
 	case !s.bound():
 	case step.Attempt.Delegated:
 		rec.home, rec.candidates = s.asked.home, s.asked.candidates
 	default:
 		rec.to, rec.candidates = step.To.ID, candidates(x.l, step.Attempt.Service)
-		if s.asked != nil && s.asked.to == rec.to && !strings.Contains(rec.candidates, string(rec.to)) {
-			// Sent to the same owner again, with a fresh stamp: no new choice.
+		if s.asked != nil && s.asked.to == rec.to && x.resends() {
 			rec.candidates = s.asked.candidates
 		}
 		s.asked = rec
@@ -237,7 +236,7 @@
 	s := rec.sending
 	r := g.requests[s.request]
 	run := workerRun{attempt: j.attempt.ID, record: rec, sending: s, worker: wk.n.id, at: g.w.now}
-	g.w.trace.add(g.w, "ran", j.attempt.ID, wk.n.id)
+	g.w.trace.add(g.w, "ran", s.number, j.attempt.ID, wk.n.id)
 	g.count("runs")
 	g.checkOnce(r, run)
 	r.runs = append(r.runs, run)
@@ -250,7 +249,7 @@
 // told notes what a caller was told.
 func (g *ledger) told(s *sending, o model.Outcome, reason model.Reason, a *answer) {
 	s.ended, s.told, s.outcome, s.toldAt = true, true, o, g.w.now
-	g.w.trace.add(g.w, "told", s.number, o, reason)
+	g.w.trace.add(g.w, "told", s.number, s.request, o, reason)
 	g.count("told " + o.String())
 	if o == model.OutcomeAnswered {
 		g.checkAnswer(s, a)
--- a/internal/proof/link_test.go
+++ b/internal/proof/link_test.go
@@ -122,6 +122,16 @@
 	})
 }
 
+// reset ends this side once the other has shown that it knows no such link, as
+// TCP does.
+func (e *linkEnd) reset() {
+	e.l.w.net.carry(e.other.l.node, e.l.node, func() {
+		if e.l.alive {
+			e.l.links.remove(e, false)
+		}
+	})
+}
+
 // close stands for Manager.CloseLink.
 func (s *links) close(peer model.InstanceID) {
 	for _, e := range slices.Clone(s.byPeer[peer]) {
@@ -194,6 +204,7 @@
 	to := e.other
 	arrive := func() {
 		if to.closed || !to.l.alive {
+			e.reset()
 			return
 		}
 		m, err := wire.Decode(data)
--- a/internal/proof/oracle_test.go
+++ b/internal/proof/oracle_test.go
@@ -181,12 +181,20 @@
 		}
 		since := latest(calm, g.newestAt, g.lives[n.life].born)
 		if g.w.now.Sub(since) > spreadSeconds && n.life.version() < g.newest {
-			g.violate(promiseBundle, "%s has version %d; %d has been in force for %v",
-				n.id, n.life.version(), g.newest, g.w.now.Sub(g.newestAt))
+			g.violate(promiseBundle, "%s has version %d; %d has been in force for %v; missing: %v",
+				n.id, n.life.version(), g.newest, g.w.now.Sub(g.newestAt), n.life.missing())
 		}
 	}
 }
 
+// missing is what a process says that it lacks to be ready.
+func (l *life) missing() []string {
+	if r := l.core.Board.Readiness.Get(); r != nil {
+		return r.Missing
+	}
+	return nil
+}
+
 func latest(times ...time.Time) time.Time {
 	out := times[0]
 	for _, t := range times {
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -54,6 +54,9 @@
 	platform *platform
 	nodes    []*node
 	ledger   *ledger
+	// events counts those of the second.
+	events int
+	second int64
 	// trace hashes what happened, so that two runs can be compared.
 	trace trace
 }
@@ -86,11 +89,28 @@
 	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
 		next := heap.Pop(&w.queue).(event)
 		w.now = next.at
+		w.countEvent()
 		next.run()
 	}
 	w.now = end
 }
 
+// stormEvents is the number of events within a second that no sound fleet of
+// this size comes near.
+const stormEvents = 100_000
+
+// countEvent ends the world's run in a storm of events.
+func (w *world) countEvent() {
+	if second := w.now.Unix(); second != w.second {
+		w.second, w.events = second, 0
+	}
+	w.events++
+	if w.events == stormEvents {
+		w.ledger.violate(recovery, "a storm of events")
+		w.queue = nil
+	}
+}
+
 // chance reports true with probability p.
 func (w *world) chance(p float64) bool { return p > 0 && w.rng.Float64() < p }
 
