--- a/internal/deploy/deploy.go
+++ b/internal/deploy/deploy.go
@@ -7,13 +7,14 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"time"
 
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/fake/worker"
 	"gypsumstand/internal/load"
 	"gypsumstand/internal/local"
-	"gypsumstand/internal/model"
 )
 
 // Deployment is an example's bundle with the number of workers per service.
@@ -24,6 +25,8 @@
 	Bundle *bundle.Bundle
 	// Workers counts the workers of each of the bundle's services, in its order.
 	Workers []int
+	// MeanMs is the workers' mean service time in milliseconds.
+	MeanMs float64
 }
 
 // The examples' sizes (brief, "Sizes of today").
@@ -42,9 +45,9 @@
 
 // Service times of the stand-in workers.
 const (
-	meanMs      = 10.0
-	sigma       = 0.5
-	answerBytes = 2 << 10
+	defaultMeanMs = 10.0
+	sigma         = 0.5
+	answerBytes   = 2 << 10
 )
 
 // New reads a deployment's bundle.
@@ -56,7 +59,7 @@
 	if len(b.Services) != len(workers) {
 		return nil, fmt.Errorf("%s: %d services, %d numbers of workers", name, len(b.Services), len(workers))
 	}
-	return &Deployment{Name: name, TOML: toml, Bundle: b, Workers: workers}, nil
+	return &Deployment{Name: name, TOML: toml, Bundle: b, Workers: workers, MeanMs: defaultMeanMs}, nil
 }
 
 // Fleet returns the configuration of its fleet on loopback.
@@ -82,7 +85,7 @@
 		out.Profiles = append(out.Profiles, worker.Profile{
 			Path:         r.Path,
 			Distribution: worker.Lognormal,
-			MeanMs:       meanMs,
+			MeanMs:       d.MeanMs,
 			Sigma:        sigma,
 			SizeBytes:    answerBytes,
 		})
@@ -93,7 +96,7 @@
 // Capacity returns the requests per second that a service's workers can answer.
 func (d *Deployment) Capacity(i int) float64 {
 	slots := float64(d.Bundle.Services[i].Slots * d.Workers[i])
-	return slots / meanMs * float64(time.Second/time.Millisecond)
+	return slots / d.MeanMs * float64(time.Second/time.Millisecond)
 }
 
 // Weights of a service's routes in its load.
@@ -104,13 +107,10 @@
 )
 
 // Streams returns one stream per route that together offer each service the
-// given share of its capacity.
+// given share of its capacity. They name no tenant, so that no tenant's limit
+// bounds the load.
 func (d *Deployment) Streams(share float64) []load.Stream {
 	var out []load.Stream
-	tenant := model.TenantName("")
-	if len(d.Bundle.Tenants) > 0 {
-		tenant = d.Bundle.Tenants[0].Name
-	}
 	for i := range d.Bundle.Services {
 		svc := &d.Bundle.Services[i]
 		total := 0.0
@@ -120,7 +120,6 @@
 		for j := range svc.Routes {
 			r := &svc.Routes[j]
 			s := d.stream(r)
-			s.Tenant = tenant
 			s.RatePerSecond = share * d.Capacity(i) * d.weight(r) / total
 			out = append(out, s)
 		}
@@ -165,3 +164,12 @@
 	m := method(r)
 	return m != http.MethodPost && m != http.MethodPatch
 }
+
+// Load reads the bundle of an example from its folder.
+func Load(examples, name string, workers []int) (*Deployment, error) {
+	data, err := os.ReadFile(filepath.Join(examples, name, "bundle.toml"))
+	if err != nil {
+		return nil, fmt.Errorf("example %s: %w", name, err)
+	}
+	return New(name, data, workers)
+}
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -84,6 +84,9 @@
 	over       atomic.Bool
 }
 
+// WorkerAddress returns the address of the member's worker.
+func (m *Member) WorkerAddress() string { return m.workerAddr }
+
 // Fleet is a running deployment.
 type Fleet struct {
 	Platform *platform.Platform
--- a/internal/spread/ready.go
+++ b/internal/spread/ready.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -14,18 +15,20 @@
 // ready once it holds every version that anybody named to it (but see hearsay) and
 //
 //   - enough ready peers have told it what they hold: peerQuorum, or all that are
-//     linked once peerWait has passed; and the platform has been read, by this
-//     node or a peer, or has failed, or platformWait has passed; or
+//     linked once peerWait has passed, or one once quorumWait has passed; and the
+//     platform has been read, by this node or a peer, or has failed, or
+//     sourceWait has passed; or
 //   - no ready peer has answered by aloneWait and the platform's word is in force
 //     (its own reading or another fresh node's). When nobody at all answered, the
 //     node is ready alone: Confirmed stays zero until a peer has compared.
 //
 // With neither peers nor the platform it is not ready, for as long as that lasts.
 const (
-	peerQuorum   = 3
-	peerWait     = 2 * time.Second
-	platformWait = 3 * time.Second
-	aloneWait    = 3 * time.Second
+	peerQuorum = 3
+	peerWait   = 2 * time.Second
+	quorumWait = 5 * time.Second
+	sourceWait = 3 * time.Second
+	aloneWait  = 3 * time.Second
 	// hearsayTries is how often a version that no peer holds is tried in vain.
 	hearsayTries = 2
 )
@@ -84,10 +87,11 @@
 }
 
 // hearsay tells whether a version is known by the index alone, cannot be had, and
-// is in force at none of the ready peers that answered: it must not keep a fresh
-// node from serving what they serve for as long as the platform is down.
+// was named by no peer: it must not keep a fresh node from serving what ready
+// peers serve for as long as the platform is down. A version that a peer has
+// named is waited for, also when that peer falls silent.
 func (c *Controller) hearsay(w *want) bool {
-	return len(w.peers) == 0 && w.tries >= hearsayTries && c.links.answers(true) > 0
+	return !w.named && w.tries >= hearsayTries && c.links.answers(true) > 0
 }
 
 // missingBesidePeers is what is missing when ready peers answer.
@@ -95,10 +99,11 @@
 	var out []string
 	age := c.now.Sub(c.start.begun)
 	settled, answered := c.links.answers(true), c.links.answers(false)
-	if settled < peerQuorum && (age < peerWait || answered < len(c.links.list)) {
+	all := answered == len(c.links.list) && age >= peerWait
+	if settled < peerQuorum && !all && age < quorumWait {
 		out = append(out, fmt.Sprintf("peers: %d of %d have told their bundles", answered, len(c.links.list)))
 	}
-	if !c.platform.tried && c.confirm.at.IsZero() && age < platformWait {
+	if !c.platform.tried && c.confirm.at.IsZero() && age < sourceWait {
 		out = append(out, "configuration service: not read yet")
 	}
 	return out
@@ -135,37 +140,10 @@
 	}
 	c.dirty = false
 	c.publishedAt = c.now
-	c.board.Bundles.Put(bundle.NewSet(c.withoutTwice()))
-}
-
-// withoutTwice returns what is in force with each service in one bundle only: of
-// two bundles the one whose name sorts first keeps it, on every node alike.
-func (c *Controller) withoutTwice() []*bundle.Bundle {
-	owner := map[model.ServiceName]model.BundleName{}
-	var out []*bundle.Bundle
-	for _, it := range c.held.inOrder() {
-		out = append(out, c.ownServices(it.bundle, owner))
-	}
-	return out
-}
-
-// ownServices returns b, or a copy without the services that another bundle has.
-func (c *Controller) ownServices(b *bundle.Bundle, owner map[model.ServiceName]model.BundleName) *bundle.Bundle {
-	var kept []bundle.Service
-	for i := range b.Services {
-		name := b.Services[i].Name
-		if first, taken := owner[name]; taken {
-			c.counters.ServicesTwice++
-			c.record(event.ServiceInTwoBundles, string(name), fmt.Sprintf("bundles %s and %s", first, b.Name), nil)
-			continue
-		}
-		owner[name] = b.Name
-		kept = append(kept, b.Services[i])
-	}
-	if len(kept) == len(b.Services) {
-		return b
+	bundles := c.held.bundles()
+	for _, f := range bundle.CheckSet(bundles) {
+		c.counters.Contradictions++
+		c.record(event.BundlesContradict, f.File, f.Key, errors.New(f.Message))
 	}
-	reduced := *b
-	reduced.Services = kept
-	return &reduced
+	c.board.Bundles.Put(bundle.NewSet(bundles))
 }
--- a/internal/spread/want.go
+++ b/internal/spread/want.go
@@ -43,7 +43,9 @@
 	target uint64
 	// peers have said that they hold a newer version.
 	peers []model.InstanceID
-	// listed says that this node's own index reading named it.
+	// named says that a peer or a call named a version above the one in force,
+	// listed that this node's own index reading did.
+	named  bool
 	listed bool
 	// since is when target was last raised.
 	since time.Time
@@ -162,6 +164,7 @@
 		return
 	}
 	w.addPeer(peer)
+	w.named = true
 	if w.idle() {
 		w.nextTry = c.now
 	}
