Expect findings in the order of columns

Cause: findings are now sorted by column within a line; one test expected the order in which they were found. Change: its expected order. Measured: it passes, and still names both findings.

--- a/internal/tomlfile/tomlfile_test.go
+++ b/internal/tomlfile/tomlfile_test.go
@@ -69,7 +69,7 @@
 			"f:2:1: name: key name is already defined", "f:3:1: name: key name is already defined", "f:5:2: part: table part already exists",
 		}},
 		{"unknown keys and another fault in an inline table", "item = [{name = \"a\", y = 1}, {name = 2, x = 1}]", []string{
-			"f:1:22: item[0].y: unknown key", "f:1:41: item[1].x: unknown key", "f:1:38: item[1].name: must be a string, found integer",
+			"f:1:22: item[0].y: unknown key", "f:1:38: item[1].name: must be a string, found integer", "f:1:41: item[1].x: unknown key",
 		}},
 		{"type fault in an inline table", "item = [{name = \"a\"}, {name = 2}]", []string{"f:1:31: item[1].name: must be a string, found integer"}},
 		{"elements are counted within their parent", "[[item]]\n[[item.sub]]\n[[item]]\n[[item.sub]]\n[[item.sub]]\nname = 1\n", []string{
