entry: place refused calls by their reason, and wait only for workers that wake

Cause: placing a refused call elsewhere, or asking all owners again after a wait, multiplies refusals when the whole fleet is overloaded. Change: what an owner refused for load costs a whole retry of the service's bucket, any other refusal a quarter; and a call that met a refusal for load is told at once when no owner is left, without another round. Conclusion: under load placing elsewhere gains no answers, so it is kept cheap.

--- a/internal/entry/budget.go
+++ b/internal/entry/budget.go
@@ -19,14 +19,8 @@
 	bucketFloorPerSecond = unit
 )
 
-// Costs of extra attempts.
-const (
-	// costRetry is the cost of trying again what may have run.
-	costRetry = unit
-	// costPlace is the cost of placing a refused attempt elsewhere: an owner
-	// refuses for much less than a worker runs.
-	costPlace = unit / 4
-)
+// costRetry is the cost of trying again what may have run.
+const costRetry = unit
 
 // bucket is safe for concurrent use and takes no lock.
 type bucket struct {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,6 +48,7 @@
 type Engine struct {
 	cfg      Config
 	table    chooser
+	tuning   tuning
 	sequence atomic.Uint64
 	// adopted is the incarnation of this node's own owner.
 	adopted atomic.Uint64
@@ -63,7 +64,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Uint64
 	}
-	e := &Engine{cfg: cfg, table: table}
+	e := &Engine{cfg: cfg, table: table, tuning: defaultTuning}
 	e.adopted.Store(uint64(cfg.Self.Incarnation))
 	return e
 }
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -20,13 +20,21 @@
 		c.exhausted(now)
 		return
 	}
-	if !c.bucket.withdraw(now, costPlace) {
+	if !c.bucket.withdraw(now, c.placeCost()) {
 		c.giveUp(c.reason)
 		return
 	}
 	c.phase = phasePlace
 }
 
+// placeCost returns what placing the request once more costs.
+func (c *Call) placeCost() int64 {
+	if c.loaded {
+		return c.engine.tuning.shed
+	}
+	return c.engine.tuning.place
+}
+
 // retry goes on after an attempt that may have run, when its request is
 // idempotent, something is left of both budgets, and there is an owner to go to.
 // What the calls below the attempt were allowed counts as used.
@@ -55,18 +63,19 @@
 
 // exhausted goes on when every owner was asked in this round: it waits for the
 // earliest of them to be worth asking again, or gives up at once when that is
-// too late or over the budget.
+// too late or over the budget. It gives up too when one refused for load: asking
+// again answers no more calls, and the caller is to come back later.
 func (c *Call) exhausted(now time.Time) {
 	if c.sends == 0 {
 		c.giveUp(model.ReasonNoUpstream)
 		return
 	}
 	until := c.nextRound(now)
-	if c.rounds == maxRounds || c.sends >= maxSends || !until.Before(c.deadline) {
+	if c.loaded || c.rounds == c.engine.tuning.rounds || c.sends >= maxSends || !until.Before(c.deadline) {
 		c.giveUp(c.reason)
 		return
 	}
-	if !c.bucket.withdraw(now, costPlace) {
+	if !c.bucket.withdraw(now, c.placeCost()) {
 		c.giveUp(c.reason)
 		return
 	}
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -62,9 +62,19 @@
 	}
 	c.heardHome(r)
 	c.open = false
+	c.loaded = c.loaded || forLoad(r.Reason)
 	c.refused(now, r)
 }
 
+// forLoad tells whether an owner refused for want of room.
+func forLoad(r model.Reason) bool {
+	switch r {
+	case model.ReasonOverloaded, model.ReasonQueueFull, model.ReasonWorkerShed:
+		return true
+	}
+	return false
+}
+
 // refused goes on after a refusal that proves "not run".
 func (c *Call) refused(now time.Time, r model.Refusal) {
 	c.reason = r.Reason
