spread: a fresh node asks for longer before it begins alone

Cause: aloneWait (3 s) was no longer than the grace in which a fresh node with seeds leaves the platform's list unread (member, startGrace, 3 s). Fresh nodes that found no seed at first knew only each other, and began with the older version of a stale configuration service although three others had the newer one; found by internal/proof (n2 began with version 1; n3 had 2 in force). Change: aloneWait is 5 s: the grace, the read, the links and a comparison.

--- a/internal/spread/ready.go
+++ b/internal/spread/ready.go
@@ -28,7 +28,7 @@
 	peerWait   = 2 * time.Second
 	quorumWait = 5 * time.Second
 	sourceWait = 3 * time.Second
-	aloneWait  = 3 * time.Second
+	aloneWait  = 5 * time.Second
 	// hearsayTries is how often a version that no peer holds is tried in vain.
 	hearsayTries = 2
 )
