--- /dev/null
+++ b/internal/proof/causes_test.go
@@ -0,0 +1,68 @@
+package proof
+
+import (
+	"testing"
+	"time"
+)
+
+// The tests of this file are the causes of faults that the plans found, each
+// brought about directly.
+
+// brought runs a course of events under several seeds and reports what the
+// oracle finds.
+func brought(t *testing.T, course func(w *world)) {
+	t.Helper()
+	for seed := range uint64(20) {
+		w := newWorld(seed, switches{})
+		w.advance(8 * time.Second)
+		course(w)
+		w.ledger.checkSpread()
+		for _, v := range w.ledger.violations {
+			t.Errorf("seed %d: %v", seed, v)
+		}
+	}
+}
+
+// Fresh nodes find no seed at first, and the list lags, so that nobody dials
+// them: they read the list, which names the others, only some seconds later.
+// The configuration service serves an older version meanwhile.
+func TestFreshNodesThatKnowOnlyEachOtherDoNotBeginWithAnOlderVersion(t *testing.T) {
+	brought(t, func(w *world) {
+		w.platform.signOff()
+		w.advance(4 * time.Second)
+		w.platform.show(1)
+		for _, n := range w.nodes[:3] {
+			n.life.leave()
+		}
+		w.advance(5 * time.Second)
+		w.platform.listLag = 8 * time.Second
+		w.nodes[2].boot()
+		w.advance(350 * time.Millisecond)
+		w.nodes[1].boot()
+		w.advance(10 * time.Second)
+	})
+}
+
+// The configuration service listed a version and went down before anyone had
+// read it.
+func TestAnUnreadVersionKeepsNoFreshNodeFromServing(t *testing.T) {
+	brought(t, func(w *world) {
+		w.platform.signOff()
+		w.platform.values[w.platform.versions] = nil
+		n := w.nodes[2]
+		n.life.crash()
+		n.boot()
+		w.advance(2 * time.Second)
+		w.platform.down = true
+		w.advance(10 * time.Second)
+	})
+}
+
+// Each part of a small fleet declares the other gone.
+func TestAPartitionThatOutlastsSuspicionHeals(t *testing.T) {
+	brought(t, func(w *world) {
+		w.net.split(func(n *node) int { return min(n.index, 2) / 2 })
+		w.advance(30 * time.Second)
+		w.recover()
+	})
+}
--- a/internal/proof/life_test.go
+++ b/internal/proof/life_test.go
@@ -109,6 +109,7 @@
 	n.life = l
 	w.platform.put(n, model.StateLive)
 	w.ledger.born(l)
+	w.trace.add(w, "boot", n.id)
 	l.startTicks()
 	l.startPolls()
 }
