--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -70,8 +70,9 @@
 	open bool
 	// doubt: an attempt before the current one may have run.
 	doubt bool
-	// report is the current owner's, when one came with its word.
-	report    model.LoadReport
+	// life and clock are the current owner's, when a report came with its word.
+	life      model.Incarnation
+	clock     time.Duration
 	hasReport bool
 	// held is the owner's part of the current attempt's time.
 	held time.Duration
@@ -194,8 +195,8 @@
 // resend sends to the current owner again, bound and stamped by its own report.
 func (c *Call) resend(now time.Time) {
 	c.resent = true
-	c.to.Incarnation = c.report.Incarnation
-	c.send(now, c.to, c.report.Clock)
+	c.to.Incarnation = c.life
+	c.send(now, c.to, c.clock)
 }
 
 // send makes an attempt at an owner whose clock is at least ownerClock now.
@@ -211,7 +212,7 @@
 	c.hasReport = false
 	c.held = 0
 	c.asks = 0
-	c.home.spoke = c.home.delegated
+	c.home.spoke = c.home.delegated()
 	c.phase = phaseSent
 	c.current = model.Attempt{
 		ID:               c.engine.nextAttemptID(),
@@ -228,7 +229,7 @@
 		OwnerClock:       ownerClock,
 		Bundle:           c.req.Target.Bundle.VersionID(),
 		RetryBudget:      childBudget(c.budget),
-		Delegated:        c.home.delegated,
+		Delegated:        c.home.delegated(),
 	}
 	c.engine.table.Sent(now, to.ID)
 }
--- a/internal/entry/end.go
+++ b/internal/entry/end.go
@@ -56,7 +56,7 @@
 		Notify:     c.notice(),
 	}
 	if s.Notify != nil {
-		s.To = c.home.instance
+		s.To = c.home.delegate.instance
 	}
 	return s
 }
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -14,20 +14,25 @@
 	// spoke: the home's last word was that it had looked the id up, found no
 	// earlier sending of it, and does not run it now.
 	spoke bool
-	// delegated: the home registered the id and left its placing to this call.
-	delegated bool
-	// instance and attempt are the home that delegated and the attempt that it
-	// recorded.
+	// delegate is set once the home registered the id and left its placing to
+	// this call.
+	delegate *delegation
+}
+
+// delegation is the home that delegated and the attempt that it recorded.
+type delegation struct {
 	instance model.Instance
 	attempt  model.AttemptID
 }
 
+func (h *homeState) delegated() bool { return h.delegate != nil }
+
 // keyed tells whether the same request may arrive a second time by another way,
 // so that its id needs a home.
 func (c *Call) keyed() bool { return c.req.CallerKey && !c.req.Idempotent }
 
 // bound tells whether the next attempt may go to the home only.
-func (c *Call) bound() bool { return c.keyed() && !c.home.delegated }
+func (c *Call) bound() bool { return c.keyed() && !c.home.delegated() }
 
 // chooseHome returns the id's home unless it was asked in this round. A home
 // that takes no part any more (leaving or gone) is followed by the next one of
@@ -57,15 +62,13 @@
 
 // delegate frees the call to place the request elsewhere.
 func (c *Call) delegate() {
-	c.home.delegated = true
-	c.home.instance = c.to
-	c.home.attempt = c.current.ID
+	c.home.delegate = &delegation{instance: c.to, attempt: c.current.ID}
 }
 
 // notice returns what the home that delegated is told of the call's end.
 func (c *Call) notice() *wire.KeyResult {
-	if !c.home.delegated {
+	if !c.home.delegated() {
 		return nil
 	}
-	return &wire.KeyResult{Request: c.req.ID, Attempt: c.home.attempt, Outcome: c.outcome}
+	return &wire.KeyResult{Request: c.req.ID, Attempt: c.home.delegate.attempt, Outcome: c.outcome}
 }
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -98,8 +98,8 @@
 // take the request for a second sending.
 func (c *Call) forgetTried() {
 	c.tried.n = 0
-	if c.home.delegated {
-		c.tried.add(c.home.instance.ID)
+	if c.home.delegated() {
+		c.tried.add(c.home.delegate.instance.ID)
 	}
 }
 
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -16,7 +16,8 @@
 	if c.phase != phaseSent || r.Owner != c.to.ID {
 		return
 	}
-	c.report = r
+	c.life = r.Incarnation
+	c.clock = r.Clock
 	c.hasReport = true
 }
 
