--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,8 @@
 # It takes about fifteen minutes and wants a quiet machine.
 bench: build
 	bin/gypsumbench -examples examples -out docs
+
+.PHONY: capacity
+# Measures control by fleet size and writes docs/CAPACITY.md; about three minutes.
+capacity: build
+	bin/gypsumcap -out docs
--- /dev/null
+++ b/internal/capacity/fit.go
@@ -0,0 +1,49 @@
+package capacity
+
+import "math"
+
+// Shape says how a value grows with the fleet.
+type Shape uint8
+
+// The shapes.
+const (
+	// Linear: a + b*n.
+	Linear Shape = iota
+	// Logarithmic: a + b*log10(n).
+	Logarithmic
+)
+
+// Line is a least-squares fit of a value against the size of the fleet.
+type Line struct {
+	Shape Shape
+	A, B  float64
+}
+
+// fit fits values at the points' sizes.
+func fit(shape Shape, points []Point, value func(*Point) float64) Line {
+	n := float64(len(points))
+	var sx, sy, sxx, sxy float64
+	for i := range points {
+		x, y := shape.scale(float64(points[i].Nodes)), value(&points[i])
+		sx += x
+		sy += y
+		sxx += x * x
+		sxy += x * y
+	}
+	spread := n*sxx - sx*sx
+	if spread == 0 {
+		return Line{Shape: shape, A: sy / n}
+	}
+	b := (n*sxy - sx*sy) / spread
+	return Line{Shape: shape, A: (sy - b*sx) / n, B: b}
+}
+
+func (s Shape) scale(n float64) float64 {
+	if s == Logarithmic {
+		return math.Log10(n)
+	}
+	return n
+}
+
+// At returns the fitted value for a fleet of n.
+func (l Line) At(n float64) float64 { return l.A + l.B*l.Shape.scale(n) }
--- a/internal/spread/ready.go
+++ b/internal/spread/ready.go
@@ -29,6 +29,10 @@
 	quorumWait = 5 * time.Second
 	sourceWait = 3 * time.Second
 	aloneWait  = 5 * time.Second
+	// freshHold is how long a fresh node at least, and twice as long at most,
+	// leaves the index to others: its links open meanwhile, so that of many nodes
+	// that start together a few read.
+	freshHold = 1500 * time.Millisecond
 	// hearsayTries is how often a version that no peer holds is tried in vain.
 	hearsayTries = 2
 )
@@ -50,6 +54,7 @@
 	c.start.begun = c.now
 	c.nextCompare = c.now.Add(c.jitter(compareInterval))
 	c.confirm.holds(c.held.digest)
+	c.timer.HoldBack(c.now, freshHold)
 }
 
 func (c *Controller) becomeReady() {
--- a/internal/suppress/suppress.go
+++ b/internal/suppress/suppress.go
@@ -176,6 +176,14 @@
 	t.holdBack(now)
 }
 
+// HoldBack keeps the timer from firing before a random time from least to twice
+// least after now: for a fresh node, which is likely to hear of a read by a peer
+// once its first links are open.
+func (t *Timer) HoldBack(now time.Time, least time.Duration) {
+	t.start(now)
+	t.notBefore = now.Add(least + time.Duration(t.rng.Int64N(int64(least))))
+}
+
 func (t *Timer) holdBack(now time.Time) {
 	t.notBefore = now.Add(time.Duration(t.rng.Int64N(int64(WakeSpread))))
 	t.redraw()
