entry: hedge late idempotent calls where the bundle asks for it

Cause: hedge_after_quantile did nothing; a slow or paused owner holds a call until its deadline. Change: Step.HedgeAt and Call.Hedge, which begins a second call of its own for the same request, so that the state machine stays as it was; the adapter runs both and takes the first answer, EndOfBoth judges two without one. The quantile comes from a histogram of the last 1000 answers per service and class. A hedge needs a bucket that is half full. An adapter that ignores HedgeAt works as before; none uses it yet.

--- a/internal/entry/budget.go
+++ b/internal/entry/budget.go
@@ -3,8 +3,6 @@
 import (
 	"sync/atomic"
 	"time"
-
-	"gypsumstand/internal/model"
 )
 
 // A bucket holds an entry node's budget of extra attempts for one service, in
@@ -54,6 +52,9 @@
 	return b.take(cost)
 }
 
+// has tells whether the bucket holds at least amount.
+func (b *bucket) has(amount int64) bool { return b.tokens.Load() >= amount }
+
 func (b *bucket) take(cost int64) bool {
 	for {
 		have := b.tokens.Load()
@@ -79,31 +80,6 @@
 	b.tokens.Add(min(amount, bucketDepth-b.tokens.Load()))
 }
 
-// budgets holds the buckets by service. Services come from bundles only, so
-// their number is bounded. Reads take no lock and allocate nothing.
-type budgets struct {
-	byService atomic.Pointer[map[model.ServiceName]*bucket]
-}
-
-// of returns the service's bucket, making it when it is new.
-func (bs *budgets) of(now time.Time, service model.ServiceName) *bucket {
-	for {
-		old := bs.byService.Load()
-		if old != nil && (*old)[service] != nil {
-			return (*old)[service]
-		}
-		grown := map[model.ServiceName]*bucket{service: newBucket(now)}
-		if old != nil {
-			for name, b := range *old {
-				grown[name] = b
-			}
-		}
-		if bs.byService.CompareAndSwap(old, &grown) {
-			return grown[service]
-		}
-	}
-}
-
 // childBudget returns what an attempt may pass on to the calls below it when
 // budget extra attempts are left: this hop keeps the greater half for itself.
 func childBudget(budget int) int { return budget / 2 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -51,8 +51,10 @@
 
 // Call is the state of one request. It is used by one goroutine at a time.
 type Call struct {
-	engine   *Engine
-	bucket   *bucket
+	engine *Engine
+	bucket *bucket
+	// pace is set where the bundle hedges.
+	pace     *pace
 	req      Request
 	deadline time.Time
 	// budget is the number of extra attempts left to the path.
@@ -66,6 +68,8 @@
 	current model.Attempt
 	to      model.Instance
 	sentAt  time.Time
+	hedgeAt time.Time
+	hedged  bool
 	// open: the current attempt has neither ended nor is proved not to have run.
 	open bool
 	// doubt: an attempt before the current one may have run.
@@ -151,7 +155,7 @@
 			}
 			c.phase = c.after
 		case phaseSent:
-			return Step{Kind: StepSend, To: c.to, Attempt: c.current, Until: c.deadline}
+			return Step{Kind: StepSend, To: c.to, Attempt: c.current, Until: c.deadline, HedgeAt: c.hedgeAt}
 		case phaseAsked:
 			return c.settleStep(now)
 		default:
@@ -206,6 +210,7 @@
 	}
 	c.to = to
 	c.sentAt = now
+	c.hedgeAt = c.hedgeTime(now)
 	c.sends++
 	c.tried.add(to.ID)
 	c.open = true
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,7 +52,8 @@
 	sequence atomic.Uint64
 	// adopted is the incarnation of this node's own owner.
 	adopted atomic.Uint64
-	budgets budgets
+	budgets registry[model.ServiceName, bucket]
+	paces   registry[paceKey, pace]
 }
 
 // NewEngine returns an engine that chooses by table.
@@ -96,9 +97,12 @@
 // Begin starts a call at time now.
 func (e *Engine) Begin(now time.Time, r Request) *Call {
 	c := &Call{engine: e, req: r, deadline: now.Add(r.Timeout)}
-	c.bucket = e.budgets.of(now, r.Target.Service.Name)
+	c.bucket = e.budgets.of(r.Target.Service.Name, func() *bucket { return newBucket(now) })
 	c.bucket.deposit(r.Target.Bundle.Retry.Ratio)
 	c.budget = max(0, min(r.RetryBudget, r.Target.Bundle.Retry.PerPath))
+	if r.Idempotent {
+		c.pace = e.paceOf(&c.req.Target)
+	}
 	return c
 }
 
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -43,16 +43,18 @@
 	entries []*fleetEntry
 	owners  []*fleetOwner
 	// slow is a factor of the first owner's service times.
-	slow    float64
-	timeout time.Duration
-	length  time.Duration
-	stats   fleetStats
+	slow float64
+	// pausedUntil is when the first owner wakes up.
+	pausedUntil time.Time
+	timeout     time.Duration
+	length      time.Duration
+	stats       fleetStats
 }
 
 // fleetStats counts calls begun after the warm-up.
 type fleetStats struct {
 	calls, answered, notRun, unknown int
-	sends, refusals, runs            int
+	sends, refusals, runs, hedges    int
 	latencies, refusedAfter          []time.Duration
 }
 
@@ -181,123 +183,6 @@
 	}
 }
 
-// fleetCall is a call with what it counts.
-type fleetCall struct {
-	fleet   *fleet
-	entry   *fleetEntry
-	call    *Call
-	began   time.Time
-	counted bool
-	over    bool
-}
-
-func (f *fleet) begin(e *fleetEntry) {
-	r := testRequest()
-	r.Target = bundle.Target{Bundle: f.bundle, Service: &f.bundle.Services[0], Class: &f.bundle.Classes[0]}
-	r.Idempotent = true
-	r.Timeout = f.timeout
-	x := &fleetCall{fleet: f, entry: e, call: e.engine.Begin(f.now, r), began: f.now}
-	x.counted = f.now.Sub(epoch) > fleetWarm
-	x.next()
-}
-
-func (x *fleetCall) next() {
-	f := x.fleet
-	switch s := x.call.Next(f.now); s.Kind {
-	case StepSend:
-		x.send(s)
-	case StepWait:
-		f.after(s.Until.Sub(f.now), x.next)
-	case StepEnd:
-		x.end(s)
-	}
-}
-
-func (x *fleetCall) send(s Step) {
-	f := x.fleet
-	x.count(&f.stats.sends)
-	attempt := s.Attempt
-	done := false
-	// report hands the owner's word over, unless the attempt was given up.
-	report := func(o *fleetOwner, what func()) {
-		r := o.owner.Report(f.now)
-		f.after(fleetLink, func() {
-			x.entry.table.Observe(f.now, r)
-			if !done {
-				done = true
-				x.call.Report(f.now, r)
-				what()
-				x.next()
-			}
-		})
-	}
-	f.after(fleetLink, func() { f.offer(x, &attempt, report) })
-	f.after(s.Until.Sub(f.now), func() {
-		if !done {
-			done = true
-			x.call.Broken(f.now, false)
-			x.next()
-		}
-	})
-}
-
-// offer gives an attempt to its owner and runs it when the owner starts it.
-func (f *fleet) offer(x *fleetCall, a *model.Attempt, report func(*fleetOwner, func())) {
-	o := f.ownerOf(a.Owner)
-	decided := func(v owner.Verdict, r model.Refusal) {
-		if v == owner.Refuse {
-			x.count(&f.stats.refusals)
-			report(o, func() { x.call.Refused(f.now, r) })
-			return
-		}
-		x.count(&f.stats.runs)
-		took := f.exponential(fleetMean)
-		if o == f.owners[0] {
-			took = time.Duration(float64(took) * f.slow)
-		}
-		f.after(took, func() {
-			o.deliver(o.owner.Finish(f.now, a.ID, owner.Finish{ServiceTime: took, Status: 200}))
-			report(o, func() { x.call.Answered(f.now, false) })
-		})
-	}
-	v, r := o.owner.Offer(f.now, a, false)
-	if v == owner.Wait {
-		o.waiting[a.ID] = decided
-		return
-	}
-	decided(v, r)
-}
-
-func (f *fleet) ownerOf(id model.InstanceID) *fleetOwner {
-	return f.owners[int(id[len(id)-1]-'a')]
-}
-
-func (x *fleetCall) count(n *int) {
-	if x.counted {
-		*n++
-	}
-}
-
-func (x *fleetCall) end(s Step) {
-	st := &x.fleet.stats
-	if x.over || !x.counted {
-		return
-	}
-	x.over = true
-	st.calls++
-	took := x.fleet.now.Sub(x.began)
-	switch s.Outcome {
-	case model.OutcomeAnswered:
-		st.answered++
-		st.latencies = append(st.latencies, took)
-	case model.OutcomeNotRun:
-		st.notRun++
-		st.refusedAfter = append(st.refusedAfter, took)
-	default:
-		st.unknown++
-	}
-}
-
 func quantile(list []time.Duration, q float64) time.Duration {
 	if len(list) == 0 {
 		return 0
--- a/internal/entry/overload_test.go
+++ b/internal/entry/overload_test.go
@@ -59,7 +59,9 @@
 func (s *fleetStats) report(b *testing.B) {
 	b.ReportMetric(100*s.answeredShare(), "answered%")
 	b.ReportMetric(ms(quantile(s.latencies, 0.99)), "p99ms")
+	b.ReportMetric(ms(quantile(s.latencies, 0.999)), "p99.9ms")
 	b.ReportMetric(s.sendsPerCall(), "sends/call")
+	b.ReportMetric(float64(s.runs)/float64(s.answered), "runs/answer")
 	b.ReportMetric(ms(quantile(s.refusedAfter, 0.99)), "refusedp99ms")
 }
 
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -38,6 +38,10 @@
 		return
 	}
 	c.done(now, route.Result{Failed: failed})
+	if c.pace != nil && !failed {
+		began := c.deadline.Add(-c.req.Timeout)
+		c.pace.answered(now.Sub(began), c.req.Target.Bundle.Retry.HedgeAfterQuantile)
+	}
 	if failed && c.req.Idempotent && c.retry(now) {
 		return
 	}
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -40,6 +40,8 @@
 	To      model.Instance
 	Attempt model.Attempt
 	Until   time.Time
+	// HedgeAt, when set on StepSend, is when the adapter may call Call.Hedge.
+	HedgeAt time.Time
 	// Outcome, Reason and RetryAfter are for StepEnd with no answer. RetryAfter
 	// is positive whenever the caller may come back with the same request.
 	Outcome    model.Outcome
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -120,6 +120,7 @@
 		w.owners = append(w.owners, o)
 	}
 	w.engine = testEngine(w)
+	w.engine.paces.of(paceKey{testService, "payout"}, newPace).quantile.Store(int64(time.Millisecond))
 	return w
 }
 
@@ -128,6 +129,7 @@
 		t.Skip("enough calls")
 	}
 	r := testRequest()
+	r.Target.Bundle.Retry.HedgeAfterQuantile = 0.5
 	r.Idempotent = rapid.IntRange(0, 3).Draw(t, "idempotent") == 0
 	r.Replayable = rapid.IntRange(0, 3).Draw(t, "replayable") > 0
 	r.CallerKey = rapid.IntRange(0, 2).Draw(t, "callerKey") > 0
@@ -350,6 +352,18 @@
 	l.call.Refused(w.now, model.Refusal{Reason: model.ReasonWorkerUnreachable, NotRun: true})
 }
 
+// hedge sets a second call beside one that is idempotent; its attempts are judged
+// on their own.
+func (w *world) hedge(t *rapid.T) {
+	l := draw(t, w.calls, func(l *liveCall) bool { return l.awaits && !l.step.HedgeAt.IsZero() })
+	if h, ok := l.call.Hedge(w.now); ok {
+		w.focus = &liveCall{call: h, req: l.req}
+		w.calls = append(w.calls, w.focus)
+		w.step(t)
+		w.focus = nil
+	}
+}
+
 func (w *world) settle(t *rapid.T) {
 	l := w.awaiting(t, StepSettle)
 	l.awaits = false
@@ -493,7 +507,7 @@
 		actions := map[string]func(*rapid.T){
 			"begin": w.begin, "begin too": w.begin, "step": w.step, "deliver": w.deliver, "start": w.startQueued,
 			"finish": w.finish, "receive": w.receive, "break": w.breakLink, "no connection": w.noConnection,
-			"settle": w.settle, "restart": w.restart, "advance": w.advance, "caller gone": w.callerGone,
+			"settle": w.settle, "hedge": w.hedge, "restart": w.restart, "advance": w.advance, "caller gone": w.callerGone,
 		}
 		for i := range progressWeight {
 			actions["progress "+strconv.Itoa(i)] = w.progress
