Owner: bound the logs of entries without losing truth

Cause: the state machine with small bounds found that a done attempt settled as never seen: the log of an idle entry had been dropped and made anew, and the new one vouched for sequence numbers from before.

--- a/internal/owner/attempts.go
+++ b/internal/owner/attempts.go
@@ -41,20 +41,6 @@
 	attemptDuplicate
 )
 
-// entryLog is what is known of one entry node's attempts. Sequence numbers grow
-// in the order of sending, so one number tells which may have been forgotten.
-type entryLog struct {
-	index       uint32
-	incarnation model.Incarnation
-	// forgotten is the greatest sequence number whose record was dropped
-	// although it does not prove "not run": of those up to it nothing is known.
-	forgotten uint64
-	// records is the number of ended attempts remembered.
-	records int
-	// superseded: a newer incarnation of the entry has a log.
-	superseded bool
-}
-
 // endedKey names an attempt compactly: the entry's index stands for its name
 // and incarnation.
 type endedKey struct {
@@ -84,11 +70,17 @@
 // (idempotent, or of this node's own entry) have no bounded age: their bars are
 // true as long as no copy arrives later than the remaining time.
 type ledger struct {
+	// maxRecords and maxEntries bound the records and the entries' logs.
+	maxRecords, maxEntries int
 	// memory is how long ended attempts are remembered at least.
 	memory  time.Duration
 	records map[endedKey]endedRecord
 	lapses  expiryHeap[endedKey]
 	entries map[model.InstanceID]*entryLog
+	// order lists the logs of entries; hand is where the search for an idle one
+	// goes on.
+	order []*entryLog
+	hand  int
 	// byIndex finds the log of a record.
 	byIndex   map[uint32]*entryLog
 	lastIndex uint32
@@ -98,18 +90,20 @@
 	// unstampedUntil: attempts without a stamp are refused before it, for the
 	// same reason.
 	unstampedUntil time.Duration
-	// lostAt is when the log of an idle entry was last dropped: an entry without
-	// a log may have had attempts here until then. Negative: never.
+	// lostAt is when the log of an idle entry was last dropped, negative for
+	// never: an entry without a log may have had attempts here until then.
 	lostAt time.Duration
 }
 
 func newLedger() ledger {
 	return ledger{
-		memory:  defaultMemory,
-		records: map[endedKey]endedRecord{},
-		entries: map[model.InstanceID]*entryLog{},
-		byIndex: map[uint32]*entryLog{},
-		lostAt:  -1,
+		maxRecords: maxEnded,
+		maxEntries: maxEntries,
+		memory:     defaultMemory,
+		records:    map[endedKey]endedRecord{},
+		entries:    map[model.InstanceID]*entryLog{},
+		byIndex:    map[uint32]*entryLog{},
+		lostAt:     -1,
 	}
 }
 
@@ -125,93 +119,44 @@
 }
 
 // find returns the record of an attempt. known is false when the ledger cannot
-// tell whether it was seen. stamp is a lower bound of the time of its sending on
-// the owner's clock; zero when there is none.
+// tell whether it was seen. stamp is a lower bound of the time of its sending,
+// zero when there is none. Two proofs tell that an attempt without a record was
+// never seen: its sequence number, as those of one entry grow in the order of
+// sending, and its stamp, when everything that was lost was lost before.
 func (l *ledger) find(id model.AttemptID, stamp time.Duration) (state ended, known bool) {
 	log := l.entries[id.Entry]
-	if log == nil {
+	if log == nil || id.Incarnation > log.incarnation {
 		return attemptNone, stamp > l.lostAt
 	}
-	if id.Incarnation != log.incarnation {
-		return attemptNone, id.Incarnation > log.incarnation
+	if id.Incarnation < log.incarnation {
+		return attemptNone, false
 	}
 	if rec, ok := l.records[endedKey{id.Sequence, log.index}]; ok {
 		return rec.state, true
 	}
-	return attemptNone, id.Sequence > log.forgotten
-}
-
-// seen makes sure that an admitted attempt's entry has a log.
-func (l *ledger) seen(t time.Duration, id model.AttemptID) { l.log(t, id) }
-
-// log returns the log of an attempt's entry; nil when the attempt is of an older
-// incarnation of the entry.
-func (l *ledger) log(t time.Duration, id model.AttemptID) *entryLog {
-	old := l.entries[id.Entry]
-	switch {
-	case old == nil && len(l.entries) >= maxEntries:
-		l.dropIdleEntry(t)
-	case old == nil:
-	case old.incarnation == id.Incarnation:
-		return old
-	case old.incarnation > id.Incarnation:
-		return nil
-	default:
-		l.supersede(old)
-	}
-	l.lastIndex++
-	log := &entryLog{index: l.lastIndex, incarnation: id.Incarnation}
-	l.entries[id.Entry] = log
-	l.byIndex[log.index] = log
-	return log
-}
-
-// supersede keeps the log of an entry's older incarnation only for its records.
-func (l *ledger) supersede(old *entryLog) {
-	old.superseded = true
-	if old.records == 0 {
-		delete(l.byIndex, old.index)
-	}
-}
-
-// idleProbes bounds the search for an idle entry.
-const idleProbes = 64
-
-// dropIdleEntry forgets one entry without remembered attempts. When none is
-// found the table grows; each of its entries then holds a record, so it stays
-// within maxEnded.
-func (l *ledger) dropIdleEntry(t time.Duration) {
-	probes := 0
-	for id, log := range l.entries {
-		if log.records == 0 {
-			delete(l.entries, id)
-			delete(l.byIndex, log.index)
-			l.lostAt = t
-			return
-		}
-		if probes++; probes >= idleProbes {
-			return
-		}
-	}
+	return attemptNone, id.Sequence >= log.from && (id.Sequence >= log.since || stamp > log.lostAt)
 }
 
 // end remembers how an attempt ended, at least until its deadline and the
-// ledger's memory have passed.
-func (l *ledger) end(t time.Duration, id model.AttemptID, state ended, deadline time.Duration) {
-	until := deadline + barSlack
+// ledger's memory have passed. It is called once for an item.
+func (l *ledger) end(t time.Duration, it *item, state ended) {
+	if it.log != nil {
+		it.log.live--
+	}
+	until := it.deadline + barSlack
 	if state != attemptBarred {
 		until = max(until, t+l.memory)
 	}
-	l.add(t, id, state, until)
+	l.add(l.log(it.id, it.stamp), it.id, endedRecord{at: t, state: state}, until)
+	l.makeRoom(t)
 }
 
-// bar bars an attempt that was never seen.
-func (l *ledger) bar(t time.Duration, id model.AttemptID, until time.Duration) {
-	l.add(t, id, attemptBarred, until)
+// bar bars an attempt that was never seen, with stamps up to at.
+func (l *ledger) bar(at time.Duration, id model.AttemptID, until time.Duration) {
+	l.add(l.log(id, 0), id, endedRecord{at: at, state: attemptBarred}, until)
 }
 
-func (l *ledger) add(t time.Duration, id model.AttemptID, state ended, until time.Duration) {
-	log := l.log(t, id)
+func (l *ledger) add(log *entryLog, id model.AttemptID, rec endedRecord, until time.Duration) {
 	if log == nil {
 		return
 	}
@@ -219,12 +164,12 @@
 	if _, exists := l.records[key]; exists {
 		return
 	}
-	if len(l.records) >= maxEnded {
+	log.records++
+	if len(l.records) >= l.maxRecords {
 		l.drop()
 	}
-	l.records[key] = endedRecord{at: t, state: state}
+	l.records[key] = rec
 	l.lapses.push(until, key)
-	log.records++
 }
 
 // drop forgets the record that would lapse first before its time and pays with
@@ -246,6 +191,7 @@
 		key := l.lapses.pop().key
 		l.erase(key, l.records[key])
 	}
+	l.makeRoom(t)
 }
 
 // erase removes a record. That of a barred attempt needs no trace, as it did not
@@ -255,7 +201,7 @@
 	log := l.byIndex[key.entry]
 	log.records--
 	if rec.state != attemptBarred {
-		log.forgotten = max(log.forgotten, key.sequence)
+		log.from = max(log.from, key.sequence+1)
 	}
 	if log.records == 0 && log.superseded {
 		delete(l.byIndex, key.entry)
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -23,6 +23,10 @@
 	deadline  time.Duration
 	arrived   time.Duration
 	startedAt time.Duration
+	// stamp is a lower bound of the time of sending, zero when there is none.
+	stamp time.Duration
+	// log is the ledger's log of the entry; nil until admitted.
+	log *entryLog
 	// seq is the order of arrival.
 	seq     uint64
 	started bool
@@ -91,7 +95,7 @@
 		o.keys.free(it)
 	}
 	r = o.delegate(t, it, r)
-	o.attempts.end(t, it.id, attemptBarred, it.deadline)
+	o.attempts.end(t, it, attemptBarred)
 	o.out = append(o.out, Decision{Attempt: it.id, Verdict: Refuse, Refusal: r})
 }
 
--- a/internal/owner/keys.go
+++ b/internal/owner/keys.go
@@ -11,7 +11,8 @@
 const (
 	// maxKeys bounds the remembered request ids. At the bound, new attempts with
 	// a caller's key are refused: a live record is never forgotten for them.
-	maxKeys = 1 << 16
+	// 2184 new ids a second fill it at the default memory of 120 s.
+	maxKeys = 1 << 18
 	// maxKeyBytes bounds the length of a request id that is registered.
 	maxKeyBytes = 512
 	// defaultKeyMemory holds until a bundle is known.
@@ -49,6 +50,8 @@
 // keyTable remembers the callers' own ids of non-idempotent requests whose home
 // is this owner. Ids lapse the bundle's key memory after their end.
 type keyTable struct {
+	// max bounds the remembered ids.
+	max    int
 	memory time.Duration
 	byID   map[model.RequestID]keyRecord
 	// lapses has an entry for every change to done or delegated; entries whose
@@ -57,7 +60,7 @@
 }
 
 func newKeyTable() keyTable {
-	return keyTable{memory: defaultKeyMemory, byID: map[model.RequestID]keyRecord{}}
+	return keyTable{max: maxKeys, memory: defaultKeyMemory, byID: map[model.RequestID]keyRecord{}}
 }
 
 // refuseKey refuses an attempt whose request id is taken, or for which there is
@@ -70,13 +73,13 @@
 	rec, taken := o.keys.byID[it.request]
 	switch {
 	case taken && rec.state == keyDone:
-		o.attempts.end(t, it.id, attemptDuplicate, it.deadline)
+		o.attempts.end(t, it, attemptDuplicate)
 		return model.Refusal{Reason: model.ReasonDuplicateDone}
 	case taken:
-		o.attempts.end(t, it.id, attemptDuplicate, it.deadline)
+		o.attempts.end(t, it, attemptDuplicate)
 		return model.Refusal{Reason: model.ReasonDuplicateRunning}
-	case len(o.keys.byID) >= maxKeys:
-		o.attempts.end(t, it.id, attemptBarred, it.deadline)
+	case len(o.keys.byID) >= o.keys.max:
+		o.attempts.end(t, it, attemptBarred)
 		return model.Refusal{Reason: model.ReasonOverloaded, NotRun: true, RetryAfter: retryKeysFull}
 	}
 	return model.Refusal{}
@@ -124,7 +127,7 @@
 // delegate remembers that the attempt's entry places the request elsewhere;
 // false when there is no room for the id.
 func (k *keyTable) delegate(t time.Duration, it *item) bool {
-	if _, taken := k.byID[it.request]; !taken && len(k.byID) >= maxKeys {
+	if _, taken := k.byID[it.request]; !taken && len(k.byID) >= k.max {
 		return false
 	}
 	k.lapse(it.request, keyRecord{state: keyDelegated, attempt: it.id, until: max(t, it.deadline) + k.memory})
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -19,7 +19,7 @@
 const (
 	retryNotReady = time.Second
 	retryPaused   = 50 * time.Millisecond
-	retryTenant   = time.Second
+	retryTenant   = time.Minute
 	retryKeysFull = time.Second
 	retryMin      = 10 * time.Millisecond
 	retryMax      = time.Second
@@ -45,14 +45,16 @@
 		return Refuse, r
 	}
 	it := o.newItem(t, a)
+	it.stamp = stampOf(t, a, sameNode)
 	if r := o.refuseKey(t, it); r.Reason != model.ReasonNone {
 		return Refuse, r
 	}
 	if r := o.refuseState(t, a); r.Reason != model.ReasonNone {
 		return Refuse, o.refuseNew(t, it, r)
 	}
-	if !o.tenants.allows(now, it.tenant) {
-		r := model.Refusal{Reason: model.ReasonTenantLimit, NotRun: true, RetryAfter: retryTenant}
+	if wait := o.tenants.wait(now, it.tenant); wait > 0 {
+		wait = min(max(wait, retryMin), retryTenant)
+		r := model.Refusal{Reason: model.ReasonTenantLimit, NotRun: true, RetryAfter: wait}
 		return Refuse, o.refuseNew(t, it, r)
 	}
 	return o.place(t, now, it)
@@ -85,11 +87,7 @@
 	if o.live[a.ID] != nil {
 		return model.Refusal{Reason: model.ReasonDuplicateRunning}
 	}
-	stamp := a.OwnerClock
-	if sameNode && stamp == 0 {
-		stamp = t
-	}
-	rec, known := o.attempts.find(a.ID, stamp)
+	rec, known := o.attempts.find(a.ID, stampOf(t, a, sameNode))
 	switch {
 	case !known:
 		return model.Refusal{Reason: model.ReasonStale}
@@ -163,7 +161,7 @@
 	if o.free(t) > 0 {
 		o.queue.push(it)
 		if o.choose(o, t) == it {
-			o.admit(t, now, it)
+			o.admit(now, it)
 			o.start(t, it)
 			return Start, model.Refusal{}
 		}
@@ -176,7 +174,7 @@
 		r := model.Refusal{Reason: model.ReasonQueueFull, NotRun: true, RetryAfter: o.retryAfter(o.wait(t, it))}
 		return Refuse, o.refuseNew(t, it, r)
 	}
-	o.admit(t, now, it)
+	o.admit(now, it)
 	o.queue.push(it)
 	return Wait, model.Refusal{}
 }
@@ -220,16 +218,24 @@
 	}
 }
 
+// stampOf returns a lower bound of the time of sending, zero when there is none.
+func stampOf(t time.Duration, a *model.Attempt, sameNode bool) time.Duration {
+	if sameNode && a.OwnerClock == 0 {
+		return t
+	}
+	return a.OwnerClock
+}
+
 // keyedHere tells whether this owner, as the request's home, registers its id.
 func (o *Owner) keyedHere(a *model.Attempt) bool {
 	return a.CallerKey && !a.Idempotent && !a.Delegated
 }
 
 // admit records an attempt that starts or waits.
-func (o *Owner) admit(t time.Duration, now time.Time, it *item) {
+func (o *Owner) admit(now time.Time, it *item) {
 	o.tenants.spend(now, it.tenant)
 	o.live[it.id] = it
-	o.attempts.seen(t, it.id)
+	it.log = o.attempts.seen(it.id, it.stamp)
 	o.keys.run(it)
 }
 
@@ -237,7 +243,7 @@
 // changed to a delegation where the request id has to be remembered.
 func (o *Owner) refuseNew(t time.Duration, it *item, r model.Refusal) model.Refusal {
 	r = o.delegate(t, it, r)
-	o.attempts.end(t, it.id, attemptBarred, it.deadline)
+	o.attempts.end(t, it, attemptBarred)
 	return r
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -209,13 +209,13 @@
 	o.release(it)
 	switch {
 	case !f.NotRun:
-		o.attempts.end(t, id, attemptDone, it.deadline)
+		o.attempts.end(t, it, attemptDone)
 		o.keys.done(t, it)
 	case f.Delegate && it.keyed:
-		o.attempts.end(t, id, attemptBarred, it.deadline)
+		o.attempts.end(t, it, attemptBarred)
 		o.keys.delegate(t, it)
 	default:
-		o.attempts.end(t, id, attemptBarred, it.deadline)
+		o.attempts.end(t, it, attemptBarred)
 		o.keys.free(it)
 	}
 	o.dispatch(t)
--- a/internal/owner/tenants.go
+++ b/internal/owner/tenants.go
@@ -90,9 +90,17 @@
 	return s.other
 }
 
-// allows tells whether the tenant's rate lets one more request in.
-func (s *tenantSet) allows(now time.Time, t *tenant) bool {
-	return t.bucket == nil || t.bucket.TokensAt(now) >= 1
+// wait returns how long until the tenant's rate lets one more request in; zero
+// when it does now.
+func (s *tenantSet) wait(now time.Time, t *tenant) time.Duration {
+	if t.bucket == nil {
+		return 0
+	}
+	missing := 1 - t.bucket.TokensAt(now)
+	if missing <= 0 {
+		return 0
+	}
+	return time.Duration(missing / float64(t.bucket.Limit()) * float64(time.Second))
 }
 
 // spend takes the token of an admitted request.
