Owner: keep the order sound for any worth, free the queue of a worker that will not run

Cause: a worth that is no number broke the queue's order (the state machine panicked in remove); attempts that waited for a cold worker were started when it was told to leave.

Change: worths are brought into a range; leaving from cold, and the end, refuse what waits. A test with concurrent callers.

--- a/internal/owner/admission_test.go
+++ b/internal/owner/admission_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -285,6 +286,70 @@
 	r.wantDecisions(r.tick(1), refusalOf(a, model.ReasonNotReady))
 }
 
+func TestLeavingColdWorkerFreesItsQueue(t *testing.T) {
+	r := newRig(t, testService())
+	r.fill(2)
+	a := r.attempt()
+	r.want(r.offer(a), waits)
+	r.o.SetState(r.now, model.StateCold)
+	r.wantDecisions(r.o.SetState(r.now, model.StateLeaving), refusalOf(a, model.ReasonLeaving))
+}
+
+// Concurrent callers see at most the limit in flight and one decision for each
+// attempt that waits; run with -race.
+func TestConcurrentCallers(t *testing.T) {
+	svc := testService()
+	r := newRig(t, svc)
+	var mu sync.Mutex
+	waiting := map[model.AttemptID]bool{}
+	running := make(chan model.AttemptID, 1000)
+	take := func(ds []Decision) {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, d := range ds {
+			waiting[d.Attempt] = false
+			if d.Verdict == Start {
+				running <- d.Attempt
+			}
+		}
+	}
+	var group sync.WaitGroup
+	for entry := range 8 {
+		group.Go(func() {
+			for i := range 200 {
+				now := r.now.Add(time.Duration(i) * time.Millisecond)
+				a := &model.Attempt{
+					ID:    model.AttemptID{Entry: model.InstanceID(rune('a' + entry)), Incarnation: 1, Sequence: uint64(i)},
+					Owner: testOwner, OwnerIncarnation: testIncarnation, Class: "view", Worth: float64(entry),
+					Remaining: time.Second, OwnerClock: r.o.Report(now).Clock,
+				}
+				mu.Lock()
+				v, _ := r.o.Offer(now, a, false)
+				waiting[a.ID] = v == Wait
+				mu.Unlock()
+				if v == Start {
+					running <- a.ID
+				}
+				if got := r.o.Report(now); int(got.InFlight) > svc.Slots {
+					t.Errorf("%d in flight", got.InFlight)
+				}
+				select {
+				case id := <-running:
+					take(r.o.Finish(now, id, Finish{Status: 200}))
+				default:
+				}
+			}
+		})
+	}
+	group.Wait()
+	take(r.o.Tick(r.now.Add(time.Minute)))
+	for id, w := range waiting {
+		if w {
+			t.Errorf("%v still waits", id)
+		}
+	}
+}
+
 func TestPause(t *testing.T) {
 	r := newRig(t, testService())
 	running := r.fill(2)
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -112,7 +112,11 @@
 	if o.state != model.StateCold || t-o.coldSince < coldGrace || o.queue.length == 0 {
 		return
 	}
-	r := model.Refusal{Reason: model.ReasonNotReady, NotRun: true, RetryAfter: retryNotReady}
+	o.turnAwayAll(t, model.Refusal{Reason: model.ReasonNotReady, NotRun: true, RetryAfter: retryNotReady})
+}
+
+// turnAwayAll ends all waiting with one refusal.
+func (o *Owner) turnAwayAll(t time.Duration, r model.Refusal) {
 	for _, it := range o.queue.where(func(*item) bool { return true }) {
 		o.turnAway(t, it, r)
 	}
--- a/internal/owner/machine_test.go
+++ b/internal/owner/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -103,7 +104,7 @@
 	a.Idempotent = rapid.Bool().Draw(rt, "idempotent")
 	a.Class = rapid.SampledFrom([]model.ClassName{"payout", "view", "lookup", "strange"}).Draw(rt, "class")
 	a.Tenant = rapid.SampledFrom([]model.TenantName{"", "big"}).Draw(rt, "tenant")
-	a.Worth = float64(rapid.IntRange(0, 3).Draw(rt, "worth"))
+	a.Worth = rapid.SampledFrom([]float64{0, 1, 2, 3, math.NaN(), math.Inf(1), -1}).Draw(rt, "worth")
 	a.Remaining = ms(rt, "remaining", 3000, 1000, 200, 3600_000, 0)
 	if key := rapid.IntRange(0, 5).Draw(rt, "key"); key > 0 && !a.Idempotent {
 		a.CallerKey = true
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"time"
 
 	"gypsumstand/internal/model"
@@ -13,6 +14,8 @@
 	// maxFuture is how far ahead of the owner's clock a stamp may be for its
 	// refusal to be remembered; see refuseFuture.
 	maxFuture = time.Minute
+	// maxWorth caps an attempt's worth.
+	maxWorth = 1e12
 )
 
 // Advice of refusals to come back.
@@ -211,13 +214,21 @@
 		keyed:    o.keyedHere(a),
 		class:    o.classes.get(a.Class),
 		tenant:   o.tenants.get(a.Tenant),
-		worth:    a.Worth,
+		worth:    soundWorth(a.Worth),
 		deadline: t + left,
 		arrived:  t,
 		seq:      o.nextSeq,
 	}
 }
 
+// soundWorth keeps worths ordered, whatever a message holds.
+func soundWorth(w float64) float64 {
+	if math.IsNaN(w) {
+		return 0
+	}
+	return min(max(w, 0), maxWorth)
+}
+
 // stampOf returns a lower bound of the time of sending, zero when there is none.
 func stampOf(t time.Duration, a *model.Attempt, sameNode bool) time.Duration {
 	if sameNode && a.OwnerClock == 0 {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -156,7 +156,8 @@
 
 // SetState sets the life stage. Leaving never turns back: a smaller state after
 // StateLeaving is ignored. Queued attempts stay, but for those that a worker
-// gone cold keeps waiting longer than coldGrace (see Tick).
+// gone cold keeps waiting longer than coldGrace (see Tick), or that leaving or
+// the end finds waiting for a worker that does not run.
 func (o *Owner) SetState(now time.Time, s model.UpstreamState) []Decision {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -169,6 +170,8 @@
 		o.limit.warm(t)
 	case s == model.StateCold && o.state != model.StateCold:
 		o.coldSince = t
+	case s == model.StateLeaving && o.state == model.StateCold, s == model.StateGone:
+		o.turnAwayAll(t, notRun(model.ReasonLeaving))
 	}
 	o.state = s
 	o.dispatch(t)
