spread: one unreadable value keeps no fleet from starting; compare over new links

Cause: a listed value whose reads always fail left the reading of the index open, so a fleet that started as a whole was never ready. A new link was compared over only by chance, so a healed partition with few links across stayed apart longer. A value overtaken by a newer version raised a false alarm about an older one.

--- a/internal/spread/accept.go
+++ b/internal/spread/accept.go
@@ -24,6 +24,9 @@
 	packed []byte
 	// peer is the sender; empty for the configuration service.
 	peer model.InstanceID
+	// late says that another source was faster, so that a newer version in force
+	// is no sign of a stale source.
+	late bool
 }
 
 func (o *offered) source() string {
@@ -57,10 +60,10 @@
 	case old == nil || old.bundle.Version < got.bundle.Version:
 		c.putInForce(o, got)
 		return accepted
-	case old.bundle.Version > got.bundle.Version:
+	case old.bundle.Version > got.bundle.Version && !o.late:
 		c.refuseOlder(o, got.bundle.VersionID(), old.bundle.Version)
 		return rejected
-	case old.content != got.content:
+	case old.bundle.Version == got.bundle.Version && old.content != got.content:
 		c.conflict(got.bundle.VersionID(), o.source())
 		return rejected
 	}
--- a/internal/spread/compare.go
+++ b/internal/spread/compare.go
@@ -32,16 +32,18 @@
 // compareWith opens a comparison, replacing an open one.
 func (c *Controller) compareWith(l *link) {
 	c.counters.Compares++
+	l.compareAt = time.Time{}
 	l.compare = comparison{nonce: c.rng.Uint64() | 1, at: c.now}
 	c.do(send(l.id, wire.BundleCompare{Nonce: l.compare.nonce, Digest: c.held.digest}))
 }
 
-// compareWhenDue opens the regular comparison, and repeats those whose answer
-// this node cannot do without.
+// compareWhenDue opens the regular comparison and those over new links, and
+// repeats those whose answer this node cannot do without.
 func (c *Controller) compareWhenDue() {
 	for _, l := range c.links.list {
 		needed := !l.fresh || (!c.start.ready && !l.answered)
-		if needed && c.now.Sub(l.compare.at) >= compareTimeout {
+		due := !l.compareAt.IsZero() && !c.now.Before(l.compareAt)
+		if due || needed && c.now.Sub(l.compare.at) >= compareTimeout {
 			c.compareWith(l)
 		}
 	}
--- a/internal/spread/fleet_test.go
+++ b/internal/spread/fleet_test.go
@@ -118,6 +118,8 @@
 type platformValue struct {
 	version uint64
 	raw     []byte
+	// fails makes every read of the value fail.
+	fails bool
 }
 
 func (p *fakePlatform) current() map[model.BundleName]platformValue {
@@ -397,7 +399,7 @@
 func (f *fleet) readValue(nd *node, name model.BundleName) {
 	f.countRead()
 	v, ok := f.platform.current()[name]
-	if f.platform.down || !ok {
+	if f.platform.down || !ok || v.fails {
 		f.post(nd, 5*time.Millisecond, control.ValueReadFailed{Name: name})
 		return
 	}
--- a/internal/spread/links.go
+++ b/internal/spread/links.go
@@ -31,6 +31,8 @@
 	answered bool
 	settled  bool
 	compare  comparison
+	// compareAt is when a new link is compared over; zero for never.
+	compareAt time.Time
 }
 
 // linkTable holds the open links, sorted so that equal seeds give equal runs.
@@ -110,7 +112,7 @@
 
 // linkUp opens the talk with a peer: each tells the other its ages, and they
 // compare what they hold, at once when this node is not ready and otherwise
-// within the usual interval.
+// within the usual interval, so that parts of a split fleet join without a storm.
 func (c *Controller) linkUp(id model.InstanceID) {
 	l := c.links.add(id)
 	l.told = beaconTimes{}
@@ -119,10 +121,7 @@
 		c.compareWith(l)
 		return
 	}
-	soon := c.now.Add(c.jitter(compareInterval))
-	if soon.Before(c.nextCompare) {
-		c.nextCompare = soon
-	}
+	l.compareAt = c.now.Add(c.jitter(compareInterval))
 }
 
 func (c *Controller) linkDown(id model.InstanceID) {
--- a/internal/spread/platform.go
+++ b/internal/spread/platform.go
@@ -249,7 +249,7 @@
 func (c *Controller) valueRead(name model.BundleName, raw []byte) {
 	w := c.endValueRead(name)
 	v := model.BundleVersion{Name: name, Version: c.wants.target(name)}
-	got := c.take(&offered{name: name, raw: raw})
+	got := c.take(&offered{name: name, raw: raw, late: w == nil})
 	if got == accepted {
 		return
 	}
--- a/internal/spread/ready_test.go
+++ b/internal/spread/ready_test.go
@@ -234,3 +234,34 @@
 		t.Errorf("confirmed as of %s, now is %s", got, s.now)
 	}
 }
+
+func TestValueThatCannotBeReadKeepsNoFreshNodeFromServing(t *testing.T) {
+	f := newFleet(3, 1)
+	f.publish("a", 1, 0)
+	f.platform.values["gone"] = platformValue{version: 1, fails: true}
+	f.linkAll(2)
+	f.run(wantLife + 10*time.Second)
+	for _, nd := range f.nodes {
+		if nd.inForce("a") != 1 {
+			t.Errorf("%s is not ready: %v", nd.id, nd.c.Missing())
+		}
+	}
+}
+
+func TestNewLinkIsComparedOver(t *testing.T) {
+	s := newSingle(t, "1", "2", "3", "4", "5", "6", "7", "8")
+	s.wait(2 * compareInterval)
+	s.handle(control.LinkUp{Peer: model.Instance{ID: "p"}})
+	if got := sentTo[wire.BundleCompare](s.wait(compareInterval), "p"); len(got) == 0 {
+		t.Error("not compared within the interval")
+	}
+}
+
+func TestValueOvertakenByANewerOneIsNoAlarm(t *testing.T) {
+	s := newSingle(t, "p")
+	s.readIndex(model.BundleVersion{Name: "a", Version: 6})
+	s.from("p", packedBody("a", 7, signed("a", 7, 0)))
+	if out := s.handle(control.ValueRead{Name: "a", Data: signed("a", 6, 0)}); recorded(out, event.BundleOlder) > 0 {
+		t.Error("logged as an older bundle")
+	}
+}
--- a/internal/spread/want.go
+++ b/internal/spread/want.go
@@ -202,7 +202,8 @@
 	w.release(c.now)
 }
 
-// expireWants drops what nobody has sent for long.
+// expireWants drops what nobody has sent for long. One value that cannot be read
+// keeps neither a fresh node from being ready nor the rest from being confirmed.
 func (c *Controller) expireWants() {
 	for i := len(c.wants.list) - 1; i >= 0; i-- {
 		w := c.wants.list[i]
@@ -210,7 +211,11 @@
 			continue
 		}
 		c.counters.WantsDropped++
-		c.record(event.BundleUnobtainable, model.BundleVersion{Name: w.name, Version: w.target}.String(), "", nil)
+		v := model.BundleVersion{Name: w.name, Version: w.target}
+		c.record(event.BundleUnobtainable, v.String(), "", nil)
+		if w.listed {
+			c.refused.add(c.now, v)
+		}
 		c.wants.remove(w.name)
 	}
 }
