--- a/internal/core/probe.go
+++ b/internal/core/probe.go
@@ -12,7 +12,7 @@
 	// defaultProbeAge is the age of a report beyond which its owner is probed.
 	defaultProbeAge = 2 * time.Second
 	// probesPerTick bounds the probes of one tick.
-	probesPerTick = 4
+	probesPerTick = 16
 )
 
 // probe asks the owners of which this node has heard nothing for long, of
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,7 +38,7 @@
 // chooser is what an engine needs of a route.Table.
 type chooser interface {
 	Pick(now time.Time, q *route.Query) (route.Choice, bool)
-	Home(now time.Time, service model.ServiceName, id model.RequestID) (route.Choice, bool)
+	NextHome(now time.Time, service model.ServiceName, id model.RequestID, passed []model.InstanceID) (route.Choice, bool)
 	Sent(now time.Time, id model.InstanceID)
 	Done(now time.Time, id model.InstanceID, r route.Result)
 }
@@ -48,6 +48,7 @@
 type Engine struct {
 	cfg      Config
 	table    chooser
+	tuning   tuning
 	sequence atomic.Uint64
 	// adopted is the incarnation of this node's own owner.
 	adopted atomic.Uint64
@@ -63,7 +64,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Uint64
 	}
-	e := &Engine{cfg: cfg, table: table}
+	e := &Engine{cfg: cfg, table: table, tuning: defaultTuning}
 	e.adopted.Store(uint64(cfg.Self.Incarnation))
 	return e
 }
--- /dev/null
+++ b/internal/experiment/write.go
@@ -0,0 +1,204 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Measurements are all figures of one bench.
+type Measurements struct {
+	Runs  []Run   `json:"runs"`
+	Added []Added `json:"added"`
+}
+
+// Files that Write makes.
+const (
+	figuresFile = "measurements.json"
+	pageFile    = "MEASUREMENTS.md"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 7 * vg.Inch
+	plotHeight = 4 * vg.Inch
+)
+
+// Write writes the figures, the page and a plot per deployment to a folder.
+func (m *Measurements) Write(folder string) error {
+	data, err := json.MarshalIndent(m, "", " ")
+	if err != nil {
+		return fmt.Errorf("figures: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, figuresFile), append(data, '\n'), 0o644); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(folder, pageFile), []byte(m.page()), 0o644); err != nil {
+		return err
+	}
+	for _, name := range m.deployments() {
+		if err := m.plot(name, filepath.Join(folder, plotFile(name))); err != nil {
+			return fmt.Errorf("plot of %s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func plotFile(deployment string) string { return "tail-" + deployment + ".svg" }
+
+// cell groups the repeats of one measurement.
+type cell struct {
+	deployment, contender string
+	share                 float64
+}
+
+// cells returns the cells in the order of their first run.
+func (m *Measurements) cells() []cell {
+	var out []cell
+	seen := map[cell]bool{}
+	for _, r := range m.Runs {
+		c := cell{r.Deployment, r.Contender, r.Share}
+		if !seen[c] {
+			seen[c] = true
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (m *Measurements) runs(c cell) []Run {
+	var out []Run
+	for _, r := range m.Runs {
+		if c == (cell{r.Deployment, r.Contender, r.Share}) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (m *Measurements) deployments() []string {
+	var out []string
+	for _, c := range m.cells() {
+		if len(out) == 0 || out[len(out)-1] != c.deployment {
+			out = append(out, c.deployment)
+		}
+	}
+	return out
+}
+
+// spread is a median with the least and the greatest value.
+type spread struct{ median, least, greatest float64 }
+
+func spreadOf(runs []Run, value func(*Run) float64) spread {
+	values := make([]float64, len(runs))
+	for i := range runs {
+		values[i] = value(&runs[i])
+	}
+	sort.Float64s(values)
+	return spread{median(values), values[0], values[len(values)-1]}
+}
+
+// median of sorted values.
+func median(sorted []float64) float64 {
+	n := len(sorted)
+	return (sorted[(n-1)/2] + sorted[n/2]) / 2
+}
+
+// format writes a spread with the given number of decimals.
+func (s spread) format(decimals int) string {
+	return fmt.Sprintf("%.*f (%.*f-%.*f)", decimals, s.median, decimals, s.least, decimals, s.greatest)
+}
+
+func (m *Measurements) page() string {
+	var b strings.Builder
+	b.WriteString("# Measurements\n\nWritten by `make bench`, on loopback in one process: nodes, stand-in workers and\n")
+	b.WriteString("callers share the machine, so the figures compare ways in one run and are not\nthose of a deployment. Medians of repeated runs, least and greatest in brackets.\n\n")
+	m.addedTable(&b)
+	b.WriteString("## Routing beside its baselines\n\n")
+	b.WriteString("Poisson arrivals with bursts of 5-20 ms at four times the rate; in each third of a\nrun another worker is slowed five times, fails every request at once, or refuses\nconnections. Worth is the share of the offered worth that was answered in\ndeadline. Measuring counts polls of workers and probes of owners per answered call.\n\n")
+	for _, name := range m.deployments() {
+		m.table(&b, name)
+	}
+	return b.String()
+}
+
+func (m *Measurements) addedTable(b *strings.Builder) {
+	b.WriteString("## Time that two nodes add to a call\n\nThe worker called directly, then through an entry and its owner, at one rate.\nLimit: 1.5 ms at the 99th percentile.\n\n")
+	b.WriteString("| calls/s | direct p50 ms | direct p99 ms | through p50 ms | through p99 ms | added p50 ms | added p99 ms |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	for i := range m.Added {
+		a := &m.Added[i]
+		fmt.Fprintf(b, "| %.0f | %.2f | %.2f | %.2f | %.2f | %.2f | %.2f |\n", a.RatePerSecond,
+			a.DirectP50Ms, a.DirectP99Ms, a.ThroughP50Ms, a.ThroughP99Ms, a.P50Ms(), a.P99Ms())
+	}
+	b.WriteString("\n")
+}
+
+func (m *Measurements) table(b *strings.Builder, deployment string) {
+	fmt.Fprintf(b, "### %s\n\n![tail latency](%s)\n\n", deployment, plotFile(deployment))
+	b.WriteString("| load | routing | p50 ms | p99 ms | p99 ms of worth | worth % | measuring per answer | promises kept |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, c := range m.cells() {
+		if c.deployment != deployment {
+			continue
+		}
+		runs := m.runs(c)
+		kept := 0
+		for _, r := range runs {
+			if r.Kept {
+				kept++
+			}
+		}
+		fmt.Fprintf(b, "| %.0f%% | %s | %s | %s | %s | %s | %s | %d of %d |\n", 100*c.share, c.contender,
+			spreadOf(runs, func(r *Run) float64 { return r.P50Ms }).format(1),
+			spreadOf(runs, func(r *Run) float64 { return r.P99Ms }).format(1),
+			spreadOf(runs, func(r *Run) float64 { return r.WorthP99Ms }).format(1),
+			spreadOf(runs, func(r *Run) float64 { return 100 * r.Worth }).format(2),
+			spreadOf(runs, func(r *Run) float64 { return r.Measuring }).format(4),
+			kept, len(runs))
+	}
+	b.WriteString("\n")
+}
+
+// plot draws p99 over load, a line per contender.
+func (m *Measurements) plot(deployment, file string) error {
+	p := plot.New()
+	p.Title.Text = deployment + ": 99th percentile by load"
+	p.X.Label.Text = "load, % of capacity"
+	p.Y.Label.Text = "ms"
+	p.Legend.Top = true
+	p.Legend.Left = true
+	var lines []any
+	for _, name := range m.contenders(deployment) {
+		var points plotter.XYs
+		for _, c := range m.cells() {
+			if c.deployment == deployment && c.contender == name {
+				p99 := spreadOf(m.runs(c), func(r *Run) float64 { return r.P99Ms })
+				points = append(points, plotter.XY{X: 100 * c.share, Y: p99.median})
+			}
+		}
+		lines = append(lines, name, points)
+	}
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, file)
+}
+
+func (m *Measurements) contenders(deployment string) []string {
+	var out []string
+	seen := map[string]bool{}
+	for _, c := range m.cells() {
+		if c.deployment == deployment && !seen[c.contender] {
+			seen[c.contender] = true
+			out = append(out, c.contender)
+		}
+	}
+	return out
+}
--- a/internal/member/peers.go
+++ b/internal/member/peers.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -36,12 +35,6 @@
 	// the fleet stay random whatever order its nodes started in.
 	rotateMin = 5 * time.Minute
 	rotateMax = 15 * time.Minute
-	// exploreMin is the least time between two tries to reach a peer that could
-	// not be reached, or another data centre when no link goes to one. It grows
-	// by explorePerNode with the fleet, so the fleet's rate is bounded; one new
-	// link between the parts of a healed partition is enough for all.
-	exploreMin     = 5 * time.Second
-	explorePerNode = 200 * time.Millisecond
 	// isolatedAfter is the time without any link after which it is logged.
 	isolatedAfter = 10 * time.Second
 	// redirects is the number of others that a rejection names.
@@ -170,11 +163,11 @@
 }
 
 // choosePeer picks a random peer for an outgoing link: first one of another
-// data centre, then one of this, then any.
+// data centre, then one of this, then any, and last one that is leaving.
 func (c *Controller) choosePeer(now time.Time) (wire.MemberRecord, bool) {
 	own := c.cfg.Self.DataCentre
 	hasOwn, hasOther := c.outgoingPlaces()
-	suits := func(r wire.MemberRecord) bool { return c.suits(now, r) }
+	suits := func(r wire.MemberRecord) bool { return serving(r.State) && c.suits(now, r) }
 	if !hasOther && len(c.table.serving) > 1 {
 		if r, ok := c.table.pick(c.rng, func(r wire.MemberRecord) bool { return r.DataCentre != own && suits(r) }); ok {
 			return r, true
@@ -185,7 +178,10 @@
 			return r, true
 		}
 	}
-	return c.table.pick(c.rng, suits)
+	if r, ok := c.table.pick(c.rng, suits); ok {
+		return r, true
+	}
+	return c.table.pick(c.rng, func(r wire.MemberRecord) bool { return c.suits(now, r) })
 }
 
 // outgoingPlaces tells whether this node has, or is opening, a link within its
@@ -209,67 +205,12 @@
 
 // suits reports whether r may become an outgoing link's peer.
 func (c *Controller) suits(now time.Time, r wire.MemberRecord) bool {
-	switch {
-	case r.ID == c.cfg.Self.ID, !serving(r.State), r.PeerAddress == "":
-		return false
-	case c.links.get(r.ID) != nil, c.peers.dialing(r.ID):
-		return false
-	}
-	return !now.Before(c.peers.backoffs[r.ID].until)
+	return r.State != model.StateGone && c.unlinked(r) && !now.Before(c.peers.backoffs[r.ID].until)
 }
 
-// explore opens a link beyond the outgoing ones, which replaces one of them
-// when it succeeds: to another data centre when none goes there, or else to a
-// peer that could not be reached before or was declared gone.
-func (c *Controller) explore(now time.Time) {
-	own := c.cfg.Self.DataCentre
-	free := func(r wire.MemberRecord) bool {
-		return serving(r.State) && r.PeerAddress != "" && c.links.get(r.ID) == nil && !c.peers.dialing(r.ID)
-	}
-	if _, hasOther := c.outgoingPlaces(); !hasOther && len(c.table.serving) > 1 {
-		c.peers.nextExplore = now.Add(c.between(exploreMin, 2*exploreMin))
-		if r, ok := c.table.pick(c.rng, func(r wire.MemberRecord) bool { return r.DataCentre != own && free(r) }); ok {
-			c.dial(now, r.ID, r.PeerAddress, true)
-		}
-		return
-	}
-	wait := max(exploreMin, time.Duration(c.FleetSize())*explorePerNode)
-	c.peers.nextExplore = now.Add(c.between(wait/2, wait+wait/2))
-	missed := append(c.missedPeers(free), c.lostPeers()...)
-	if len(missed) == 0 {
-		return
-	}
-	r := missed[c.rng.IntN(len(missed))]
-	c.dial(now, r.ID, r.PeerAddress, true)
-}
-
-// missedPeers returns the peers that could not be reached, by id.
-func (c *Controller) missedPeers(free func(wire.MemberRecord) bool) []wire.MemberRecord {
-	var out []wire.MemberRecord
-	for id, b := range c.peers.backoffs {
-		if r, ok := c.table.get(id); ok && b.failures > 0 && free(r) {
-			out = append(out, r)
-		}
-	}
-	slices.SortFunc(out, func(a, b wire.MemberRecord) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
-
-// lostPeers returns the instances that are taken for gone although the list
-// names them as live: after a partition, those of the other part. One that
-// answers is told, and takes a greater incarnation.
-func (c *Controller) lostPeers() []wire.MemberRecord {
-	var out []wire.MemberRecord
-	for _, t := range c.reaper.tombstones {
-		r, ok := c.table.get(t.id)
-		if !ok || r.State != model.StateGone || r.Incarnation != t.incarnation {
-			continue
-		}
-		if r.ListMark == wire.ListLive && r.PeerAddress != "" && c.links.get(r.ID) == nil && !c.peers.dialing(r.ID) {
-			out = append(out, r)
-		}
-	}
-	return out
+// unlinked reports whether a link to r could be opened: there is none yet.
+func (c *Controller) unlinked(r wire.MemberRecord) bool {
+	return r.ID != c.cfg.Self.ID && r.PeerAddress != "" && c.links.get(r.ID) == nil && !c.peers.dialing(r.ID)
 }
 
 // endDial ends the opening that a link came of, and reports whether it was for
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -15,14 +15,18 @@
 	// speedMemory is that of a report's service time and failure rate: a worker
 	// that nobody calls must look worth a try again.
 	speedMemory = 5 * float64(time.Second)
+	// limitMemory is that of a lowered limit towards the slots: it rises while a
+	// worker warms up or recovers.
+	limitMemory = 500 * float64(time.Millisecond)
 	// failureMemory is that of this node's own count of failures.
 	failureMemory = 5 * float64(time.Second)
 	// pathMemory is that of the time of the way beyond the link's usual one.
 	pathMemory = float64(time.Second)
 	// coldPenalty is the wait at an upstream whose owner says that it is cold,
-	// and coldMemory the decay constant of that word.
-	coldPenalty = float64(time.Second)
-	coldMemory  = float64(time.Second)
+	// and coldMemory the decay constant of that word. A try too early costs a
+	// round trip only, since the owner refuses it.
+	coldPenalty = 100 * float64(time.Millisecond)
+	coldMemory  = 100 * float64(time.Millisecond)
 	// maxBackOff bounds what a refusal's RetryAfter is believed.
 	maxBackOff = 10 * time.Second
 	// failureCost bounds the cost of a failed call; it is the call's remaining
@@ -37,6 +41,13 @@
 const (
 	// defaultSlots is for a service that no bundle describes.
 	defaultSlots = 20
+	// deadZone is the part of its service's mean service time by which an
+	// upstream's must differ to count. Smaller differences are mostly the noise
+	// of the owner's smoothing; since all entry nodes hear the same noise, they
+	// would all prefer the same upstream for it.
+	deadZone = 0.5
+	// queueWeight is the weight of the wait and of failure in the cost.
+	queueWeight = 3
 	// startShare is the share of the slots that an upstream is taken to run
 	// before its owner was heard.
 	startShare = 4
@@ -45,25 +56,29 @@
 	silenceFactor = 3
 )
 
-// tuning switches parts of the estimate off, for measurements.
+// tuning holds what measurements vary.
 type tuning struct {
 	// local and remote are the numbers of candidates of the own data centre and
 	// of others.
 	local, remote int
 	loadMemory    float64
+	deadZone      float64
 	ownSends      bool
 	failure       bool
-	noise         bool
-	silence       bool
+	// noise is the number of standard deviations of the load that a normal
+	// deviate of one stands for; 0 switches the deviation off.
+	noise   float64
+	silence bool
+	// path adds the time of the way beyond the link's usual one.
+	path bool
 }
 
 var defaultTuning = tuning{
-	local: 2, remote: 2, loadMemory: loadMemory,
-	ownSends: true, failure: true, noise: true, silence: true,
+	local: 2, remote: 2, loadMemory: loadMemory, deadZone: deadZone,
+	ownSends: true, failure: true, noise: 2, silence: true, path: true,
 }
 
-// Estimate is what is expected of one candidate, part by part. Expected is the
-// sum of Link, Wait, Service, Silence and Failure.
+// Estimate is what is expected of one candidate, part by part.
 type Estimate struct {
 	Instance model.Instance
 	// Heard tells whether a report was heard, Age how long ago.
@@ -77,12 +92,16 @@
 	OwnInFlight int
 	// FailureRate is the expected share of failures, 0 to 1.
 	FailureRate float64
-	// Link is both ways of the link, Wait the time until the start, Service the
-	// worker's, Silence the time by which an answer is overdue, and Failure the
-	// penalty of an expected failure.
-	Link, Wait, Service, Silence, Failure time.Duration
-	// Expected is what candidates are compared by.
+	// Link is the time of the way and back, Wait that until the start, Service
+	// the worker's, and Silence the time by which an answer is overdue.
+	Link, Wait, Service, Silence time.Duration
+	// Expected is the time to the whole answer, the sum of the four.
 	Expected time.Duration
+	// Failure is the expected loss by failure, as a time.
+	Failure time.Duration
+	// Cost is what candidates are compared by: Link + Service + Silence +
+	// 3 x (Wait + Failure).
+	Cost time.Duration
 	// Leaving candidates are not chosen.
 	Leaving bool
 }
@@ -100,8 +119,12 @@
 // latency is the expected time to the answer.
 func (p *parts) latency() float64 { return p.link + p.wait + p.service + p.silence }
 
-// cost is what candidates are compared by.
-func (p *parts) cost() float64 { return p.latency() + p.failure }
+// cost is what candidates are compared by. A place in a queue also delays those
+// that come after it, and a failure loses more than time, so both weigh more
+// than the rest of the latency.
+func (p *parts) cost() float64 {
+	return p.link + p.service + p.silence + queueWeight*(p.wait+p.failure)
+}
 
 // estimate computes the parts for one candidate. deviate is how many standard
 // deviations its uncertain load is taken to be off the expected one.
@@ -111,18 +134,21 @@
 	if !known {
 		meanService = defaultServiceTime
 	}
-	p := parts{link: float64(u.link.roundTrip()) + c.path.value(now, pathMemory)}
+	p := parts{link: float64(u.link.roundTrip())}
+	if t.tuning.path {
+		p.link += max(0, beyond(c.path.value(now, pathMemory), deadZone*meanService))
+	}
 	h := c.heard.Load()
 	if h == nil || h == retired {
 		p.unheard(u, meanUse, meanService)
 	} else {
-		p.fromReport(t, c, h, now, meanUse, meanService)
+		p.fromReport(t, u, h, now, meanUse, meanService)
 	}
 	p.load = max(p.load, float64(c.inFlight.Load()))
 	p.failureRate = max(p.failureRate, c.failure.value(now, failureMemory))
 	p.queue(t, deviate)
 	p.wait += c.coldWait(h, now)
-	p.wait = max(p.wait, float64(c.backOffUntil.Load()-now))
+	p.wait += float64(max(0, c.backOffUntil.Load()-now))
 	if t.tuning.silence {
 		p.addSilence(c, now)
 	}
@@ -143,25 +169,39 @@
 
 // fromReport ages the last report towards the service's means and adds the own
 // attempts that it could not count.
-func (p *parts) fromReport(t *Table, c *cell, h *heard, now int64, meanUse, meanService float64) {
+func (p *parts) fromReport(t *Table, u *upstream, h *heard, now int64, meanUse, meanService float64) {
 	r := &h.report
 	p.heard = true
 	p.age = float64(max(0, now-h.at))
 	p.limit = float64(max(1, r.Limit))
+	if slots := float64(u.service.slots); slots > p.limit {
+		p.limit += (slots - p.limit) * (1 - math.Exp(-p.age/limitMemory))
+	}
 	reported := float64(r.InFlight) + float64(r.Queued)
 	mean := meanUse * p.limit
 	p.load = mean + (reported-mean)*math.Exp(-p.age/t.tuning.loadMemory)
 	if t.tuning.ownSends {
-		p.load += float64(c.sentSince(h))
+		p.load += float64(u.cell.sentSince(h))
 	}
 	speed := math.Exp(-p.age / speedMemory)
 	p.service = meanService
 	if r.ServiceTime > 0 {
-		p.service += (float64(r.ServiceTime) - meanService) * speed
+		p.service += beyond(float64(r.ServiceTime)-meanService, t.tuning.deadZone*meanService) * speed
 	}
 	p.failureRate = float64(r.FailureRate) / 1000 * speed
 }
 
+// beyond returns the part of d that is farther than zone from zero.
+func beyond(d, zone float64) float64 {
+	switch {
+	case d > zone:
+		return d - zone
+	case d < -zone:
+		return d + zone
+	}
+	return 0
+}
+
 // queue turns the load into an expected wait: the expected excess of the load,
 // this attempt included, over the limit, in service times per slot. The load is
 // uncertain with the variance of a Poisson number, so that the wait grows
@@ -170,10 +210,7 @@
 func (p *parts) queue(t *Table, deviate float64) {
 	const normalAtZero = 2 / math.Pi
 	variance := (p.load + 1) * p.uncertainty(t)
-	load := p.load
-	if t.tuning.noise {
-		load = max(0, load+deviate*math.Sqrt(variance))
-	}
+	load := max(0, p.load+deviate*math.Sqrt(variance))
 	excess := load + 1 - p.limit
 	p.wait = p.service / p.limit * (excess + math.Sqrt(excess*excess+normalAtZero*(variance+1))) / 2
 }
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"time"
 
 	"gypsumstand/internal/model"
@@ -134,10 +135,14 @@
 )
 
 // NewForwarder returns a forwarder; secured, when not nil, is the mutual TLS of
-// the peers, and a nil dial means TCP.
-func NewForwarder(dial upstream.Dial, secured *tls.Config) *Forwarder {
+// the peers, and a nil dial means TCP. idle bounds the idle connections to all
+// nodes together; zero means the default.
+func NewForwarder(dial upstream.Dial, secured *tls.Config, idle int) *Forwarder {
+	if idle == 0 {
+		idle = peerIdle
+	}
 	t := upstream.NewTransport(dial, peerIdlePerHost, 0)
-	t.MaxIdleConns = peerIdle
+	t.MaxIdleConns = idle
 	t.IdleConnTimeout = peerIdleTimeout
 	t.MaxResponseHeaderBytes = peerMaxHeaderBytes
 	t.ExpectContinueTimeout = peerContinueTimeout
@@ -169,13 +174,21 @@
 	resp, err := f.transport.RoundTrip(req)
 	if err != nil {
 		if proof.NotRun() {
-			return Result{Refusal: model.Refusal{Reason: model.ReasonWorkerUnreachable, NotRun: true}}, false, nil
+			return Result{Refusal: model.Refusal{Reason: unreached(err), NotRun: true}}, false, nil
 		}
 		return Result{}, false, errors.Join(ErrBroken, err)
 	}
 	return f.read(w, resp, &proof)
 }
 
+// unreached tells an owner that is not there from one that cannot be reached.
+func unreached(err error) model.Reason {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return model.ReasonOwnerAbsent
+	}
+	return model.ReasonWorkerUnreachable
+}
+
 func (f *Forwarder) request(ctx context.Context, address string, w *Work, offer string) *http.Request {
 	u := &url.URL{Scheme: f.scheme, Host: address, Path: attemptPath + w.URL.Path, RawQuery: w.URL.RawQuery}
 	if w.URL.RawPath != "" {
