--- a/internal/spread/faults_test.go
+++ b/internal/spread/faults_test.go
@@ -108,6 +108,11 @@
 
 func TestPartitionHeals(t *testing.T) {
 	f := settledFleet(t, 40)
+	for _, nd := range f.nodes {
+		half := nd.at / 20 * 20
+		f.linkSome(nd, 2, f.nodes[half:half+20])
+	}
+	f.run(time.Second)
 	left := func(nd *node) bool { return nd.at < 20 }
 	f.cut = func(a, b *node) bool { return left(a) != left(b) }
 	f.platform.values["a"] = platformValue{version: 2, raw: signed("a", 2, 1000)}
