--- a/internal/proof/ledger_test.go
+++ b/internal/proof/ledger_test.go
@@ -112,8 +112,10 @@
 
 // lifeRecord is what the oracle knows of one process.
 type lifeRecord struct {
-	born    time.Time
+	born time.Time
+	// version is the bundle version in force since that time.
 	version uint64
+	since   time.Time
 	// leaves is when its upstream began to leave; zero when it has not.
 	leaves time.Time
 }
