--- a/internal/proof/ledger_test.go
+++ b/internal/proof/ledger_test.go
@@ -219,14 +219,16 @@
 	if !s.bound() || j.attempt.Delegated {
 		return
 	}
-	rec.home = j.l
+	registers := v != owner.Refuse || r.Reason == model.ReasonDelegated
+	if registers || rec.home == nil {
+		rec.home = j.l
+	}
 	h := s.homes[j.l]
 	if h == nil {
 		h = &homeRecord{}
 		s.homes[j.l] = h
 	}
 	h.word = g.w.now
-	registers := v != owner.Refuse || r.Reason == model.ReasonDelegated
 	if registers && h.registered.IsZero() {
 		h.registered = g.w.now
 	}
