Refuse a worker's switch of protocols

Cause: a worker that answered 101 was taken for answered, and net/http gives such an answer a body that ends with the connection only and obeys no context: caller and slot were held for as long as the worker kept the connection, past every deadline. Change: the head check refuses statuses under 200. Before: the test hung for 60 s until its time limit. After: told unknown, worker-broken, and the owner is idle again (internal/failure, raw/switch).

--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -274,7 +274,9 @@
 	return Result{Refusal: model.Refusal{Reason: reason, NotRun: notRun}}
 }
 
-// checkHead refuses crossed answers and those whose wholeness cannot be known.
+// checkHead refuses crossed answers, those whose wholeness cannot be known, and a
+// switch of protocols, which no request asked for (RFC 9110, section 15.2.2) and
+// whose body would end with the connection only.
 func (x *Executor) checkHead(w *Work, resp *http.Response) (model.Refusal, bool) {
 	broken := model.Refusal{Reason: model.ReasonWorkerBroken}
 	echo, present := resp.Header[wire.HeaderAttempt]
@@ -284,7 +286,7 @@
 	if !present && x.echo.Load() {
 		return broken, false
 	}
-	if upstream.Whole(resp, w.Method) != nil {
+	if resp.StatusCode < http.StatusOK || upstream.Whole(resp, w.Method) != nil {
 		return broken, false
 	}
 	return model.Refusal{}, true
