--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -66,7 +67,12 @@
 	// ProbeAge and OnCall are the nodes' settings.
 	ProbeAge time.Duration
 	OnCall   func(server.CallRecord)
-	Log      zerolog.Logger
+	// PeerTLS, when not nil, is the mutual TLS of all peer ports.
+	PeerTLS *tls.Config
+	// SeedPeers gives each node the peer addresses of those that run at its start,
+	// so that it finds them without the platform.
+	SeedPeers bool
+	Log       zerolog.Logger
 }
 
 // Member is one node with its worker.
@@ -237,7 +243,9 @@
 		ListAddresses:   []string{f.platformAddr},
 		ConfigAddresses: []string{f.platformAddr},
 		PlatformTimeout: time.Second,
+		Seeds:           f.seeds(),
 		Trusted:         []bundle.Signer{f.signer},
+		PeerTLS:         f.cfg.PeerTLS,
 		DialPeer:        f.dialer(m.DataCentre).DialContext,
 		StopTimeout:     f.cfg.StopTimeout,
 		LeaveGrace:      f.cfg.LeaveGrace,
@@ -252,6 +260,20 @@
 	}
 }
 
+// seeds returns the peer addresses of the running nodes when they are wanted.
+func (f *Fleet) seeds() []string {
+	if !f.cfg.SeedPeers {
+		return nil
+	}
+	var out []string
+	for _, m := range f.Members() {
+		if !m.over.Load() {
+			out = append(out, m.Node.PeerAddress())
+		}
+	}
+	return out
+}
+
 // dialer delays connections to other data centres.
 func (f *Fleet) dialer(own model.DataCentre) delay.Dialer {
 	return delay.Dialer{OneWay: func(address string) time.Duration {
@@ -346,6 +368,15 @@
 	<-m.ended
 }
 
+// KillWorker ends a member's worker at once, with all its connections; its node
+// goes on.
+func (f *Fleet) KillWorker(m *Member) error {
+	if err := m.workerHTTP.Close(); err != nil {
+		return fmt.Errorf("%s: end worker: %w", m.ID, err)
+	}
+	return nil
+}
+
 func (f *Fleet) end(m *Member) {
 	m.over.Store(true)
 	m.workerHTTP.Close()
