--- /dev/null
+++ b/docs/pages_test.go
@@ -0,0 +1,225 @@
+package docs
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/settings"
+)
+
+// root is the module's folder as the tests see it.
+const root = ".."
+
+func readPage(t *testing.T, name string) string {
+	t.Helper()
+	data, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// section returns the part of a page under one heading of the second level.
+func section(t *testing.T, page, heading string) string {
+	t.Helper()
+	_, rest, ok := strings.Cut(page, "\n## "+heading+"\n")
+	if !ok {
+		t.Fatalf("the page has no section %q", heading)
+	}
+	part, _, _ := strings.Cut(rest, "\n## ")
+	return part
+}
+
+// row finds the first cell of a table's row when it is one word in backticks.
+var row = regexp.MustCompile("(?m)^\\| `([^`]+)` \\|")
+
+func rowNames(text string) []string {
+	var out []string
+	for _, match := range row.FindAllStringSubmatch(text, -1) {
+		out = append(out, match[1])
+	}
+	slices.Sort(out)
+	return out
+}
+
+// tomlKeys returns the dotted keys of a type's TOML form, sorted.
+func tomlKeys(v any) []string {
+	var out []string
+	addKeys(&out, "", reflect.TypeOf(v))
+	slices.Sort(out)
+	return out
+}
+
+func addKeys(out *[]string, prefix string, typ reflect.Type) {
+	for i := range typ.NumField() {
+		field := typ.Field(i)
+		key := prefix + field.Tag.Get("toml")
+		under := field.Type
+		for under.Kind() == reflect.Slice || under.Kind() == reflect.Pointer {
+			under = under.Elem()
+		}
+		if under.Kind() == reflect.Struct {
+			addKeys(out, key+".", under)
+			continue
+		}
+		*out = append(*out, key)
+	}
+}
+
+func TestOperatingNamesEveryKeyOfSettings(t *testing.T) {
+	got := rowNames(section(t, readPage(t, "OPERATING.md"), "Settings"))
+	if diff := cmp.Diff(tomlKeys(settings.Settings{}), got); diff != "" {
+		t.Errorf("keys of the code (-) and of the page (+):\n%s", diff)
+	}
+}
+
+func TestOperatingNamesEveryKeyOfBundles(t *testing.T) {
+	got := rowNames(section(t, readPage(t, "OPERATING.md"), "Bundles"))
+	if diff := cmp.Diff(tomlKeys(bundle.Bundle{}), got); diff != "" {
+		t.Errorf("keys of the code (-) and of the page (+):\n%s", diff)
+	}
+}
+
+const metricPrefix = "gypsum_"
+
+func TestOperatingNamesEveryMetric(t *testing.T) {
+	want := append(optionNames(t, "internal/metrics/metrics.go"), describedNames(t, "internal/node/collector.go")...)
+	slices.Sort(want)
+	got := rowNames(section(t, readPage(t, "OPERATING.md"), "What to watch"))
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("metrics of the code (-) and of the page (+):\n%s", diff)
+	}
+}
+
+func parseFile(t *testing.T, path string) *ast.File {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), filepath.Join(root, path), nil, parser.SkipObjectResolution)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// optionNames returns the metrics whose options a file names with "Name: ...".
+func optionNames(t *testing.T, path string) []string {
+	t.Helper()
+	var out []string
+	ast.Inspect(parseFile(t, path), func(n ast.Node) bool {
+		if pair, ok := n.(*ast.KeyValueExpr); ok {
+			if key, ok := pair.Key.(*ast.Ident); ok && key.Name == "Name" {
+				out = append(out, metricPrefix+literal(t, pair.Value))
+			}
+		}
+		return true
+	})
+	if len(out) == 0 {
+		t.Fatalf("%s names no metric in the form that this test reads", path)
+	}
+	return out
+}
+
+// describedNames returns the metrics that a file makes with describe.
+func describedNames(t *testing.T, path string) []string {
+	t.Helper()
+	var out []string
+	ast.Inspect(parseFile(t, path), func(n ast.Node) bool {
+		if call, ok := n.(*ast.CallExpr); ok {
+			if callee, ok := call.Fun.(*ast.Ident); ok && callee.Name == "describe" {
+				out = append(out, metricPrefix+literal(t, call.Args[0]))
+			}
+		}
+		return true
+	})
+	if len(out) == 0 {
+		t.Fatalf("%s describes no metric in the form that this test reads", path)
+	}
+	return out
+}
+
+func literal(t *testing.T, e ast.Expr) string {
+	t.Helper()
+	lit, ok := e.(*ast.BasicLit)
+	if !ok {
+		t.Fatalf("a metric's name is no literal: %T", e)
+	}
+	s, err := strconv.Unquote(lit.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// testName finds names of tests, fuzz targets and benchmarks.
+var testName = regexp.MustCompile(`\b(?:Test|Fuzz|Benchmark)[A-Z][A-Za-z0-9_]*`)
+
+func TestPagesNameOnlyTestsThatExist(t *testing.T) {
+	known := declaredTests(t)
+	pages, err := filepath.Glob("*.md")
+	if err != nil || len(pages) == 0 {
+		t.Fatalf("no pages found: %v", err)
+	}
+	for _, page := range pages {
+		for _, name := range testName.FindAllString(readPage(t, page), -1) {
+			if !known[name] {
+				t.Errorf("%s names %s, which no test file declares", page, name)
+			}
+		}
+	}
+}
+
+// TestPromisesNameTheirProof fails when a promise's section names no test.
+func TestPromisesNameTheirProof(t *testing.T) {
+	_, rest, _ := strings.Cut(readPage(t, "PROMISES.md"), "\n## ")
+	parts := strings.Split(rest, "\n## ")
+	promises := 0
+	for _, part := range parts {
+		if part[0] < '0' || part[0] > '9' {
+			continue
+		}
+		promises++
+		if !testName.MatchString(part) {
+			t.Errorf("no test is named under %q", strings.SplitN(part, "\n", 2)[0])
+		}
+	}
+	if promises != 7 {
+		t.Errorf("the page has %d numbered promises, want 7", promises)
+	}
+}
+
+// declaredTests returns the names of the functions of all test files.
+func declaredTests(t *testing.T) map[string]bool {
+	t.Helper()
+	known := map[string]bool{}
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			return err
+		}
+		for _, decl := range file.Decls {
+			if f, ok := decl.(*ast.FuncDecl); ok && f.Recv == nil {
+				known[f.Name.Name] = true
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return known
+}
