--- a/docs/pages_test.go
+++ b/docs/pages_test.go
@@ -199,27 +199,65 @@
 	}
 }
 
+// reference finds a section of DESIGN.md that a comment names, across lines.
+var reference = regexp.MustCompile(`DESIGN\.md,\s+"([^"]+)"(?:\s+and\s+"([^"]+)")?`)
+
+// commentMark joins a comment's lines.
+var commentMark = regexp.MustCompile(`\n\s*// ?`)
+
+func TestCommentsNameSectionsOfDesignThatExist(t *testing.T) {
+	page := readPage(t, "DESIGN.md")
+	found := 0
+	eachGoFile(t, func(path string) {
+		text := commentMark.ReplaceAllString(readPage(t, path), " ")
+		for _, match := range reference.FindAllStringSubmatch(text, -1) {
+			for _, name := range match[1:] {
+				if name == "" {
+					continue
+				}
+				found++
+				if !strings.Contains(page, "\n## "+name+"\n") {
+					t.Errorf("%s names the section %q, which DESIGN.md lacks", path, name)
+				}
+			}
+		}
+	})
+	if found == 0 {
+		t.Error("no comment names a section in the form that this test reads")
+	}
+}
+
+// eachGoFile calls f with the path of each Go file of the module.
+func eachGoFile(t *testing.T, f func(path string)) {
+	t.Helper()
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err == nil && !entry.IsDir() && strings.HasSuffix(path, ".go") {
+			f(path)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // declaredTests returns the names of the functions of all test files.
 func declaredTests(t *testing.T) map[string]bool {
 	t.Helper()
 	known := map[string]bool{}
-	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
-		if err != nil || entry.IsDir() || !strings.HasSuffix(path, "_test.go") {
-			return err
+	eachGoFile(t, func(path string) {
+		if !strings.HasSuffix(path, "_test.go") {
+			return
 		}
 		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
 		if err != nil {
-			return err
+			t.Fatal(err)
 		}
 		for _, decl := range file.Decls {
 			if f, ok := decl.(*ast.FuncDecl); ok && f.Recv == nil {
 				known[f.Name.Name] = true
 			}
 		}
-		return nil
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
 	return known
 }
