--- a/internal/proof/oracle_test.go
+++ b/internal/proof/oracle_test.go
@@ -8,10 +8,10 @@
 
 // Bounds of the promises.
 const (
-	// leavingSeconds is the brief's "a few seconds".
-	leavingSeconds = 3 * time.Second
-	// spreadSeconds is how long a bundle in force anywhere takes to every process.
-	spreadSeconds = 7 * time.Second
+	// leavingTime is the brief's "a few seconds".
+	leavingTime = 3 * time.Second
+	// spreadTime is how long a bundle in force anywhere takes to every process.
+	spreadTime = 7 * time.Second
 )
 
 // checkOnce holds a new run against the earlier ones of its request. Runs of two
@@ -95,7 +95,7 @@
 // checkLeaving holds the start of work against its upstream's leaving.
 func (g *ledger) checkLeaving(j *job) {
 	left := g.lives[j.l].leaves
-	if !left.IsZero() && j.offered.Sub(left) > leavingSeconds {
+	if !left.IsZero() && j.offered.Sub(left) > leavingTime {
 		g.violate(promiseLeaving, "%s began work on %s that arrived %v after it began to leave",
 			j.l.node.id, j.attempt.ID, j.offered.Sub(left))
 	}
@@ -180,7 +180,7 @@
 			continue
 		}
 		since := latest(calm, g.newestAt, g.lives[n.life].born)
-		if g.w.now.Sub(since) > spreadSeconds && n.life.version() < g.newest {
+		if g.w.now.Sub(since) > spreadTime && n.life.version() < g.newest {
 			g.violate(promiseBundle, "%s has version %d; %d has been in force for %v; missing: %v",
 				n.id, n.life.version(), g.newest, g.w.now.Sub(g.newestAt), n.life.missing())
 		}
--- a/internal/proof/promises_test.go
+++ b/internal/proof/promises_test.go
@@ -53,7 +53,6 @@
 	ignoreLeaving  bool
 	cutOff         bool
 	dropBudget     bool
-	olderBundle    bool
 }
 
 // rapidChooser draws a plan's choices by rapid, which can then shrink them.
--- a/internal/proof/recover_test.go
+++ b/internal/proof/recover_test.go
@@ -8,8 +8,8 @@
 
 // Bounds of recovery.
 const (
-	// recoverySeconds is how long after the last fault service is full again.
-	recoverySeconds = 15 * time.Second
+	// recoveryTime is how long after the last fault service is full again.
+	recoveryTime = 15 * time.Second
 	// lastCalls is how long the calls then made take.
 	lastCalls = 3 * time.Second
 	// replaceRounds is how often leaving processes are replaced: a stop that was
@@ -21,7 +21,7 @@
 // process serves every route on the newest version.
 func (w *world) recover() {
 	w.endFaults()
-	w.advance(recoverySeconds)
+	w.advance(recoveryTime)
 	w.checkViews()
 	probes := w.probe()
 	w.advance(lastCalls)
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"gypsumstand/internal/model"
 )
 
 // epoch is the fake clock's start.
@@ -119,16 +118,6 @@
 	return low + time.Duration(w.rng.Int64N(int64(high-low)+1))
 }
 
-// node returns the place of that name, or nil.
-func (w *world) node(id model.InstanceID) *node {
-	for _, n := range w.nodes {
-		if n.id == id {
-			return n
-		}
-	}
-	return nil
-}
-
 // at returns the place with that peer address, or nil.
 func (w *world) at(address string) *node {
 	for _, n := range w.nodes {
