eventqueue: one queue on a fake clock instead of six

Cause: capacity and the tests of entry, member, spread, suppress and proof each had a heap of events with its own ordering and counter. Change: package eventqueue holds it once, as a generic queue whose Until ranges over what is due. Order is as before: by time, then as added.

--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -4,7 +4,6 @@
 package capacity
 
 import (
-	"container/heap"
 	"crypto/ed25519"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +12,7 @@
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/core"
+	"gypsumstand/internal/eventqueue"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/wire"
 )
@@ -68,8 +68,7 @@
 	rng     *rand.Rand
 	members []*member
 	byID    map[model.InstanceID]*member
-	queue   deliveries
-	order   uint64
+	queue   eventqueue.Queue[func()]
 	ticks   time.Time
 
 	signer   bundle.Signer
@@ -85,34 +84,6 @@
 	dropped int
 }
 
-// delivery is something that happens at a time.
-type delivery struct {
-	at    time.Time
-	order uint64
-	do    func()
-}
-
-type deliveries []delivery
-
-func (d deliveries) Len() int { return len(d) }
-func (d deliveries) Less(i, j int) bool {
-	if !d[i].at.Equal(d[j].at) {
-		return d[i].at.Before(d[j].at)
-	}
-	return d[i].order < d[j].order
-}
-func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-
-// Push implements heap.Interface.
-func (d *deliveries) Push(x any) { *d = append(*d, x.(delivery)) }
-
-// Pop implements heap.Interface.
-func (d *deliveries) Pop() any {
-	last := (*d)[len(*d)-1]
-	*d = (*d)[:len(*d)-1]
-	return last
-}
-
 // newFleet makes n cores that know themselves and the platform only.
 func newFleet(n int, seed uint64) (*fleet, error) {
 	public, private, err := ed25519.GenerateKey(nil)
@@ -188,8 +159,7 @@
 
 // after queues something.
 func (f *fleet) after(d time.Duration, do func()) {
-	f.order++
-	heap.Push(&f.queue, delivery{at: f.now.Add(d), order: f.order, do: do})
+	f.queue.Add(f.now.Add(d), do)
 }
 
 // delay draws a message's time under way: most peers are near, some far.
@@ -208,15 +178,15 @@
 			f.scheduleTicks()
 		}
 		next := f.ticks
-		if len(f.queue) > 0 && f.queue[0].at.Before(next) {
-			next = f.queue[0].at
+		if due, ok := f.queue.Next(); ok && due.Before(next) {
+			next = due
 		}
 		if next.After(end) {
 			next = end
 		}
 		f.now = next
-		for len(f.queue) > 0 && !f.queue[0].at.After(f.now) {
-			heap.Pop(&f.queue).(delivery).do()
+		for _, do := range f.queue.Until(f.now) {
+			do()
 		}
 	}
 }
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -1,12 +1,12 @@
 package entry
 
 import (
-	"container/heap"
 	"math"
 	"sort"
 	"time"
 
 	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/eventqueue"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
 	"gypsumstand/internal/route"
@@ -36,8 +36,7 @@
 // a fake clock; workers and links are times.
 type fleet struct {
 	now     time.Time
-	events  eventQueue
-	seq     int
+	events  eventqueue.Queue[func()]
 	random  func() uint64
 	bundle  *bundle.Bundle
 	entries []*fleetEntry
@@ -67,33 +66,8 @@
 	waiting map[model.AttemptID]func(owner.Verdict, model.Refusal)
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
-}
-
 func (f *fleet) after(d time.Duration, do func()) {
-	f.seq++
-	heap.Push(&f.events, event{at: f.now.Add(d), seq: f.seq, do: do})
+	f.events.Add(f.now.Add(d), do)
 }
 
 func newFleet(seed uint64, t tuning) *fleet {
@@ -174,10 +148,9 @@
 		f.after(f.exponential(time.Duration(float64(time.Second)/r)), arrive)
 	}
 	arrive()
-	for len(f.events) > 0 && f.now.Sub(epoch) < f.length+f.timeout {
-		e := heap.Pop(&f.events).(event)
-		f.now = e.at
-		e.do()
+	for at, do := range f.events.Until(epoch.Add(f.length + f.timeout)) {
+		f.now = at
+		do()
 	}
 }
 
--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +12,7 @@
 	"gypsumstand/internal/blackboard"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/event"
+	"gypsumstand/internal/eventqueue"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/wire"
 )
@@ -39,25 +39,8 @@
 }
 
 type delivery struct {
-	at  time.Time
-	seq int
-	to  *node
-	ev  control.Event
-}
-
-type deliveries []delivery
-
-func (d deliveries) Len() int { return len(d) }
-func (d deliveries) Less(i, j int) bool {
-	return d[i].at.Before(d[j].at) || d[i].at.Equal(d[j].at) && d[i].seq < d[j].seq
-}
-func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
-func (d *deliveries) Pop() any {
-	old := *d
-	last := old[len(old)-1]
-	*d = old[:len(old)-1]
-	return last
+	to *node
+	ev control.Event
 }
 
 type channel struct{ opener, acceptor model.InstanceID }
@@ -73,8 +56,7 @@
 	rng      *rand.Rand
 	nodes    []*node
 	byID     map[model.InstanceID]*node
-	queue    deliveries
-	seq      int
+	queue    eventqueue.Queue[delivery]
 	channels map[channel]bool
 	loss     float64
 	// blocked tells whether nothing passes between two nodes.
@@ -142,8 +124,7 @@
 	begin := f.now
 	for f.now.Sub(begin) < d && !done() {
 		f.now = f.now.Add(control.TickInterval / tickPhases)
-		for len(f.queue) > 0 && !f.queue[0].at.After(f.now) {
-			next := heap.Pop(&f.queue).(delivery)
+		for _, next := range f.queue.Until(f.now) {
 			f.handle(next.to, next.ev)
 		}
 		phase := int(f.now.Sub(epoch)/(control.TickInterval/tickPhases)) % tickPhases
@@ -170,8 +151,7 @@
 }
 
 func (f *fleet) later(d time.Duration, to *node, ev control.Event) {
-	f.seq++
-	heap.Push(&f.queue, delivery{at: f.now.Add(d), seq: f.seq, to: to, ev: ev})
+	f.queue.Add(f.now.Add(d), delivery{to: to, ev: ev})
 }
 
 func (f *fleet) delay() time.Duration {
--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -1,51 +1,22 @@
 package proof
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"time"
 
+	"gypsumstand/internal/eventqueue"
 )
 
 // epoch is the fake clock's start.
 var epoch = time.Date(2025, time.March, 1, 8, 0, 0, 0, time.UTC)
 
-// event is something that happens at a time of the fake clock.
-type event struct {
-	at    time.Time
-	order uint64
-	run   func()
-}
-
-// eventQueue is a heap of events, the earliest first; those of one time come in
-// the order in which they were made.
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].order < q[j].order
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*q = old[:len(old)-1]
-	return last
-}
-
 // world is a fleet of simulated processes, their workers and callers, and the
 // platform. One goroutine runs all of it.
 type world struct {
 	now      time.Time
-	queue    eventQueue
-	order    uint64
+	queue    eventqueue.Queue[func()]
 	rng      *rand.Rand
 	switches switches
 
@@ -78,18 +49,16 @@
 
 // after runs f once d has passed.
 func (w *world) after(d time.Duration, f func()) {
-	w.order++
-	heap.Push(&w.queue, event{at: w.now.Add(max(d, 0)), order: w.order, run: f})
+	w.queue.Add(w.now.Add(max(d, 0)), f)
 }
 
 // advance runs the world for d.
 func (w *world) advance(d time.Duration) {
 	end := w.now.Add(d)
-	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
-		next := heap.Pop(&w.queue).(event)
-		w.now = next.at
+	for at, run := range w.queue.Until(end) {
+		w.now = at
 		w.countEvent()
-		next.run()
+		run()
 	}
 	w.now = end
 }
@@ -106,7 +75,7 @@
 	w.events++
 	if w.events == stormEvents {
 		w.ledger.violate(recovery, "a storm of events")
-		w.queue = nil
+		w.queue.Clear()
 	}
 }
 
--- a/internal/spread/fleet_test.go
+++ b/internal/spread/fleet_test.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"container/heap"
 	"crypto/ed25519"
 	"fmt"
 	"math/rand/v2"
@@ -16,6 +15,7 @@
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/event"
+	"gypsumstand/internal/eventqueue"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/wire"
 )
@@ -60,32 +60,12 @@
 
 // delivery is an event on its way to a node.
 type delivery struct {
-	at  time.Time
-	seq int
-	to  *node
+	to *node
 	// life is the node's when the event was sent; another life does not get it.
 	life int
 	ev   control.Event
 }
 
-type deliveries []delivery
-
-func (d deliveries) Len() int { return len(d) }
-func (d deliveries) Less(i, j int) bool {
-	if d[i].at.Equal(d[j].at) {
-		return d[i].seq < d[j].seq
-	}
-	return d[i].at.Before(d[j].at)
-}
-func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
-func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
-func (d *deliveries) Pop() any {
-	old := *d
-	last := old[len(old)-1]
-	*d = old[:len(old)-1]
-	return last
-}
-
 // node is one controller of a fleet with its links.
 type node struct {
 	id     model.InstanceID
@@ -131,8 +111,7 @@
 	rng      *rand.Rand
 	nodes    []*node
 	byID     map[model.InstanceID]*node
-	queue    deliveries
-	seq      int
+	queue    eventqueue.Queue[delivery]
 	loss     float64
 	cut      func(a, b *node) bool
 	platform *fakePlatform
@@ -243,8 +222,7 @@
 }
 
 func (f *fleet) post(to *node, after time.Duration, ev control.Event) {
-	f.seq++
-	heap.Push(&f.queue, delivery{at: f.now.Add(after), seq: f.seq, to: to, life: to.life, ev: ev})
+	f.queue.Add(f.now.Add(after), delivery{to: to, life: to.life, ev: ev})
 }
 
 func (f *fleet) publish(name string, version uint64, size int) {
@@ -273,9 +251,8 @@
 }
 
 func (f *fleet) deliverUntil(until time.Time) {
-	for len(f.queue) > 0 && !f.queue[0].at.After(until) {
-		d := heap.Pop(&f.queue).(delivery)
-		f.now = d.at
+	for at, d := range f.queue.Until(until) {
+		f.now = at
 		if d.life != d.to.life {
 			continue
 		}
--- a/internal/suppress/suppress_test.go
+++ b/internal/suppress/suppress_test.go
@@ -1,10 +1,11 @@
 package suppress
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"gypsumstand/internal/eventqueue"
 )
 
 const tick = 100 * time.Millisecond
@@ -15,25 +16,11 @@
 
 // beacon is one reader's word on its way to one node.
 type beacon struct {
-	at   time.Time
 	to   int
 	sent time.Time
 	ok   bool
 }
 
-type beacons []beacon
-
-func (b beacons) Len() int           { return len(b) }
-func (b beacons) Less(i, j int) bool { return b[i].at.Before(b[j].at) }
-func (b beacons) Swap(i, j int)      { b[i], b[j] = b[j], b[i] }
-func (b *beacons) Push(x any)        { *b = append(*b, x.(beacon)) }
-func (b *beacons) Pop() any {
-	old := *b
-	last := old[len(old)-1]
-	*b = old[:len(old)-1]
-	return last
-}
-
 // fleet is n timers on a fake clock; each read's beacon reaches every other
 // timer after a random delay.
 type fleet struct {
@@ -43,7 +30,7 @@
 	down               func(now time.Time) bool
 	rng                *rand.Rand
 	now                time.Time
-	waiting            beacons
+	waiting            eventqueue.Queue[beacon]
 }
 
 func newFleet(n int, minDelay, maxDelay time.Duration) *fleet {
@@ -80,13 +67,12 @@
 	f.timers[i].Own(f.now, ok)
 	for to := range f.timers {
 		delay := f.minDelay + time.Duration(f.rng.Int64N(int64(f.maxDelay-f.minDelay)))
-		heap.Push(&f.waiting, beacon{at: f.now.Add(delay), to: to, sent: f.now, ok: ok})
+		f.waiting.Add(f.now.Add(delay), beacon{to: to, sent: f.now, ok: ok})
 	}
 }
 
 func (f *fleet) deliver() {
-	for len(f.waiting) > 0 && !f.waiting[0].at.After(f.now) {
-		b := heap.Pop(&f.waiting).(beacon)
+	for _, b := range f.waiting.Until(f.now) {
 		confirmed := Never
 		if b.ok {
 			confirmed = f.now.Sub(b.sent)
@@ -181,7 +167,7 @@
 	f := newFleet(n, 500*time.Millisecond, time.Second)
 	f.run(5 * time.Second)
 	f.now = f.now.Add(asleep)
-	f.waiting = nil
+	f.waiting.Clear()
 	for _, timer := range f.timers {
 		timer.Paused(f.now, asleep)
 	}
