simulation: the model that compares routing policies is a package

Cause: 490 lines of event-driven model stood in tests of route, and only benchmarks could run it. Change: package simulation holds it, gypsumbench -simulate policies|parts prints the comparison (BenchmarkPolicies and BenchmarkAblations before). What it varies of the product's policy is route.Tuning, given by Config.Tuning; a node's is as before. TestProductBeatsBaselines moves along with its assertion unchanged.

--- a/cmd/gypsumbench/main.go
+++ b/cmd/gypsumbench/main.go
@@ -13,6 +13,7 @@
 
 	"gypsumstand/internal/deploy"
 	"gypsumstand/internal/experiment"
+	"gypsumstand/internal/simulation"
 )
 
 // Exit codes.
@@ -29,6 +30,13 @@
   gypsumbench -examples examples -out docs
   gypsumbench -examples examples -out /some/folder -duration 2s -repeats 1
 
+With -simulate it prints instead how the policies, or the product's policy with
+one part changed each, do on an event-driven model of one service. That takes a
+few minutes, opens no socket and gives the same figures each time.
+
+  gypsumbench -simulate policies
+  gypsumbench -simulate parts
+
 Exit codes: 0 done, 1 failed, 2 usage.
 
 flags:
@@ -40,8 +48,15 @@
 	duration      time.Duration
 	repeats       int
 	rate          float64
+	simulate      string
 }
 
+// What -simulate compares.
+const (
+	simulatePolicies = "policies"
+	simulateParts    = "parts"
+)
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -51,6 +66,7 @@
 	flag.DurationVar(&s.duration, "duration", 6*time.Second, "load of one run, 1s to 1m")
 	flag.IntVar(&s.repeats, "repeats", 3, "runs of each cell, 1 to 20")
 	flag.Float64Var(&s.rate, "rate", 2000, "calls a second for the added time, 1 to 20000")
+	flag.StringVar(&s.simulate, "simulate", "", "compare on the model only: policies or parts")
 	flag.Usage = func() {
 		fmt.Fprint(flag.CommandLine.Output(), usage)
 		flag.PrintDefaults()
@@ -62,7 +78,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := bench(ctx, &s); err != nil {
+	if err := s.run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
@@ -70,10 +86,22 @@
 }
 
 func (s *settings) valid() bool {
-	return s.duration >= time.Second && s.duration <= time.Minute &&
+	known := s.simulate == "" || s.simulate == simulatePolicies || s.simulate == simulateParts
+	return known && s.duration >= time.Second && s.duration <= time.Minute &&
 		s.repeats >= 1 && s.repeats <= 20 && s.rate >= 1 && s.rate <= 20000
 }
 
+// run does what the command line asks for.
+func (s *settings) run(ctx context.Context) error {
+	switch s.simulate {
+	case simulatePolicies:
+		return simulation.Write(os.Stdout, simulation.Policies())
+	case simulateParts:
+		return simulation.Write(os.Stdout, simulation.Ablations())
+	}
+	return bench(ctx, s)
+}
+
 // benchMeanMs is the workers' mean service time: long enough that this machine
 // can offer more than the capacity.
 const benchMeanMs = 40
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -11,7 +11,7 @@
 const (
 	// loadMemory is the decay constant of a report's load towards its service's
 	// mean.
-	loadMemory = 20 * float64(time.Millisecond)
+	loadMemory = 20 * time.Millisecond
 	// speedMemory is that of a report's service time and failure rate: a worker
 	// that nobody calls must look worth a try again.
 	speedMemory = 5 * float64(time.Second)
@@ -56,28 +56,6 @@
 	silenceFactor = 3
 )
 
-// tuning holds what measurements vary.
-type tuning struct {
-	// local and remote are the numbers of candidates of the own data centre and
-	// of others.
-	local, remote int
-	loadMemory    float64
-	deadZone      float64
-	ownSends      bool
-	failure       bool
-	// noise is the number of standard deviations of the load that a normal
-	// deviate of one stands for; 0 switches the deviation off.
-	noise   float64
-	silence bool
-	// path adds the time of the way beyond the link's usual one.
-	path bool
-}
-
-var defaultTuning = tuning{
-	local: 2, remote: 2, loadMemory: loadMemory, deadZone: deadZone,
-	ownSends: true, failure: true, noise: 2, silence: true, path: true,
-}
-
 // Estimate is what is expected of one candidate, part by part.
 type Estimate struct {
 	Instance model.Instance
@@ -135,7 +113,7 @@
 		meanService = defaultServiceTime
 	}
 	p := parts{link: float64(u.link.roundTrip())}
-	if t.tuning.path {
+	if t.tuning.Path {
 		p.link += max(0, beyond(c.path.value(now, pathMemory), deadZone*meanService))
 	}
 	h := c.heard.Load()
@@ -149,10 +127,10 @@
 	p.queue(t, deviate)
 	p.wait += c.coldWait(h, now)
 	p.wait += float64(max(0, c.backOffUntil.Load()-now))
-	if t.tuning.silence {
+	if t.tuning.Silence {
 		p.addSilence(c, now)
 	}
-	if t.tuning.failure {
+	if t.tuning.Failure {
 		p.addFailure(meanService, remaining)
 	}
 	return p
@@ -179,14 +157,14 @@
 	}
 	reported := float64(r.InFlight) + float64(r.Queued)
 	mean := meanUse * p.limit
-	p.load = mean + (reported-mean)*math.Exp(-p.age/t.tuning.loadMemory)
-	if t.tuning.ownSends {
+	p.load = mean + (reported-mean)*math.Exp(-p.age/float64(t.tuning.LoadMemory))
+	if t.tuning.OwnSends {
 		p.load += float64(u.cell.sentSince(h))
 	}
 	speed := math.Exp(-p.age / speedMemory)
 	p.service = meanService
 	if r.ServiceTime > 0 {
-		p.service += beyond(float64(r.ServiceTime)-meanService, t.tuning.deadZone*meanService) * speed
+		p.service += beyond(float64(r.ServiceTime)-meanService, t.tuning.DeadZone*meanService) * speed
 	}
 	p.failureRate = float64(r.FailureRate) / 1000 * speed
 }
@@ -220,7 +198,7 @@
 	if !p.heard {
 		return 1
 	}
-	return 1 - math.Exp(-2*(p.age+p.link)/t.tuning.loadMemory)
+	return 1 - math.Exp(-2*(p.age+p.link)/float64(t.tuning.LoadMemory))
 }
 
 // coldWait is the penalty of an upstream that is said to be cold, by its owner
--- a/internal/route/policies.go
+++ b/internal/route/policies.go
@@ -53,7 +53,7 @@
 	for i := range c.n {
 		// From a random place on, so that ties are broken at random.
 		u := c.list[(start+i)%c.n]
-		deviate := t.tuning.noise * normal(t.cfg.Random())
+		deviate := t.tuning.Noise * normal(t.cfg.Random())
 		e := t.estimate(u, now, q.Remaining, deviate)
 		if best == nil || e.cost() < least {
 			best, least = u, e.cost()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -27,6 +27,9 @@
 	// Policy selects how Pick chooses; the zero value is the product's policy.
 	// The others are baselines for benchmarks only.
 	Policy Policy
+	// Tuning replaces parts of the product's policy, for measurements only; nil
+	// means DefaultTuning.
+	Tuning *Tuning
 }
 
 // Query asks for an upstream.
@@ -68,7 +71,7 @@
 // concurrent use.
 type Table struct {
 	cfg    Config
-	tuning tuning
+	tuning Tuning
 	policy policy
 	picker atomic.Pointer[picker]
 }
@@ -84,7 +87,10 @@
 	if cfg.RemoteDelay <= 0 {
 		cfg.RemoteDelay = defaultRemoteDelay
 	}
-	t := &Table{cfg: cfg, tuning: defaultTuning, policy: cfg.Policy.implementation()}
+	t := &Table{cfg: cfg, tuning: DefaultTuning(), policy: cfg.Policy.implementation()}
+	if cfg.Tuning != nil {
+		t.tuning = *cfg.Tuning
+	}
 	t.picker.Store(emptyPicker)
 	return t
 }
--- a/internal/route/sample.go
+++ b/internal/route/sample.go
@@ -30,7 +30,7 @@
 // sample fills c with upstreams that may be chosen, of the own data centre and
 // of others; what one side lacks the other gives.
 func (t *Table) sample(c *candidates, svc *service, tried []model.InstanceID) {
-	local, remote := t.tuning.local, t.tuning.remote
+	local, remote := t.tuning.Local, t.tuning.Remote
 	lackLocal := max(0, local-len(svc.local))
 	lackRemote := max(0, remote-len(svc.remote))
 	t.draw(c, svc.local, local+lackRemote, false, tried)
--- /dev/null
+++ b/internal/simulation/upstream.go
@@ -0,0 +1,132 @@
+package simulation
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/route"
+)
+
+// upstream is a worker and its owner.
+type upstream struct {
+	sim   *sim
+	dc    int
+	id    model.InstanceID
+	fault Fault
+	// rng draws service times, so that they do not change the load.
+	rng      *rand.Rand
+	inFlight int
+	queue    []*attempt
+	service  float64
+	failures float64
+}
+
+type attempt struct {
+	arrived  time.Duration
+	deadline time.Duration
+	end      func(r route.Result, rep model.LoadReport)
+}
+
+func (u *upstream) faulty() bool { return u.sim.now >= warmUp }
+
+// stopped tells whether the process is stopped: 200 ms in each half second.
+func (u *upstream) stopped() (until time.Duration, yes bool) {
+	if u.fault != Paused || !u.faulty() {
+		return 0, false
+	}
+	const cycle, stop = 500 * time.Millisecond, 200 * time.Millisecond
+	into := u.sim.now % cycle
+	return u.sim.now - into + stop, into < stop
+}
+
+// limit is what the owner runs at once: a cold worker ramps up for a second
+// after half a second of cold.
+func (u *upstream) limit() int {
+	if u.fault != Cold || !u.faulty() {
+		return slotCount
+	}
+	warm := u.sim.now - warmUp - 500*time.Millisecond
+	return min(slotCount, int(slotCount*warm/time.Second))
+}
+
+func (u *upstream) report() model.LoadReport {
+	r := model.LoadReport{
+		Owner: u.id, Incarnation: 1, Clock: u.sim.now + time.Second, State: model.StateLive,
+		Limit: uint16(max(0, u.limit())), InFlight: uint16(u.inFlight), Queued: uint16(len(u.queue)),
+		ServiceTime: time.Duration(u.service), FailureRate: uint16(1000 * u.failures),
+	}
+	if u.limit() <= 0 {
+		r.State = model.StateCold
+	}
+	return r
+}
+
+func (u *upstream) offer(a *attempt) {
+	if until, yes := u.stopped(); yes {
+		u.sim.after(until-u.sim.now, func() { u.offer(a) })
+		return
+	}
+	a.arrived = u.sim.now
+	limit := u.limit()
+	if limit <= 0 {
+		u.refuse(a, model.ReasonNotReady, 100*time.Millisecond)
+		return
+	}
+	wait := time.Duration(u.service) * time.Duration(max(0, u.inFlight+len(u.queue)+1-limit)) / time.Duration(limit)
+	if len(u.queue) >= queueLimit || wait+tailMeans*time.Duration(u.service) > a.deadline-u.sim.now {
+		u.refuse(a, model.ReasonOverloaded, wait/2)
+		return
+	}
+	u.queue = append(u.queue, a)
+	u.start()
+}
+
+func (u *upstream) refuse(a *attempt, why model.Reason, retry time.Duration) {
+	a.end(route.Result{Refused: why, RetryAfter: retry}, u.report())
+}
+
+func (u *upstream) start() {
+	for len(u.queue) > 0 && u.inFlight < u.limit() {
+		a := u.queue[0]
+		u.queue = u.queue[1:]
+		if a.deadline <= u.sim.now {
+			u.refuse(a, model.ReasonExpired, 0)
+			continue
+		}
+		u.inFlight++
+		d, failed := u.serviceTime()
+		u.sim.after(d, func() { u.finish(a, d, failed) })
+	}
+}
+
+func (u *upstream) serviceTime() (d time.Duration, failed bool) {
+	d = time.Duration(u.rng.ExpFloat64() * float64(meanService))
+	if !u.faulty() {
+		return d, false
+	}
+	switch u.fault {
+	case Slowed:
+		return 5 * d, false
+	case Failing:
+		return d / 20, true
+	}
+	return d, false
+}
+
+func (u *upstream) finish(a *attempt, d time.Duration, failed bool) {
+	if until, yes := u.stopped(); yes {
+		u.sim.after(until-u.sim.now, func() { u.finish(a, d, failed) })
+		return
+	}
+	const gain = 1.0 / 16
+	share := 0.0
+	if failed {
+		share = 1
+	}
+	u.failures += gain * (share - u.failures)
+	u.service += gain * (float64(d) - u.service)
+	u.inFlight--
+	u.start()
+	a.end(route.Result{Failed: failed, Held: u.sim.now - a.arrived}, u.report())
+}
