--- a/internal/proof/oracle_test.go
+++ b/internal/proof/oracle_test.go
@@ -8,10 +8,10 @@
 
 // Bounds of the promises.
 const (
-	// leavingSeconds is the brief's "a few seconds".
-	leavingSeconds = 3 * time.Second
-	// spreadSeconds is how long a bundle in force anywhere takes to every process.
-	spreadSeconds = 7 * time.Second
+	// leavingTime is the brief's "a few seconds".
+	leavingTime = 3 * time.Second
+	// spreadTime is how long a bundle in force anywhere takes to every process.
+	spreadTime = 7 * time.Second
 )
 
 // checkOnce holds a new run against the earlier ones of its request. Runs of two
@@ -95,7 +95,7 @@
 // checkLeaving holds the start of work against its upstream's leaving.
 func (g *ledger) checkLeaving(j *job) {
 	left := g.lives[j.l].leaves
-	if !left.IsZero() && j.offered.Sub(left) > leavingSeconds {
+	if !left.IsZero() && j.offered.Sub(left) > leavingTime {
 		g.violate(promiseLeaving, "%s began work on %s that arrived %v after it began to leave",
 			j.l.node.id, j.attempt.ID, j.offered.Sub(left))
 	}
@@ -193,7 +193,7 @@
 func (g *ledger) checkBehind(l, other *life, calm time.Time) {
 	mine, theirs := g.lives[l], g.lives[other]
 	since := latest(calm, theirs.since, mine.born)
-	if mine.version < theirs.version && g.w.now.Sub(since) > spreadSeconds {
+	if mine.version < theirs.version && g.w.now.Sub(since) > spreadTime {
 		g.violate(promiseBundle, "%s has version %d; %s has had %d in force since %v; missing: %v",
 			l.node.id, mine.version, other.node.id, theirs.version, theirs.since.Sub(epoch), l.missing())
 	}
