Carry hedges out

Cause: the bundle's hedge_after_quantile was decided by entry and done by nobody. Change: the caller port runs a hedge beside an attempt from its HedgeAt on; the first answer is the caller's, the other call is given up. The port's file is split by job: caller, exchange, carrier, hedge. A streamed answer that is cut is now recorded as unknown.

--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -66,3 +66,16 @@
 
 // Close implements io.Closer.
 func (s streamOnce) Close() error { return nil }
+
+// closing ends a context with the body that is read under it.
+type closing struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close implements io.Closer.
+func (c closing) Close() error {
+	err := c.ReadCloser.Close()
+	c.end()
+	return err
+}
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -1,12 +1,10 @@
 package server
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -103,7 +101,7 @@
 		return
 	}
 	x := &exchange{caller: c, w: w, r: r, target: target, body: body, began: began}
-	x.request = c.entryRequest(headers, target, body)
+	x.request = c.entryRequest(headers, target)
 	x.serve()
 }
 
@@ -135,7 +133,7 @@
 }
 
 // entryRequest applies the bundle's bounds to what the caller asked for.
-func (c *Caller) entryRequest(h wire.CallerHeaders, t bundle.Target, body *requestBody) entry.Request {
+func (c *Caller) entryRequest(h wire.CallerHeaders, t bundle.Target) entry.Request {
 	req := entry.Request{
 		ID:          h.Request,
 		CallerKey:   h.Request != "",
@@ -167,226 +165,6 @@
 	return model.RequestID(string(c.Self) + "." + strconv.FormatUint(rand.Uint64(), 36) + strconv.FormatUint(rand.Uint64(), 36))
 }
 
-// exchange is one caller's request in hand.
-type exchange struct {
-	caller  *Caller
-	w       http.ResponseWriter
-	r       *http.Request
-	target  bundle.Target
-	request entry.Request
-	body    *requestBody
-	began   time.Time
-
-	call     *entry.Call
-	attempts int
-	added    time.Duration
-	queued   time.Duration
-	held     *heldAnswer
-	upstream model.InstanceID
-}
-
-// heldAnswer is the last answer's beginning, and the rest when it streams.
-type heldAnswer struct {
-	answer *Answer
-	start  []byte
-	whole  bool
-}
-
-func (x *exchange) serve() {
-	x.call = x.caller.Engine.Begin(x.began, x.request)
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.call.Deadline())
-	defer cancel()
-	for {
-		step := x.call.Next(time.Now())
-		switch step.Kind {
-		case entry.StepSend:
-			x.send(ctx, step)
-		case entry.StepSettle:
-			x.settle(ctx, step)
-		case entry.StepWait:
-			x.wait(ctx, step)
-		case entry.StepEnd:
-			x.end(step)
-			return
-		}
-	}
-}
-
-func (x *exchange) wait(ctx context.Context, step entry.Step) {
-	timer := time.NewTimer(time.Until(step.Until))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		x.noteCallerGone()
-	}
-}
-
-func (x *exchange) noteCallerGone() {
-	if x.r.Context().Err() != nil {
-		x.call.CallerGone(time.Now())
-	}
-}
-
-func (x *exchange) settle(ctx context.Context, step entry.Step) {
-	ctx, cancel := context.WithDeadline(ctx, step.Until)
-	defer cancel()
-	s := wire.Settle{
-		Attempt:          step.Attempt.ID,
-		OwnerIncarnation: step.Attempt.OwnerIncarnation,
-		Request:          step.Attempt.Request,
-		Remaining:        time.Until(x.call.Deadline()),
-	}
-	reply, err := x.caller.Settler.Settle(ctx, step.To, s)
-	if err != nil {
-		x.call.SettleFailed(time.Now())
-		x.noteCallerGone()
-		return
-	}
-	x.caller.Table.Observe(time.Now(), reply.Report)
-	x.call.Settled(time.Now(), reply)
-}
-
-// send carries one attempt out and reports how it ended.
-func (x *exchange) send(ctx context.Context, step entry.Step) {
-	x.attempts++
-	x.upstream = step.To.ID
-	x.drop()
-	result, heard, err := x.attempt(ctx, step)
-	now := time.Now()
-	if heard {
-		x.caller.Table.Observe(now, result.Report)
-		x.caller.Seen(step.To.ID, result.Report.Bundle)
-		x.call.Report(now, result.Report)
-	}
-	if !heard && err == nil && result.Answer == nil {
-		x.caller.Unreached(step.To.ID)
-	}
-	if x.body.stream != nil {
-		x.call.SetReplayable(!x.body.touched.Load())
-	}
-	switch {
-	case err != nil:
-		x.call.Broken(now, false)
-		x.noteCallerGone()
-	case result.Answer == nil:
-		x.call.Refused(now, result.Refusal)
-	default:
-		x.take(now, result)
-	}
-}
-
-func (x *exchange) attempt(ctx context.Context, step entry.Step) (Result, bool, error) {
-	work := &Work{
-		Attempt:       step.Attempt,
-		Method:        x.r.Method,
-		URL:           x.r.URL,
-		Host:          x.r.Host,
-		Header:        x.outgoingHeader(),
-		Body:          x.body.open(),
-		ContentLength: x.body.length,
-	}
-	if step.To.ID == x.caller.Self {
-		work.SameNode = true
-		return x.caller.Executor.Do(ctx, work), true, nil
-	}
-	return x.caller.Forwarder.Do(ctx, step.To.PeerAddress, work)
-}
-
-// outgoingHeader returns the caller's end-to-end headers and whence they came.
-func (x *exchange) outgoingHeader() http.Header {
-	h := endToEnd(x.r.Header)
-	delete(h, wire.HeaderIdempotencyKey)
-	if host, _, err := net.SplitHostPort(x.r.RemoteAddr); err == nil {
-		h = h.Clone()
-		h.Add("X-Forwarded-For", host)
-	}
-	return h
-}
-
-// take holds the answer's beginning, so that a short one is known to be whole
-// before the caller hears of it.
-func (x *exchange) take(now time.Time, result Result) {
-	x.queued = result.Times.Queued
-	x.added = now.Sub(x.began) - result.Times.Queued - result.Times.Worker
-	a := result.Answer
-	start, err := io.ReadAll(io.LimitReader(a.Body, holdAnswerBytes))
-	if err != nil {
-		a.Body.Close()
-		x.call.Broken(time.Now(), false)
-		x.noteCallerGone()
-		return
-	}
-	whole := len(start) < holdAnswerBytes
-	if whole {
-		a.Body.Close()
-	}
-	x.held = &heldAnswer{answer: a, start: start, whole: whole}
-	x.call.Held(result.Times)
-	x.call.Answered(time.Now(), a.Status >= http.StatusInternalServerError)
-}
-
-// drop lets go of an answer that is not passed on.
-func (x *exchange) drop() {
-	if x.held != nil {
-		x.held.answer.Body.Close()
-		x.held = nil
-	}
-}
-
-// end tells the caller and measures. The request's home is told first, so that a
-// caller who comes back at once finds the id free.
-func (x *exchange) end(step entry.Step) {
-	if step.Notify != nil {
-		x.caller.Settler.Notify(step.To, *step.Notify)
-	}
-	defer x.record(step)
-	if x.upstream != "" {
-		x.w.Header().Set(wire.HeaderUpstream, string(x.upstream))
-	}
-	if step.Outcome == model.OutcomeAnswered && x.held != nil {
-		x.answer()
-		return
-	}
-	endWith(x.w, statusOf(step), step.Outcome, step.Reason, step.RetryAfter)
-}
-
-func (x *exchange) answer() {
-	a := x.held.answer
-	defer a.Body.Close()
-	h := x.w.Header()
-	copyInto(h, a.Header)
-	h.Set(wire.HeaderOutcome, model.OutcomeAnswered.String())
-	h.Add("Via", via)
-	length := a.ContentLength
-	if x.held.whole && x.r.Method != http.MethodHead {
-		length = int64(len(x.held.start))
-	}
-	setLength(h, a.Status, length)
-	x.w.WriteHeader(a.Status)
-	rest := io.Reader(bytes.NewReader(x.held.start))
-	if !x.held.whole {
-		rest = io.MultiReader(rest, a.Body)
-	}
-	if err := copyFlushing(x.w, rest); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-func (x *exchange) record(step entry.Step) {
-	x.caller.Recorder.Call(CallRecord{
-		Service:  x.target.Service.Name,
-		Class:    x.target.Class.Name,
-		Tenant:   x.request.Tenant,
-		Outcome:  step.Outcome,
-		Reason:   step.Reason,
-		Latency:  time.Since(x.began),
-		Attempts: x.attempts,
-		Added:    x.added,
-		Queued:   x.queued,
-	})
-}
-
 // setLength sets Content-Length where the length is known and the status has one
 // (RFC 9110, section 8.6).
 func setLength(h http.Header, status int, length int64) {
--- /dev/null
+++ b/internal/server/carrier.go
@@ -0,0 +1,176 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"gypsumstand/internal/entry"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+// carrier carries out the steps of one entry.Call. An exchange has one, and a
+// second when its call is hedged.
+type carrier struct {
+	*exchange
+	call     *entry.Call
+	attempts int
+	added    time.Duration
+	queued   time.Duration
+	held     *heldAnswer
+	upstream model.InstanceID
+	// hedge is the call beside this one; nil when there is none.
+	hedge *hedge
+}
+
+// heldAnswer is the last answer's beginning, and the rest when it streams.
+type heldAnswer struct {
+	answer *Answer
+	start  []byte
+	whole  bool
+}
+
+// carry carries the call out to its end.
+func (c *carrier) carry(ctx context.Context) entry.Step {
+	for {
+		step := c.call.Next(time.Now())
+		switch step.Kind {
+		case entry.StepSend:
+			c.send(ctx, step)
+		case entry.StepSettle:
+			c.settle(ctx, step)
+		case entry.StepWait:
+			c.wait(ctx, step)
+		case entry.StepEnd:
+			return step
+		}
+	}
+}
+
+func (c *carrier) wait(ctx context.Context, step entry.Step) {
+	timer := time.NewTimer(time.Until(step.Until))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		c.noteCallerGone(ctx)
+	}
+}
+
+// noteCallerGone ends the call when nobody waits for it any more: the caller is
+// gone, or the call beside it has won.
+func (c *carrier) noteCallerGone(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		c.call.CallerGone(time.Now())
+	}
+}
+
+func (c *carrier) settle(ctx context.Context, step entry.Step) {
+	ctx, cancel := context.WithDeadline(ctx, step.Until)
+	defer cancel()
+	s := wire.Settle{
+		Attempt:          step.Attempt.ID,
+		OwnerIncarnation: step.Attempt.OwnerIncarnation,
+		Request:          step.Attempt.Request,
+		Remaining:        time.Until(c.call.Deadline()),
+	}
+	reply, err := c.caller.Settler.Settle(ctx, step.To, s)
+	if err != nil {
+		c.call.SettleFailed(time.Now())
+		c.noteCallerGone(ctx)
+		return
+	}
+	c.caller.Table.Observe(time.Now(), reply.Report)
+	c.call.Settled(time.Now(), reply)
+}
+
+// send carries one attempt out and reports how it ended.
+func (c *carrier) send(ctx context.Context, step entry.Step) {
+	c.attempts++
+	c.upstream = step.To.ID
+	c.drop()
+	result, heard, err := c.attemptHedged(ctx, step)
+	now := time.Now()
+	if c.hedge.won() {
+		c.lose(now, result)
+		return
+	}
+	if heard {
+		c.caller.Table.Observe(now, result.Report)
+		c.caller.Seen(step.To.ID, result.Report.Bundle)
+		c.call.Report(now, result.Report)
+	}
+	if !heard && err == nil && result.Answer == nil {
+		c.caller.Unreached(step.To.ID)
+	}
+	if c.body.stream != nil {
+		c.call.SetReplayable(!c.body.touched.Load())
+	}
+	switch {
+	case err != nil:
+		c.call.Broken(now, false)
+		c.noteCallerGone(ctx)
+	case result.Answer == nil:
+		c.call.Refused(now, result.Refusal)
+	default:
+		c.take(ctx, now, result)
+	}
+}
+
+func (c *carrier) attempt(ctx context.Context, step entry.Step) (Result, bool, error) {
+	work := &Work{
+		Attempt:       step.Attempt,
+		Method:        c.r.Method,
+		URL:           c.r.URL,
+		Host:          c.r.Host,
+		Header:        c.outgoingHeader(),
+		Body:          c.body.open(),
+		ContentLength: c.body.length,
+	}
+	if step.To.ID == c.caller.Self {
+		work.SameNode = true
+		return c.caller.Executor.Do(ctx, work), true, nil
+	}
+	return c.caller.Forwarder.Do(ctx, step.To.PeerAddress, work)
+}
+
+// take holds the answer's beginning, so that a short one is known to be whole
+// before the caller hears of it.
+func (c *carrier) take(ctx context.Context, now time.Time, result Result) {
+	c.queued = result.Times.Queued
+	c.added = now.Sub(c.began) - result.Times.Queued - result.Times.Worker
+	a := result.Answer
+	start, err := io.ReadAll(io.LimitReader(a.Body, holdAnswerBytes))
+	if err != nil {
+		a.Body.Close()
+		c.call.Broken(time.Now(), false)
+		c.noteCallerGone(ctx)
+		return
+	}
+	whole := len(start) < holdAnswerBytes
+	if whole {
+		a.Body.Close()
+	}
+	c.held = &heldAnswer{answer: a, start: start, whole: whole}
+	c.call.Held(result.Times)
+	c.call.Answered(time.Now(), a.Status >= http.StatusInternalServerError)
+}
+
+// lose ends a call whose hedge has the answer.
+func (c *carrier) lose(now time.Time, result Result) {
+	if result.Answer != nil {
+		result.Answer.Body.Close()
+	}
+	c.call.CallerGone(now)
+}
+
+// drop lets go of an answer that is not passed on.
+func (c *carrier) drop() {
+	if c.held != nil {
+		c.held.answer.Body.Close()
+		c.held = nil
+	}
+}
--- /dev/null
+++ b/internal/server/exchange.go
@@ -0,0 +1,105 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/entry"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+// exchange is one caller's request in hand.
+type exchange struct {
+	caller  *Caller
+	w       http.ResponseWriter
+	r       *http.Request
+	target  bundle.Target
+	request entry.Request
+	body    *requestBody
+	began   time.Time
+}
+
+// serve carries the call out and answers the caller.
+func (x *exchange) serve() {
+	call := x.caller.Engine.Begin(x.began, x.request)
+	ctx, cancel := context.WithDeadline(x.r.Context(), call.Deadline())
+	defer cancel()
+	first := &carrier{exchange: x, call: call}
+	step := first.carry(ctx)
+	winner, step := first.decide(step)
+	x.end(winner, step, first.sent())
+}
+
+// end tells the caller and measures. The request's home is told first, so that a
+// caller who comes back at once finds the id free.
+func (x *exchange) end(c *carrier, step entry.Step, attempts int) {
+	if step.Notify != nil {
+		x.caller.Settler.Notify(step.To, *step.Notify)
+	}
+	outcome := step.Outcome
+	defer func() { x.record(c, outcome, step.Reason, attempts) }()
+	if c.upstream != "" {
+		x.w.Header().Set(wire.HeaderUpstream, string(c.upstream))
+	}
+	if step.Outcome != model.OutcomeAnswered || c.held == nil {
+		endWith(x.w, statusOf(step), step.Outcome, step.Reason, step.RetryAfter)
+		return
+	}
+	if err := x.answer(c.held); err != nil {
+		c.call.Broken(time.Now(), true)
+		outcome = model.OutcomeUnknown
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// answer sends the answer on; an error means that the caller sees it broken off.
+func (x *exchange) answer(held *heldAnswer) error {
+	a := held.answer
+	defer a.Body.Close()
+	h := x.w.Header()
+	copyInto(h, a.Header)
+	h.Set(wire.HeaderOutcome, model.OutcomeAnswered.String())
+	h.Add("Via", via)
+	length := a.ContentLength
+	if held.whole && x.r.Method != http.MethodHead {
+		length = int64(len(held.start))
+	}
+	setLength(h, a.Status, length)
+	x.w.WriteHeader(a.Status)
+	rest := io.Reader(bytes.NewReader(held.start))
+	if !held.whole {
+		rest = io.MultiReader(rest, a.Body)
+	}
+	return copyFlushing(x.w, rest)
+}
+
+func (x *exchange) record(c *carrier, o model.Outcome, reason model.Reason, attempts int) {
+	x.caller.Recorder.Call(CallRecord{
+		Service:  x.target.Service.Name,
+		Class:    x.target.Class.Name,
+		Tenant:   x.request.Tenant,
+		Outcome:  o,
+		Reason:   reason,
+		Latency:  time.Since(x.began),
+		Attempts: attempts,
+		Added:    c.added,
+		Queued:   c.queued,
+	})
+}
+
+// outgoingHeader returns the caller's end-to-end headers and whence they came.
+func (x *exchange) outgoingHeader() http.Header {
+	h := endToEnd(x.r.Header)
+	delete(h, wire.HeaderIdempotencyKey)
+	if host, _, err := net.SplitHostPort(x.r.RemoteAddr); err == nil {
+		h = h.Clone()
+		h.Add("X-Forwarded-For", host)
+	}
+	return h
+}
--- /dev/null
+++ b/internal/server/hedge.go
@@ -0,0 +1,137 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"gypsumstand/internal/entry"
+	"gypsumstand/internal/model"
+)
+
+// hedge is a call that runs beside another one for the same request.
+type hedge struct {
+	carrier *carrier
+	cancel  context.CancelFunc
+	// ended carries the hedge's end, once.
+	ended chan entry.Step
+	// step is its end, once it has been taken from ended.
+	step  entry.Step
+	taken bool
+}
+
+// wait takes the hedge's end.
+func (h *hedge) wait() entry.Step {
+	if !h.taken {
+		h.step, h.taken = <-h.ended, true
+	}
+	return h.step
+}
+
+// won tells whether the hedge is known to have the answer; h may be nil.
+func (h *hedge) won() bool {
+	return h != nil && h.taken && h.step.Outcome == model.OutcomeAnswered
+}
+
+// attempted is the outcome of one attempt.
+type attempted struct {
+	result Result
+	heard  bool
+	err    error
+}
+
+// attemptHedged carries one attempt out, with a hedge beside it from the step's
+// HedgeAt on where the call allows one. When the hedge has an answer first, the
+// attempt is given up.
+func (c *carrier) attemptHedged(ctx context.Context, step entry.Step) (Result, bool, error) {
+	if step.HedgeAt.IsZero() || c.body.stream != nil {
+		return c.attempt(ctx, step)
+	}
+	attemptCtx, giveUp := context.WithCancel(ctx)
+	done := make(chan attempted, 1)
+	go func() {
+		var a attempted
+		a.result, a.heard, a.err = c.attempt(attemptCtx, step)
+		done <- a
+	}()
+	a := c.raceHedge(ctx, step, done, giveUp)
+	if a.result.Answer == nil {
+		giveUp()
+		return a.result, a.heard, a.err
+	}
+	// The answer's body is read under the attempt's context.
+	a.result.Answer.Body = closing{a.result.Answer.Body, giveUp}
+	return a.result, a.heard, a.err
+}
+
+func (c *carrier) raceHedge(ctx context.Context, step entry.Step, done <-chan attempted, giveUp context.CancelFunc) attempted {
+	timer := time.NewTimer(time.Until(step.HedgeAt))
+	defer timer.Stop()
+	select {
+	case a := <-done:
+		return a
+	case <-timer.C:
+	}
+	if !c.startHedge(ctx) {
+		return <-done
+	}
+	select {
+	case a := <-done:
+		return a
+	case c.hedge.step = <-c.hedge.ended:
+		c.hedge.taken = true
+	}
+	if c.hedge.won() {
+		giveUp()
+	}
+	return <-done
+}
+
+// startHedge begins a call beside this one; false when the budgets forbid it.
+func (c *carrier) startHedge(ctx context.Context) bool {
+	call, ok := c.call.Hedge(time.Now())
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	h := &hedge{carrier: &carrier{exchange: c.exchange, call: call}, cancel: cancel, ended: make(chan entry.Step, 1)}
+	c.hedge = h
+	go func() { h.ended <- h.carrier.carry(ctx) }()
+	return true
+}
+
+// decide tells which of the two calls the caller's answer is from.
+func (c *carrier) decide(step entry.Step) (*carrier, entry.Step) {
+	h := c.hedge
+	if h == nil {
+		return c, step
+	}
+	if step.Outcome == model.OutcomeAnswered {
+		h.cancel()
+		h.wait()
+		h.carrier.drop()
+		return c, step
+	}
+	other := h.wait()
+	defer h.releaseUnlessHeld()
+	if other.Outcome == model.OutcomeAnswered {
+		c.drop()
+		return h.carrier, other
+	}
+	return c, entry.EndOfBoth(step, other)
+}
+
+// releaseUnlessHeld ends the hedge's context, but not under an answer that is
+// still to be read; the exchange's own end does that.
+func (h *hedge) releaseUnlessHeld() {
+	if h.carrier.held == nil {
+		h.cancel()
+	}
+}
+
+// sent counts the attempts of a call and its hedge.
+func (c *carrier) sent() int {
+	if c.hedge == nil {
+		return c.attempts
+	}
+	return c.attempts + c.hedge.carrier.attempts
+}
