Follow the link adapter's ends, and doubt a partition for as long as it lasts

Cause: package link tells the end of the last link to a peer only, and as failed to the side that did not close it. Membership counted openings, so it kept links that were gone, and each probe's end made the probed node suspect the prober. A delta's removed entry blanked the address of an instance that only the list had named. Small fleets declared the other part of a partition gone one by one, since a loss counted for a minute only. The fuzz found two nodes that stayed leaving or gone for ever after the list had taken its word back.

Change: one end stands for all links to a peer; a heartbeat shows a link that is not known; the end of a peer's link younger than 10 s is no cause for suspicion; a silent peer must also refuse a new link. Unresolved accusations count against the third of a data centre, and now of the fleet, until the record changes or six minutes pass; an instance that is back no longer counts. An owner that serves overrules its own gone at once, and its leaving when the newest list says live. A suspicion is logged once it is checked.

The fake links end as package link's do.

--- a/internal/member/accuse.go
+++ b/internal/member/accuse.go
@@ -24,12 +24,17 @@
 	maxSuspects = 16
 	// accusationFor is how long an accusation counts.
 	accusationFor = 30 * time.Second
+	// unresolvedFor is how long an accused instance that neither objected nor was
+	// declared gone counts as one that looks dead; it is longer than the longest
+	// time between two checks of it.
+	unresolvedFor = recheckMax + time.Minute
 	// maxAccused bounds the targets under accusation.
 	maxAccused = 1024
 	// lossFor is how long a declared loss counts against its data centre's bound.
 	lossFor = time.Minute
-	// One in lossShare of a data centre's instances may look dead at once, and
-	// always one; more is taken for a partition and nobody is declared gone.
+	// One in lossShare of a data centre's instances, and of the fleet's, may look
+	// dead at once, and always one; more is taken for a partition and nobody is
+	// declared gone.
 	lossShare = 3
 	// doubtSaidFor is the least time between two events of doubt of one data centre.
 	doubtSaidFor = time.Minute
@@ -43,6 +48,8 @@
 	observers   []observer
 	// enough is when the last needed observer spoke up; zero before.
 	enough time.Time
+	// last is when it was last accused.
+	last time.Time
 }
 
 type observer struct {
@@ -73,6 +80,11 @@
 	}
 }
 
+// noteReturn forgets the loss of an instance that is back.
+func (k *checker) noteReturn(id model.InstanceID) {
+	k.losses = slices.DeleteFunc(k.losses, func(l loss) bool { return l.id == id })
+}
+
 func (a *accused) by(id model.InstanceID) bool {
 	return slices.ContainsFunc(a.observers, func(o observer) bool { return o.id == id })
 }
@@ -87,10 +99,14 @@
 // expire drops observers whose word is too old.
 func (a *accused) expire(now time.Time) {
 	a.observers = slices.DeleteFunc(a.observers, func(o observer) bool { return now.Sub(o.at) > accusationFor })
+	if len(a.observers) == 0 {
+		a.enough = time.Time{}
+	}
 }
 
 // accuse spreads this node's own observation and asks others to look.
 func (c *Controller) accuse(now time.Time, x *check) {
+	c.record(event.MemberSuspected, string(x.target.ID), x.cause)
 	c.accusation(now, wire.Accusation{
 		Target: x.target.ID, Incarnation: x.target.Incarnation,
 		Counter: x.target.Counter, Observer: c.cfg.Self.ID,
@@ -131,7 +147,7 @@
 	k := &c.checks
 	at, ok := slices.BinarySearchFunc(k.accused, a.Target, compareAccused)
 	if !ok {
-		if r, _ := c.table.get(a.Target); len(k.accused) >= maxAccused || c.suspectsIn(r.DataCentre) >= maxSuspects {
+		if r, _ := c.table.get(a.Target); len(k.accused) >= maxAccused || c.underAccusation(r.DataCentre) >= maxSuspects {
 			return false
 		}
 		k.accused = slices.Insert(k.accused, at, &accused{id: a.Target})
@@ -143,6 +159,7 @@
 	if x.by(a.Observer) || len(x.observers) >= maxObservers {
 		return false
 	}
+	x.last = now
 	x.observers = append(x.observers, observer{id: a.Observer, at: now})
 	if x.enough.IsZero() && len(x.observers) >= c.observersNeeded(x.id) {
 		x.enough = now
@@ -169,12 +186,13 @@
 	}
 }
 
-// stillAccused reports whether a's accusations still hold against its record.
+// stillAccused reports whether a's accusations are still those of its record, and
+// not too old.
 func (c *Controller) stillAccused(now time.Time, a *accused) bool {
 	a.expire(now)
 	r, ok := c.table.get(a.id)
 	return ok && r.State != model.StateGone && r.Incarnation == a.incarnation &&
-		r.Counter == a.counter && len(a.observers) > 0
+		r.Counter == a.counter && now.Sub(a.last) < unresolvedFor
 }
 
 // judge declares an accused instance gone when enough accuse it, it has not
@@ -198,24 +216,43 @@
 	c.learn(now, r, "", false)
 }
 
-// looksCutOff reports whether too large a share of a data centre looks dead.
+// looksCutOff reports whether too large a share of a data centre, or of the
+// whole fleet, looks dead.
 func (c *Controller) looksCutOff(dc model.DataCentre) bool {
-	dead := c.suspectsIn(dc)
-	total := c.table.serving[dc]
+	near, nearTotal := 0, c.table.serving[dc]
+	all, allTotal := 0, 0
+	for _, n := range c.table.serving {
+		allTotal += n
+	}
+	for _, a := range c.checks.accused {
+		r, ok := c.table.get(a.id)
+		if !ok || !serving(r.State) {
+			continue
+		}
+		all++
+		if r.DataCentre == dc {
+			near++
+		}
+	}
 	for _, l := range c.checks.losses {
+		all++
+		allTotal++
 		if l.dataCentre == dc {
-			dead++
-			total++
+			near++
+			nearTotal++
 		}
 	}
-	return dead > max(1, total/lossShare)
+	return tooMany(near, nearTotal) || tooMany(all, allTotal)
 }
 
-// suspectsIn returns the number of serving instances of dc under accusation.
-func (c *Controller) suspectsIn(dc model.DataCentre) int {
+// tooMany reports whether dead of total is more than may look dead at once.
+func tooMany(dead, total int) bool { return dead > max(1, total/lossShare) }
+
+// underAccusation returns the number of instances of dc with living accusations.
+func (c *Controller) underAccusation(dc model.DataCentre) int {
 	n := 0
 	for _, a := range c.checks.accused {
-		if r, ok := c.table.get(a.id); ok && serving(r.State) && r.DataCentre == dc {
+		if r, ok := c.table.get(a.id); ok && len(a.observers) > 0 && r.DataCentre == dc {
 			n++
 		}
 	}
--- a/internal/member/check.go
+++ b/internal/member/check.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/wire"
 )
@@ -38,6 +37,8 @@
 type check struct {
 	target wire.MemberRecord
 	begun  time.Time
+	// cause is what this node noticed first.
+	cause string
 	// reach is whether this node reaches the target.
 	reach verdict
 	// dialed says that a link to the target was opened since control was reached.
@@ -93,7 +94,7 @@
 // suspect starts a check of a peer that gave cause for it.
 func (c *Controller) suspect(now time.Time, id model.InstanceID, cause string) {
 	if x := c.startCheck(now, id); x != nil {
-		c.record(event.MemberSuspected, string(id), cause)
+		x.cause = cause
 		c.seekControl(now, x)
 	}
 }
@@ -129,16 +130,6 @@
 	c.checks.rechecks[id] = recheck{count: old.count + 1, until: now.Add(wait)}
 }
 
-// watchLink judges the target by an open link to it.
-func (c *Controller) watchLink(now time.Time, x *check, l *link) {
-	switch {
-	case l.fresh(now):
-		x.reach = reachable
-	case now.Sub(l.heard) > silenceLimit:
-		x.reach = unreachable
-	}
-}
-
 // seekControl finds another instance of the target's data centre to compare
 // with, or any other when the target is alone there.
 func (c *Controller) seekControl(now time.Time, x *check) {
@@ -215,6 +206,7 @@
 		if x = c.startCheck(now, m.Target); x == nil {
 			return
 		}
+		x.cause = "a peer asked"
 		c.seekControl(now, x)
 	}
 	if len(x.asked) < maxChecks {
@@ -263,10 +255,9 @@
 }
 
 func (c *Controller) step(now time.Time, x *check) {
-	l := c.links.get(x.target.ID)
-	linked := l != nil && l.closingSince.IsZero()
-	if linked {
-		c.watchLink(now, x, l)
+	if l := c.links.get(x.target.ID); l != nil && l.fresh(now) {
+		x.reach = reachable
+		return
 	}
 	r, ok := c.table.get(x.target.ID)
 	switch {
@@ -279,7 +270,7 @@
 	case x.reach == unreachable:
 		c.endCheck(x)
 		c.accuse(now, x)
-	case x.reach == undecided && !linked && !x.dialed:
+	case x.reach == undecided && !x.dialed:
 		x.dialed = true
 		c.dial(now, x.target.ID, x.target.PeerAddress, false)
 	}
--- a/internal/member/failure_test.go
+++ b/internal/member/failure_test.go
@@ -157,15 +157,15 @@
 	}
 }
 
-func TestPartsThatDeclaredEachOtherGoneFindTogether(t *testing.T) {
-	f := grown(t, 2, 1, 10*time.Second)
-	f.blocked = func(_, _ *node) bool { return true }
-	f.run(2 * time.Minute)
-	if f.count(f.nodes[0].inst.ID, model.StateGone) != 1 || f.count(f.nodes[1].inst.ID, model.StateGone) != 1 {
-		t.Fatal("they did not declare each other gone, so nothing was tried")
-	}
-	f.blocked = func(_, _ *node) bool { return false }
-	if took := f.until(time.Minute, func() bool { return f.converged(2) }); took >= time.Minute {
-		t.Error("no common view a minute after the partition healed")
+func TestInstanceThatIsBackNoLongerCountsAsLost(t *testing.T) {
+	f := grown(t, 11, 3, 20*time.Second)
+	f.kill(f.nodes[0])
+	f.run(5 * time.Second)
+	f.restart(f.nodes[0])
+	f.run(10 * time.Second)
+	x := f.nodes[3]
+	f.kill(x)
+	if took := f.until(time.Minute, func() bool { return f.count(x.inst.ID, model.StateGone) == 10 }); took > 5*time.Second {
+		t.Errorf("gone for %d of 10 after %s", f.count(x.inst.ID, model.StateGone), took)
 	}
 }
--- a/internal/member/fleet_test.go
+++ b/internal/member/fleet_test.go
@@ -250,13 +250,18 @@
 	}
 }
 
+// close ends a link. As with package link, only the end of the last link between
+// two nodes is told, and only the side that closed it knows that it was planned.
 func (f *fleet) close(ch channel, failed bool) {
 	if !f.channels[ch] {
 		return
 	}
 	delete(f.channels, ch)
+	if f.channels[channel{ch.acceptor, ch.opener}] {
+		return
+	}
 	f.later(f.delay(), f.byID[ch.opener], control.LinkDown{Peer: ch.acceptor, Failed: failed})
-	f.later(f.delay(), f.byID[ch.acceptor], control.LinkDown{Peer: ch.opener, Failed: failed})
+	f.later(f.delay(), f.byID[ch.acceptor], control.LinkDown{Peer: ch.opener, Failed: true})
 }
 
 // kill ends a process without a word; its links break.
@@ -322,6 +327,9 @@
 		delete(latest, ch.inst.ID)
 		if ok && !(out.Full && i.State == model.StateGone) {
 			i.Incarnation = 0
+			if i.State == model.StateGone {
+				i = model.Instance{ID: i.ID, State: i.State}
+			}
 			out.Instances = append(out.Instances, i)
 		}
 	}
--- a/internal/member/links.go
+++ b/internal/member/links.go
@@ -20,18 +20,22 @@
 	freshFor = 2 * time.Second
 	// deadLinkLimit is the silence after which a link is given up.
 	deadLinkLimit = 3 * silenceLimit
+	// closingGrace is how long messages may come in after a link was closed; later
+	// ones come by a link that the peer opened as well.
+	closingGrace = 2 * time.Second
 	// closingLimit is how long a link that was closed is remembered as such.
 	closingLimit = 5 * time.Second
+	// shortLink is the age under which the end of a peer's link is no cause for
+	// suspicion: the peer only wanted to see whether it can be opened.
+	shortLink = 10 * time.Second
 	// driftShare bounds how much faster this node's clock may run than a peer's.
 	driftShare = 1000
 )
 
-// link is one open link. A peer that both sides opened a link to has one link
-// with two channels.
+// link is what is open to one peer; both sides may have opened one.
 type link struct {
 	peer     model.InstanceID
 	outgoing bool
-	channels int
 	since    time.Time
 	heard    time.Time
 	nextBeat time.Time
@@ -49,16 +53,6 @@
 	return l.closingSince.IsZero() && now.Sub(l.heard) < freshFor
 }
 
-// keepPeers follows the end of one of two channels: after closing its own, this
-// node goes on with the one that the peer opened.
-func (l *link) keepPeers() {
-	if l.closingSince.IsZero() {
-		return
-	}
-	l.closingSince = time.Time{}
-	l.outgoing = false
-}
-
 // echo returns a lower bound of the peer's clock.
 func (l *link) echo(now time.Time) wire.Clock {
 	if l.peerClock == 0 {
@@ -70,7 +64,22 @@
 }
 
 // links is the set of links, sorted by peer.
-type links struct{ all []*link }
+type links struct {
+	all []*link
+	// ended are links that ended just now.
+	ended []endedLink
+}
+
+type endedLink struct {
+	peer model.InstanceID
+	at   time.Time
+}
+
+// endedJustNow reports whether a link to id ended within closingGrace.
+func (s *links) endedJustNow(now time.Time, id model.InstanceID) bool {
+	s.ended = slices.DeleteFunc(s.ended, func(e endedLink) bool { return now.Sub(e.at) > closingGrace })
+	return slices.ContainsFunc(s.ended, func(e endedLink) bool { return e.peer == id })
+}
 
 func comparePeer(l *link, id model.InstanceID) int { return cmp.Compare(l.peer, id) }
 
@@ -132,7 +141,6 @@
 		l = &link{peer: e.Peer.ID, since: now}
 		c.links.add(l)
 	}
-	l.channels++
 	l.closingSince = time.Time{}
 	l.heard = now
 	l.outgoing = l.outgoing || e.Outgoing
@@ -153,6 +161,28 @@
 	c.startSnapshot(now)
 }
 
+// linkOf returns the link that a message came by. A heartbeat shows one that
+// this node does not know of, or whose own half it has closed; nil when there is
+// none.
+func (c *Controller) linkOf(now time.Time, e control.Received) *link {
+	l := c.links.get(e.From)
+	if _, beat := e.Message.(wire.Heartbeat); !beat {
+		return l
+	}
+	if _, known := c.table.get(e.From); l == nil && known && !c.links.endedJustNow(now, e.From) {
+		l = &link{peer: e.From, since: now, nextBeat: now}
+		c.links.add(l)
+		c.limitLinks(now, l, false)
+		return l
+	}
+	if l != nil && !l.closingSince.IsZero() && now.Sub(l.closingSince) > closingGrace {
+		l.closingSince = time.Time{}
+		l.outgoing = false
+		c.limitLinks(now, l, false)
+	}
+	return l
+}
+
 func (c *Controller) linkDown(now time.Time, e control.LinkDown) {
 	if c.dialFailed(now, e.Peer) {
 		return
@@ -161,12 +191,10 @@
 	if l == nil {
 		return
 	}
-	if l.channels--; l.channels > 0 {
-		l.keepPeers()
-		return
-	}
 	planned := !e.Failed || !l.closingSince.IsZero()
+	planned = planned || !l.outgoing && now.Sub(l.since) < shortLink
 	c.links.remove(l)
+	c.links.ended = append(c.links.ended, endedLink{peer: l.peer, at: now})
 	c.checks.unreached(l.peer)
 	c.peers.delay(now, c.refillWithin())
 	if !planned {
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -236,7 +236,7 @@
 		return
 	}
 	r := before
-	if !known || r.Incarnation == 0 {
+	if !known || r.Incarnation == 0 && mark != wire.ListAbsent {
 		r = c.firstSeen(revision, i, before)
 	}
 	if before.ListMark != mark {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -190,7 +190,7 @@
 }
 
 func (c *Controller) received(now time.Time, e control.Received) {
-	l := c.links.get(e.From)
+	l := c.linkOf(now, e)
 	if l == nil {
 		return
 	}
@@ -256,6 +256,7 @@
 	newLife := !m.known || m.old.Incarnation != m.now.Incarnation
 	switch {
 	case newLife && serving(m.now.State):
+		c.checks.noteReturn(id)
 		c.record(event.MemberJoined, string(id), "")
 	case m.known && m.old.State == m.now.State:
 	case m.now.State == model.StateLeaving:
--- a/internal/member/self.go
+++ b/internal/member/self.go
@@ -46,7 +46,7 @@
 	case r.Incarnation < own.Incarnation:
 		return false
 	case r.State == model.StateGone:
-		return serving(own.State)
+		return serving(c.stage)
 	case r.Counter > own.Counter:
 		return serving(r.State)
 	}
@@ -158,15 +158,17 @@
 	c.flush(now)
 }
 
-// listedSelf follows up what the platform's list says of this node itself.
+// listedSelf follows up what the platform's list says of this node itself: that
+// it leaves, or again that it lives. The mark that made it leave came with the
+// state, so a mark that says live is newer.
 func (c *Controller) listedSelf(now time.Time, before, after wire.MemberRecord) {
-	if !serving(c.stage) || before.ListMark == after.ListMark {
+	if !serving(c.stage) || serving(after.State) {
 		return
 	}
 	switch {
-	case after.ListMark == wire.ListLeaving && after.State == model.StateLeaving:
-		c.record(event.ListSaysLeaving, string(after.ID), "")
-	case after.ListMark == wire.ListLive && !serving(after.State):
+	case after.ListMark == wire.ListLive:
 		c.newIncarnation(now, after, after.Incarnation+1, c.stage)
+	case serving(before.State):
+		c.record(event.ListSaysLeaving, string(after.ID), "")
 	}
 }
--- a/internal/member/single_test.go
+++ b/internal/member/single_test.go
@@ -385,3 +385,82 @@
 		t.Errorf("opened links to %v only, so a few serving nodes could be cut off", opened)
 	}
 }
+
+func TestOneEndStandsForAllLinksToAPeer(t *testing.T) {
+	s := newSingle(1)
+	s.handle(control.LinkUp{Peer: instance(1, 1, model.StateLive)})
+	s.handle(control.LinkDown{Peer: id(1)})
+	if links := s.c.Links(); len(links) != 0 {
+		t.Errorf("links %+v after the end of the last", links)
+	}
+}
+
+func TestEndOfAPeersShortLinkIsNoCauseForSuspicion(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration
+		want bool
+	}{{shortLink / 2, false}, {2 * shortLink, true}} {
+		s := newSingle(2)
+		s.handle(control.LinkUp{Peer: instance(3, 1, model.StateLive)})
+		s.run(c.age, 1, 2, 3)
+		s.handle(control.LinkDown{Peer: id(3), Failed: true})
+		if got := s.c.checks.find(id(3)) != nil; got != c.want {
+			t.Errorf("checked %t when a link ended after %s", got, c.age)
+		}
+	}
+}
+
+func TestListsRemovalKeepsWhatIsKnownOfAnInstance(t *testing.T) {
+	s := newSingle(1)
+	listed := instance(9, 1, model.StateLive)
+	listed.Incarnation = 0
+	s.handle(control.ListRead{Revision: 1, Full: true, Instances: []model.Instance{listed}})
+	s.handle(control.ListRead{Revision: 2, Instances: []model.Instance{{ID: listed.ID, State: model.StateGone}}})
+	r, _ := s.c.table.get(listed.ID)
+	if r.PeerAddress != listed.PeerAddress || r.ListMark != wire.ListAbsent {
+		t.Errorf("record %+v", r)
+	}
+}
+
+func TestPeersOwnLinkIsUsedSoonAfterThisNodesWasClosed(t *testing.T) {
+	s := newSingle(1)
+	s.c.closeLink(s.now, s.c.links.get(id(1)))
+	s.run(closingGrace+time.Second, 1)
+	if links := s.c.Links(); len(links) != 1 || links[0].Outgoing {
+		t.Errorf("links %+v, want the one that the peer opened", links)
+	}
+}
+
+func TestHeartbeatThatOvertookALinksEndOpensNone(t *testing.T) {
+	s := newSingle(1)
+	s.handle(control.LinkDown{Peer: id(1)})
+	s.handle(control.Received{From: id(1), Message: wire.Heartbeat{Clock: 1}})
+	if links := s.c.Links(); len(links) != 0 {
+		t.Errorf("links %+v after the end of the only one", links)
+	}
+}
+
+func TestNewerListThatSaysLiveOverrulesAnOlderLeavingThatComesLate(t *testing.T) {
+	s := newSingle(1)
+	own := s.c.self()
+	own.ListRevision, own.ListMark = 9, wire.ListLive
+	s.handle(control.Received{From: id(1), Message: wire.Rumours{Records: []wire.MemberRecord{own}}})
+	own.ListRevision, own.ListMark, own.State = 8, wire.ListLeaving, model.StateLeaving
+	s.handle(control.Received{From: id(1), Message: wire.Rumours{Records: []wire.MemberRecord{own}}})
+	if got := s.c.self(); got.State != model.StateLive || got.Incarnation <= own.Incarnation {
+		t.Errorf("own record %+v", got)
+	}
+}
+
+func TestOwnerThatTheListMarksLeavingStaysKnownWhenDeclaredGone(t *testing.T) {
+	s := newSingle(1)
+	own := s.c.self()
+	own.ListRevision, own.ListMark, own.State = 8, wire.ListLeaving, model.StateLeaving
+	s.handle(control.Received{From: id(1), Message: wire.Rumours{Records: []wire.MemberRecord{own}}})
+	gone := own
+	gone.State = model.StateGone
+	s.handle(control.Received{From: id(1), Message: wire.Rumours{Records: []wire.MemberRecord{gone}}})
+	if got := s.c.self(); got.State != model.StateLeaving || got.Incarnation <= own.Incarnation {
+		t.Errorf("own record %+v", got)
+	}
+}
