--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -13,11 +13,22 @@
 	maxOwners = 6
 	// maxSends is the number of attempts of one call, resent ones included.
 	maxSends = 16
-	// maxRounds is the number of times that a call waits for the owners that
-	// refused it and asks them again.
-	maxRounds = 2
 )
 
+// tuning holds what measurements compare; calls use defaultTuning.
+type tuning struct {
+	// rounds is the number of times that a call waits for the owners that
+	// refused it and asks them again.
+	rounds int
+	// shed and place are the costs of placing elsewhere what an owner refused
+	// for load, and for any other reason, in thousandths of an attempt. Where one
+	// owner has no room the others seldom have; an owner that leaves or is cold
+	// says nothing about the others.
+	shed, place int64
+}
+
+var defaultTuning = tuning{rounds: 2, shed: unit, place: unit / 4}
+
 // phase is what a call does next.
 type phase uint8
 
@@ -40,8 +51,10 @@
 
 // Call is the state of one request. It is used by one goroutine at a time.
 type Call struct {
-	engine   *Engine
-	bucket   *bucket
+	engine *Engine
+	bucket *bucket
+	// pace is set where the bundle hedges.
+	pace     *pace
 	req      Request
 	deadline time.Time
 	// budget is the number of extra attempts left to the path.
@@ -55,12 +68,15 @@
 	current model.Attempt
 	to      model.Instance
 	sentAt  time.Time
+	hedgeAt time.Time
+	hedged  bool
 	// open: the current attempt has neither ended nor is proved not to have run.
 	open bool
 	// doubt: an attempt before the current one may have run.
 	doubt bool
-	// report is the current owner's, when one came with its word.
-	report    model.LoadReport
+	// life and clock are the current owner's, when a report came with its word.
+	life      model.Incarnation
+	clock     time.Duration
 	hasReport bool
 	// held is the owner's part of the current attempt's time.
 	held time.Duration
@@ -71,8 +87,10 @@
 	retries int
 	rounds  int
 	asks    int
-	tried   triedOwners
-	home    homeState
+	// loaded: an owner refused for load.
+	loaded bool
+	tried  triedOwners
+	home   homeState
 	// advice is the earliest time at which an owner that refused may be asked
 	// again; zero when none gave advice.
 	advice time.Time
@@ -137,7 +155,7 @@
 			}
 			c.phase = c.after
 		case phaseSent:
-			return Step{Kind: StepSend, To: c.to, Attempt: c.current, Until: c.deadline}
+			return Step{Kind: StepSend, To: c.to, Attempt: c.current, Until: c.deadline, HedgeAt: c.hedgeAt}
 		case phaseAsked:
 			return c.settleStep(now)
 		default:
@@ -181,8 +199,8 @@
 // resend sends to the current owner again, bound and stamped by its own report.
 func (c *Call) resend(now time.Time) {
 	c.resent = true
-	c.to.Incarnation = c.report.Incarnation
-	c.send(now, c.to, c.report.Clock)
+	c.to.Incarnation = c.life
+	c.send(now, c.to, c.clock)
 }
 
 // send makes an attempt at an owner whose clock is at least ownerClock now.
@@ -192,13 +210,14 @@
 	}
 	c.to = to
 	c.sentAt = now
+	c.hedgeAt = c.hedgeTime(now)
 	c.sends++
 	c.tried.add(to.ID)
 	c.open = true
 	c.hasReport = false
 	c.held = 0
 	c.asks = 0
-	c.home.spoke = c.home.delegated
+	c.home.spoke = c.home.delegated()
 	c.phase = phaseSent
 	c.current = model.Attempt{
 		ID:               c.engine.nextAttemptID(),
@@ -215,7 +234,7 @@
 		OwnerClock:       ownerClock,
 		Bundle:           c.req.Target.Bundle.VersionID(),
 		RetryBudget:      childBudget(c.budget),
-		Delegated:        c.home.delegated,
+		Delegated:        c.home.delegated(),
 	}
 	c.engine.table.Sent(now, to.ID)
 }
