--- a/internal/event/member.go
+++ b/internal/event/member.go
@@ -11,7 +11,7 @@
 	MemberGone = define(302, zerolog.DebugLevel, "instance gone",
 		"An instance stopped, or was declared gone; no work is sent to it.", "none")
 	MemberSuspected = define(303, zerolog.InfoLevel, "instance suspected",
-		"This node cannot reach an instance and reaches another one of its data centre; peers are asked to check.",
+		"This node cannot reach an instance and reaches others of its data centre; peers are asked to check.",
 		"none; when it repeats for one instance, look at its host and network.")
 	MemberDeclaredGone = define(304, zerolog.WarnLevel, "instance declared gone",
 		"Several nodes could not reach an instance and it did not object in time.",
