--- a/internal/spread/counters.go
+++ b/internal/spread/counters.go
@@ -10,6 +10,8 @@
 type Counters struct {
 	// Refused counts refused bodies by reason.
 	Refused [reasonCount]uint64
+	// RefusedAgain counts reads that found the same refused bytes.
+	RefusedAgain uint64
 	// ValueReads counts this node's own reads of values.
 	ValueReads uint64
 	// IndexFailures counts own index reads that failed, StaleIndexes those that
--- a/internal/spread/platform.go
+++ b/internal/spread/platform.go
@@ -249,12 +249,17 @@
 func (c *Controller) valueRead(name model.BundleName, raw []byte) {
 	w := c.endValueRead(name)
 	v := model.BundleVersion{Name: name, Version: c.wants.target(name)}
-	got := c.take(&offered{name: name, raw: raw, late: w == nil})
+	got := rejected
+	if c.refused.same(name, raw) {
+		c.counters.RefusedAgain++
+	} else {
+		got = c.take(&offered{name: name, raw: raw, late: w == nil})
+	}
 	if got == accepted {
 		return
 	}
 	if got == rejected && w != nil && w.listed {
-		c.refused.add(c.now, v)
+		c.refused.add(c.now, v, raw)
 	}
 	c.putOff(c.wants.byName[name])
 }
--- a/internal/spread/refuse.go
+++ b/internal/spread/refuse.go
@@ -109,21 +109,23 @@
 // Memory of refused values of the platform.
 const (
 	maxRefusedValues = 1024
-	// refusedFirst is how long a refused value is not read again; it doubles with
-	// each further refusal up to refusedMost. The same version may be mended.
-	refusedFirst = 30 * time.Second
-	refusedMost  = 10 * time.Minute
+	// refusedPause is how long this node does not read a refused value again. It
+	// is short, since the same version may be published again with a sound
+	// signature, and must then be in force within seconds.
+	refusedPause = 3 * time.Second
 )
 
-// refusedValue is a listed version whose value failed a check.
+// refusedValue is a listed version whose value failed a check or was not to be
+// had.
 type refusedValue struct {
 	version uint64
-	times   int
+	// content is a hash of the refused bytes, zero for none.
+	content uint64
 	until   time.Time
 }
 
 // refusedValues remembers what the platform lists but may not come into force,
-// so that it is neither read nor logged over and over.
+// so that the rest can be confirmed, and the same bytes are not checked again.
 type refusedValues struct {
 	byName map[model.BundleName]*refusedValue
 }
@@ -132,22 +134,16 @@
 	return &refusedValues{byName: map[model.BundleName]*refusedValue{}}
 }
 
-// add notes a refusal of the listed version.
-func (r *refusedValues) add(now time.Time, v model.BundleVersion) {
-	old := r.byName[v.Name]
-	if old == nil {
+// add notes a refusal of the listed version; raw may be nil.
+func (r *refusedValues) add(now time.Time, v model.BundleVersion, raw []byte) {
+	if r.byName[v.Name] == nil {
 		r.makeRoom(now)
 	}
-	if old == nil || old.version != v.Version {
-		old = &refusedValue{version: v.Version}
-		r.byName[v.Name] = old
-	}
-	pause := refusedMost
-	if old.times < 8 {
-		pause = min(refusedFirst<<old.times, refusedMost)
+	refused := &refusedValue{version: v.Version, until: now.Add(refusedPause)}
+	if raw != nil {
+		refused.content = xxhash.Sum64(raw)
 	}
-	old.times++
-	old.until = now.Add(pause)
+	r.byName[v.Name] = refused
 }
 
 // holds reports whether this version is not to be read for now.
@@ -156,6 +152,12 @@
 	return old != nil && old.version == v.Version && now.Before(old.until)
 }
 
+// same reports whether these bytes were refused last.
+func (r *refusedValues) same(name model.BundleName, raw []byte) bool {
+	old := r.byName[name]
+	return old != nil && old.content != 0 && old.content == xxhash.Sum64(raw)
+}
+
 // makeRoom drops what has run out; when that is not enough, everything.
 func (r *refusedValues) makeRoom(now time.Time) {
 	if len(r.byName) < maxRefusedValues {
--- a/internal/spread/want.go
+++ b/internal/spread/want.go
@@ -214,7 +214,7 @@
 		v := model.BundleVersion{Name: w.name, Version: w.target}
 		c.record(event.BundleUnobtainable, v.String(), "", nil)
 		if w.listed {
-			c.refused.add(c.now, v)
+			c.refused.add(c.now, v, nil)
 		}
 		c.wants.remove(w.name)
 	}
