--- a/internal/proof/forward_test.go
+++ b/internal/proof/forward_test.go
@@ -19,6 +19,9 @@
 	job   *job
 	// closed: the connection has ended, at either side.
 	closed bool
+	// copied: the attempt may arrive more than once, so that its bytes have left
+	// whatever becomes of this connection.
+	copied bool
 }
 
 func newForward(x *exchange, step entry.Step) *forward {
@@ -77,6 +80,7 @@
 func (f *forward) copyTo(target *node) {
 	w := f.x.l.w
 	begun := w.now
+	f.copied = true
 	w.ledger.count("late or repeated attempts")
 	late := w.between(0, 30*time.Millisecond)
 	if w.chance(0.3) {
@@ -100,6 +104,10 @@
 	owner := target.life
 	if owner == nil || owner.peerClosed {
 		// The port is closed: no connection, not a byte left.
+		if f.copied {
+			f.x.l.after(f.x.l.w.net.delay(f.x.l.node, target), func() { f.answer(result{broken: true}) })
+			return
+		}
 		f.unreached(f.x.l.w.net.delay(f.x.l.node, target))
 		return
 	}
