--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,7 +38,7 @@
 // chooser is what an engine needs of a route.Table.
 type chooser interface {
 	Pick(now time.Time, q *route.Query) (route.Choice, bool)
-	Home(now time.Time, service model.ServiceName, id model.RequestID) (route.Choice, bool)
+	NextHome(now time.Time, service model.ServiceName, id model.RequestID, passed []model.InstanceID) (route.Choice, bool)
 	Sent(now time.Time, id model.InstanceID)
 	Done(now time.Time, id model.InstanceID, r route.Result)
 }
@@ -48,10 +48,12 @@
 type Engine struct {
 	cfg      Config
 	table    chooser
+	tuning   tuning
 	sequence atomic.Uint64
 	// adopted is the incarnation of this node's own owner.
 	adopted atomic.Uint64
-	budgets budgets
+	budgets registry[model.ServiceName, bucket]
+	paces   registry[paceKey, pace]
 }
 
 // NewEngine returns an engine that chooses by table.
@@ -63,7 +65,7 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Uint64
 	}
-	e := &Engine{cfg: cfg, table: table}
+	e := &Engine{cfg: cfg, table: table, tuning: defaultTuning}
 	e.adopted.Store(uint64(cfg.Self.Incarnation))
 	return e
 }
@@ -95,9 +97,12 @@
 // Begin starts a call at time now.
 func (e *Engine) Begin(now time.Time, r Request) *Call {
 	c := &Call{engine: e, req: r, deadline: now.Add(r.Timeout)}
-	c.bucket = e.budgets.of(now, r.Target.Service.Name)
+	c.bucket = e.budgets.of(r.Target.Service.Name, func() *bucket { return newBucket(now) })
 	c.bucket.deposit(r.Target.Bundle.Retry.Ratio)
 	c.budget = max(0, min(r.RetryBudget, r.Target.Bundle.Retry.PerPath))
+	if r.Idempotent {
+		c.pace = e.paceOf(&c.req.Target)
+	}
 	return c
 }
 
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -23,6 +23,10 @@
 	deadline  time.Duration
 	arrived   time.Duration
 	startedAt time.Duration
+	// stamp is a lower bound of the time of sending, zero when there is none.
+	stamp time.Duration
+	// log is the ledger's log of the entry; nil until admitted.
+	log *entryLog
 	// seq is the order of arrival.
 	seq     uint64
 	started bool
@@ -91,7 +95,7 @@
 		o.keys.free(it)
 	}
 	r = o.delegate(t, it, r)
-	o.attempts.end(t, it.id, attemptBarred, it.deadline)
+	o.attempts.end(t, it, attemptBarred)
 	o.out = append(o.out, Decision{Attempt: it.id, Verdict: Refuse, Refusal: r})
 }
 
@@ -108,7 +112,11 @@
 	if o.state != model.StateCold || t-o.coldSince < coldGrace || o.queue.length == 0 {
 		return
 	}
-	r := model.Refusal{Reason: model.ReasonNotReady, NotRun: true, RetryAfter: retryNotReady}
+	o.turnAwayAll(t, model.Refusal{Reason: model.ReasonNotReady, NotRun: true, RetryAfter: retryNotReady})
+}
+
+// turnAwayAll ends all waiting with one refusal.
+func (o *Owner) turnAwayAll(t time.Duration, r model.Refusal) {
 	for _, it := range o.queue.where(func(*item) bool { return true }) {
 		o.turnAway(t, it, r)
 	}
