member: instances replaced while the platform is down join those that were not

Cause: seeds were dialled only by a node without any link. With the platform down and the seeds among the replaced, the fresh instances found each other and the old ones kept to themselves: two islands, the fresh one without any bundle, until the platform came back; found by internal/proof (n2 has version 0; n4 has had 2 in force). Change: exploring, at its old pace, also tries a seed at whose address no serving instance is known. Without it the test sees no common view after 2 min, with it within 1 min.

--- a/internal/member/explore.go
+++ b/internal/member/explore.go
@@ -44,9 +44,11 @@
 	})
 }
 
-// chooseLost picks a peer that could not be reached or is taken for gone.
+// chooseLost picks a peer that could not be reached or is taken for gone, or a
+// seed at whose address no instance is known.
 func (c *Controller) chooseLost() (wire.MemberRecord, bool) {
 	lost := append(c.missedPeers(), c.gonePeers()...)
+	lost = append(lost, c.unknownSeeds()...)
 	if len(lost) == 0 {
 		return wire.MemberRecord{}, false
 	}
@@ -81,3 +83,26 @@
 	}
 	return out
 }
+
+// unknownSeeds returns the seeds at whose address no serving instance is known.
+// While the platform is down, they alone join instances that were replaced since
+// to those that were not.
+func (c *Controller) unknownSeeds() []wire.MemberRecord {
+	if len(c.cfg.Seeds) == 0 {
+		return nil
+	}
+	known := map[string]bool{c.cfg.Self.PeerAddress: true}
+	for _, e := range c.table.entries {
+		if serving(e.rec.State) {
+			known[e.rec.PeerAddress] = true
+		}
+	}
+	var out []wire.MemberRecord
+	for _, address := range c.cfg.Seeds {
+		id := model.InstanceID(address)
+		if !known[address] && !c.peers.dialing(id) {
+			out = append(out, wire.MemberRecord{ID: id, PeerAddress: address})
+		}
+	}
+	return out
+}
