--- a/internal/proof/executor_test.go
+++ b/internal/proof/executor_test.go
@@ -31,7 +31,9 @@
 	state    jobState
 	// gaveUp: the entry no longer waits; expired: its deadline ended that.
 	gaveUp, expired bool
-	run             *run
+	// forced: started by a switch, against the owner's word.
+	forced bool
+	run    *run
 	// reply takes the result; nil when nobody waits for one.
 	reply func(result)
 }
@@ -54,7 +56,7 @@
 	j.offered = l.w.now
 	l.jobs = append(l.jobs, j)
 	knew := l.leaving()
-	verdict, refusal := l.core.Owner.Offer(l.w.now, &j.attempt, j.sameNode)
+	verdict, refusal := l.decide(j)
 	l.w.trace.add(l.w, "offer", l.node.id, j.attempt.ID, verdict, refusal.Reason)
 	l.w.ledger.offered(j, knew, verdict, refusal)
 	switch verdict {
@@ -67,6 +69,20 @@
 	}
 }
 
+// decide asks the owner, or breaks it.
+func (l *life) decide(j *job) (owner.Verdict, model.Refusal) {
+	a := j.attempt
+	if l.w.switches.forgetKeys {
+		a.CallerKey = false
+	}
+	verdict, refusal := l.core.Owner.Offer(l.w.now, &a, j.sameNode)
+	if l.w.switches.ignoreLeaving && l.leaving() && refusal.Reason == model.ReasonLeaving {
+		j.forced = true
+		return owner.Start, model.Refusal{}
+	}
+	return verdict, refusal
+}
+
 // deliver hands on decisions (Executor.Deliver).
 func (l *life) deliver(ds []owner.Decision) {
 	for _, d := range ds {
@@ -92,7 +108,7 @@
 func (j *job) confirm() {
 	l := j.l
 	j.started = l.w.now
-	if !l.core.Owner.Confirm(l.w.now, j.attempt.ID) {
+	if !j.forced && !l.core.Owner.Confirm(l.w.now, j.attempt.ID) {
 		j.finish(owner.Finish{NotRun: true})
 		j.refuse(model.Refusal{Reason: model.ReasonExpired, NotRun: true})
 		return
--- a/internal/proof/faults_test.go
+++ b/internal/proof/faults_test.go
@@ -36,6 +36,7 @@
 	{"crash node", (*world).crashNode},
 	{"planned stop", (*world).plannedStop},
 	{"drain worker", (*world).drainWorker},
+	{"list says leaving", (*world).listLeaving},
 	{"cold worker", (*world).coldWorker},
 	{"slow worker", (*world).slowWorker},
 	{"failing worker", (*world).failingWorker},
@@ -231,6 +232,21 @@
 	w.after(w.between(5*time.Second, 8*time.Second), func() { n.renew() })
 }
 
+// listLeaving lets only the platform's list say that an instance leaves; its
+// process is stopped some seconds later.
+func (w *world) listLeaving(c chooser) {
+	n := w.pickNode(c)
+	l := n.life
+	if l == nil {
+		return
+	}
+	w.platform.put(n, model.StateLeaving)
+	w.after(w.between(8*time.Second, 10*time.Second), func() {
+		l.data(l.leave)
+		w.after(stopTimeout+time.Second, n.boot)
+	})
+}
+
 // renew replaces the worker and the process beside it.
 func (n *node) renew() {
 	if l := n.life; l != nil {
--- a/internal/proof/ledger_test.go
+++ b/internal/proof/ledger_test.go
@@ -113,8 +113,11 @@
 	// version is the bundle version in force since that time.
 	version uint64
 	since   time.Time
-	// leaves is when its upstream began to leave; zero when it has not.
-	leaves time.Time
+	// leaves is when its upstream began to leave by its own word, listed when
+	// another process first saw it leaving; zero when it has not.
+	leaves, listed time.Time
+	// fleet is the number of changes of its view that were looked at.
+	fleet uint64
 }
 
 func newLedger(w *world) *ledger {
@@ -252,6 +255,7 @@
 	s.ended, s.told, s.outcome, s.toldAt = true, true, o, g.w.now
 	g.w.trace.add(g.w, "told", s.number, s.request, o, reason)
 	g.count("told " + o.String())
+	g.checkInTime(s)
 	if o == model.OutcomeAnswered {
 		g.checkAnswer(s, a)
 	}
--- a/internal/proof/life_test.go
+++ b/internal/proof/life_test.go
@@ -62,6 +62,8 @@
 	loopWaiting []control.Event
 	dataWaiting []func()
 	tickWaiting bool
+	// woke is when the process last went on after a pause.
+	woke time.Time
 	// lastLoop is when the loop last took an event.
 	lastLoop time.Time
 
@@ -152,7 +154,7 @@
 		l.apply(l.core.Handle(now, control.Paused{For: gap}))
 	}
 	l.lastLoop = now
-	if !l.alive {
+	if !l.alive || l.breaks(ev) {
 		return
 	}
 	l.apply(l.core.Handle(now, ev))
@@ -206,6 +208,7 @@
 		return
 	}
 	l.paused = false
+	l.woke = l.w.now
 	loop, data := l.loopWaiting, l.dataWaiting
 	l.loopWaiting, l.dataWaiting = nil, nil
 	if l.tickWaiting {
--- a/internal/proof/oracle_test.go
+++ b/internal/proof/oracle_test.go
@@ -94,10 +94,47 @@
 
 // checkLeaving holds the start of work against its upstream's leaving.
 func (g *ledger) checkLeaving(j *job) {
-	left := g.lives[j.l].leaves
-	if !left.IsZero() && j.offered.Sub(left) > leavingSeconds {
+	r := g.lives[j.l]
+	if !r.leaves.IsZero() && j.offered.Sub(r.leaves) > leavingSeconds {
 		g.violate(promiseLeaving, "%s began work on %s that arrived %v after it began to leave",
-			j.l.node.id, j.attempt.ID, j.offered.Sub(left))
+			j.l.node.id, j.attempt.ID, j.offered.Sub(r.leaves))
+	}
+	if r.listed.IsZero() {
+		return
+	}
+	if since := latest(r.listed, g.calmSince()); j.offered.Sub(since) > leavingSeconds {
+		g.violate(promiseLeaving, "%s began work on %s that arrived %v after others saw it leave",
+			j.l.node.id, j.attempt.ID, j.offered.Sub(r.listed))
+	}
+}
+
+// lookAtFleet notes which processes l sees leaving.
+func (g *ledger) lookAtFleet(l *life) {
+	r, fleet := g.lives[l], &l.core.Board.Fleet
+	if r.fleet == fleet.Changes() {
+		return
+	}
+	r.fleet = fleet.Changes()
+	for _, in := range fleet.Get().Instances {
+		n := g.w.node(in.ID)
+		if in.State != model.StateLeaving || n == nil || n.life == nil || n.life.instance().Incarnation != in.Incarnation {
+			continue
+		}
+		if seen := g.lives[n.life]; seen.listed.IsZero() {
+			seen.listed = g.w.now
+		}
+	}
+}
+
+// checkInTime holds the time of an outcome against the caller's deadline; only a
+// pause of the entry makes it late.
+func (g *ledger) checkInTime(s *sending) {
+	x := s.exchange
+	if x == nil || x.l.woke.After(s.begun) {
+		return
+	}
+	if late := g.w.now.Sub(x.call.Deadline()); late > notifyTimeout {
+		g.violate(recovery, "sending %d was told %v after its deadline", s.number, late)
 	}
 }
 
@@ -131,6 +168,7 @@
 
 // looked checks a process's bundle after each event of its loop.
 func (g *ledger) looked(l *life) {
+	g.lookAtFleet(l)
 	r := g.lives[l]
 	version := l.version()
 	switch {
--- a/internal/proof/promises_test.go
+++ b/internal/proof/promises_test.go
@@ -43,19 +43,6 @@
 	os.Exit(m.Run())
 }
 
-// switches break, each, the code that keeps one promise; see teeth_test.go.
-type switches struct {
-	skipSettle     bool
-	brokenIsNotRun bool
-	replay         bool
-	acceptCrossed  bool
-	acceptCut      bool
-	ignoreLeaving  bool
-	cutOff         bool
-	dropBudget     bool
-	olderBundle    bool
-}
-
 // rapidChooser draws a plan's choices by rapid, which can then shrink them.
 type rapidChooser struct{ t *rapid.T }
 
--- a/internal/proof/stop_test.go
+++ b/internal/proof/stop_test.go
@@ -25,9 +25,7 @@
 	l.stop = &plannedStop{begun: l.w.now}
 	l.w.platform.put(l.node, model.StateLeaving)
 	l.w.ledger.leaves(l)
-	if !l.w.switches.ignoreLeaving {
-		l.event(control.SelfChanged{State: model.StateLeaving})
-	}
+	l.event(control.SelfChanged{State: model.StateLeaving})
 	if l.w.switches.cutOff {
 		l.after(leaveGrace, l.exit)
 		return
--- a/internal/proof/watch_test.go
+++ b/internal/proof/watch_test.go
@@ -90,9 +90,6 @@
 	}
 	if after == model.StateLeaving {
 		l.w.ledger.leaves(l)
-		if l.w.switches.ignoreLeaving {
-			return
-		}
 	}
 	l.event(control.SelfChanged{State: after})
 }
