--- a/internal/proof/world_test.go
+++ b/internal/proof/world_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gypsumstand/internal/eventqueue"
+	"gypsumstand/internal/model"
 )
 
 // epoch is the fake clock's start.
@@ -121,3 +122,13 @@
 
 // seeds are the peer addresses that every process's settings name.
 func (w *world) seeds() []string { return []string{w.nodes[0].address, w.nodes[1].address} }
+
+// node returns the place of that name, or nil.
+func (w *world) node(id model.InstanceID) *node {
+	for _, n := range w.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
