End reads and writes of callers' and peers' connections with the deadline

Cause: no context ends a blocked read or write of a connection. A caller that sent half of a body, or read a long answer slowly, held its handler, and the worker's slot, for as long as it liked; a planned stop then had to cut off. Change: the body is read until the request's deadline, an answer that streams is written until it, one that is held whole for 10 s more. Before: a node whose slots slow readers hold was not idle after 30 s, a half body had no response after 30 s. After: both end with the deadline (internal/failure, run twice with -race).

--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // replayBytes bounds the request body that an entry holds whole so that it can
@@ -66,3 +67,16 @@
 
 // Close implements io.Closer.
 func (s streamOnce) Close() error { return nil }
+
+// limitReading ends the reading of the request's body at t: no context ends a
+// read from the connection. net/http lifts the limit once the body is read.
+func limitReading(w http.ResponseWriter, t time.Time) {
+	// Only a writer without a connection, as in tests, refuses.
+	_ = http.NewResponseController(w).SetReadDeadline(t)
+}
+
+// limitWriting ends the writing of the response at t: no context ends a write to
+// a connection whose reader has stopped. net/http lifts the limit after it.
+func limitWriting(w http.ResponseWriter, t time.Time) {
+	_ = http.NewResponseController(w).SetWriteDeadline(t)
+}
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -97,13 +97,14 @@
 		_, _ = io.WriteString(w, err.Error()+"\n")
 		return
 	}
+	request := c.entryRequest(headers, target)
+	limitReading(w, began.Add(request.Timeout))
 	body, err := takeBody(r, target.Service.BodyLimitBytes)
 	if err != nil {
 		c.refuseBody(w, err)
 		return
 	}
-	x := &exchange{caller: c, w: w, r: r, target: target, body: body, began: began}
-	x.request = c.entryRequest(headers, target, body)
+	x := &exchange{caller: c, w: w, r: r, target: target, body: body, began: began, request: request}
 	x.serve()
 }
 
@@ -135,7 +136,7 @@
 }
 
 // entryRequest applies the bundle's bounds to what the caller asked for.
-func (c *Caller) entryRequest(h wire.CallerHeaders, t bundle.Target, body *requestBody) entry.Request {
+func (c *Caller) entryRequest(h wire.CallerHeaders, t bundle.Target) entry.Request {
 	req := entry.Request{
 		ID:          h.Request,
 		CallerKey:   h.Request != "",
@@ -354,6 +355,7 @@
 func (x *exchange) answer() {
 	a := x.held.answer
 	defer a.Body.Close()
+	x.limitAnswer()
 	h := x.w.Header()
 	copyInto(h, a.Header)
 	h.Set(wire.HeaderOutcome, model.OutcomeAnswered.String())
@@ -373,6 +375,20 @@
 	}
 }
 
+// heldWriteTimeout bounds the writing of an answer that is held whole, and so
+// takes nobody's slot.
+const heldWriteTimeout = 10 * time.Second
+
+// limitAnswer bounds the writing of the answer: one that streams holds the
+// worker's slot and ends with the call's deadline.
+func (x *exchange) limitAnswer() {
+	if x.held.whole {
+		limitWriting(x.w, time.Now().Add(heldWriteTimeout))
+		return
+	}
+	limitWriting(x.w, x.call.Deadline())
+}
+
 func (x *exchange) record(step entry.Step) {
 	x.caller.Recorder.Call(CallRecord{
 		Service:  x.target.Service.Name,
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -33,6 +33,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	deadline := time.Now().Add(min(attempt.Remaining, maxPeerTime))
+	limitReading(w, deadline)
 	p.Seen(attempt.ID.Entry, attempt.Bundle)
 	w.Header().Set(wire.HeaderAttempt, attempt.ID.String())
 	work := &Work{
@@ -53,9 +55,13 @@
 		return
 	}
 	wire.SetTimes(w.Header(), result.Times)
+	limitWriting(w, deadline)
 	sendAnswer(w, result.Answer)
 }
 
+// maxPeerTime bounds an attempt's time on the peer port.
+const maxPeerTime = time.Hour
+
 // ownPath takes the attempt prefix off.
 func ownPath(u *url.URL) *url.URL {
 	out := &url.URL{Path: strings.TrimPrefix(u.Path, attemptPath), RawQuery: u.RawQuery}
@@ -123,10 +129,10 @@
 
 // Settings of the transport between nodes.
 const (
-	peerDialTimeout    = time.Second
-	peerIdleTimeout    = 60 * time.Second
-	peerIdlePerHost    = 32
-	peerIdle           = 1024
+	peerDialTimeout = time.Second
+	peerIdleTimeout = 60 * time.Second
+	peerIdlePerHost = 32
+	peerIdle        = 1024
 	peerMaxHeaderBytes = 64 << 10
 	// peerContinueTimeout is longer than any wait in an owner's queue: a body
 	// that streams is held back until the owner admits the attempt.
