Leave room for nodes' own headers; refuse offers that are no headers

Cause 1: the peer port had the callers' header bound, though nodes add the offer and the report: the largest header that a caller may send was served at its own worker's node and refused with 431 by every other owner, and the caller told unknown. Cause 2: an offer whose names hold bytes that no header takes was admitted, and net/http's refusal to send it counted as a connection refused by the worker: two such offers made a sound worker cold. Change: such offers are refused with 400.

--- a/internal/failure/input_test.go
+++ b/internal/failure/input_test.go
@@ -112,7 +112,7 @@
 func TestTheLargestHeaderOfACallerReachesEveryOwner(t *testing.T) {
 	f := sharedFleet(t)
 	// net/http adds 4096 bytes to the bound of 32768.
-	big := strings.Repeat("x", 36_500)
+	big := strings.Repeat("x", 36_750)
 	for _, path := range []string{"/a", "/strict/a"} {
 		for _, m := range f.Members() {
 			conn := connect(t, m.Node.CallerAddress(), "GET "+path+" HTTP/1.1\r\nHost: x\r\nX-Big: "+big+"\r\n\r\n")
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -18,6 +18,7 @@
 func (n *Node) makeServers() {
 	n.ports.callerHTTP = n.httpServer(n.callerRoutes())
 	n.ports.peerHTTP = n.httpServer(n.peerRoutes())
+	n.ports.peerHTTP.MaxHeaderBytes += server.PeerHeaderBytes
 	n.ports.operatorHTTP = n.httpServer(n.operatorRoutes())
 }
 
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/upstream"
 	"gypsumstand/internal/wire"
@@ -33,6 +35,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if !fitsHeaders(&attempt) {
+		http.Error(w, "bad offer: a field is no header value", http.StatusBadRequest)
+		return
+	}
 	deadline := time.Now().Add(min(attempt.Remaining, maxPeerTime))
 	limitReading(w, deadline)
 	p.Seen(attempt.ID.Entry, attempt.Bundle)
@@ -62,6 +68,18 @@
 // maxPeerTime bounds an attempt's time on the peer port.
 const maxPeerTime = time.Hour
 
+// fitsHeaders reports whether the fields that go to the worker as header values
+// are fit for that: net/http would refuse the request without sending it, as if
+// the worker could not be reached.
+func fitsHeaders(a *model.Attempt) bool {
+	for _, s := range []string{string(a.ID.Entry), string(a.Request), string(a.Class), string(a.Tenant)} {
+		if !httpguts.ValidHeaderFieldValue(s) {
+			return false
+		}
+	}
+	return true
+}
+
 // ownPath takes the attempt prefix off.
 func ownPath(u *url.URL) *url.URL {
 	out := &url.URL{Path: strings.TrimPrefix(u.Path, attemptPath), RawQuery: u.RawQuery}
@@ -127,13 +145,18 @@
 	scheme    string
 }
 
+// PeerHeaderBytes bounds the headers that nodes add to a message between them,
+// the offer and the report among them.
+const PeerHeaderBytes = 2 * wire.MaxOfferBytes
+
 // Settings of the transport between nodes.
 const (
 	peerDialTimeout = time.Second
 	peerIdleTimeout = 60 * time.Second
 	peerIdlePerHost = 32
 	peerIdle        = 1024
-	peerMaxHeaderBytes = 64 << 10
+	// peerMaxHeaderBytes is what the worker may send and what its owner adds.
+	peerMaxHeaderBytes = 64<<10 + PeerHeaderBytes
 	// peerContinueTimeout is longer than any wait in an owner's queue: a body
 	// that streams is held back until the owner admits the attempt.
 	peerContinueTimeout = time.Hour
