--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -95,13 +95,14 @@
 		_, _ = io.WriteString(w, err.Error()+"\n")
 		return
 	}
+	request := c.entryRequest(headers, target)
+	limitReading(w, began.Add(request.Timeout))
 	body, err := takeBody(r, target.Service.BodyLimitBytes)
 	if err != nil {
 		c.refuseBody(w, err)
 		return
 	}
-	x := &exchange{caller: c, w: w, r: r, target: target, body: body, began: began}
-	x.request = c.entryRequest(headers, target)
+	x := &exchange{caller: c, w: w, r: r, target: target, body: body, began: began, request: request}
 	x.serve()
 }
 
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -62,6 +62,7 @@
 func (x *exchange) answer(held *heldAnswer) error {
 	a := held.answer
 	defer a.Body.Close()
+	x.limitAnswer(held)
 	h := x.w.Header()
 	copyInto(h, a.Header)
 	h.Set(wire.HeaderOutcome, model.OutcomeAnswered.String())
@@ -79,6 +80,20 @@
 	return copyFlushing(x.w, rest)
 }
 
+// heldWriteTimeout bounds the writing of an answer that is held whole, and so
+// takes nobody's slot.
+const heldWriteTimeout = 10 * time.Second
+
+// limitAnswer bounds the writing of the answer: one that streams holds the
+// worker's slot and ends with the call's deadline.
+func (x *exchange) limitAnswer(held *heldAnswer) {
+	if held.whole {
+		limitWriting(x.w, time.Now().Add(heldWriteTimeout))
+		return
+	}
+	limitWriting(x.w, x.began.Add(x.request.Timeout))
+}
+
 func (x *exchange) record(c *carrier, o model.Outcome, reason model.Reason, attempts int) {
 	x.caller.Recorder.Call(CallRecord{
 		Service:  x.target.Service.Name,
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/upstream"
 	"gypsumstand/internal/wire"
@@ -34,6 +36,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if !fitsHeaders(&attempt) {
+		http.Error(w, "bad offer: a field is no header value", http.StatusBadRequest)
+		return
+	}
+	deadline := time.Now().Add(min(attempt.Remaining, maxPeerTime))
+	limitReading(w, deadline)
 	p.Seen(attempt.ID.Entry, attempt.Bundle)
 	w.Header().Set(wire.HeaderAttempt, attempt.ID.String())
 	work := &Work{
@@ -54,9 +62,25 @@
 		return
 	}
 	wire.SetTimes(w.Header(), result.Times)
+	limitWriting(w, deadline)
 	sendAnswer(w, result.Answer)
 }
 
+// maxPeerTime bounds an attempt's time on the peer port.
+const maxPeerTime = time.Hour
+
+// fitsHeaders reports whether the fields that go to the worker as header values
+// are fit for that: net/http would refuse the request without sending it, as if
+// the worker could not be reached.
+func fitsHeaders(a *model.Attempt) bool {
+	for _, s := range []string{string(a.ID.Entry), string(a.Request), string(a.Class), string(a.Tenant)} {
+		if !httpguts.ValidHeaderFieldValue(s) {
+			return false
+		}
+	}
+	return true
+}
+
 // ownPath takes the attempt prefix off.
 func ownPath(u *url.URL) *url.URL {
 	out := &url.URL{Path: strings.TrimPrefix(u.Path, attemptPath), RawQuery: u.RawQuery}
@@ -122,13 +146,18 @@
 	scheme    string
 }
 
+// PeerHeaderBytes bounds the headers that nodes add to a message between them,
+// the offer and the report among them.
+const PeerHeaderBytes = 2 * wire.MaxOfferBytes
+
 // Settings of the transport between nodes.
 const (
-	peerDialTimeout    = time.Second
-	peerIdleTimeout    = 60 * time.Second
-	peerIdlePerHost    = 32
-	peerIdle           = 1024
-	peerMaxHeaderBytes = 64 << 10
+	peerDialTimeout = time.Second
+	peerIdleTimeout = 60 * time.Second
+	peerIdlePerHost = 32
+	peerIdle        = 1024
+	// peerMaxHeaderBytes is what the worker may send and what its owner adds.
+	peerMaxHeaderBytes = 64<<10 + PeerHeaderBytes
 	// peerContinueTimeout is longer than any wait in an owner's queue: a body
 	// that streams is held back until the owner admits the attempt.
 	peerContinueTimeout = time.Hour
