--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -122,10 +122,10 @@
 	// (Gypsum-Attempt), the only proof against crossed answers. Default false:
 	// a wrong echo is refused, an absent one is taken.
 	RequireEcho bool `toml:"require_echo"`
-	// HealthPath and LoadPath are the worker's endpoints that its owner polls
-	// within the measuring budget; empty means not polled.
+	// HealthPath is the worker's endpoint that its owner polls within the measuring
+	// budget; empty means that the owner only opens a connection. There is none for
+	// load: the owner counts it itself.
 	HealthPath string `toml:"health_path"`
-	LoadPath   string `toml:"load_path"`
 	// Upstreams override limits of single instances.
 	Upstreams []Upstream `toml:"upstream"`
 	Routes    []Route    `toml:"route"`
--- a/internal/bundle/check_service.go
+++ b/internal/bundle/check_service.go
@@ -26,7 +26,6 @@
 		checkCounts(s, key, doc)
 		checkTimes(s, key, doc)
 		checkWorkerPath(key+".health_path", s.HealthPath, doc)
-		checkWorkerPath(key+".load_path", s.LoadPath, doc)
 		checkUpstreams(s, key, doc)
 		for j := range s.Routes {
 			routes.check(s, &s.Routes[j], fmt.Sprintf("%s.route[%d]", key, j))
--- a/internal/bundle/diff_fields.go
+++ b/internal/bundle/diff_fields.go
@@ -83,8 +83,6 @@
 		"Workers of service %[1]s must echo the attempt's id: %[3]s instead of %[2]s."},
 	{"health_path", func(s *Service) string { return polled(s.HealthPath) },
 		"The health of workers of service %[1]s is polled at %[3]s instead of %[2]s."},
-	{"load_path", func(s *Service) string { return polled(s.LoadPath) },
-		"The load of workers of service %[1]s is polled at %[3]s instead of %[2]s."},
 }
 
 var upstreamFields = fieldList[Upstream]{
--- a/internal/entry/end.go
+++ b/internal/entry/end.go
@@ -62,7 +62,8 @@
 }
 
 // comeBack returns the advice to the caller: positive when the same request may
-// be sent again without harm.
+// be sent again without harm and to some use. One that has run is not worth
+// another sending, which would find the home's memory ended some day.
 func (c *Call) comeBack() time.Duration {
 	if c.outcome == model.OutcomeAnswered {
 		return 0
@@ -70,6 +71,9 @@
 	if c.outcome == model.OutcomeUnknown && !c.req.Idempotent && !c.keyed() {
 		return 0
 	}
+	if c.reason == model.ReasonDuplicateDone {
+		return 0
+	}
 	if c.retryAfter > 0 {
 		return c.retryAfter
 	}
--- a/internal/entry/home_test.go
+++ b/internal/entry/home_test.go
@@ -34,3 +34,10 @@
 		t.Errorf("outcome %v, want unknown: an earlier sending may have run", s.step.Outcome)
 	}
 }
+
+func TestARequestThatHasRunIsNotAskedFor(t *testing.T) {
+	s := start(t, 2, keyed).do(fail(model.ReasonDuplicateDone))
+	if s.step.Kind != StepEnd || s.step.Outcome != model.OutcomeUnknown || s.step.RetryAfter != 0 {
+		t.Errorf("%v %v with Retry-After %v, want the end, unknown, without advice", s.step.Kind, s.step.Outcome, s.step.RetryAfter)
+	}
+}
--- a/internal/fake/worker/serve.go
+++ b/internal/fake/worker/serve.go
@@ -57,7 +57,7 @@
 	w.count(&w.counters.Received)
 	reused := countOnConnection(r)
 	w.awaitPause()
-	if w.refusesWork(rw) {
+	if w.refusesWork(rw, r) {
 		return
 	}
 	job, err := w.read(rw, r)
@@ -99,28 +99,32 @@
 }
 
 // refusesWork plays the faults that keep a request from being admitted.
-func (w *Worker) refusesWork(rw http.ResponseWriter) bool {
+func (w *Worker) refusesWork(rw http.ResponseWriter, r *http.Request) bool {
 	f := w.Faults()
 	switch {
 	case f.Cold == ColdRefuse:
 		w.count(&w.counters.Refused)
 		panic(http.ErrAbortHandler)
 	case f.Cold == ColdShed:
-		w.shed(rw, "cold")
+		w.shed(rw, r, "cold")
 	case f.Draining:
-		w.shed(rw, "draining")
+		w.shed(rw, r, "draining")
 	case w.drawn(func(f *Faults) float64 { return f.ShedShare }):
-		w.shed(rw, "shedding load")
+		w.shed(rw, r, "shedding load")
 	default:
 		return false
 	}
 	return true
 }
 
-// shed answers that the request was not run.
-func (w *Worker) shed(rw http.ResponseWriter, why string) {
+// shed answers that the request was not run, in its own name, so that the word
+// cannot be taken for another request's.
+func (w *Worker) shed(rw http.ResponseWriter, r *http.Request, why string) {
 	w.count(&w.counters.Shed)
 	h := rw.Header()
+	if echo := r.Header.Get(wire.HeaderAttempt); echo != "" {
+		h.Set(wire.HeaderAttempt, echo)
+	}
 	h.Set(wire.HeaderNotRun, "true")
 	h.Set(wire.HeaderRetryAfter, retryAfterSeconds)
 	http.Error(rw, why, http.StatusServiceUnavailable)
@@ -166,10 +170,10 @@
 	case slotCancelled:
 		w.count(&w.counters.LeftQueue)
 	case slotFull:
-		w.shed(rw, "queue is full")
+		w.shed(rw, job.http, "queue is full")
 	case slotLate:
 		w.count(&w.counters.LeftQueue)
-		w.shed(rw, "no slot came free in time")
+		w.shed(rw, job.http, "no slot came free in time")
 	}
 	return false
 }
--- a/internal/owner/keys.go
+++ b/internal/owner/keys.go
@@ -71,6 +71,9 @@
 		return model.Refusal{}
 	}
 	rec, taken := o.keys.byID[it.request]
+	if taken {
+		o.keys.renew(t, it.request, rec)
+	}
 	switch {
 	case taken && rec.state == keyDone:
 		o.attempts.end(t, it, attemptDuplicate)
@@ -134,6 +137,16 @@
 	return true
 }
 
+// renew remembers an id that was sent again for another key memory: a caller that
+// keeps sending it must not see it forgotten.
+func (k *keyTable) renew(t time.Duration, id model.RequestID, rec keyRecord) {
+	if rec.state == keyRunning || rec.until >= t+k.memory {
+		return
+	}
+	rec.until = t + k.memory
+	k.lapse(id, rec)
+}
+
 // free forgets the id of an attempt that did not run.
 func (k *keyTable) free(it *item) {
 	if it.keyed {
