End a killed node at once

Cause: a killed node went through a planned stop that waited for a loop which had ended, ten seconds each; the tests of failures took 230 s. Change: Run returns when the node was killed.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -245,6 +245,8 @@
 		err = n.stop()
 	case err = <-failed:
 		event.Log(&n.log, event.Fatal).Err(err).Send()
+	case <-n.ctx.Done():
+		return ErrKilled
 	}
 	n.cleanUp()
 	event.Log(&n.log, event.Stopped).Send()
@@ -273,6 +275,9 @@
 	})
 }
 
+// ErrKilled says that Kill ended the node.
+var ErrKilled = errors.New("the node was killed")
+
 // ErrCutOff says that a stop's bound ended with requests in flight.
 var ErrCutOff = errors.New("stop timeout ended with requests in flight")
 
