rapidflags: one way to fix the seeds of rapid's checks

Change: rapidflags.Main and Set set what the command line does not give. Seeds and counts are those of before.

--- a/internal/proof/promises_test.go
+++ b/internal/proof/promises_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"flag"
-	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"gypsumstand/internal/rapidflags"
 )
 
 // fuzzTime, when set, fuzzes with fresh seeds for that long (make fuzz).
@@ -25,22 +25,11 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	settings := map[string]string{"rapid.nofailfile": "true", "rapid.steps": "40", "rapid.shrinktime": "20s"}
+	flags := rapidflags.Flags{"rapid.nofailfile": "true", "rapid.steps": "40", "rapid.shrinktime": "20s"}
 	if *fuzzTime == 0 {
-		settings["rapid.seed"], settings["rapid.checks"] = fixedSeed, fixedChecks
-	}
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range settings {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(2)
-		}
+		flags["rapid.seed"], flags["rapid.checks"] = fixedSeed, fixedChecks
 	}
-	os.Exit(m.Run())
+	rapidflags.Main(m, flags)
 }
 
 // switches break, each, the code that keeps one promise; see teeth_test.go.
--- a/internal/spread/state_test.go
+++ b/internal/spread/state_test.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -10,6 +9,7 @@
 
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/rapidflags"
 )
 
 // world is the state of the fuzzed fleet, with the oracle's own record.
@@ -141,12 +141,7 @@
 
 // fixSeed makes the run the same each time; -rapid.seed=0 asks for a fresh one.
 func fixSeed(t *testing.T) {
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if given {
-		return
-	}
-	if err := flag.Set("rapid.seed", "20261202"); err != nil {
+	if err := rapidflags.Set(rapidflags.Flags{"rapid.seed": "20261202"}); err != nil {
 		t.Fatal(err)
 	}
 }
