--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -27,8 +27,7 @@
 		path := flags.String("path", "", "the request's `PATH`")
 		tenant := flags.String("tenant", "", "the caller's `TENANT`")
 		class := flags.String("class", "", "the `CLASS` to assume in place of the route's")
-		asJSON := flags.Bool("json", false, "print the node's answer as it is")
-		timeout := flags.Duration("timeout", defaultTimeout, "how long to wait for the answer")
+		q := newQuestion(flags)
 		return func(ctx context.Context, s *streams, args []string) error {
 			address, err := operatorAddress(args)
 			if err != nil {
@@ -40,18 +39,8 @@
 			query := url.Values{status.ParamMethod: {*method}, status.ParamPath: {*path}}
 			addParam(query, status.ParamTenant, *tenant)
 			addParam(query, status.ParamClass, *class)
-			body, err := ask(ctx, address, status.ExplainPath, query, *timeout)
-			if err != nil {
-				return err
-			}
-			if *asJSON {
-				return writeJSON(s, body)
-			}
 			var explanation status.Explanation
-			if err := decode(s, body, &explanation); err != nil {
-				return err
-			}
-			return writeExplanation(s.out, &explanation)
+			return q.put(ctx, s, address, status.ExplainPath, query, &explanation, func() error { return writeExplanation(s.out, &explanation) })
 		}
 	},
 }
--- a/internal/ctl/remote.go
+++ b/internal/ctl/remote.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -32,6 +33,35 @@
 	return args[0], nil
 }
 
+// question holds the flags of the commands that ask a node.
+type question struct {
+	asJSON  *bool
+	timeout *time.Duration
+}
+
+func newQuestion(flags *flag.FlagSet) question {
+	return question{
+		asJSON:  flags.Bool("json", false, "print the node's answer as it is"),
+		timeout: flags.Duration("timeout", defaultTimeout, "how long to wait for the answer"),
+	}
+}
+
+// put asks the node and prints its answer: as it is, or read into answer and
+// written by write.
+func (q question) put(ctx context.Context, s *streams, address, path string, query url.Values, answer any, write func() error) error {
+	body, err := ask(ctx, address, path, query, *q.timeout)
+	if err != nil {
+		return err
+	}
+	if *q.asJSON {
+		return writeJSON(s, body)
+	}
+	if err := decode(s, body, answer); err != nil {
+		return err
+	}
+	return write()
+}
+
 // ask reads a JSON answer from a node's operators' port.
 func ask(ctx context.Context, address, path string, query url.Values, timeout time.Duration) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -20,25 +20,14 @@
 links and its measuring.`,
 	examples: []string{"127.0.0.1:7003", "-json 127.0.0.1:7003"},
 	setup: func(flags *flag.FlagSet) runner {
-		asJSON := flags.Bool("json", false, "print the node's answer as it is")
-		timeout := flags.Duration("timeout", defaultTimeout, "how long to wait for the answer")
+		q := newQuestion(flags)
 		return func(ctx context.Context, s *streams, args []string) error {
 			address, err := operatorAddress(args)
 			if err != nil {
 				return err
 			}
-			body, err := ask(ctx, address, status.NodePath, nil, *timeout)
-			if err != nil {
-				return err
-			}
-			if *asJSON {
-				return writeJSON(s, body)
-			}
 			var node status.Node
-			if err := decode(s, body, &node); err != nil {
-				return err
-			}
-			return writeNode(s.out, &node)
+			return q.put(ctx, s, address, status.NodePath, nil, &node, func() error { return writeNode(s.out, &node) })
 		}
 	},
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -19,6 +19,7 @@
 	"gypsumstand/internal/load"
 	"gypsumstand/internal/local"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/pause"
 	"gypsumstand/internal/server"
 )
 
@@ -151,14 +152,14 @@
 // operate does what operators and failures do, beside the load.
 func (r *run) operate(ctx context.Context) {
 	began := time.Now()
-	wait(ctx, rollOutAt)
+	pause.For(ctx, rollOutAt)
 	r.rollOut(ctx)
-	wait(ctx, drainAt-time.Since(began))
+	pause.For(ctx, drainAt-time.Since(began))
 	if err := r.fleet.Stop(r.drained); err != nil {
 		r.breach("the planned stop of %s cut requests off: %v", r.drained.ID, err)
 	}
 	r.say("%5.1fs  drained %s\n", time.Since(began).Seconds(), r.drained.ID)
-	wait(ctx, killAt-time.Since(began))
+	pause.For(ctx, killAt-time.Since(began))
 	r.fleet.Kill(r.killed)
 	r.say("%5.1fs  killed %s\n", time.Since(began).Seconds(), r.killed.ID)
 }
@@ -183,15 +184,6 @@
 	r.say("%5.1fs  %v in force on every node after %d ms\n", (rollOutAt + r.inForce).Seconds(), next, r.inForce.Milliseconds())
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // addedTimes collects the time that the nodes added, by class.
 type addedTimes struct {
 	mu      sync.Mutex
--- a/internal/experiment/added.go
+++ b/internal/experiment/added.go
@@ -8,6 +8,7 @@
 	"gypsumstand/internal/deploy"
 	"gypsumstand/internal/load"
 	"gypsumstand/internal/local"
+	"gypsumstand/internal/pause"
 )
 
 // Added is the time that two nodes add to a call, beside the worker called
@@ -81,7 +82,7 @@
 	if err := fleet.Await(ready, fleet.Warm); err != nil {
 		return nil, err
 	}
-	pause(ctx, time.Second)
+	pause.For(ctx, time.Second)
 	var out []Added
 	for i := range repeats {
 		a, err := addedOnce(ctx, fleet, entry, rate, d)
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -15,6 +15,7 @@
 	"gypsumstand/internal/fake/worker"
 	"gypsumstand/internal/load"
 	"gypsumstand/internal/local"
+	"gypsumstand/internal/pause"
 	"gypsumstand/internal/route"
 )
 
@@ -175,7 +176,7 @@
 	if err != nil {
 		return Run{}, err
 	}
-	pause(ctx, settleTime)
+	pause.For(ctx, settleTime)
 	return summary(dep, share, result, measuring(fleet)-before), nil
 }
 
@@ -210,7 +211,7 @@
 		defer close(done)
 		for _, f := range faultsOf(fleet) {
 			set(f.worker, f.fault)
-			pause(ctx, d/faultCount)
+			pause.For(ctx, d/faultCount)
 			set(f.worker, worker.Faults{})
 		}
 	}()
@@ -250,15 +251,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // measuring counts the measuring messages so far: polls that reached workers and
 // probes that were sent to owners.
 func measuring(fleet *local.Fleet) uint64 {
--- a/internal/fake/worker/serve.go
+++ b/internal/fake/worker/serve.go
@@ -14,6 +14,7 @@
 
 	"gypsumstand/internal/answer"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/pause"
 	"gypsumstand/internal/wire"
 )
 
@@ -212,7 +213,7 @@
 		ctx, cancel = context.WithDeadline(ctx, job.deadline)
 		defer cancel()
 	}
-	err := sleep(ctx, w.serviceTime(&job.profile))
+	err := pause.For(ctx, w.serviceTime(&job.profile))
 	if err == nil {
 		err = w.callNext(ctx, job)
 	}
@@ -239,21 +240,6 @@
 	}
 }
 
-// sleep waits for d, or less when ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // fail answers with the worker's own error.
 func (w *Worker) fail(rw http.ResponseWriter, job *work, status int, why string) {
 	if job.attempt != "" {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/pause"
 )
 
 // Waits before a request that was not run is sent again.
@@ -62,7 +63,7 @@
 	if opts.Oracle == nil {
 		return result, nil
 	}
-	wait(ctx, milliseconds(plan.SettleMs))
+	pause.For(ctx, milliseconds(plan.SettleMs))
 	result.Oracle, err = g.ledger.check(ctx, opts.Oracle)
 	return result, err
 }
@@ -117,7 +118,7 @@
 			return
 		}
 		intended := g.started.Add(at)
-		wait(ctx, time.Until(intended))
+		pause.For(ctx, time.Until(intended))
 		if ctx.Err() != nil {
 			return
 		}
@@ -186,7 +187,7 @@
 			break
 		}
 		resends++
-		wait(ctx, resendWait(last.retryAfter))
+		pause.For(ctx, resendWait(last.retryAfter))
 		deadline = time.Now().Add(r.stream.timeout())
 	}
 	rec.record(r.stream, last.verdict, time.Since(r.intended), late, resends)
@@ -205,16 +206,3 @@
 	got := g.send(ctx, r, g.address(target), r.intended.Add(r.stream.timeout()))
 	rec.recordCopy(got.verdict)
 }
-
-// wait waits for d, or less when ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/load/steps.go
+++ b/internal/load/steps.go
@@ -8,6 +8,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"gypsumstand/internal/pause"
 )
 
 // stepTimeout bounds a step, maxStepReply what is kept of its answer.
@@ -40,7 +42,7 @@
 	sort.SliceStable(steps, func(i, j int) bool { return steps[i].AtMs < steps[j].AtMs })
 	out := make([]StepResult, 0, len(steps))
 	for _, s := range steps {
-		wait(ctx, time.Until(g.started.Add(milliseconds(s.AtMs))))
+		pause.For(ctx, time.Until(g.started.Add(milliseconds(s.AtMs))))
 		result := StepResult{AtMs: s.AtMs, Method: s.Method, URL: s.URL}
 		if err := g.step(ctx, s); err != nil {
 			result.Error = err.Error()
--- a/internal/model/load.go
+++ b/internal/model/load.go
@@ -65,6 +65,12 @@
 	Bundle BundleVersion `cbor:"10,keyasint"`
 }
 
+// failureUnit is the unit of LoadReport.FailureRate.
+const failureUnit = 1000
+
+// FailureShare returns the failure rate as a share, 0 to 1.
+func (r *LoadReport) FailureShare() float64 { return float64(r.FailureRate) / failureUnit }
+
 // Instance is one member of the fleet as the blackboard shows it.
 type Instance struct {
 	ID         InstanceID  `cbor:"1,keyasint"`
--- a/internal/node/collector.go
+++ b/internal/node/collector.go
@@ -104,16 +104,13 @@
 	counter(ch, descReads, s.ListReads, "list")
 }
 
-// failureUnit is the unit of model.LoadReport.FailureRate.
-const failureUnit = 1000
-
 func (c collector) owner(ch chan<- prometheus.Metric) {
 	r := c.node.core.Owner.Report(time.Now())
 	gauge(ch, descLimit, float64(r.Limit))
 	gauge(ch, descInFlight, float64(r.InFlight))
 	gauge(ch, descQueued, float64(r.Queued))
 	gauge(ch, descService, r.ServiceTime.Seconds())
-	gauge(ch, descFailures, float64(r.FailureRate)/failureUnit)
+	gauge(ch, descFailures, r.FailureShare())
 }
 
 func (c collector) measuring(ch chan<- prometheus.Metric) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"gypsumstand/internal/link"
 	"gypsumstand/internal/metrics"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/pause"
 	"gypsumstand/internal/platform"
 	"gypsumstand/internal/route"
 	"gypsumstand/internal/server"
@@ -283,7 +284,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.StopTimeout)
 	defer cancel()
 	n.tellLeaving(ctx)
-	pause(n.ctx, n.cfg.LeaveGrace)
+	pause.For(n.ctx, n.cfg.LeaveGrace)
 	err := n.ports.callerHTTP.Shutdown(ctx)
 	if err == nil {
 		err = n.ports.peerHTTP.Shutdown(ctx)
@@ -303,7 +304,7 @@
 func (n *Node) tellLeaving(ctx context.Context) {
 	n.sink(control.SelfChanged{State: model.StateLeaving})
 	for !n.leavingTold.Load() || n.directs.Load() > 0 {
-		pause(ctx, tellPoll)
+		pause.For(ctx, tellPoll)
 		if ctx.Err() != nil {
 			return
 		}
@@ -311,16 +312,6 @@
 	n.links.Flush(ctx)
 }
 
-// pause waits for d or for the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Kill ends the node at once, as a crash would; for tests.
 func (n *Node) Kill() { n.cleanUp() }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -14,6 +14,7 @@
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/health"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/pause"
 )
 
 // Bounds of polling the worker.
@@ -52,13 +53,13 @@
 		set := w.node.core.Board.Bundles.Get()
 		svc, b := set.Service(w.node.cfg.Service)
 		if svc == nil {
-			pause(w.node.ctx, noBundlePause)
+			pause.For(w.node.ctx, noBundlePause)
 			continue
 		}
 		if w.node.core.Landing.AllowPoll(time.Now()) {
 			w.polled(w.poll(svc.HealthPath))
 		}
-		pause(w.node.ctx, pollPause(b.Measuring.PerUpstreamPerSecond*b.Measuring.PollShare))
+		pause.For(w.node.ctx, pollPause(b.Measuring.PerUpstreamPerSecond*b.Measuring.PollShare))
 	}
 }
 
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -168,7 +168,7 @@
 	if r.ServiceTime > 0 {
 		p.service += beyond(float64(r.ServiceTime)-meanService, t.tuning.DeadZone*meanService) * speed
 	}
-	p.failureRate = float64(r.FailureRate) / 1000 * speed
+	p.failureRate = r.FailureShare() * speed
 }
 
 // beyond returns the part of d that is farther than zone from zero.
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -36,6 +36,22 @@
 	SameNode bool
 }
 
+// request makes the message of an attempt to its next hop at u. It is HTTP/1.1
+// and has a header of its own.
+func (w *Work) request(ctx context.Context, u *url.URL) *http.Request {
+	return (&http.Request{
+		Method:        w.Method,
+		URL:           u,
+		Host:          w.Host,
+		Header:        w.Header.Clone(),
+		Body:          w.Body,
+		ContentLength: w.ContentLength,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}).WithContext(ctx)
+}
+
 // Answer is a worker's answer; Body must be closed.
 type Answer struct {
 	Status int
@@ -294,17 +310,7 @@
 func (x *Executor) request(ctx context.Context, w *Work) *http.Request {
 	u := *w.URL
 	u.Scheme, u.Host = "http", x.address
-	req := (&http.Request{
-		Method:        w.Method,
-		URL:           &u,
-		Host:          w.Host,
-		Header:        w.Header.Clone(),
-		Body:          w.Body,
-		ContentLength: w.ContentLength,
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-	}).WithContext(ctx)
+	req := w.request(ctx, &u)
 	h := req.Header
 	a := &w.Attempt
 	h.Set(wire.HeaderAttempt, a.ID.String())
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -194,17 +194,7 @@
 	if w.URL.RawPath != "" {
 		u.RawPath = attemptPath + w.URL.RawPath
 	}
-	req := (&http.Request{
-		Method:        w.Method,
-		URL:           u,
-		Host:          w.Host,
-		Header:        w.Header.Clone(),
-		Body:          w.Body,
-		ContentLength: w.ContentLength,
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-	}).WithContext(ctx)
+	req := w.request(ctx, u)
 	req.Header.Set(wire.HeaderOffer, offer)
 	if w.ContentLength > replayBytes {
 		req.Header.Set("Expect", "100-continue")
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -109,9 +109,6 @@
 	FailureRate float64 `json:"failure_rate"`
 }
 
-// failureUnit is the unit of model.LoadReport.FailureRate.
-const failureUnit = 1000
-
 // LoadOf converts a report.
 func LoadOf(r model.LoadReport) Load {
 	return Load{
@@ -119,7 +116,7 @@
 		InFlight:    int(r.InFlight),
 		Queued:      int(r.Queued),
 		ServiceTime: Ms(r.ServiceTime),
-		FailureRate: float64(r.FailureRate) / failureUnit,
+		FailureRate: r.FailureShare(),
 	}
 }
 
