--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -1,14 +1,3 @@
-// Package owner decides what runs on this node's own worker: admission within
-// slots, a bounded queue by worth and remaining time, shares of classes and
-// tenants, and the record of attempts that keeps non-idempotent requests at
-// most once and refusals true. It does no I/O. Design: docs/DESIGN.md,
-// "Admission" and "At most once".
-//
-// The files follow an attempt's way: offer.go admits or refuses, queue.go and
-// shares.go order those that wait, limit.go and predict.go say how many run and
-// how long that takes, tenants.go holds the tenants' bounds, attempts.go
-// remembers attempts, keys.go remembers callers' request ids, settle.go answers
-// questions about attempts, pause.go judges anew after a stop of the process.
 package owner
 
 import (
@@ -101,18 +90,19 @@
 
 // New returns a cold owner.
 func New(cfg Config) *Owner {
-	return &Owner{
+	o := &Owner{
 		cfg:      cfg,
 		state:    model.StateCold,
 		live:     map[model.AttemptID]*item{},
-		queue:    newQueue(byWorth),
-		classes:  newClassSet(),
+		queue:    newQueue(),
 		choose:   byShares,
 		tenants:  newTenantSet(),
 		limit:    newLimiter(),
 		attempts: newLedger(),
 		keys:     newKeyTable(),
 	}
+	o.classes = newClassSet(&o.speed.all)
+	return o
 }
 
 // clock turns now into the owner's clock, which never steps back.
@@ -166,7 +156,8 @@
 
 // SetState sets the life stage. Leaving never turns back: a smaller state after
 // StateLeaving is ignored. Queued attempts stay, but for those that a worker
-// gone cold keeps waiting longer than coldGrace (see Tick).
+// gone cold keeps waiting longer than coldGrace (see Tick), or that leaving or
+// the end finds waiting for a worker that does not run.
 func (o *Owner) SetState(now time.Time, s model.UpstreamState) []Decision {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -179,6 +170,8 @@
 		o.limit.warm(t)
 	case s == model.StateCold && o.state != model.StateCold:
 		o.coldSince = t
+	case s == model.StateLeaving && o.state == model.StateCold, s == model.StateGone:
+		o.turnAwayAll(t, notRun(model.ReasonLeaving))
 	}
 	o.state = s
 	o.dispatch(t)
@@ -228,13 +221,13 @@
 	o.release(it)
 	switch {
 	case !f.NotRun:
-		o.attempts.end(t, id, attemptDone, it.deadline)
+		o.attempts.end(t, it, attemptDone)
 		o.keys.done(t, it)
 	case f.Delegate && it.keyed:
-		o.attempts.end(t, id, attemptBarred, it.deadline)
+		o.attempts.end(t, it, attemptBarred)
 		o.keys.delegate(t, it)
 	default:
-		o.attempts.end(t, id, attemptBarred, it.deadline)
+		o.attempts.end(t, it, attemptBarred)
 		o.keys.free(it)
 	}
 	o.dispatch(t)
