core, daemon: tests of what they decide

Cause: both had no test of their own. Change: core: news of a large fleet waits for the gap, a greater incarnation is adopted by all parts, probes go to others of called services only, and a leaving home hands its keys over in bounded batches, each to its next home. daemon: every fault of the settings in one pass, a port in use, and the exit codes.

--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,202 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/entry"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/owner"
+	"gypsumstand/internal/route"
+	"gypsumstand/internal/wire"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+const testBundle = `
+name = "test"
+version = 1
+[measuring]
+per_upstream_per_second = 100.0
+[[class]]
+name = "view"
+worth = 1.0
+deadline_ms = 1000
+[[service]]
+name = "ledger"
+slots = 20
+connections = 40
+[[service.route]]
+path = "/ledger"
+class = "view"
+[[service]]
+name = "vouchers"
+slots = 20
+connections = 40
+[[service.route]]
+path = "/"
+class = "view"
+`
+
+// instances returns n live instances of a service, as the platform lists them.
+func instances(service model.ServiceName, n int) []model.Instance {
+	out := make([]model.Instance, n)
+	for i := range out {
+		out[i] = model.Instance{
+			ID: model.InstanceID(fmt.Sprintf("%s-%05d", service, i)), Service: service, DataCentre: "dc",
+			PeerAddress: fmt.Sprintf("10.0.%d.%d:7000", i>>8, i&0xff), State: model.StateLive,
+		}
+	}
+	return out
+}
+
+// rig is one node, ledger-00000, on a fake clock.
+type rig struct {
+	*Node
+	now time.Time
+}
+
+// newRig returns a live node that has read the test bundle and the list.
+func newRig(t *testing.T, list ...model.Instance) *rig {
+	t.Helper()
+	self := instances("ledger", 1)[0]
+	self.State = model.StateCold
+	self.Incarnation = 1
+	random := uint64(0)
+	r := &rig{now: epoch, Node: New(Config{Self: self, Started: epoch, Random: func() uint64 { random += 1 << 57; return random }})}
+	b, err := bundle.Parse("test.toml", []byte(testBundle))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Board.Bundles.Put(bundle.NewSet([]*bundle.Bundle{b}))
+	r.Handle(r.now, control.SelfChanged{State: model.StateLive})
+	r.Handle(r.now, control.ListRead{Revision: 1, Full: true, Instances: append(instances("ledger", 1), list...)})
+	r.ticks(2 * time.Second)
+	return r
+}
+
+// ticks lets d pass and returns the actions of its last tick.
+func (r *rig) ticks(d time.Duration) []control.Action {
+	var last []control.Action
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.now = r.now.Add(control.TickInterval)
+		last = r.Handle(r.now, control.Tick{}).Actions
+	}
+	return last
+}
+
+func TestNewsOfALargeFleetWaitsForTheGap(t *testing.T) {
+	for _, tt := range []struct {
+		known int
+		wait  time.Duration
+	}{{10, 0}, {10_000, 500 * time.Millisecond}} {
+		t.Run(fmt.Sprint(tt.known), func(t *testing.T) {
+			r := newRig(t, instances("vouchers", tt.known-1)...)
+			first, late := instances("first", 1)[0], instances("late", 1)[0]
+			shown := func(in model.Instance, revision uint64) time.Time {
+				r.Handle(r.now, control.ListRead{Revision: revision, Instances: []model.Instance{in}})
+				for end := r.now.Add(time.Minute); r.now.Before(end); r.ticks(control.TickInterval) {
+					if _, ok := r.Table.Pick(r.now, &route.Query{Service: in.Service}); ok {
+						return r.now
+					}
+				}
+				t.Fatalf("%s is not routed to after a minute", in.ID)
+				return time.Time{}
+			}
+			before := shown(first, 2)
+			gap := shown(late, 3).Sub(before)
+			if gap < tt.wait || gap > tt.wait+2*control.TickInterval {
+				t.Errorf("the next news took %s, want %s and two ticks at the most", gap, tt.wait)
+			}
+		})
+	}
+}
+
+func TestAGreaterIncarnationIsAdoptedByAllParts(t *testing.T) {
+	r := newRig(t, instances("vouchers", 1)...)
+	peer := r.Board.Fleet.Get().Instances[1]
+	r.Handle(r.now, control.LinkUp{Peer: peer, Outgoing: true})
+	ghost := wire.MemberRecord{ID: "ledger-00000", Service: "ledger", DataCentre: "dc", PeerAddress: "10.0.0.0:7000", Incarnation: 7, State: model.StateGone, Counter: 3}
+	out := r.Handle(r.now, control.Received{From: peer.ID, Message: wire.Rumours{Records: []wire.MemberRecord{ghost}}})
+	for _, a := range out.Actions {
+		if adopt, ok := a.(control.AdoptIncarnation); ok {
+			t.Errorf("%+v leaves the core", adopt)
+		}
+	}
+	self := r.Board.Self.Get().Instance
+	target, _ := r.Board.Bundles.Get().Match("GET", "/ledger")
+	call := r.Engine.Begin(r.now, entry.Request{ID: "r1", Target: target, Timeout: time.Second})
+	got := []model.Incarnation{self.Incarnation, r.Owner.Report(r.now).Incarnation, call.Next(r.now).Attempt.OwnerIncarnation}
+	if diff := cmp.Diff([]model.Incarnation{8, 8, 8}, got); diff != "" {
+		t.Errorf("incarnations that board, owner and an attempt at the owner name (-want +got):\n%s", diff)
+	}
+	if self.State != model.StateLive {
+		t.Errorf("state %s", self.State)
+	}
+}
+
+func TestProbesGoToOthersOfCalledServicesOnly(t *testing.T) {
+	r := newRig(t, append(instances("ledger", 5)[1:], instances("vouchers", 40)...)...)
+	probed := map[model.InstanceID]bool{}
+	for range 200 {
+		r.Table.Sent(r.now, "ledger-00001")
+		for _, a := range r.ticks(control.TickInterval) {
+			direct, ok := a.(control.SendDirect)
+			if !ok {
+				continue
+			}
+			if _, ok := direct.Message.(wire.LoadProbe); ok {
+				probed[direct.To.ID] = true
+			}
+		}
+	}
+	want := map[model.InstanceID]bool{"ledger-00001": true, "ledger-00002": true, "ledger-00003": true, "ledger-00004": true}
+	if diff := cmp.Diff(want, probed); diff != "" {
+		t.Errorf("probed in 20 s (-want +got):\n%s", diff)
+	}
+}
+
+func TestALeavingHomeHandsItsKeysOverInBoundedBatches(t *testing.T) {
+	const keys = 1200
+	r := newRig(t, instances("ledger", 3)[1:]...)
+	for i := range keys {
+		a := model.Attempt{
+			ID: model.AttemptID{Entry: "vouchers-00000", Incarnation: 1, Sequence: uint64(i)}, Request: model.RequestID(fmt.Sprintf("payout-%04d", i)),
+			CallerKey: true, OwnerIncarnation: 1, OwnerClock: r.Owner.Report(r.now).Clock, Class: "view", Remaining: time.Second, Worth: 1,
+		}
+		if v, refusal := r.Owner.Offer(r.now, &a, false); v != owner.Start {
+			t.Fatalf("offer: %v %+v", v, refusal)
+		}
+		r.Owner.Finish(r.now, a.ID, owner.Finish{Status: 200, ServiceTime: time.Millisecond})
+	}
+	out := r.Handle(r.now, control.SelfChanged{State: model.StateLeaving})
+	handed := map[model.RequestID]bool{}
+	for _, a := range out.Actions {
+		direct, ok := a.(control.SendDirect)
+		if !ok {
+			continue
+		}
+		batch, ok := direct.Message.(wire.KeyHandover)
+		if !ok {
+			continue
+		}
+		if n := len(batch.Keys); n > wire.MaxHandoverKeys {
+			t.Errorf("%d keys in one message", n)
+		}
+		for _, k := range batch.Keys {
+			home, _ := r.Table.NextHome(r.now, "ledger", k.Request, []model.InstanceID{"ledger-00000"})
+			if direct.To.ID != home.Instance.ID || handed[k.Request] {
+				t.Fatalf("%s to %s, home %s, again %v", k.Request, direct.To.ID, home.Instance.ID, handed[k.Request])
+			}
+			handed[k.Request] = true
+		}
+	}
+	if len(handed) != keys {
+		t.Errorf("%d keys handed over, want %d", len(handed), keys)
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon_test.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumstand/internal/node"
+)
+
+const testSettings = `instance = %q
+service = "ledger"
+data_centre = "kigali-a"
+caller_address = %q
+peer_address = "127.0.0.1:7002"
+operator_address = "127.0.0.1:7003"
+worker_address = "127.0.0.1:7004"
+stop_timeout_ms = %d
+[platform]
+config_address = "127.0.0.1:7500"
+list_address = "127.0.0.1:7500"
+[[signer]]
+name = "aline"
+key = "A6EHv/POEL4dcN0Y50vAmWfk1jCbpQ1fHdyGZBJVMbg="
+`
+
+// run writes settings, runs the daemon on them, and returns its exit code and
+// what its log says in the given field.
+func run(t *testing.T, field, instance, callers string, stopTimeoutMs int) (exit int, said []string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.toml")
+	if err := os.WriteFile(path, fmt.Appendf(nil, testSettings, instance, callers, stopTimeoutMs), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var log bytes.Buffer
+	exit = Run(t.Context(), path, &log)
+	for line := range bytes.Lines(log.Bytes()) {
+		var fields map[string]any
+		if err := json.Unmarshal(line, &fields); err != nil {
+			t.Fatalf("%s: %v", line, err)
+		}
+		if text, ok := fields[field].(string); ok {
+			said = append(said, strings.TrimPrefix(text, path+":"))
+		}
+	}
+	return exit, said
+}
+
+func TestEveryFaultOfTheSettingsIsLoggedInOnePass(t *testing.T) {
+	exit, findings := run(t, "finding", "Ledger 1", "127.0.0.1", 1)
+	if exit != ExitSettings {
+		t.Errorf("exit code %d, want %d", exit, ExitSettings)
+	}
+	want := []string{
+		`1:1: instance: "Ledger 1" must be 1 to 64 characters of a-z, 0-9, '.', '_' and '-'`,
+		`4:1: caller_address: "127.0.0.1" must be an IP number and a port, as in 10.0.0.7:7100 or [fd00::7]:7100`,
+		`8:1: stop_timeout_ms: 1 must be from 100 to 3600000`,
+		`8:1: stop_timeout_ms: leave_grace_ms of 2000 must be under stop_timeout_ms of 1`,
+	}
+	if diff := cmp.Diff(want, findings); diff != "" {
+		t.Errorf("findings (-want +got):\n%s", diff)
+	}
+}
+
+func TestAPortInUseEndsTheStart(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	exit, said := run(t, "error", "ledger-1", taken.Addr().String(), 30_000)
+	if exit != ExitFailed || len(said) != 1 {
+		t.Errorf("exit code %d, errors %q, want %d and one", exit, said, ExitFailed)
+	}
+}
+
+func TestExitCodeTellsHowTheNodeEnded(t *testing.T) {
+	for _, tt := range []struct {
+		err  error
+		want int
+	}{
+		{nil, ExitOK},
+		{fmt.Errorf("stop: %w", node.ErrCutOff), ExitCutOff},
+		{errors.New("port closed"), ExitFailed},
+	} {
+		if got := code(tt.err); got != tt.want {
+			t.Errorf("%v: exit code %d, want %d", tt.err, got, tt.want)
+		}
+	}
+}
