proof: plans played by seed from a program, and an oracle with teeth

Cause: the simulated fleet, its faults and the oracle stood in test files, so that only go test could play plans, and the switches that break a promise had no test that set them. The trace's hash is xxhash's. It now looks at what comes to the worker, which is stricter.

--- a/internal/proof/causes_test.go
+++ b/internal/proof/causes_test.go
@@ -13,7 +13,7 @@
 func brought(t *testing.T, course func(w *world)) {
 	t.Helper()
 	for seed := range uint64(20) {
-		w := newWorld(seed, switches{})
+		w := newWorld(seed, sound())
 		w.advance(8 * time.Second)
 		course(w)
 		w.ledger.checkSpread()
--- a/internal/proof/ledger_test.go
+++ b/internal/proof/ledger.go
@@ -247,7 +247,6 @@
 	for _, other := range r.sendings {
 		g.checkNotRun(other, run)
 	}
-	g.checkLeaving(j)
 }
 
 // told notes what a caller was told.
--- a/internal/proof/oracle_test.go
+++ b/internal/proof/oracle.go
@@ -92,11 +92,12 @@
 	}
 }
 
-// checkLeaving holds the start of work against its upstream's leaving.
+// checkLeaving holds work that comes to a worker, which may refuse it, against its
+// upstream's leaving.
 func (g *ledger) checkLeaving(j *job) {
 	left := g.lives[j.l].leaves
 	if !left.IsZero() && j.offered.Sub(left) > leavingTime {
-		g.violate(promiseLeaving, "%s began work on %s that arrived %v after it began to leave",
+		g.violate(promiseLeaving, "%s sent its worker %s, which arrived %v after it began to leave",
 			j.l.node.id, j.attempt.ID, j.offered.Sub(left))
 	}
 }
--- a/internal/proof/promises_test.go
+++ b/internal/proof/promises_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -32,23 +33,19 @@
 	rapidflags.Main(m, flags)
 }
 
-// switches break, each, the code that keeps one promise; see teeth_test.go.
-type switches struct {
-	skipSettle     bool
-	brokenIsNotRun bool
-	replay         bool
-	acceptCrossed  bool
-	acceptCut      bool
-	ignoreLeaving  bool
-	cutOff         bool
-	dropBudget     bool
-}
-
 // rapidChooser draws a plan's choices by rapid, which can then shrink them.
 type rapidChooser struct{ t *rapid.T }
 
 func (r rapidChooser) pick(what string, n int) int { return rapid.IntRange(0, n-1).Draw(r.t, what) }
 
+// sound returns the switches of a world that breaks nothing.
+func sound() switches {
+	if *showTrace {
+		return switches{trace: os.Stdout}
+	}
+	return switches{}
+}
+
 // TestPromisesHoldUnderFaults draws plans of actions and checks the oracle after
 // each, and that service returns once faults stop.
 func TestPromisesHoldUnderFaults(t *testing.T) {
@@ -66,14 +63,11 @@
 
 func runDrawnPlan(rt *rapid.T, counts map[string]int) {
 	c := rapidChooser{rt}
-	w := newWorld(uint64(c.pick("seed", 1<<20)), switches{})
-	w.advance(w.wait(c, "start", 5*time.Second))
+	w := newWorld(uint64(c.pick("seed", 1<<20)), sound())
+	w.start(c)
 	steps := map[string]func(*rapid.T){"": func(rt *rapid.T) { failOn(rt, w) }}
 	for _, a := range actions {
-		steps[a.name] = func(rt *rapid.T) {
-			a.do(w, rapidChooser{rt})
-			w.advance(w.wait(rapidChooser{rt}, "then", 400*time.Millisecond))
-		}
+		steps[a.name] = func(rt *rapid.T) { w.step(rapidChooser{rt}, a) }
 	}
 	rt.Repeat(steps)
 	w.recover()
--- /dev/null
+++ b/internal/proof/run.go
@@ -0,0 +1,73 @@
+package proof
+
+import (
+	"io"
+	"math/rand/v2"
+	"time"
+)
+
+// Times between the steps of a plan, at the most.
+const (
+	startWait = 5 * time.Second
+	stepWait  = 400 * time.Millisecond
+)
+
+// Plan is a course of random steps. The same plan has the same course each time.
+type Plan struct {
+	Seed uint64
+	// Steps is the number of requests, faults and the like.
+	Steps int
+	// Trace is told what happens, a line each; nil means none.
+	Trace io.Writer
+}
+
+// Report is what one plan brought about.
+type Report struct {
+	Plan Plan
+	// Breaches holds what the oracle found, a line each, none when all promises
+	// were kept and service returned once faults had stopped.
+	Breaches []string
+	// Counts is how often things came to pass, by their names.
+	Counts map[string]int
+	// Hash differs when two runs of a plan differ.
+	Hash uint64
+}
+
+// Run plays a plan, ends all faults and checks that service returns.
+func Run(p Plan) Report {
+	c := seededChooser{rand.New(rand.NewPCG(p.Seed, 1))}
+	w := newWorld(p.Seed, switches{trace: p.Trace})
+	w.play(c, p.Steps)
+	return w.report(p)
+}
+
+// play takes a plan's steps, then ends all faults and checks recovery.
+func (w *world) play(c chooser, steps int) {
+	w.start(c)
+	for range steps {
+		w.step(c, actions[c.pick("action", len(actions))])
+	}
+	w.recover()
+}
+
+func (w *world) report(p Plan) Report {
+	r := Report{Plan: p, Counts: w.ledger.counts, Hash: w.trace.hash.Sum64()}
+	for _, v := range w.ledger.violations {
+		r.Breaches = append(r.Breaches, v.String())
+	}
+	return r
+}
+
+// start lets the processes run for a moment before the first step.
+func (w *world) start(c chooser) { w.advance(w.wait(c, "start", startWait)) }
+
+// step takes one step and lets some time pass.
+func (w *world) step(c chooser, a action) {
+	a.do(w, c)
+	w.advance(w.wait(c, "then", stepWait))
+}
+
+// seededChooser draws a plan's choices from a seed.
+type seededChooser struct{ rng *rand.Rand }
+
+func (s seededChooser) pick(_ string, n int) int { return s.rng.IntN(n) }
--- /dev/null
+++ b/internal/proof/run_test.go
@@ -0,0 +1,21 @@
+package proof
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestAPlanHasTheSameCourseEachTime(t *testing.T) {
+	play := func(seed uint64) Report { return Run(Plan{Seed: seed, Steps: 15}) }
+	first, again, other := play(3), play(3), play(4)
+	if diff := cmp.Diff(first, again); diff != "" {
+		t.Errorf("two runs of one plan (-first +again):\n%s", diff)
+	}
+	if first.Hash == other.Hash {
+		t.Error("plans of two seeds have the same course")
+	}
+	for _, breach := range append(first.Breaches, other.Breaches...) {
+		t.Error(breach)
+	}
+}
--- a/internal/proof/worker_test.go
+++ b/internal/proof/worker.go
@@ -113,6 +113,7 @@
 // begin runs the request, unless the worker sheds it.
 func (r *run) begin() {
 	wk, w := r.wk, r.wk.n.w
+	w.ledger.checkLeaving(r.j)
 	switch {
 	case wk.cold:
 		r.respond(workerAnswer{kind: answerClosed})
--- a/internal/proof/world_test.go
+++ b/internal/proof/world.go
@@ -2,16 +2,33 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gypsumstand/internal/eventqueue"
 )
 
 // epoch is the fake clock's start.
 var epoch = time.Date(2025, time.March, 1, 8, 0, 0, 0, time.UTC)
 
+// switches break, each, the code that keeps one promise, to see that the oracle
+// finds it.
+type switches struct {
+	skipSettle     bool
+	brokenIsNotRun bool
+	replay         bool
+	acceptCrossed  bool
+	acceptCut      bool
+	ignoreLeaving  bool
+	cutOff         bool
+	dropBudget     bool
+	// trace, when not nil, is told what happens.
+	trace io.Writer
+}
+
 // world is a fleet of simulated processes, their workers and callers, and the
 // platform. One goroutine runs all of it.
 type world struct {
@@ -34,6 +51,7 @@
 // newWorld returns a fleet whose processes have just started.
 func newWorld(seed uint64, s switches) *world {
 	w := &world{now: epoch, rng: rand.New(rand.NewPCG(seed, 0)), switches: s}
+	w.trace = trace{hash: xxhash.New(), out: s.trace}
 	w.ledger = newLedger(w)
 	w.net = newNetwork(w)
 	w.platform = newPlatform(w)
@@ -97,25 +115,18 @@
 	return nil
 }
 
-// trace is a running hash (FNV-1a).
-type trace struct{ sum uint64 }
-
-const (
-	fnvOffset = 14695981039346656037
-	fnvPrime  = 1099511628211
-)
+// trace is a running hash of what happened, which is also written to out.
+type trace struct {
+	hash *xxhash.Digest
+	out  io.Writer
+}
 
 // add mixes the text of values in.
 func (t *trace) add(w *world, what string, values ...any) {
-	if t.sum == 0 {
-		t.sum = fnvOffset
-	}
-	if *showTrace {
-		fmt.Println(w.now.Sub(epoch), what, fmt.Sprint(values...))
-	}
-	text := strconv.FormatInt(w.now.Sub(epoch).Nanoseconds(), 10) + what + fmt.Sprint(values...)
-	for i := range len(text) {
-		t.sum = (t.sum ^ uint64(text[i])) * fnvPrime
+	text := fmt.Sprintln(w.now.Sub(epoch), what, fmt.Sprint(values...))
+	_, _ = t.hash.WriteString(text)
+	if t.out != nil {
+		_, _ = io.WriteString(t.out, text)
 	}
 }
 
