simulation/calls: the model that compares retries and hedges is a package

Cause: the fleet of entries and owners on a fake clock stood in tests of entry, and only benchmarks printed its figures. Change: package simulation/calls holds it; gypsumbench -simulate retries|hedges prints what BenchmarkOverload and BenchmarkHedge did. What it varies of the product is entry.Tuning, given by Config.Tuning; a node's is as before. The four tests on that fleet move along with their assertions unchanged.

--- a/cmd/gypsumbench/main.go
+++ b/cmd/gypsumbench/main.go
@@ -8,12 +8,14 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
 	"gypsumstand/internal/deploy"
 	"gypsumstand/internal/experiment"
 	"gypsumstand/internal/simulation"
+	"gypsumstand/internal/simulation/calls"
 )
 
 // Exit codes.
@@ -30,12 +32,15 @@
   gypsumbench -examples examples -out docs
   gypsumbench -examples examples -out /some/folder -duration 2s -repeats 1
 
-With -simulate it prints instead how the policies, or the product's policy with
-one part changed each, do on an event-driven model of one service. That takes a
-few minutes, opens no socket and gives the same figures each time.
+With -simulate it prints instead what an event-driven model of one service gives:
+for each routing policy, for the product's with one part changed each, for ways
+of placing refused calls elsewhere, or for hedges. That takes up to a few minutes,
+opens no socket and gives the same figures each time.
 
   gypsumbench -simulate policies
   gypsumbench -simulate parts
+  gypsumbench -simulate retries
+  gypsumbench -simulate hedges
 
 Exit codes: 0 done, 1 failed, 2 usage.
 
@@ -55,6 +60,8 @@
 const (
 	simulatePolicies = "policies"
 	simulateParts    = "parts"
+	simulateRetries  = "retries"
+	simulateHedges   = "hedges"
 )
 
 func main() { os.Exit(run()) }
@@ -66,7 +73,7 @@
 	flag.DurationVar(&s.duration, "duration", 6*time.Second, "load of one run, 1s to 1m")
 	flag.IntVar(&s.repeats, "repeats", 3, "runs of each cell, 1 to 20")
 	flag.Float64Var(&s.rate, "rate", 2000, "calls a second for the added time, 1 to 20000")
-	flag.StringVar(&s.simulate, "simulate", "", "compare on the model only: policies or parts")
+	flag.StringVar(&s.simulate, "simulate", "", "compare on the model only: policies, parts, retries or hedges")
 	flag.Usage = func() {
 		fmt.Fprint(flag.CommandLine.Output(), usage)
 		flag.PrintDefaults()
@@ -86,7 +93,7 @@
 }
 
 func (s *settings) valid() bool {
-	known := s.simulate == "" || s.simulate == simulatePolicies || s.simulate == simulateParts
+	known := slices.Contains([]string{"", simulatePolicies, simulateParts, simulateRetries, simulateHedges}, s.simulate)
 	return known && s.duration >= time.Second && s.duration <= time.Minute &&
 		s.repeats >= 1 && s.repeats <= 20 && s.rate >= 1 && s.rate <= 20000
 }
@@ -98,6 +105,10 @@
 		return simulation.Write(os.Stdout, simulation.Policies())
 	case simulateParts:
 		return simulation.Write(os.Stdout, simulation.Ablations())
+	case simulateRetries:
+		return calls.WriteRetries(os.Stdout)
+	case simulateHedges:
+		return calls.WriteHedges(os.Stdout)
 	}
 	return bench(ctx, s)
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -15,20 +15,6 @@
 	maxSends = 16
 )
 
-// tuning holds what measurements compare; calls use defaultTuning.
-type tuning struct {
-	// rounds is the number of times that a call waits for the owners that
-	// refused it and asks them again.
-	rounds int
-	// shed and place are the costs of placing elsewhere what an owner refused
-	// for load, and for any other reason, in thousandths of an attempt. Where one
-	// owner has no room the others seldom have; an owner that leaves or is cold
-	// says nothing about the others.
-	shed, place int64
-}
-
-var defaultTuning = tuning{rounds: 2, shed: unit, place: unit / 4}
-
 // phase is what a call does next.
 type phase uint8
 
--- a/internal/entry/call_test.go
+++ b/internal/entry/call_test.go
@@ -212,7 +212,7 @@
 
 func TestDelegatedRequestNeverReturnsToItsHome(t *testing.T) {
 	s := start(t, 2, keyed).do(refuse(model.ReasonDelegated))
-	for range defaultTuning.rounds {
+	for range DefaultTuning().Rounds {
 		wantStep(t, s.step, StepSend, "payouts-b")
 		if !s.step.Attempt.Delegated {
 			t.Fatal("the attempt elsewhere is not marked as delegated")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,9 @@
 	// Random returns uniform 64-bit values and is safe for concurrent use; nil
 	// means math/rand/v2's global source.
 	Random func() uint64
+	// Tuning replaces the product's, for measurements only; nil means
+	// DefaultTuning.
+	Tuning *Tuning
 }
 
 // chooser is what an engine needs of a route.Table.
@@ -48,7 +51,7 @@
 type Engine struct {
 	cfg      Config
 	table    chooser
-	tuning   tuning
+	tuning   Tuning
 	sequence atomic.Uint64
 	// adopted is the incarnation of this node's own owner.
 	adopted atomic.Uint64
@@ -65,7 +68,10 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.Uint64
 	}
-	e := &Engine{cfg: cfg, table: table, tuning: defaultTuning}
+	e := &Engine{cfg: cfg, table: table, tuning: DefaultTuning()}
+	if cfg.Tuning != nil {
+		e.tuning = *cfg.Tuning
+	}
 	e.adopted.Store(uint64(cfg.Self.Incarnation))
 	return e
 }
--- a/internal/entry/hedge_test.go
+++ b/internal/entry/hedge_test.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"fmt"
-	"sort"
 	"testing"
 	"time"
 
@@ -90,61 +88,3 @@
 		}
 	}
 }
-
-// pausing stops the first owner for a quarter of the time.
-func (f *fleet) pausing() {
-	var pause func()
-	pause = func() {
-		f.pausedUntil = f.now.Add(500 * time.Millisecond)
-		f.after(2*time.Second, pause)
-	}
-	f.after(4*time.Second, pause)
-}
-
-func TestHedgesAnswerCallsThatAPausedOwnerHolds(t *testing.T) {
-	unanswered := map[float64]int{}
-	for _, quantile := range []float64{0, 0.95} {
-		f := newFleet(1, defaultTuning)
-		f.bundle.Retry.HedgeAfterQuantile = quantile
-		f.length = fleetLong / 2
-		f.pausing()
-		f.run(0.6)
-		f.stats.log(t, fmt.Sprintf("hedge after %.2f", quantile))
-		unanswered[quantile] = f.stats.calls - f.stats.answered
-	}
-	if unanswered[0] < 10 || unanswered[0.95] > unanswered[0]/10 {
-		t.Errorf("%d calls unanswered with hedges, %d without", unanswered[0.95], unanswered[0])
-	}
-}
-
-func BenchmarkHedge(b *testing.B) {
-	faults := map[string]func(*fleet){"slowed": func(f *fleet) { f.slow = 5 }, "paused": (*fleet).pausing}
-	for fault, set := range faults {
-		for _, share := range []float64{0.6, 0.85} {
-			for _, quantile := range []float64{0, 0.95, 0.99} {
-				b.Run(fmt.Sprintf("one %s/%.0f%%/after %.2f", fault, 100*share, quantile), func(b *testing.B) {
-					for range b.N {
-						medianOfSeeds(share, quantile, set).report(b)
-					}
-				})
-			}
-		}
-	}
-}
-
-// medianOfSeeds runs a fleet with several seeds and returns the figures of the
-// one with the median answered share.
-func medianOfSeeds(share, quantile float64, set func(*fleet)) *fleetStats {
-	const seeds = 7
-	var runs []*fleetStats
-	for seed := range uint64(seeds) {
-		f := newFleet(seed+1, defaultTuning)
-		f.bundle.Retry.HedgeAfterQuantile = quantile
-		f.length = fleetLong
-		set(f)
-		f.run(share)
-		runs = append(runs, &f.stats)
-	}
-	sort.Slice(runs, func(i, j int) bool { return runs[i].answeredShare() < runs[j].answeredShare() })
-	return runs[seeds/2]
-}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -30,9 +30,9 @@
 // placeCost returns what placing the request once more costs.
 func (c *Call) placeCost() int64 {
 	if c.loaded {
-		return c.engine.tuning.shed
+		return c.engine.tuning.Shed
 	}
-	return c.engine.tuning.place
+	return c.engine.tuning.Place
 }
 
 // retry goes on after an attempt that may have run, when its request is
@@ -71,7 +71,7 @@
 		return
 	}
 	until := c.nextRound(now)
-	if c.loaded || c.rounds == c.engine.tuning.rounds || c.sends >= maxSends || !until.Before(c.deadline) {
+	if c.loaded || c.rounds == c.engine.tuning.Rounds || c.sends >= maxSends || !until.Before(c.deadline) {
 		c.giveUp(c.reason)
 		return
 	}
--- a/internal/entry/fleet_call_test.go
+++ b/internal/simulation/calls/call.go
@@ -1,9 +1,10 @@
-package entry
+package calls
 
 import (
 	"time"
 
 	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/entry"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
 )
@@ -21,23 +22,24 @@
 // leg is one engine call in hand.
 type leg struct {
 	*fleetCall
-	call *Call
+	call *entry.Call
 	// step is the last one; sent tells whether its attempt is out.
-	step  Step
+	step  entry.Step
 	sent  bool
 	ended bool
 }
 
 func (f *fleet) begin(e *fleetEntry) {
-	r := testRequest()
-	r.Target = bundle.Target{Bundle: f.bundle, Service: &f.bundle.Services[0], Class: &f.bundle.Classes[0]}
-	r.Idempotent = true
-	r.Timeout = f.timeout
+	r := entry.Request{
+		ID:         "r1",
+		Target:     bundle.Target{Bundle: f.bundle, Service: &f.bundle.Services[0], Class: &f.bundle.Classes[0]},
+		Idempotent: true, Timeout: f.timeout, RetryBudget: retryBudget, Replayable: true,
+	}
 	x := &fleetCall{fleet: f, entry: e, began: f.now, counted: f.now.Sub(epoch) > fleetWarm}
 	x.add(e.engine.Begin(f.now, r))
 }
 
-func (x *fleetCall) add(c *Call) {
+func (x *fleetCall) add(c *entry.Call) {
 	l := &leg{fleetCall: x, call: c}
 	x.legs = append(x.legs, l)
 	l.next()
@@ -50,17 +52,17 @@
 	}
 	l.step = l.call.Next(f.now)
 	switch s := l.step; s.Kind {
-	case StepSend:
+	case entry.StepSend:
 		l.send(s)
-	case StepWait:
+	case entry.StepWait:
 		f.after(s.Until.Sub(f.now), l.next)
-	case StepEnd:
+	case entry.StepEnd:
 		l.ended = true
 		l.end(s)
 	}
 }
 
-func (l *leg) send(s Step) {
+func (l *leg) send(s entry.Step) {
 	f := l.fleet
 	l.count(&f.stats.sends)
 	l.sent = true
@@ -160,13 +162,13 @@
 }
 
 // end takes a leg's end: an answer ends the request, and so does the last leg.
-func (x *fleetCall) end(s Step) {
+func (x *fleetCall) end(s entry.Step) {
 	if s.Outcome != model.OutcomeAnswered {
 		for _, l := range x.legs {
 			if !l.ended {
 				return
 			}
-			s = EndOfBoth(s, l.step)
+			s = entry.EndOfBoth(s, l.step)
 		}
 	}
 	x.over = true
@@ -197,7 +199,7 @@
 	})
 }
 
-func (st *fleetStats) end(took time.Duration, s Step) {
+func (st *fleetStats) end(took time.Duration, s entry.Step) {
 	st.calls++
 	switch s.Outcome {
 	case model.OutcomeAnswered:
--- a/internal/entry/overload_test.go
+++ b/internal/simulation/calls/calls_test.go
@@ -1,10 +1,11 @@
-package entry
+package calls
 
 import (
 	"fmt"
 	"testing"
 	"time"
 
+	"gypsumstand/internal/entry"
 	"gypsumstand/internal/model"
 )
 
@@ -16,18 +17,13 @@
 		ms(quantile(s.refusedAfter, 0.5)), ms(quantile(s.refusedAfter, 0.99)), s.calls)
 }
 
-func (s *fleetStats) answeredShare() float64 { return float64(s.answered) / float64(s.calls) }
-func (s *fleetStats) sendsPerCall() float64  { return float64(s.sends) / float64(s.calls) }
-
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 func TestOverloadDoesNotMultiplyRefusals(t *testing.T) {
-	f := newFleet(5, defaultTuning)
+	f := newFleet(5, entry.DefaultTuning())
 	f.run(2)
 	s := &f.stats
 	s.log(t, "200% of capacity")
-	saved := fleetEntries * float64(bucketDepth/unit+fleetRun/time.Second) / float64(s.calls)
-	if bound := 1 + testTarget().Bundle.Retry.Ratio + saved; s.sendsPerCall() > bound {
+	saved := fleetEntries * float64(entry.MaxSaved/entry.Attempt+fleetRun/time.Second) / float64(s.calls)
+	if bound := 1 + retryRatio + saved; s.sendsPerCall() > bound {
 		t.Errorf("%.3f sends per call, want at most %.3f", s.sendsPerCall(), bound)
 	}
 	if after := quantile(s.refusedAfter, 1); after > fleetTimeout/10 {
@@ -35,40 +31,10 @@
 	}
 }
 
-func BenchmarkOverload(b *testing.B) {
-	tunings := map[string]tuning{
-		"never elsewhere":             {shed: bucketDepth + 1, place: bucketDepth + 1},
-		"elsewhere without a budget":  {},
-		"elsewhere within the budget": defaultTuning,
-	}
-	for _, share := range []float64{0.85, 1.1, 2} {
-		for name, tu := range tunings {
-			b.Run(fmt.Sprintf("%.0f%%/%s", 100*share, name), func(b *testing.B) {
-				for range b.N {
-					f := newFleet(5, tu)
-					f.length = fleetLong
-					f.run(share)
-					f.stats.report(b)
-				}
-			})
-		}
-	}
-}
-
-// report gives a fleet's figures as a benchmark's.
-func (s *fleetStats) report(b *testing.B) {
-	b.ReportMetric(100*s.answeredShare(), "answered%")
-	b.ReportMetric(ms(quantile(s.latencies, 0.99)), "p99ms")
-	b.ReportMetric(ms(quantile(s.latencies, 0.999)), "p99.9ms")
-	b.ReportMetric(s.sendsPerCall(), "sends/call")
-	b.ReportMetric(float64(s.runs)/float64(s.answered), "runs/answer")
-	b.ReportMetric(ms(quantile(s.refusedAfter, 0.99)), "refusedp99ms")
-}
-
 func TestRefusalsOfOneOwnerAreMadeUpForElsewhere(t *testing.T) {
 	for name, state := range map[string]model.UpstreamState{"leaving": model.StateLeaving, "cold": model.StateCold} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(5, defaultTuning)
+			f := newFleet(5, entry.DefaultTuning())
 			f.after(fleetRun/2, func() { f.owners[0].deliver(f.owners[0].owner.SetState(f.now, state)) })
 			f.run(0.6)
 			f.stats.log(t, "one of four is "+name)
@@ -80,7 +46,7 @@
 }
 
 func TestCallsWaitForWorkersThatWake(t *testing.T) {
-	f := newFleet(5, defaultTuning)
+	f := newFleet(5, entry.DefaultTuning())
 	f.timeout = 3 * time.Second
 	f.length = fleetLong
 	for _, o := range f.owners {
@@ -93,3 +59,19 @@
 		t.Errorf("%d of %d calls answered", f.stats.answered, f.stats.calls)
 	}
 }
+
+func TestHedgesAnswerCallsThatAPausedOwnerHolds(t *testing.T) {
+	unanswered := map[float64]int{}
+	for _, quantile := range []float64{0, 0.95} {
+		f := newFleet(1, entry.DefaultTuning())
+		f.bundle.Retry.HedgeAfterQuantile = quantile
+		f.length = fleetLong / 2
+		f.pausing()
+		f.run(0.6)
+		f.stats.log(t, fmt.Sprintf("hedge after %.2f", quantile))
+		unanswered[quantile] = f.stats.calls - f.stats.answered
+	}
+	if unanswered[0] < 10 || unanswered[0.95] > unanswered[0]/10 {
+		t.Errorf("%d calls unanswered with hedges, %d without", unanswered[0.95], unanswered[0])
+	}
+}
--- a/internal/entry/fleet_test.go
+++ b/internal/simulation/calls/fleet.go
@@ -1,11 +1,15 @@
-package entry
+// Package calls measures retries and hedges on a fake clock: entry nodes and owners
+// of one service with the product's routing, admission and retry budgets, under
+// load in bursts. Workers and links are times.
+package calls
 
 import (
 	"math"
-	"sort"
+	"math/rand/v2"
 	"time"
 
 	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/entry"
 	"gypsumstand/internal/eventqueue"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
@@ -22,16 +26,23 @@
 	fleetLink    = 300 * time.Microsecond
 	fleetTimeout = 250 * time.Millisecond
 	fleetTick    = 10 * time.Millisecond
-	// fleetRun is the length of a test's run; a benchmark's is longer.
-	fleetRun  = 2 * time.Second
-	fleetLong = 10 * time.Second
-	fleetWarm = 500 * time.Millisecond
+	// fleetRun is the length of a short run, fleetLong that of a measured one.
+	fleetRun                       = 2 * time.Second
+	fleetLong                      = 10 * time.Second
+	fleetWarm                      = 500 * time.Millisecond
+	fleetService model.ServiceName = "payouts"
+	// retryRatio and retryBudget are the bundle's ratio and the path's budget.
+	retryRatio  = 0.2
+	retryBudget = 2
 	// burstEvery, burstLength and burstFactor shape the load's bursts.
 	burstEvery  = 200 * time.Millisecond
 	burstLength = 10 * time.Millisecond
 	burstFactor = 4
 )
 
+// epoch is the fake clock's start.
+var epoch = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
 // fleet runs entry nodes and owners with the product's routing and admission on
 // a fake clock; workers and links are times.
 type fleet struct {
@@ -58,7 +69,7 @@
 }
 
 type fleetEntry struct {
-	engine *Engine
+	engine *entry.Engine
 	table  *route.Table
 }
 
@@ -72,16 +83,25 @@
 	f.events.Add(f.now.Add(d), do)
 }
 
-func newFleet(seed uint64, t tuning) *fleet {
-	f := &fleet{now: epoch, random: seeded(seed), slow: 1, timeout: fleetTimeout, length: fleetRun}
-	f.bundle = testTarget().Bundle
-	f.bundle.Services[0].QueueLimit = 4 * fleetSlots
-	f.bundle.Services[0].Slots = fleetSlots
-	f.bundle.Services[0].Connections = 260
+// fleetBundle is the bundle of the one service.
+func fleetBundle() *bundle.Bundle {
+	return &bundle.Bundle{
+		Name: "inyange", Version: 9, Retry: bundle.Retry{PerPath: retryBudget, Ratio: retryRatio},
+		Classes: []bundle.Class{{Name: "payout", Worth: 10, DeadlineMs: 1000}},
+		Services: []bundle.Service{{
+			Name: fleetService, Slots: fleetSlots, QueueLimit: 4 * fleetSlots, Connections: 260,
+		}},
+	}
+}
+
+// newFleet returns a fleet whose load has not begun.
+func newFleet(seed uint64, t entry.Tuning) *fleet {
+	f := &fleet{now: epoch, random: rand.New(rand.NewPCG(seed, 1)).Uint64, slow: 1, timeout: fleetTimeout, length: fleetRun}
+	f.bundle = fleetBundle()
 	view := &model.Fleet{Revision: 1}
 	for i := range fleetOwners {
 		in := model.Instance{
-			ID: model.InstanceID("payouts-" + string(rune('a'+i))), Service: testService, DataCentre: "dc1",
+			ID: model.InstanceID("payouts-" + string(rune('a'+i))), Service: fleetService, DataCentre: "dc1",
 			Incarnation: model.Incarnation(100 + i), State: model.StateLive,
 		}
 		view.Instances = append(view.Instances, in)
@@ -106,12 +126,11 @@
 	f.after(fleetTick, tick)
 }
 
-func (f *fleet) addEntry(view *model.Fleet, t tuning) {
+func (f *fleet) addEntry(view *model.Fleet, t entry.Tuning) {
 	self := model.Instance{ID: model.InstanceID("vouchers-" + string(rune('a'+len(f.entries)))), Incarnation: 3}
 	table := route.NewTable(route.Config{Self: self.ID, DataCentre: "dc1", LocalDelay: fleetLink, Random: f.random})
 	table.Update(f.now, view, bundle.NewSet([]*bundle.Bundle{f.bundle}))
-	engine := newEngine(Config{Self: self, Random: f.random}, table)
-	engine.tuning = t
+	engine := entry.NewEngine(entry.Config{Self: self, Random: f.random, Tuning: &t}, table)
 	f.entries = append(f.entries, &fleetEntry{engine: engine, table: table})
 }
 
@@ -155,12 +174,3 @@
 		do()
 	}
 }
-
-func quantile(list []time.Duration, q float64) time.Duration {
-	if len(list) == 0 {
-		return 0
-	}
-	sorted := append([]time.Duration(nil), list...)
-	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
-	return sorted[int(q*float64(len(sorted)-1))]
-}
