Say the rule of names once, and find repeated names in one place

Cause: the rule's text stood in tomlfile, keys and ctl, and the search for a name that stands twice in two lists of platform. Change: tomlfile.NameRule, platform's unseen. keys' message says 'must be' now. Platform's own rule of names stays: it is what other people's platforms may send, and is wider on purpose. Run: go vet, staticcheck and the six packages' tests pass.

--- a/internal/ctl/keygen.go
+++ b/internal/ctl/keygen.go
@@ -34,7 +34,7 @@
 				return usagef("unexpected argument %q", args[0])
 			}
 			if !tomlfile.ValidName(*name) {
-				return usagef("-name must be 1 to %d characters of a-z, 0-9, '.', '_' and '-'", tomlfile.MaxNameBytes)
+				return usagef("-name %s", tomlfile.NameRule)
 			}
 			return keygen(s, *name, *dir)
 		}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -36,7 +36,7 @@
 // Generate makes a key of that name; source is crypto/rand's when it is nil.
 func Generate(name string, source io.Reader) (*Key, error) {
 	if !tomlfile.ValidName(name) {
-		return nil, fmt.Errorf("key name %q: want 1 to %d characters of a-z, 0-9, '.', '_' and '-'", name, tomlfile.MaxNameBytes)
+		return nil, fmt.Errorf("key name %q %s", name, tomlfile.NameRule)
 	}
 	if source == nil {
 		source = rand.Reader
--- a/internal/platform/decode.go
+++ b/internal/platform/decode.go
@@ -182,15 +182,27 @@
 	}
 }
 
+// seenNames holds where in a list a name stands last.
+type seenNames struct {
+	list string
+	at   map[string]int
+}
+
+// unseen notes a fault when a name stands in the list before place i, and that it
+// stands there.
+func (c *checker) unseen(seen seenNames, key, name string, i int) {
+	if earlier, taken := seen.at[name]; taken {
+		c.add(key, fmt.Sprintf("%q stands at %s[%d] too", name, seen.list, earlier))
+	}
+	seen.at[name] = i
+}
+
 func (c *checker) instances(entries []InstanceEntry) []model.Instance {
 	out := make([]model.Instance, 0, len(entries))
-	seen := make(map[string]int, len(entries))
+	seen := seenNames{list: "instances", at: make(map[string]int, len(entries))}
 	for i, e := range entries {
 		key := fmt.Sprintf("instances[%d].", i)
-		if first, taken := seen[e.ID]; taken {
-			c.add(key+"id", fmt.Sprintf("%q stands at instances[%d] too", e.ID, first))
-		}
-		seen[e.ID] = i
+		c.unseen(seen, key+"id", e.ID, i)
 		out = append(out, c.instance(key, e))
 	}
 	return out
@@ -226,13 +238,10 @@
 
 func (c *checker) versions(entries []VersionEntry) []model.BundleVersion {
 	out := make([]model.BundleVersion, 0, len(entries))
-	seen := make(map[string]int, len(entries))
+	seen := seenNames{list: "versions", at: make(map[string]int, len(entries))}
 	for i, e := range entries {
 		key := fmt.Sprintf("versions[%d]", i)
-		if first, taken := seen[e.Name]; taken {
-			c.add(key+".name", fmt.Sprintf("%q stands at versions[%d] too", e.Name, first))
-		}
-		seen[e.Name] = i
+		c.unseen(seen, key+".name", e.Name, i)
 		c.name(key+".name", e.Name)
 		if e.Version == 0 {
 			c.add(key+".version", "must be at least 1")
--- a/internal/tomlfile/rules.go
+++ b/internal/tomlfile/rules.go
@@ -9,8 +9,8 @@
 // MaxNameBytes bounds a name.
 const MaxNameBytes = 64
 
-// nameRule says what ValidName asks for.
-const nameRule = "must be 1 to 64 characters of a-z, 0-9, '.', '_' and '-'"
+// NameRule says what ValidName asks for, to follow the name in a message.
+const NameRule = "must be 1 to 64 characters of a-z, 0-9, '.', '_' and '-'"
 
 // ValidName tells whether s may name a thing: such names become metric labels,
 // parts of headers and file names as they are.
@@ -29,7 +29,7 @@
 	case value == "" && !d.Has(key):
 		d.Add(key, "missing")
 	case !ValidName(value):
-		d.Add(key, "%q %s", value, nameRule)
+		d.Add(key, "%q %s", value, NameRule)
 	}
 }
 
