--- a/internal/bundle/bench_test.go
+++ b/internal/bundle/bench_test.go
@@ -98,7 +98,7 @@
 }
 
 // BenchmarkOpen reports the cost of taking in a signed bundle as a ratio to
-// decoding its TOML alone, as it was before every fault was looked for.
+// decoding its TOML alone.
 func BenchmarkOpen(b *testing.B) {
 	text, err := os.ReadFile("../../examples/inyange/bundle.toml")
 	if err != nil {
