--- a/internal/proof/promises_test.go
+++ b/internal/proof/promises_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"gypsumstand/internal/rapidflags"
 )
 
 // fuzzTime, when set, fuzzes with fresh seeds for that long (make fuzz).
@@ -25,22 +26,11 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	settings := map[string]string{"rapid.nofailfile": "true", "rapid.steps": "40", "rapid.shrinktime": "20s"}
+	flags := rapidflags.Flags{"rapid.nofailfile": "true", "rapid.steps": "40", "rapid.shrinktime": "20s"}
 	if *fuzzTime == 0 {
-		settings["rapid.seed"], settings["rapid.checks"] = fixedSeed, fixedChecks
-	}
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range settings {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(2)
-		}
+		flags["rapid.seed"], flags["rapid.checks"] = fixedSeed, fixedChecks
 	}
-	os.Exit(m.Run())
+	rapidflags.Main(m, flags)
 }
 
 // rapidChooser draws a plan's choices by rapid, which can then shrink them.
@@ -48,6 +38,14 @@
 
 func (r rapidChooser) pick(what string, n int) int { return rapid.IntRange(0, n-1).Draw(r.t, what) }
 
+// sound returns the switches of a world that breaks nothing.
+func sound() switches {
+	if *showTrace {
+		return switches{trace: os.Stdout}
+	}
+	return switches{}
+}
+
 // TestPromisesHoldUnderFaults draws plans of actions and checks the oracle after
 // each, and that service returns once faults stop.
 func TestPromisesHoldUnderFaults(t *testing.T) {
@@ -65,14 +63,11 @@
 
 func runDrawnPlan(rt *rapid.T, counts map[string]int) {
 	c := rapidChooser{rt}
-	w := newWorld(uint64(c.pick("seed", 1<<20)), switches{})
-	w.advance(w.wait(c, "start", 5*time.Second))
+	w := newWorld(uint64(c.pick("seed", 1<<20)), sound())
+	w.start(c)
 	steps := map[string]func(*rapid.T){"": func(rt *rapid.T) { failOn(rt, w) }}
 	for _, a := range actions {
-		steps[a.name] = func(rt *rapid.T) {
-			a.do(w, rapidChooser{rt})
-			w.advance(w.wait(rapidChooser{rt}, "then", 400*time.Millisecond))
-		}
+		steps[a.name] = func(rt *rapid.T) { w.step(rapidChooser{rt}, a) }
 	}
 	rt.Repeat(steps)
 	w.recover()
