core, owner: an owner refuses new work when only the platform's list says it leaves

Cause: the list's word made other nodes stop choosing the upstream, but its owner was not told and went on admitting what older views or late messages sent; found by internal/proof (n3 began work that arrived 3.009 s after others saw it leave). Change: the core tells the owner what the fleet's view says of it (Withdraw). It refuses as leaving, bars the attempt and reports leaving; what was admitted is finished. Unlike the own word it can be taken back, as the list's can, under a greater incarnation.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,7 +6,9 @@
 package core
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gypsumstand/internal/blackboard"
@@ -220,6 +222,7 @@
 	n.derived = seen
 	n.derivedAt = now
 	n.Table.Update(now, fleet, set)
+	n.Owner.Withdraw(listedLeaving(fleet, n.cfg.Self.ID))
 	svc, b := set.Service(n.cfg.Self.Service)
 	if svc == nil {
 		return nil
@@ -252,6 +255,15 @@
 	return &blackboard.Readiness{Ready: len(missing) == 0, Missing: missing}
 }
 
+// listedLeaving tells whether the fleet's view has an instance as leaving: this
+// node's own one also when the platform's list alone says so.
+func listedLeaving(fleet *model.Fleet, id model.InstanceID) bool {
+	at, ok := slices.BinarySearchFunc(fleet.Instances, id, func(in model.Instance, id model.InstanceID) int {
+		return cmp.Compare(in.ID, id)
+	})
+	return ok && fleet.Instances[at].State == model.StateLeaving
+}
+
 func liveUpstreams(fleet *model.Fleet, service model.ServiceName) int {
 	count := 0
 	for i := range fleet.Instances {
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -149,7 +149,7 @@
 // refuseState refuses what the life stage or a recent pause forbids.
 func (o *Owner) refuseState(t time.Duration, a *model.Attempt) model.Refusal {
 	switch {
-	case o.state >= model.StateLeaving:
+	case o.leaving():
 		return notRun(model.ReasonLeaving)
 	case o.state == model.StateCold || !o.configured:
 		return model.Refusal{Reason: model.ReasonNotReady, NotRun: true, RetryAfter: retryNotReady}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -66,6 +66,8 @@
 	// concurrent callers arrive out of order.
 	last  time.Duration
 	state model.UpstreamState
+	// withdrawn: the platform's list says that this upstream leaves.
+	withdrawn bool
 	// coldSince is when the state last became cold.
 	coldSince  time.Duration
 	configured bool
@@ -178,6 +180,19 @@
 	return o.take()
 }
 
+// Withdraw says whether the platform's list, as the fleet's view holds it, has
+// this upstream as leaving: as long as it does, no new attempt is admitted, as
+// others may hold an older view. Unlike the own word (SetState), the list's may be
+// taken back, under a greater incarnation.
+func (o *Owner) Withdraw(leaving bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.withdrawn = leaving
+}
+
+// leaving tells whether no new attempt may be admitted any more.
+func (o *Owner) leaving() bool { return o.state >= model.StateLeaving || o.withdrawn }
+
 // Adopt takes a greater incarnation, under which later attempts must be bound.
 // What is queued or started goes on; questions about it under the earlier
 // incarnation are answered as forgotten, which claims nothing.
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -26,6 +26,9 @@
 		FailureRate: uint16(o.speed.failures*1000 + 0.5),
 		Bundle:      o.version,
 	}
+	if o.leaving() {
+		r.State = max(o.state, model.StateLeaving)
+	}
 	if o.runs() {
 		r.Limit = clamp16(o.limit.effective(t))
 	}
