--- a/internal/proof/causes_test.go
+++ b/internal/proof/causes_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"gypsumstand/internal/model"
 )
 
 // The tests of this file are the causes of faults that the plans found, each
@@ -66,3 +68,26 @@
 		w.recover()
 	})
 }
+
+// Only the platform's list says that an instance leaves, and an attempt that was
+// sent before reaches its owner late.
+func TestAnOwnerThatOnlyTheListSaysLeavesRefusesLateWork(t *testing.T) {
+	brought(t, func(w *world) {
+		n := w.nodes[3]
+		w.platform.put(n, model.StateLeaving)
+		w.advance(leavingTime + time.Second)
+		s := w.newSending(fixedChooser(2 * 2))
+		late := model.Attempt{
+			ID:        model.AttemptID{Entry: "n0", Incarnation: 1, Sequence: 1},
+			Owner:     n.id,
+			Service:   n.service,
+			Class:     "view",
+			Request:   s.request,
+			Remaining: time.Second, Idempotent: true,
+		}
+		w.ledger.attempts[late.ID] = &attemptRecord{sending: s}
+		n.life.offer(&job{attempt: late})
+		w.advance(time.Second)
+		s.ended = true
+	})
+}
