Failures: a node in a process of its own, stopped past deadlines and continued

The test binary starts itself as a node; workers and platform stay in the test, and the runs are counted until the nodes have ended.

--- /dev/null
+++ b/internal/failure/sigstop_test.go
@@ -0,0 +1,84 @@
+//go:build unix
+
+package failure
+
+import (
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Timeouts of calls that end while the node is stopped, and of calls that are
+// still wanted when it wakes.
+const (
+	endsStopped = 700 * time.Millisecond
+	endsAwake   = 6 * time.Second
+)
+
+func TestANodeStoppedPastDeadlinesRunsNothingThatWasToldNotRun(t *testing.T) {
+	t.Parallel()
+	d := startProcesses(t, 2)
+	entry, stopped := d.nodes[0], d.nodes[1]
+	c := newCallers(t)
+	for _, p := range d.nodes {
+		awaitAnswer(t, c, p.Caller, "/a")
+	}
+
+	// More than both workers can run at once: attempts wait at the stopped node's
+	// worker, in its queue and in its socket buffers.
+	var short, long sync.WaitGroup
+	burst := func(calling *sync.WaitGroup, timeout time.Duration) {
+		for i := range 8 * slots {
+			calling.Go(func() {
+				r := []request{view("/slow"), payout("/payouts/slow"), payout("/payouts")}[i%3]
+				r.timeout = timeout
+				c.send(t.Context(), entry.Caller, r)
+			})
+		}
+	}
+	burst(&short, endsStopped)
+	burst(&long, endsAwake)
+	await(t, "attempts queued at the node that is to stop, and a hopeless one refused", func() bool {
+		hopeless := view("/slow")
+		hopeless.timeout = time.Millisecond
+		c.send(t.Context(), entry.Caller, hopeless)
+		s, ok := stopped.status()
+		return ok && s.Owner.InFlight > 0 && s.Owner.Queued > 0 && c.count(notRun) > 0
+	})
+	if err := stopped.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	burst(&short, endsStopped)
+	burst(&long, endsAwake)
+	// A caller of the stopped node itself, which gives up.
+	held := connect(t, stopped.Caller, "POST /payouts HTTP/1.1\r\nHost: x\r\nIdempotency-Key: held\r\nGypsum-Timeout-Ms: 700\r\nContent-Length: 0\r\n\r\n")
+	short.Wait()
+	awaitAnswer(t, c, entry.Caller, "/a")
+	if err := stopped.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	if got := readResponse(t, held); got.status == http.StatusOK && d.ledger.Runs("held") != 1 {
+		t.Errorf("answered after %d runs", d.ledger.Runs("held"))
+	} else if got.outcome == notRun && d.ledger.Runs("held") != 0 {
+		t.Errorf("told not-run after %d runs", d.ledger.Runs("held"))
+	}
+	long.Wait()
+	for _, p := range d.nodes {
+		awaitAnswer(t, c, p.Caller, "/a")
+		await(t, string(p.id)+" idle", func() bool {
+			s, ok := p.status()
+			return ok && s.Owner.InFlight == 0 && s.Owner.Queued == 0
+		})
+	}
+	d.stop(t)
+	c.check(t, d.ledger)
+	if runs := d.ledger.Runs("held"); runs > 1 {
+		t.Errorf("the held payout ran %d times", runs)
+	}
+	if c.count(answered) == 0 || c.count(unknown) == 0 || c.count(notRun) == 0 {
+		t.Errorf("%d answered, %d unknown, %d not-run: not all cases were brought about",
+			c.count(answered), c.count(unknown), c.count(notRun))
+	}
+}
