Keep answers of workers out of gypsumd's log

Cause: net/http's transport prints a worker's unsolicited answer, up to 4 KiB of what some caller was to read, to the standard logger: standard error, beside the JSON lines. Change: gypsumd silences it too.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"reflect"
@@ -32,6 +33,9 @@
 // Run reads the settings at path and serves until ctx ends or SIGTERM or SIGINT
 // comes, then stops gracefully. It returns the exit code.
 func Run(ctx context.Context, path string, out io.Writer) int {
+	// net/http's transport prints unsolicited answers of a worker there, whole: what
+	// a caller was to read is not for the log.
+	stdlog.SetOutput(io.Discard)
 	log := zerolog.New(out).With().Timestamp().Logger()
 	s, err := settings.Load(path)
 	if err != nil {
