--- /dev/null
+++ b/internal/entry/world_faults_test.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"time"
+
+	"pgregory.net/rapid"
+
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+// What happens to the calls and owners of a world.
+
+func (w *world) breakLink(t *rapid.T) {
+	l := w.awaiting(t, StepSend)
+	l.awaits = false
+	l.call.Broken(w.now, false)
+}
+
+// noConnection reports an attempt whose message never left.
+func (w *world) noConnection(t *rapid.T) {
+	m := draw(t, w.messages, func(m *message) bool {
+		l := w.byID[m.attempt.ID]
+		return l.awaits && l.step.Attempt.ID == m.attempt.ID
+	})
+	w.messages = without(w.messages, m)
+	l := w.byID[m.attempt.ID]
+	l.awaits = false
+	l.call.Refused(w.now, model.Refusal{Reason: model.ReasonWorkerUnreachable, NotRun: true})
+}
+
+// hedge sets a second call beside one that is idempotent; its attempts are judged
+// on their own.
+func (w *world) hedge(t *rapid.T) {
+	l := draw(t, w.calls, func(l *liveCall) bool { return l.awaits && !l.step.HedgeAt.IsZero() })
+	if h, ok := l.call.Hedge(w.now); ok {
+		w.focus = &liveCall{call: h, req: l.req}
+		w.calls = append(w.calls, w.focus)
+		w.step(t)
+		w.focus = nil
+	}
+}
+
+func (w *world) settle(t *rapid.T) {
+	l := w.awaiting(t, StepSettle)
+	l.awaits = false
+	a := l.step.Attempt
+	switch rapid.IntRange(0, 3).Draw(t, "way") {
+	case 0:
+		l.call.SettleFailed(w.now)
+	case 1:
+		w.owner(a.Owner).settle(w.now, a)
+		l.call.SettleFailed(w.now)
+	case 2:
+		l.call.Settled(w.now, wire.SettleReply{Attempt: model.AttemptID{Entry: "x"}, Report: w.owner(a.Owner).report(w.now)})
+	default:
+		l.call.Settled(w.now, w.owner(a.Owner).settle(w.now, a))
+	}
+}
+
+// restart loses an owner's memory and its keys.
+func (w *world) restart(t *rapid.T) {
+	w.rarely(t)
+	o := draw(t, w.owners, nil)
+	o.restart(w.now)
+	for _, id := range []model.RequestID{"k0", "k1"} {
+		if w.home(id) == o {
+			w.tainted[id] = true
+		}
+	}
+}
+
+// rarely skips most of an action's turns.
+func (w *world) rarely(t *rapid.T) {
+	if rapid.IntRange(0, 7).Draw(t, "rarely") > 0 {
+		t.Skip("not now")
+	}
+}
+
+func (w *world) advance(t *rapid.T) {
+	ms := rapid.SampledFrom([]int{1, 5, 20, 60, 400}).Draw(t, "ms")
+	w.now = w.now.Add(time.Duration(ms) * time.Millisecond)
+}
+
+func (w *world) callerGone(t *rapid.T) {
+	w.rarely(t)
+	l := draw(t, w.calls, func(l *liveCall) bool { return !l.ended })
+	l.awaits = false
+	l.call.CallerGone(w.now)
+}
