Owner: run the long comparisons by a flag

Cause: the comparisons ran at full length whenever the tests were verbose, which go test -json is too (324 s under -race).

Change: the flag -full; Offer's comment says when displaced attempts hear of it.

--- a/internal/owner/limit_test.go
+++ b/internal/owner/limit_test.go
@@ -65,7 +65,7 @@
 // one that refuses or is hindered by concurrency.
 func TestLimitsCompared(t *testing.T) {
 	length := 2 * time.Second
-	if testing.Verbose() {
+	if *full {
 		length = 60 * time.Second
 	}
 	adaptations := []struct {
@@ -98,7 +98,7 @@
 	for _, w := range workers {
 		worth := map[string]float64{}
 		for _, a := range adaptations {
-			if !testing.Verbose() && a.name != limitInUse && a.name != "fixed" {
+			if !*full && a.name != limitInUse && a.name != "fixed" {
 				continue
 			}
 			sc := scenario{loads: mixed, slots: 20, level: w.level, length: length, worker: w.worker}
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -34,6 +34,9 @@
 // A refusal with NotRun holds for ever: either the cause of the refusal is
 // itself permanent (incarnation, expiry, leaving), or the attempt id is barred
 // for as long as a copy of the message could still be in time.
+//
+// An attempt may displace another that waits; the decision on that one comes with
+// the next call that returns decisions, at the latest with Tick.
 func (o *Owner) Offer(now time.Time, a *model.Attempt, sameNode bool) (Verdict, model.Refusal) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/owner/order_test.go
+++ b/internal/owner/order_test.go
@@ -170,18 +170,18 @@
 }
 
 // TestOrdersCompared measures the order in use beside its alternatives: run with
-// -v for the whole table. It fails when the order in use answers clearly less
+// -full -v for the whole table. It fails when the order in use answers clearly less
 // worth than a plain alternative, or starves a class.
 func TestOrdersCompared(t *testing.T) {
 	length, levels, seeds := 2*time.Second, []float64{1.5}, 1
-	if testing.Verbose() {
+	if *full {
 		length, levels, seeds = 30*time.Second, []float64{0.6, 0.85, 1.1, 1.5}, 3
 	}
 	for name, loads := range map[string][]load{"mixed": mixed, "heavy": heavy} {
 		for _, level := range levels {
 			worth := map[string]float64{}
 			for _, v := range variants {
-				if !testing.Verbose() && !v.plain {
+				if !*full && !v.plain {
 					continue
 				}
 				sc := scenario{loads: loads, slots: 20, level: level, length: length, prepare: v.prepare}
--- a/internal/owner/sim_test.go
+++ b/internal/owner/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -11,6 +12,8 @@
 	"gypsumstand/internal/model"
 )
 
+var full = flag.Bool("full", false, "run the comparisons at full length, for their tables (with -v)")
+
 // load is one class of the simulated arrivals.
 type load struct {
 	class model.ClassName
