--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -53,6 +53,9 @@
 	return true
 }
 
+// scopedID is the id under which the home remembers the request.
+func (c *Call) scopedID() model.RequestID { return model.ScopedRequest(c.req.Tenant, c.req.ID) }
+
 // keyed tells whether the same request may arrive a second time by another way,
 // so that its id needs a home.
 func (c *Call) keyed() bool { return c.req.CallerKey && !c.req.Idempotent }
@@ -64,7 +67,7 @@
 // that takes no part any more (leaving or gone) is followed by the next one of
 // the order, which the table names.
 func (c *Call) chooseHome(now time.Time) (route.Choice, bool) {
-	choice, ok := c.engine.table.NextHome(now, c.req.Target.Service.Name, c.req.ID, c.home.passed)
+	choice, ok := c.engine.table.NextHome(now, c.req.Target.Service.Name, c.scopedID(), c.home.passed)
 	if !ok || c.tried.has(choice.Instance.ID) || c.tried.full() {
 		return route.Choice{}, false
 	}
@@ -96,5 +99,5 @@
 	if !c.home.delegated() {
 		return nil
 	}
-	return &wire.KeyResult{Request: c.req.ID, Attempt: c.home.delegate.attempt, Outcome: c.outcome}
+	return &wire.KeyResult{Request: c.scopedID(), Attempt: c.home.delegate.attempt, Outcome: c.outcome}
 }
--- a/internal/model/ident.go
+++ b/internal/model/ident.go
@@ -36,6 +36,20 @@
 // when one was sent, otherwise made by the entry node.
 type RequestID string
 
+// scopeSeparator parts a tenant from its request id. Neither holds it: ids are
+// printable ASCII, names of tenants a part of that.
+const scopeSeparator = "\x1f"
+
+// ScopedRequest returns the id under which a request is remembered by its home:
+// the same key of two tenants is two requests. Tenants that no bundle names share
+// one scope.
+func ScopedRequest(tenant TenantName, id RequestID) RequestID {
+	if tenant == "" || tenant == OtherTenant {
+		return id
+	}
+	return RequestID(tenant) + scopeSeparator + id
+}
+
 // Incarnation tells the lives of one instance apart; a restart takes a greater
 // one. It is the wall-clock start time in microseconds since the Unix epoch,
 // raised above any incarnation of the same instance that peers remember.
--- a/internal/owner/keys_test.go
+++ b/internal/owner/keys_test.go
@@ -184,3 +184,12 @@
 	r.o.Tick(r.now)
 	r.want(r.offer(r.keyed("k")), started)
 }
+
+func TestTheSameKeyOfTwoTenantsIsTwoRequests(t *testing.T) {
+	r := newRig(t, testService())
+	one, two, again := r.keyed("k"), r.keyed("k"), r.keyed("k")
+	one.Tenant, two.Tenant, again.Tenant = "one", "two", "one"
+	r.want(r.offer(one), started)
+	r.want(r.offer(two), started)
+	r.want(r.offer(again), refused(model.ReasonDuplicateRunning, false))
+}
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -213,7 +213,7 @@
 	o.nextSeq++
 	return &item{
 		id:       a.ID,
-		request:  a.Request,
+		request:  model.ScopedRequest(a.Tenant, a.Request),
 		keyed:    o.keyedHere(a),
 		class:    o.classes.get(a.Class),
 		tenant:   o.tenants.get(a.Tenant),
--- a/internal/wire/handover.go
+++ b/internal/wire/handover.go
@@ -19,6 +19,7 @@
 
 // KeyRecord is the memory of one request id.
 type KeyRecord struct {
+	// Request is the scoped id; see model.ScopedRequest.
 	Request model.RequestID `cbor:"1,keyasint"`
 	// Done: it has run. Otherwise it is running or was placed elsewhere.
 	Done bool `cbor:"2,keyasint"`
--- a/internal/wire/settle.go
+++ b/internal/wire/settle.go
@@ -34,6 +34,7 @@
 
 // KeyResult tells a request's home owner how a request that it delegated ended.
 type KeyResult struct {
+	// Request is the scoped id; see model.ScopedRequest.
 	Request model.RequestID `cbor:"1,keyasint"`
 	Attempt model.AttemptID `cbor:"2,keyasint"`
 	Outcome model.Outcome   `cbor:"3,keyasint"`
