--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"gypsumstand/internal/link"
 	"gypsumstand/internal/metrics"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/pause"
 	"gypsumstand/internal/platform"
 	"gypsumstand/internal/route"
 	"gypsumstand/internal/server"
@@ -245,6 +246,8 @@
 		err = n.stop()
 	case err = <-failed:
 		event.Log(&n.log, event.Fatal).Err(err).Send()
+	case <-n.ctx.Done():
+		return ErrKilled
 	}
 	n.cleanUp()
 	event.Log(&n.log, event.Stopped).Send()
@@ -273,6 +276,9 @@
 	})
 }
 
+// ErrKilled says that Kill ended the node.
+var ErrKilled = errors.New("the node was killed")
+
 // ErrCutOff says that a stop's bound ended with requests in flight.
 var ErrCutOff = errors.New("stop timeout ended with requests in flight")
 
@@ -283,7 +289,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.StopTimeout)
 	defer cancel()
 	n.tellLeaving(ctx)
-	pause(n.ctx, n.cfg.LeaveGrace)
+	pause.For(n.ctx, n.cfg.LeaveGrace)
 	err := n.ports.callerHTTP.Shutdown(ctx)
 	if err == nil {
 		err = n.ports.peerHTTP.Shutdown(ctx)
@@ -299,28 +305,18 @@
 const tellPoll = 2 * time.Millisecond
 
 // tellLeaving returns once the peers have been sent the word of leaving and the
-// next homes what this node remembers, or when ctx ends.
+// next homes what this node remembers, or when ctx or the node ends.
 func (n *Node) tellLeaving(ctx context.Context) {
 	n.sink(control.SelfChanged{State: model.StateLeaving})
 	for !n.leavingTold.Load() || n.directs.Load() > 0 {
-		pause(ctx, tellPoll)
-		if ctx.Err() != nil {
+		pause.For(ctx, tellPoll)
+		if ctx.Err() != nil || n.ctx.Err() != nil {
 			return
 		}
 	}
 	n.links.Flush(ctx)
 }
 
-// pause waits for d or for the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Kill ends the node at once, as a crash would; for tests.
 func (n *Node) Kill() { n.cleanUp() }
 
--- a/internal/proof/oracle_test.go
+++ b/internal/proof/oracle.go
@@ -92,18 +92,19 @@
 	}
 }
 
-// checkLeaving holds the start of work against its upstream's leaving.
+// checkLeaving holds work that comes to a worker, which may refuse it, against its
+// upstream's leaving.
 func (g *ledger) checkLeaving(j *job) {
 	r := g.lives[j.l]
 	if !r.leaves.IsZero() && j.offered.Sub(r.leaves) > leavingTime {
-		g.violate(promiseLeaving, "%s began work on %s that arrived %v after it began to leave",
+		g.violate(promiseLeaving, "%s sent its worker %s, which arrived %v after it began to leave",
 			j.l.node.id, j.attempt.ID, j.offered.Sub(r.leaves))
 	}
 	if r.listed.IsZero() {
 		return
 	}
 	if since := latest(r.listed, g.calmSince()); j.offered.Sub(since) > leavingTime {
-		g.violate(promiseLeaving, "%s began work on %s that arrived %v after others saw it leave",
+		g.violate(promiseLeaving, "%s sent its worker %s, which arrived %v after others saw it leave",
 			j.l.node.id, j.attempt.ID, j.offered.Sub(r.listed))
 	}
 }
--- a/internal/proof/world_test.go
+++ b/internal/proof/world.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gypsumstand/internal/eventqueue"
 	"gypsumstand/internal/model"
 )
@@ -35,6 +37,7 @@
 // newWorld returns a fleet whose processes have just started.
 func newWorld(seed uint64, s switches) *world {
 	w := &world{now: epoch, rng: rand.New(rand.NewPCG(seed, 0)), switches: s}
+	w.trace = trace{hash: xxhash.New(), out: s.trace}
 	w.ledger = newLedger(w)
 	w.net = newNetwork(w)
 	w.platform = newPlatform(w)
@@ -88,6 +91,16 @@
 	return low + time.Duration(w.rng.Int64N(int64(high-low)+1))
 }
 
+// node returns the place of that name, or nil.
+func (w *world) node(id model.InstanceID) *node {
+	for _, n := range w.nodes {
+		if n.id == id {
+			return n
+		}
+	}
+	return nil
+}
+
 // at returns the place with that peer address, or nil.
 func (w *world) at(address string) *node {
 	for _, n := range w.nodes {
@@ -98,37 +111,20 @@
 	return nil
 }
 
-// trace is a running hash (FNV-1a).
-type trace struct{ sum uint64 }
-
-const (
-	fnvOffset = 14695981039346656037
-	fnvPrime  = 1099511628211
-)
+// trace is a running hash of what happened, which is also written to out.
+type trace struct {
+	hash *xxhash.Digest
+	out  io.Writer
+}
 
 // add mixes the text of values in.
 func (t *trace) add(w *world, what string, values ...any) {
-	if t.sum == 0 {
-		t.sum = fnvOffset
-	}
-	if *showTrace {
-		fmt.Println(w.now.Sub(epoch), what, fmt.Sprint(values...))
-	}
-	text := strconv.FormatInt(w.now.Sub(epoch).Nanoseconds(), 10) + what + fmt.Sprint(values...)
-	for i := range len(text) {
-		t.sum = (t.sum ^ uint64(text[i])) * fnvPrime
+	text := fmt.Sprintln(w.now.Sub(epoch), what, fmt.Sprint(values...))
+	_, _ = t.hash.WriteString(text)
+	if t.out != nil {
+		_, _ = io.WriteString(t.out, text)
 	}
 }
 
 // seeds are the peer addresses that every process's settings name.
 func (w *world) seeds() []string { return []string{w.nodes[0].address, w.nodes[1].address} }
-
-// node returns the place of that name, or nil.
-func (w *world) node(id model.InstanceID) *node {
-	for _, n := range w.nodes {
-		if n.id == id {
-			return n
-		}
-	}
-	return nil
-}
