--- a/internal/spread/want.go
+++ b/internal/spread/want.go
@@ -22,7 +22,7 @@
 	// A body that comes later is taken all the same.
 	askTimeout  = 400 * time.Millisecond
 	askJitter   = 200 * time.Millisecond
-	steadyAsks  = 6
+	steadyAsks  = 10
 	maxAskShift = 4
 	// askElsewhere bounds the wait before a peer that gave no notice is asked.
 	askElsewhere = 500 * time.Millisecond
