suppress: look for the end of an outage every four seconds

Cause: after an outage a version was in force on 10 nodes after up to 7.12 s (BenchmarkOutage), since nobody reads for 5 s, stretched by up to half.

Change: FailedInterval is 4 s.

Reads in a minute of outage at 300 nodes (TestOutageLowersTheRateOfReads): 73 before, 101 after, 766 healthy.

--- a/internal/suppress/suppress.go
+++ b/internal/suppress/suppress.go
@@ -34,7 +34,7 @@
 	ReadInterval = time.Second
 	// FailedInterval bounds the interval while reads fail; it grows with the
 	// time since the last success (doubling by its own effect).
-	FailedInterval = 5 * time.Second
+	FailedInterval = 4 * time.Second
 	// MeanFirst is the expected time from the interval's end to the first read
 	// in a fleet whose size is believed rightly.
 	MeanFirst = 50 * time.Millisecond
