--- a/internal/failure/raw_test.go
+++ b/internal/failure/raw_test.go
@@ -21,6 +21,7 @@
 	pathContinue  = "/raw/continue"
 	pathNoLength  = "/raw/no-length"
 	pathTwoEchoes = "/raw/two-echoes"
+	pathNoEcho    = "/raw/no-echo"
 	pathJunk      = "/raw/junk"
 	pathTwoSizes  = "/raw/two-sizes"
 	pathBadChunk  = "/raw/bad-chunk"
@@ -62,6 +63,8 @@
 		out = "HTTP/1.1 200 OK\r\n" + echo + "Connection: close\r\n\r\n" + own
 	case pathTwoEchoes:
 		out = strings.Replace(whole, echo, echo+wire.HeaderAttempt+": other/1/1\r\n", 1)
+	case pathNoEcho:
+		out = strings.Replace(whole, echo, "", 1)
 	case pathJunk:
 		out = "junk\r\n\r\n"
 	case pathTwoSizes:
@@ -89,6 +92,7 @@
 		{pathSwitch, unknown},
 		{pathNoLength, unknown},
 		{pathTwoEchoes, unknown},
+		{pathNoEcho, unknown},
 		{pathJunk, unknown},
 		{pathTwoSizes, unknown},
 		{pathBadChunk, unknown},
