--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -124,14 +124,13 @@
 		return nil, err
 	}
 	defer fleet.Close()
-	ready, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	if err := fleet.Await(ready, fleet.Warm); err != nil {
-		return nil, err
-	}
 	var out []Run
 	for _, share := range o.Shares {
 		for i := range o.Repeats {
+			// A worker that was cold is given its slow start before the next run.
+			if err := awaitWarm(ctx, fleet); err != nil {
+				return out, err
+			}
 			run, err := measure(ctx, dep, fleet, share, o.Duration, uint64(i))
 			if err != nil {
 				return out, err
@@ -154,6 +153,12 @@
 	return budgetLine.ReplaceAll(toml, []byte(line))
 }
 
+func awaitWarm(ctx context.Context, fleet *local.Fleet) error {
+	ready, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	return fleet.Await(ready, fleet.Warm)
+}
+
 func report(out io.Writer, r Run) {
 	if out == nil {
 		return
