Queue a keyed request where nobody else could run it

Cause: a service's only owner delegated a caller's keyed request that had to wait over 100 ms, and the entry, with nowhere to go, told it not run (found by the tests of failures, eight at once on eight slots). Change: an owner that knows of no other upstream queues it. The owner's test rig now stands for one of two upstreams.

--- a/internal/owner/helpers_test.go
+++ b/internal/owner/helpers_test.go
@@ -49,7 +49,7 @@
 	start := time.Date(2025, 1, 1, 0, 0, 0, 0, time.UTC)
 	self := model.Instance{ID: testOwner, Service: svc.Name, Incarnation: testIncarnation}
 	r := &rig{t: t, o: New(Config{Self: self, Started: start}), now: start.Add(time.Minute)}
-	r.o.Configure(r.now, testBundle(svc), svc, 1)
+	r.o.Configure(r.now, testBundle(svc), svc, 2)
 	r.o.SetState(r.now, model.StateLive)
 	return r
 }
--- a/internal/owner/keys_test.go
+++ b/internal/owner/keys_test.go
@@ -193,3 +193,14 @@
 	r.want(r.offer(two), started)
 	r.want(r.offer(again), refused(model.ReasonDuplicateRunning, false))
 }
+
+func TestTheOnlyUpstreamOfAServiceQueuesWhatItCannotDelegate(t *testing.T) {
+	svc := testService()
+	r := newRig(t, svc)
+	r.o.Configure(r.now, testBundle(svc), svc, 1)
+	for _, a := range r.fill(2) {
+		r.finish(a, Finish{Status: 200, ServiceTime: 600 * time.Millisecond})
+	}
+	r.fill(2)
+	r.want(r.offer(r.keyed("k")), answer{Verdict: Wait})
+}
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -193,7 +193,7 @@
 	if late := wait + it.class.expected() - left; late > 0 {
 		return model.Refusal{Reason: model.ReasonOverloaded, NotRun: true, RetryAfter: o.retryAfter(late)}
 	}
-	if it.keyed && (wait > min(delegateWait, left/delegateShare) || o.speed.failing(t)) {
+	if it.keyed && !o.alone && (wait > min(delegateWait, left/delegateShare) || o.speed.failing(t)) {
 		return model.Refusal{Reason: model.ReasonDelegated, NotRun: true, RetryAfter: o.retryAfter(wait)}
 	}
 	return model.Refusal{}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -71,6 +71,8 @@
 	// coldSince is when the state last became cold.
 	coldSince  time.Duration
 	configured bool
+	// alone: no other upstream of the service could run what is delegated.
+	alone      bool
 	version    model.BundleVersion
 	queueLimit int
 
@@ -129,6 +131,7 @@
 	o.queue.prune()
 	o.classes.configure(b.Classes)
 	o.tenants.configure(now, b.Tenants, upstreams)
+	o.alone = upstreams <= 1
 	o.keys.memory = svc.KeyMemory()
 	o.attempts.memory = attemptMemory(b.Classes)
 	o.dispatch(t)
