Gather the other figures with their commands in the measurements page

Cause: figures stood in commits and pages without one place that names the command of each. Change: a text that ends docs/MEASUREMENTS.md; gypsumbench -page writes the page anew from its figures.

--- a/cmd/gypsumbench/main.go
+++ b/cmd/gypsumbench/main.go
@@ -53,6 +53,7 @@
 	duration      time.Duration
 	repeats       int
 	rate          float64
+	page          bool
 	simulate      string
 }
 
@@ -73,6 +74,7 @@
 	flag.DurationVar(&s.duration, "duration", 6*time.Second, "load of one run, 1s to 1m")
 	flag.IntVar(&s.repeats, "repeats", 3, "runs of each cell, 1 to 20")
 	flag.Float64Var(&s.rate, "rate", 2000, "calls a second for the added time, 1 to 20000")
+	flag.BoolVar(&s.page, "page", false, "write the page and plots only, from the figures in the folder")
 	flag.StringVar(&s.simulate, "simulate", "", "compare on the model only: policies, parts, retries or hedges")
 	flag.Usage = func() {
 		fmt.Fprint(flag.CommandLine.Output(), usage)
@@ -110,6 +112,13 @@
 	case simulateHedges:
 		return calls.WriteHedges(os.Stdout)
 	}
+	if s.page {
+		m, err := experiment.Read(s.out)
+		if err != nil {
+			return err
+		}
+		return m.Write(s.out)
+	}
 	return bench(ctx, s)
 }
 
--- a/internal/experiment/write.go
+++ b/internal/experiment/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -24,6 +25,8 @@
 const (
 	figuresFile = "measurements.json"
 	pageFile    = "MEASUREMENTS.md"
+	// textFile holds figures of other commands; it ends the page when present.
+	textFile = "measurements.text.md"
 )
 
 // Size of a plot.
@@ -41,7 +44,11 @@
 	if err := os.WriteFile(filepath.Join(folder, figuresFile), append(data, '\n'), 0o644); err != nil {
 		return err
 	}
-	if err := os.WriteFile(filepath.Join(folder, pageFile), []byte(m.page()), 0o644); err != nil {
+	text, err := os.ReadFile(filepath.Join(folder, textFile))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(folder, pageFile), []byte(m.page()+string(text)), 0o644); err != nil {
 		return err
 	}
 	for _, name := range m.deployments() {
@@ -52,6 +59,19 @@
 	return nil
 }
 
+// Read reads the figures that Write left in a folder.
+func Read(folder string) (*Measurements, error) {
+	data, err := os.ReadFile(filepath.Join(folder, figuresFile))
+	if err != nil {
+		return nil, err
+	}
+	m := &Measurements{}
+	if err := json.Unmarshal(data, m); err != nil {
+		return nil, fmt.Errorf("%s: %w", figuresFile, err)
+	}
+	return m, nil
+}
+
 func plotFile(deployment string) string { return "tail-" + deployment + ".svg" }
 
 // cell groups the repeats of one measurement.
