Keep the bench from waiting for limits that only traffic raises

Cause: an owner's adaptive limit, lowered by time-outs at a slowed worker, rises with answers only, so an idle fleet never counted as warm and the bench failed after a minute. Change: it waits for readiness and the slow start's length; what was measured before a failure is written. Conclusion: noted for the owner: a limit lowered long ago could rise with time, too.

--- a/cmd/gypsumbench/main.go
+++ b/cmd/gypsumbench/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -149,8 +150,6 @@
 		Duration:    s.duration,
 		Progress:    os.Stdout,
 	})
-	if err != nil {
-		return err
-	}
-	return m.Write(s.out)
+	// What was measured before a failure is kept.
+	return errors.Join(err, m.Write(s.out))
 }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -92,8 +92,10 @@
 const (
 	readyTimeout = 60 * time.Second
 	settleTime   = 500 * time.Millisecond
-	maxInFlight  = 4000
-	usPerMs      = 1000.0
+	// warmUpTime is over the examples' slow start (warmup_ms, 2000).
+	warmUpTime  = 2200 * time.Millisecond
+	maxInFlight = 4000
+	usPerMs     = 1000.0
 )
 
 // Compare measures every cell. Each contender has one fleet per deployment, on
@@ -128,9 +130,10 @@
 	for _, share := range o.Shares {
 		for i := range o.Repeats {
 			// A worker that was cold is given its slow start before the next run.
-			if err := awaitWarm(ctx, fleet); err != nil {
+			if err := awaitReady(ctx, fleet); err != nil {
 				return out, err
 			}
+			pause.For(ctx, warmUpTime)
 			run, err := measure(ctx, dep, fleet, share, o.Duration, uint64(i))
 			if err != nil {
 				return out, err
@@ -153,10 +156,10 @@
 	return budgetLine.ReplaceAll(toml, []byte(line))
 }
 
-func awaitWarm(ctx context.Context, fleet *local.Fleet) error {
+func awaitReady(ctx context.Context, fleet *local.Fleet) error {
 	ready, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	return fleet.Await(ready, fleet.Warm)
+	return fleet.Await(ready, local.Ready)
 }
 
 func report(out io.Writer, r Run) {
