spread: an index answer that waited through a pause is no success for the timer

Cause: such an answer confirmed nothing, but told the suppressed timer of a success at its arrival; a read whose end is never told was ended twice.

Change: it counts as an attempt only; expired reads end once.

--- a/internal/spread/platform.go
+++ b/internal/spread/platform.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"errors"
 	"time"
 
 	"gypsumstand/internal/control"
@@ -11,8 +12,9 @@
 // Bounds of this node's own reads of values.
 const (
 	// maxValueReads bounds the reads at once.
-	maxValueReads   = 4
-	valueReadExpiry = 10 * time.Second
+	maxValueReads = 4
+	// readExpiry ends the wait for a read, of the index too.
+	readExpiry = 10 * time.Second
 	// A ready reader's own findings: the suppressed timer bounds the number of
 	// such readers, this their rate.
 	findingsPerSecond = 32
@@ -40,6 +42,9 @@
 	freshGrace = 700 * time.Millisecond
 )
 
+// errReadExpired is the fault of a read whose end was never told.
+var errReadExpired = errors.New("read did not end in time")
+
 // platformState is this node's own use of the configuration service.
 type platformState struct {
 	// indexBegun are the starts of unanswered index reads, oldest first. An answer
@@ -71,14 +76,14 @@
 	return n > 0 && now.Sub(p.indexBegun[n-1]) < answerWait
 }
 
-// expire forgets index reads whose end was never told.
-func (p *platformState) expire(now time.Time, c *Controller) {
-	for len(p.indexBegun) > 0 && now.Sub(p.indexBegun[0]) >= valueReadExpiry {
-		p.pop()
-		c.indexFailed(nil)
+// expireReads takes reads whose end was never told as failed.
+func (c *Controller) expireReads() {
+	p := &c.platform
+	for len(p.indexBegun) > 0 && c.now.Sub(p.indexBegun[0]) >= readExpiry {
+		c.indexFailed(errReadExpired)
 	}
 	for _, w := range c.wants.list {
-		if w.reading && !now.Before(w.deadline) {
+		if w.reading && !c.now.Before(w.deadline) {
 			c.valueFailed(w.name)
 		}
 	}
@@ -104,18 +109,21 @@
 	c.do(control.ReadIndex{})
 }
 
-// indexRead takes the list of published versions.
+// indexRead takes the list of published versions. One that may have waited
+// through a pause counts as an attempt and confirms nothing.
 func (c *Controller) indexRead(versions []model.BundleVersion) {
 	begun, certain := c.platform.pop()
-	if stale := c.olderThanInForce(versions, begun); stale != "" {
+	stale := c.olderThanInForce(versions, begun)
+	switch {
+	case !certain:
+		c.timer.Own(c.now, false)
+	case stale != "":
 		c.counters.StaleIndexes++
 		c.endIndexRead(false)
 		c.record(event.ConfigStale, "", stale, nil)
-	} else {
+	default:
 		c.endIndexRead(true)
-		if certain {
-			c.platform.reading = &ownReading{at: begun}
-		}
+		c.platform.reading = &ownReading{at: begun}
 	}
 	c.wantListed(versions)
 }
@@ -218,7 +226,7 @@
 	c.platform.inFlight++
 	c.counters.ValueReads++
 	w.reading = true
-	w.deadline = c.now.Add(valueReadExpiry)
+	w.deadline = c.now.Add(readExpiry)
 	c.do(control.ReadValue{Name: w.name})
 }
 
--- a/internal/spread/ready_test.go
+++ b/internal/spread/ready_test.go
@@ -141,11 +141,12 @@
 	for !hasAction(s.tick(), control.ReadIndex{}) {
 		s.now = s.now.Add(control.TickInterval)
 	}
+	before := s.c.timer.Confirmed()
 	s.now = s.now.Add(time.Hour)
 	s.handle(control.Paused{For: time.Hour})
 	s.handle(control.IndexRead{Versions: []model.BundleVersion{{Name: "a", Version: 5}}})
-	if got := s.c.Confirmed(); !got.IsZero() {
-		t.Errorf("confirmed as of %s", got)
+	if got, timer := s.c.Confirmed(), s.c.timer.Confirmed(); !got.IsZero() || timer.After(before) {
+		t.Errorf("confirmed as of %s, the timer as of %s, before %s", got, timer, before)
 	}
 	if n := recorded(s.tick(), event.ConfigUnconfirmed); n > 0 {
 		t.Error("the pause itself raised an alarm")
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -134,7 +134,7 @@
 	if c.timer.Due(c.now, c.assumedFleet()) {
 		c.readIndex()
 	}
-	c.platform.expire(c.now, c)
+	c.expireReads()
 	c.expireAsks()
 	c.expireWants()
 	c.compareWhenDue()
