--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,20 @@
 test: lint
 	$(GO) test -race -count=1 ./...
 
+.PHONY: fuzz
+# Fuzzes with fresh seeds: the cores against the oracle for FUZZTIME, then each
+# decoder for FUZZEACH.
+FUZZTIME ?= 60s
+FUZZEACH ?= 10s
+fuzz:
+	$(GO) test -count=1 -timeout 2h -run TestPromisesHoldUnderFaults ./internal/proof -proof.fuzz $(FUZZTIME)
+	@grep -rno 'func Fuzz[A-Za-z]*' --include=*_test.go cmd internal | \
+	sed -E 's|^(.*)/[^/]*:[0-9]+:func (.*)$$|\1 \2|' | \
+	while read -r dir name; do \
+		echo "$$dir $$name"; \
+		$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZEACH) ./$$dir || exit 1; \
+	done
+
 .PHONY: docs
 # Writes the pages that are made from the code.
 docs:
--- a/internal/proof/faults.go
+++ b/internal/proof/faults.go
@@ -20,6 +20,7 @@
 var actions = []action{
 	{"request", (*world).request},
 	{"burst", (*world).burst},
+	{"spike", (*world).spike},
 	{"send again", (*world).sendAgain},
 	{"send twice at once", (*world).sendTwice},
 	{"caller gives up", (*world).callerGivesUp},
@@ -111,6 +112,16 @@
 	}
 }
 
+// spike sends many more requests than the workers can take, to all entries, within
+// some milliseconds.
+func (w *world) spike(c chooser) {
+	for range 40 + 10*c.pick("size", 5) {
+		s := w.newSending(burstChooser{w})
+		n := w.nodes[w.rng.IntN(len(w.nodes))]
+		w.after(w.between(0, 30*time.Millisecond), func() { s.to(n) })
+	}
+}
+
 // burstChooser draws from the world, so that plans stay short.
 type burstChooser struct{ w *world }
 
--- a/internal/proof/run_test.go
+++ b/internal/proof/run_test.go
@@ -7,6 +7,7 @@
 )
 
 func TestAPlanHasTheSameCourseEachTime(t *testing.T) {
+	t.Parallel()
 	play := func(seed uint64) Report { return Run(Plan{Seed: seed, Steps: 15}) }
 	first, again, other := play(3), play(3), play(4)
 	if diff := cmp.Diff(first, again); diff != "" {
