--- a/Makefile
+++ b/Makefile
@@ -46,18 +46,3 @@
 # Measures control by fleet size and writes docs/CAPACITY.md; about three minutes.
 capacity: build
 	bin/gypsumcap -out docs
-
-# How long `make fuzz` looks with each target.
-FUZZTIME ?= 20s
-
-.PHONY: fuzz
-# Looks for new failures with fresh seeds: the model of the fleet against its
-# ledger, and every native fuzz target in turn.
-fuzz: build
-	$(GO) test ./internal/proof -run TestPromisesHoldUnderFaults -proof.fuzz=$(FUZZTIME) -timeout 60m
-	@set -e; grep -rl --include=*_test.go '^func Fuzz' internal | xargs -n1 dirname | sort -u | while read dir; do \
-		for target in $$(grep -ho '^func Fuzz[A-Za-z0-9_]*' $$dir/*_test.go | cut -c6-); do \
-			echo "$$dir $$target"; \
-			$(GO) test ./$$dir -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZTIME); \
-		done; \
-	done
