Learn nothing of the worker from what the entry gave up

Also found: a cancelled keyed attempt was refused as delegated although its id had been freed. Change: Finish.Abandoned; such ends touch neither limit, failure rate nor service time, and a cancelled attempt is refused as cancelled. Conclusion: an end that the worker has no part in says nothing of it.

--- a/internal/owner/limit_test.go
+++ b/internal/owner/limit_test.go
@@ -110,3 +110,14 @@
 		}
 	}
 }
+
+func TestWhatTheEntryGivesUpSaysNothingOfTheWorker(t *testing.T) {
+	r := newRig(t, testService())
+	for range 50 {
+		a := r.fill(1)[0]
+		r.finish(a, Finish{NotRun: true, Failed: true, Abandoned: true, ServiceTime: time.Minute})
+	}
+	if got := r.o.Report(r.now); got.Limit != 2 || got.FailureRate != 0 || got.ServiceTime != 0 {
+		t.Errorf("limit %d, failure rate %d, service time %v after abandoned attempts", got.Limit, got.FailureRate, got.ServiceTime)
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -53,6 +53,9 @@
 	Failed bool
 	// Shed: the worker refused for load.
 	Shed bool
+	// Abandoned: the entry gave the attempt up, or its time ended before a byte
+	// left, so that its end says nothing of the worker.
+	Abandoned bool
 	// Status is the worker's HTTP status; 0 when there was no whole answer.
 	Status int
 }
--- a/internal/owner/predict.go
+++ b/internal/owner/predict.go
@@ -55,6 +55,9 @@
 // attempt that a pause fell into, or that did not get as far as the worker, says
 // nothing of it.
 func (o *Owner) learn(t time.Duration, it *item, f Finish) {
+	if f.Abandoned {
+		return
+	}
 	unreached := f.NotRun && !f.Shed
 	if it.pauses != o.pause.count || unreached && !it.confirmed && !f.Failed {
 		return
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -247,8 +247,10 @@
 		return Result{Refusal: model.Refusal{Reason: delegated(&w.Attempt, model.ReasonWorkerShed), NotRun: true, RetryAfter: retryAfter(resp.Header)}}
 	}
 	body := &answerBody{ReadCloser: resp.Body, done: func(whole bool) {
+		f := finishOf(resp.StatusCode, whole, time.Since(started))
+		f.Abandoned = !whole && givenUp(ctx)
 		cancel()
-		x.finish(w.Attempt.ID, finishOf(resp.StatusCode, whole, time.Since(started)))
+		x.finish(w.Attempt.ID, f)
 	}}
 	answer := &Answer{Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: body}
 	return Result{Answer: answer}
@@ -273,23 +275,41 @@
 
 // failed ends an attempt whose RoundTrip failed.
 func (x *Executor) failed(ctx context.Context, w *Work, started time.Time, notRun bool) Result {
-	gaveUp := errors.Is(ctx.Err(), context.Canceled)
-	x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: notRun, Delegate: notRun && !gaveUp, Failed: !gaveUp})
-	reason := model.ReasonWorkerBroken
+	gaveUp := givenUp(ctx)
+	x.finish(w.Attempt.ID, owner.Finish{
+		ServiceTime: time.Since(started),
+		NotRun:      notRun,
+		Delegate:    notRun && !gaveUp,
+		Failed:      !gaveUp,
+		Abandoned:   gaveUp || notRun && ctx.Err() != nil,
+	})
 	if notRun && ctx.Err() == nil {
 		x.traffic(true)
 	}
+	reason := model.ReasonWorkerBroken
 	switch {
-	case notRun:
-		reason = delegated(&w.Attempt, model.ReasonWorkerUnreachable)
 	case gaveUp:
 		reason = model.ReasonCancelled
+	case notRun:
+		reason = delegated(&w.Attempt, model.ReasonWorkerUnreachable)
 	case ctx.Err() != nil:
 		reason = model.ReasonExpired
 	}
 	return Result{Refusal: model.Refusal{Reason: reason, NotRun: notRun}}
 }
 
+// givenUp tells an attempt that the entry gave up from one whose time ended. A
+// connection's read limit ends the context as a departing entry does, at the
+// deadline or a little earlier.
+func givenUp(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return errors.Is(ctx.Err(), context.Canceled) && (!ok || time.Until(deadline) > giveUpMargin)
+}
+
+// giveUpMargin is how long before its deadline a context that is cancelled is
+// taken to have reached it.
+const giveUpMargin = 5 * time.Millisecond
+
 // checkHead refuses crossed answers, those whose wholeness cannot be known, and a
 // switch of protocols, which no request asked for (RFC 9110, section 15.2.2) and
 // whose body would end with the connection only.
