--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -146,14 +146,17 @@
 	return out, nil
 }
 
-// budgetLine is the line of a bundle that sets its measuring budget.
-var budgetLine = regexp.MustCompile(`(?m)^per_upstream_per_second *=.*$`)
+// budgetLine and shareLine are the lines of a bundle that set its measuring budget.
+var (
+	budgetLine = regexp.MustCompile(`(?m)^per_upstream_per_second *=.*$`)
+	shareLine  = regexp.MustCompile(`(?m)^poll_share *=.*$`)
+)
 
 // withBudget returns the bundle with another measuring budget, little of which is
 // kept for the owners' polls.
 func withBudget(toml []byte, budget float64) []byte {
 	line := fmt.Sprintf("per_upstream_per_second = %.1f\npoll_share = 0.1", budget)
-	return budgetLine.ReplaceAll(toml, []byte(line))
+	return budgetLine.ReplaceAll(shareLine.ReplaceAll(toml, nil), []byte(line))
 }
 
 func awaitReady(ctx context.Context, fleet *local.Fleet) error {
