--- a/internal/proof/ledger.go
+++ b/internal/proof/ledger.go
@@ -116,6 +116,8 @@
 	// leaves is when its upstream began to leave by its own word, listed when
 	// another process first saw it leaving; zero when it has not.
 	leaves, listed time.Time
+	// listedIn is the incarnation that was seen leaving.
+	listedIn model.Incarnation
 	// fleet is the number of changes of its view that were looked at.
 	fleet uint64
 }
--- a/internal/proof/oracle.go
+++ b/internal/proof/oracle.go
@@ -100,7 +100,8 @@
 		g.violate(promiseLeaving, "%s sent its worker %s, which arrived %v after it began to leave",
 			j.l.node.id, j.attempt.ID, j.offered.Sub(r.leaves))
 	}
-	if r.listed.IsZero() {
+	if r.listed.IsZero() || r.listedIn != j.l.instance().Incarnation {
+		// Never, or taken back by the list since.
 		return
 	}
 	if since := latest(r.listed, g.calmSince()); j.offered.Sub(since) > leavingTime {
@@ -121,8 +122,8 @@
 		if in.State != model.StateLeaving || n == nil || n.life == nil || n.life.instance().Incarnation != in.Incarnation {
 			continue
 		}
-		if seen := g.lives[n.life]; seen.listed.IsZero() {
-			seen.listed = g.w.now
+		if seen := g.lives[n.life]; seen.listedIn != in.Incarnation {
+			seen.listed, seen.listedIn = g.w.now, in.Incarnation
 		}
 	}
 }
