server: a repeated offer of a queued attempt loses no slot

Cause: the executor kept one waiter per attempt id; a second message of a queued attempt took the first one's place and then removed it, so the owner's decision had no receiver: the slot was never freed, and the first call never returned. Change: an attempt that already waits is refused as running, which claims nothing.

--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -138,10 +138,15 @@
 	}
 }
 
+// await makes room for an attempt's decision; nil when the same attempt already
+// waits for one.
 func (x *Executor) await(id model.AttemptID) chan owner.Decision {
-	ch := make(chan owner.Decision, 1)
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.waiters[id] != nil {
+		return nil
+	}
+	ch := make(chan owner.Decision, 1)
 	x.waiters[id] = ch
 	return ch
 }
@@ -180,6 +185,9 @@
 func (x *Executor) admit(ctx context.Context, w *Work, now time.Time) *model.Refusal {
 	id := w.Attempt.ID
 	ch := x.await(id)
+	if ch == nil {
+		return &model.Refusal{Reason: model.ReasonDuplicateRunning}
+	}
 	verdict, refusal := x.owner.Offer(now, &w.Attempt, w.SameNode)
 	if verdict == owner.Wait {
 		return x.wait(ctx, id, ch)
--- /dev/null
+++ b/internal/server/executor_test.go
@@ -0,0 +1,96 @@
+package server
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/owner"
+)
+
+// await waits until the owner's report says what is asked for.
+func await(t *testing.T, o *owner.Owner, says func(model.LoadReport) bool) {
+	t.Helper()
+	poll := time.NewTicker(time.Millisecond)
+	defer poll.Stop()
+	for range 10_000 {
+		if says(o.Report(time.Now())) {
+			return
+		}
+		<-poll.C
+	}
+	t.Fatalf("the owner reports %+v", o.Report(time.Now()))
+}
+
+// A repeated message of an attempt that is queued took the first one's place in
+// the wait for the owner's decision: the slot that the owner then gave it was
+// never freed.
+func TestARepeatedOfferOfAQueuedAttemptLosesNoSlot(t *testing.T) {
+	release := make(chan struct{})
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "done")
+	}))
+	defer worker.Close()
+	o, x := oneSlot(strings.TrimPrefix(worker.URL, "http://"))
+	results := make(chan Result, 2)
+	do := func(sequence uint64) { results <- x.Do(context.Background(), testWork(sequence)) }
+	go do(1)
+	await(t, o, func(r model.LoadReport) bool { return r.InFlight == 1 })
+	go do(2)
+	await(t, o, func(r model.LoadReport) bool { return r.Queued == 1 })
+	if r := x.Do(context.Background(), testWork(2)); r.Refusal.Reason != model.ReasonDuplicateRunning || r.Refusal.NotRun {
+		t.Errorf("the repeated offer got %+v", r.Refusal)
+	}
+	close(release)
+	for range 2 {
+		r := <-results
+		if r.Answer == nil {
+			t.Fatalf("refused: %+v", r.Refusal)
+		}
+		if _, err := io.ReadAll(r.Answer.Body); err != nil {
+			t.Error(err)
+		}
+		r.Answer.Body.Close()
+	}
+	if n := o.Report(time.Now()).InFlight; n != 0 {
+		t.Errorf("%d attempts hold slots", n)
+	}
+}
+
+// oneSlot returns an executor of a worker with one slot, and its owner.
+func oneSlot(address string) (*owner.Owner, *Executor) {
+	now := time.Now()
+	svc := &bundle.Service{Name: "ledger", Slots: 1, Connections: 4, QueueLimit: 8, KeyMemoryMs: 1000}
+	b := &bundle.Bundle{
+		Name: "test", Version: 1, Services: []bundle.Service{*svc},
+		Classes: []bundle.Class{{Name: "payout", Worth: 1, DeadlineMs: 60_000, MaxDeadlineMs: 60_000}},
+	}
+	o := owner.New(owner.Config{Self: model.Instance{ID: "n0", Service: "ledger", Incarnation: 1}, Started: now.Add(-time.Minute)})
+	o.Configure(now, b, svc, 1)
+	o.SetState(now, model.StateLive)
+	x := NewExecutor(o, address, func(bool) {})
+	x.Configure(svc, "n0")
+	return o, x
+}
+
+func testWork(sequence uint64) *Work {
+	return &Work{
+		Attempt: model.Attempt{
+			ID:    model.AttemptID{Entry: "n0", Incarnation: 1, Sequence: sequence},
+			Owner: "n0", OwnerIncarnation: 1, Service: "ledger", Class: "payout", Worth: 1,
+			Request: "r", Remaining: time.Minute,
+		},
+		Method:   http.MethodPost,
+		URL:      &url.URL{Path: "/payouts"},
+		Header:   http.Header{},
+		SameNode: true,
+	}
+}
