--- a/internal/proof/fleet.go
+++ b/internal/proof/fleet.go
@@ -4,6 +4,7 @@
 	"crypto/ed25519"
 	"fmt"
 	"strings"
+	"time"
 
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/model"
@@ -29,6 +30,9 @@
 // measuringPerSecond is the bundle's budget per upstream.
 const measuringPerSecond = 5
 
+// keyMemory is how long a home remembers an id after its end.
+const keyMemory = 12 * time.Second
+
 // workerSlots is the number of requests that one worker runs at once.
 const workerSlots = 4
 
@@ -60,6 +64,7 @@
 name = "ledger"
 slots = %d
 connections = 40
+key_memory_ms = %d
 warmup_ms = 500
 require_echo = true
 health_path = "/health"
@@ -74,6 +79,7 @@
 name = "statements"
 slots = %d
 connections = 40
+key_memory_ms = %d
 warmup_ms = 500
 require_echo = true
 health_path = "/health"
@@ -106,7 +112,8 @@
 
 // signedBundle returns one version as the configuration service holds it.
 func signedBundle(version uint64) []byte {
-	text := fmt.Appendf(nil, bundleText, version, measuringPerSecond, workerSlots, workerSlots)
+	text := fmt.Appendf(nil, bundleText, version, measuringPerSecond,
+		workerSlots, keyMemory.Milliseconds(), workerSlots, keyMemory.Milliseconds())
 	data, err := bundle.Sign(trusted[0].Name, signerKey, text).Marshal()
 	if err != nil {
 		panic(err)
--- a/internal/proof/oracle.go
+++ b/internal/proof/oracle.go
@@ -27,6 +27,8 @@
 		case before.sending == run.sending:
 			g.violate(promiseOnce, "%s ran at %s (%s) and again at %s (%s)",
 				r.id, before.worker, before.attempt, run.worker, run.attempt)
+		case run.at.Sub(before.at) > keyMemory:
+			g.count("excused: the memory lapsed")
 		case before.record.home == run.record.home:
 			g.violate(promiseOnce, "%s ran for sendings %d (%s) and %d (%s), both registered at %s",
 				r.id, before.sending.number, before.attempt, run.sending.number, run.attempt, run.record.home.node.id)
@@ -72,6 +74,8 @@
 			g.violate(promiseNotRun, "sending %d of %s was told not-run without the home's word; sending %d ran",
 				s.number, s.request, a.number)
 		}
+	case s.toldAt.Sub(run.at) > keyMemory:
+		g.count("excused: the memory lapsed")
 	case s.asked.home != run.record.home:
 		g.excuse(promiseNotRun, run.record, s.asked)
 	case !a.homes[run.record.home].registered.After(s.homes[s.asked.home].word):
