--- a/internal/proof/oracle.go
+++ b/internal/proof/oracle.go
@@ -16,8 +16,8 @@
 
 // checkOnce holds a new run against the earlier ones of its request. Runs of two
 // sendings of a caller's own id are excused only as docs/DESIGN.md, "At most
-// once", says: the home's memory was lost with its process, or two views named
-// different homes.
+// once", says: the home's memory was lost with its process or lapsed, or two views
+// named different homes.
 func (g *ledger) checkOnce(r *request, run workerRun) {
 	if run.sending.route.idempotent {
 		return
--- a/internal/proof/platform.go
+++ b/internal/proof/platform.go
@@ -91,6 +91,10 @@
 
 // calm ends all faults.
 func (p *platform) calm() {
+	if p.down {
+		// Processes that knew nobody begin to know others only now.
+		p.w.ledger.disturb()
+	}
 	p.down, p.frozen, p.listLag = false, false, 0
 	p.show(p.versions)
 }
