Name the client of bundles and the instance list registry

The name platform is wanted for the folder that adapts the product to the users' machines, and said nothing of what this client reads: signed bundles and the list of instances. Only names change; the whole suite passes.

--- a/cmd/gypsumfake/main_test.go
+++ b/cmd/gypsumfake/main_test.go
@@ -17,7 +17,7 @@
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/model"
-	"gypsumstand/internal/platform"
+	"gypsumstand/internal/registry"
 )
 
 func write(t *testing.T, name string, data []byte) string {
@@ -106,7 +106,7 @@
 	}
 	fleet := write(t, "fleet.toml", []byte("[[instance]]\nid = \"a\"\nservice = \"s\"\ndata_centre = \"k\"\npeer_address = \"127.0.0.1:1\"\n"))
 	listen, _, stop := start(t, "platform", "--instances", fleet, "--publish", write(t, "b.signed", signed))
-	client, err := platform.NewClient(platform.ClientConfig{Addresses: []string{listen}})
+	client, err := registry.NewClient(registry.ClientConfig{Addresses: []string{listen}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/gypsumfake/platform.go
+++ b/cmd/gypsumfake/platform.go
@@ -12,7 +12,7 @@
 	fake "gypsumstand/internal/fake/platform"
 	"gypsumstand/internal/finding"
 	"gypsumstand/internal/model"
-	"gypsumstand/internal/platform"
+	"gypsumstand/internal/registry"
 )
 
 // instancesFile is the file of the flag -instances.
@@ -107,7 +107,7 @@
 	if e.State == "" {
 		e.State = model.StateLive.String()
 	}
-	return platform.CheckEntry("", platform.InstanceEntry(e))
+	return registry.CheckEntry("", registry.InstanceEntry(e))
 }
 
 func publishFile(p *fake.Platform, path string) error {
--- a/cmd/gypsumfake/worker.go
+++ b/cmd/gypsumfake/worker.go
@@ -9,7 +9,7 @@
 
 	"gypsumstand/internal/fake/worker"
 	"gypsumstand/internal/finding"
-	"gypsumstand/internal/platform"
+	"gypsumstand/internal/registry"
 )
 
 // profilesFile is the file of the flag -profiles.
@@ -71,7 +71,7 @@
 func (f *workerFlags) worker() (*worker.Worker, error) {
 	var findings finding.List
 	if f.node != "" {
-		collect(&findings, platform.CheckAddress(f.node))
+		collect(&findings, registry.CheckAddress(f.node))
 	}
 	if f.connections < 0 {
 		findings.Add(finding.Finding{Key: "connections", Message: "must not be negative"})
--- a/cmd/gypsumload/flags.go
+++ b/cmd/gypsumload/flags.go
@@ -10,7 +10,7 @@
 	"gypsumstand/internal/finding"
 	"gypsumstand/internal/load"
 	"gypsumstand/internal/model"
-	"gypsumstand/internal/platform"
+	"gypsumstand/internal/registry"
 )
 
 // flags are the command's flags.
@@ -104,7 +104,7 @@
 		findings.Add(finding.Finding{Key: a, Message: "unexpected argument"})
 	}
 	for _, a := range split(f.oracle) {
-		if err := platform.CheckAddress(a); err != nil {
+		if err := registry.CheckAddress(a); err != nil {
 			findings.Add(finding.Finding{Key: "-oracle", Message: err.Error()})
 		}
 	}
--- a/internal/fake/platform/control.go
+++ b/internal/fake/platform/control.go
@@ -12,7 +12,7 @@
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/finding"
 	"gypsumstand/internal/model"
-	protocol "gypsumstand/internal/platform"
+	protocol "gypsumstand/internal/registry"
 )
 
 // Paths of the control handler.
--- a/internal/fake/platform/log.go
+++ b/internal/fake/platform/log.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"gypsumstand/internal/model"
-	protocol "gypsumstand/internal/platform"
+	protocol "gypsumstand/internal/registry"
 )
 
 // Bounds of what the stand-in remembers.
--- a/internal/fake/platform/platform.go
+++ b/internal/fake/platform/platform.go
@@ -14,7 +14,7 @@
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/finding"
 	"gypsumstand/internal/model"
-	protocol "gypsumstand/internal/platform"
+	protocol "gypsumstand/internal/registry"
 )
 
 // DefaultRatePerSecond is the number of calls a second that the platform
--- a/internal/fake/platform/platform_test.go
+++ b/internal/fake/platform/platform_test.go
@@ -21,7 +21,7 @@
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/fake/listen"
 	"gypsumstand/internal/model"
-	protocol "gypsumstand/internal/platform"
+	protocol "gypsumstand/internal/registry"
 )
 
 // stand is a platform in a bubble of testing/synctest with a client.
--- a/internal/fake/platform/serve.go
+++ b/internal/fake/platform/serve.go
@@ -8,7 +8,7 @@
 
 	"github.com/gorilla/mux"
 
-	protocol "gypsumstand/internal/platform"
+	protocol "gypsumstand/internal/registry"
 )
 
 // Handler returns the handler of the platform's protocol.
--- a/internal/fake/worker/control.go
+++ b/internal/fake/worker/control.go
@@ -11,7 +11,7 @@
 
 	"gypsumstand/internal/finding"
 	"gypsumstand/internal/model"
-	"gypsumstand/internal/platform"
+	"gypsumstand/internal/registry"
 )
 
 // Paths of the control handler.
@@ -68,7 +68,7 @@
 		var decodeErr error
 		err = w.ChangeFaults(func(f *Faults) {
 			next := f.clone()
-			if decodeErr = platform.DecodeStrict("faults", body, &next); decodeErr == nil {
+			if decodeErr = registry.DecodeStrict("faults", body, &next); decodeErr == nil {
 				*f = next
 			}
 		})
@@ -94,7 +94,7 @@
 	var query RunsQuery
 	body, err := readControl(rw, r)
 	if err == nil {
-		err = platform.DecodeStrict("runs", body, &query)
+		err = registry.DecodeStrict("runs", body, &query)
 	}
 	if err != nil {
 		reply(rw, err)
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"gypsumstand/internal/model"
-	"gypsumstand/internal/platform"
+	"gypsumstand/internal/registry"
 )
 
 // Pick says how the target of a request is picked.
@@ -175,7 +175,7 @@
 		add("targets", "missing")
 	}
 	for i, t := range p.Targets {
-		if err := platform.CheckAddress(t); err != nil {
+		if err := registry.CheckAddress(t); err != nil {
 			add("targets", "element %d: %v", i, err)
 		}
 	}
@@ -244,7 +244,7 @@
 func (s *Step) check(key string, durationMs int64, add adder) {
 	within(add, key+"at_ms", s.AtMs, 0, durationMs)
 	u, err := url.Parse(s.URL)
-	if err != nil || u.Scheme != "http" || platform.CheckAddress(u.Host) != nil {
+	if err != nil || u.Scheme != "http" || registry.CheckAddress(u.Host) != nil {
 		add(key+"url", "%q must be http://ip:port/path", s.URL)
 	}
 	if _, err := http.NewRequest(s.Method, "http://target/", nil); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,7 +25,7 @@
 	"gypsumstand/internal/metrics"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/pause"
-	"gypsumstand/internal/platform"
+	"gypsumstand/internal/registry"
 	"gypsumstand/internal/route"
 	"gypsumstand/internal/server"
 	"gypsumstand/internal/upstream"
@@ -97,8 +97,8 @@
 	executor  *server.Executor
 	forwarder *server.Forwarder
 	links     *link.Manager
-	list      *platform.Client
-	config    *platform.Client
+	list      *registry.Client
+	config    *registry.Client
 	metrics   *metrics.Metrics
 	settler   *settler
 	// leavingTold: the core has taken the word of leaving, and what it wants done
@@ -171,11 +171,11 @@
 // provision makes the parts; the ports are open, so addresses are known.
 func (n *Node) provision() error {
 	var err error
-	n.list, err = platform.NewClient(platform.ClientConfig{Addresses: n.cfg.ListAddresses, Timeout: n.cfg.PlatformTimeout})
+	n.list, err = registry.NewClient(registry.ClientConfig{Addresses: n.cfg.ListAddresses, Timeout: n.cfg.PlatformTimeout})
 	if err != nil {
 		return fmt.Errorf("platform list: %w", err)
 	}
-	n.config, err = platform.NewClient(platform.ClientConfig{Addresses: n.cfg.ConfigAddresses, Timeout: n.cfg.PlatformTimeout})
+	n.config, err = registry.NewClient(registry.ClientConfig{Addresses: n.cfg.ConfigAddresses, Timeout: n.cfg.PlatformTimeout})
 	if err != nil {
 		return fmt.Errorf("platform configuration: %w", err)
 	}
--- a/internal/platform/decode_test.go
+++ b/internal/registry/decode_test.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import (
 	"errors"
--- a/internal/platform/protocol.go
+++ b/internal/registry/protocol.go
@@ -1,8 +1,8 @@
-// Package platform reads the platform's services: the list of instances and the
+// Package registry reads the platform's services: the list of instances and the
 // configuration. It holds the JSON types of the protocol and a client that
 // bounds every call in time and size and checks what it reads. Protocol:
 // docs/DESIGN.md, "Platform protocol".
-package platform
+package registry
 
 import (
 	"gypsumstand/internal/bundle"
