--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -23,6 +23,7 @@
 	Comment   string    `toml:"comment"`
 	Measuring Measuring `toml:"measuring"`
 	Retry     Retry     `toml:"retry"`
+	Callers   Callers   `toml:"callers"`
 	Classes   []Class   `toml:"class"`
 	Tenants   []Tenant  `toml:"tenant"`
 	Services  []Service `toml:"service"`
@@ -55,6 +56,34 @@
 	// HedgeAfterQuantile hedges an idempotent request once it has taken longer
 	// than this quantile of its class; 0 (default) means never. From 0 to 0.9999.
 	HedgeAfterQuantile float64 `toml:"hedge_after_quantile"`
+	// FleetExtra is the number of extra arrivals at a service's workers that all
+	// entry nodes together may cause in ten seconds beside the ratio; each node
+	// keeps to its part. 0 (default) means that each node keeps to the ratio alone.
+	// From 0 to 1000000.
+	FleetExtra float64 `toml:"fleet_extra"`
+}
+
+// Callers bounds what callers' connections may do.
+type Callers struct {
+	// IdleTimeoutMs is how long an idle connection is kept, in milliseconds.
+	// Default 60000, from 100 to 3600000.
+	IdleTimeoutMs int64 `toml:"idle_timeout_ms"`
+	// HeaderTimeoutMs is how long a request's header may take, in milliseconds.
+	// Default 5000, from 100 to 3600000.
+	HeaderTimeoutMs int64 `toml:"header_timeout_ms"`
+	// MaxHeaderBytes bounds a request's header within the node's own bound.
+	// Default 0: the node's bound alone. From 0 to 1048576.
+	MaxHeaderBytes int `toml:"max_header_bytes"`
+}
+
+// IdleTimeout returns how long an idle connection is kept.
+func (c *Callers) IdleTimeout() time.Duration {
+	return time.Duration(c.IdleTimeoutMs) * time.Millisecond
+}
+
+// HeaderTimeout returns how long a request's header may take.
+func (c *Callers) HeaderTimeout() time.Duration {
+	return time.Duration(c.HeaderTimeoutMs) * time.Millisecond
 }
 
 // Class groups requests of one worth and deadline.
@@ -72,6 +101,23 @@
 	// Share is the guaranteed share of an upstream's slots, 0 to 1. Idle shares
 	// may be borrowed. The shares of a bundle's classes sum to at most 1. Default 0.
 	Share float64 `toml:"share"`
+	// Priority is the class's rank in an owner's queue: a smaller number is served
+	// first, whatever the worth. Default 0, from 0 to 1000.
+	Priority int `toml:"priority"`
+	// ObjectiveMs is the time within which an answer has its full worth, in
+	// milliseconds. Default 0: the deadline. From 0 to 3600000.
+	ObjectiveMs int64 `toml:"objective_ms"`
+	// MaxAttempts bounds the workers that one request may be sent to. Default 0:
+	// the retry budget alone bounds them. From 0 to 100.
+	MaxAttempts int `toml:"max_attempts"`
+}
+
+// Objective returns the time within which an answer has its full worth.
+func (c *Class) Objective() time.Duration {
+	if c.ObjectiveMs <= 0 {
+		return c.Deadline()
+	}
+	return time.Duration(c.ObjectiveMs) * time.Millisecond
 }
 
 // Deadline returns the default deadline.
@@ -148,6 +194,10 @@
 
 // Route leads requests to its service.
 type Route struct {
+	// Host limits the route to requests for this host, without a port; empty
+	// means any. A host's own routes are looked at first, and those of any host
+	// when none of them matches.
+	Host string `toml:"host"`
 	// Path is the path prefix, from "/"; the longest matching prefix wins, at
 	// equal length the one with methods. It matches whole segments only.
 	Path string `toml:"path"`
@@ -156,6 +206,10 @@
 	Class   model.ClassName `toml:"class"`
 	// Idempotent overrides RFC 9110's default for the method when present.
 	Idempotent *bool `toml:"idempotent"`
+	// Weight splits requests: routes of several services with the same host, path
+	// and methods and a weight each get requests in these proportions, also when
+	// one of them has no room. Default 0: the route is alone. From 0 to 1000000.
+	Weight int `toml:"weight"`
 }
 
 // Class returns the class of that name, or nil.
--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -20,6 +20,14 @@
 	maxWarmupMs       = 600_000
 	maxKeyMemoryMs    = 86_400_000
 	maxPathBytes      = 1024
+	maxHostBytes      = 255
+	maxFleetExtra     = 1e6
+	maxPriority       = 1000
+	maxAttempts       = 100
+	maxRouteWeight    = 1_000_000
+	minCallerMs       = 100
+	maxCallerMs       = 3_600_000
+	maxHeaderBytes    = 1 << 20
 	// shareSlack forgives the rounding of shares such as 0.1 + 0.2.
 	shareSlack = 1e-9
 )
@@ -32,6 +40,7 @@
 	}
 	checkMeasuring(&b.Measuring, doc)
 	checkRetry(&b.Retry, doc)
+	checkCallers(&b.Callers, doc)
 	checkClasses(b, doc)
 	checkTenants(b, doc)
 	checkServices(b, doc)
@@ -46,6 +55,13 @@
 	doc.IntRange("retry.per_path", int64(r.PerPath), 0, maxRetryPerPath)
 	doc.FloatRange("retry.ratio", r.Ratio, 0, 1)
 	doc.FloatRange("retry.hedge_after_quantile", r.HedgeAfterQuantile, 0, maxHedgeQuantile)
+	doc.FloatRange("retry.fleet_extra", r.FleetExtra, 0, maxFleetExtra)
+}
+
+func checkCallers(c *Callers, doc *tomlfile.Document) {
+	doc.IntRange("callers.idle_timeout_ms", c.IdleTimeoutMs, minCallerMs, maxCallerMs)
+	doc.IntRange("callers.header_timeout_ms", c.HeaderTimeoutMs, minCallerMs, maxCallerMs)
+	doc.IntRange("callers.max_header_bytes", int64(c.MaxHeaderBytes), 0, maxHeaderBytes)
 }
 
 func checkClasses(b *Bundle, doc *tomlfile.Document) {
@@ -56,6 +72,9 @@
 		names.add(key+".name", string(c.Name))
 		doc.FloatRange(key+".worth", c.Worth, 0, maxWorth)
 		doc.FloatRange(key+".share", c.Share, 0, 1)
+		doc.IntRange(key+".priority", int64(c.Priority), 0, maxPriority)
+		doc.IntRange(key+".objective_ms", c.ObjectiveMs, 0, maxDeadlineMs)
+		doc.IntRange(key+".max_attempts", int64(c.MaxAttempts), 0, maxAttempts)
 		checkDeadlines(c, key, doc)
 		sum += c.Share
 		if sum > 1+shareSlack && sum-c.Share <= 1+shareSlack {
--- a/internal/bundle/check_service.go
+++ b/internal/bundle/check_service.go
@@ -111,15 +111,28 @@
 type routeChecker struct {
 	bundle *Bundle
 	doc    *tomlfile.Document
-	// taken maps path and method ("" for a route of all methods) to the key of
-	// the route that has it.
-	taken map[routeID]string
+	// taken maps host, path and method ("" for a route of all methods) to the
+	// route that has it.
+	taken map[routeID]takenRoute
 	// classesKnown is false when a class's name was not taken, so that an
 	// unknown class may be that one.
 	classesKnown bool
 }
 
+// takenRoute is a route and its key in the document.
+type takenRoute struct {
+	key   string
+	route *Route
+}
+
+// splitsWith tells whether two routes with the same host, path and method are
+// parts of one split.
+func (r *Route) splitsWith(other *Route) bool {
+	return r.Weight > 0 && other.Weight > 0 && slices.Equal(r.Methods, other.Methods)
+}
+
 type routeID struct {
+	host   string
 	path   string
 	method string
 }
@@ -130,7 +143,7 @@
 		known = known && !doc.Refused(classKey(i)+".name")
 	}
 	known = known && !doc.Refused("class")
-	return &routeChecker{bundle: b, doc: doc, taken: map[routeID]string{}, classesKnown: known}
+	return &routeChecker{bundle: b, doc: doc, taken: map[routeID]takenRoute{}, classesKnown: known}
 }
 
 func (c *routeChecker) check(s *Service, r *Route, key string) {
@@ -139,6 +152,8 @@
 	}
 	c.checkClass(key+".class", r.Class)
 	c.checkMethods(r, key+".methods")
+	c.checkHost(key+".host", r.Host)
+	c.doc.IntRange(key+".weight", int64(r.Weight), 0, maxRouteWeight)
 	if !c.doc.RefusedBelow(key) {
 		c.checkTaken(r, key)
 	}
@@ -151,6 +166,13 @@
 	}
 }
 
+// checkHost notes a host that no request can name.
+func (c *routeChecker) checkHost(key, host string) {
+	if len(host) > maxHostBytes || strings.ContainsAny(host, " /:@?#") {
+		c.doc.Add(key, "%q must be a host name or IP number without a port, of at most %d bytes", host, maxHostBytes)
+	}
+}
+
 // pathFault says what is wrong with a path; empty when nothing is.
 func pathFault(path string) string {
 	switch {
@@ -199,26 +221,26 @@
 	for _, id := range r.ids() {
 		first, taken := c.taken[id]
 		if !taken {
-			c.taken[id] = key
+			c.taken[id] = takenRoute{key: key, route: r}
 			continue
 		}
-		if first == key || reported {
+		if first.key == key || reported || first.route.splitsWith(r) {
 			continue
 		}
 		reported = true
-		line, _ := c.doc.Position(first)
-		c.doc.Add(key+".path", "%s is hidden by %s on line %d", id, first, line)
+		line, _ := c.doc.Position(first.key)
+		c.doc.Add(key+".path", "%s is hidden by %s on line %d", id, first.key, line)
 	}
 }
 
 // ids returns what the route takes: its path with each of its methods.
 func (r *Route) ids() []routeID {
 	if len(r.Methods) == 0 {
-		return []routeID{{path: r.Path}}
+		return []routeID{{host: strings.ToLower(r.Host), path: r.Path}}
 	}
 	out := make([]routeID, len(r.Methods))
 	for i, m := range r.Methods {
-		out[i] = routeID{path: r.Path, method: m}
+		out[i] = routeID{host: strings.ToLower(r.Host), path: r.Path, method: m}
 	}
 	return out
 }
@@ -226,9 +248,9 @@
 // String names the route for findings, as in "POST /payouts".
 func (id routeID) String() string {
 	if id.method == "" {
-		return "every method of " + id.path
+		return "every method of " + id.host + id.path
 	}
-	return id.method + " " + id.path
+	return id.method + " " + id.host + id.path
 }
 
 // checkKeyMemory notes a service that forgets a finished request id while the
--- a/internal/bundle/diff.go
+++ b/internal/bundle/diff.go
@@ -15,6 +15,7 @@
 	SubjectBundle Subject = iota
 	SubjectMeasuring
 	SubjectRetry
+	SubjectCallers
 	SubjectClass
 	SubjectTenant
 	SubjectService
@@ -22,7 +23,7 @@
 	SubjectRoute
 )
 
-var subjectNames = [...]string{"bundle", "measuring", "retry", "class", "tenant", "service", "upstream", "route"}
+var subjectNames = [...]string{"bundle", "measuring", "retry", "callers", "class", "tenant", "service", "upstream", "route"}
 
 // String returns the subject's name in the bundle's TOML.
 func (s Subject) String() string {
@@ -74,13 +75,14 @@
 func Diff(old, new *Bundle) []Change {
 	d := &differ{}
 	if old == nil {
-		old = &Bundle{Name: new.Name, Measuring: new.Measuring, Retry: new.Retry}
+		old = &Bundle{Name: new.Name, Measuring: new.Measuring, Retry: new.Retry, Callers: new.Callers}
 		d.add(Change{Subject: SubjectBundle, Operation: Added, Name: string(new.Name), New: new.VersionID().String(),
 			Sentence: fmt.Sprintf("Bundle %s comes into force for the first time.", new.VersionID())})
 	}
 	d.bundle(old, new)
 	d.fields(SubjectMeasuring, "", measuringFields.values(&old.Measuring), measuringFields.values(&new.Measuring))
 	d.fields(SubjectRetry, "", retryFields.values(&old.Retry), retryFields.values(&new.Retry))
+	d.fields(SubjectCallers, "", callersFields.values(&old.Callers), callersFields.values(&new.Callers))
 	d.classes(old, new)
 	d.tenants(old, new)
 	d.services(old, new)
@@ -232,12 +234,24 @@
 
 // routeUse is what a path and method lead to.
 type routeUse struct {
-	id         routeID
+	id routeID
+	// part is the service of a part of a split, which tells it from the others;
+	// empty for a route that is alone.
+	part       string
+	weight     string
 	service    string
 	class      string
 	idempotent string
 }
 
+// name identifies the use among those of its bundle.
+func (u *routeUse) name() string {
+	if u.part == "" {
+		return u.id.String()
+	}
+	return u.id.String() + " by " + u.part
+}
+
 func routeUses(b *Bundle) []routeUse {
 	var out []routeUse
 	for i := range b.Services {
@@ -245,12 +259,16 @@
 		for j := range s.Routes {
 			r := &s.Routes[j]
 			for _, id := range r.ids() {
-				out = append(out, routeUse{id: id, service: string(s.Name), class: string(r.Class), idempotent: r.idempotentWords(id.method)})
+				u := routeUse{id: id, service: string(s.Name), class: string(r.Class), idempotent: r.idempotentWords(id.method)}
+				if r.Weight > 0 {
+					u.part, u.weight = string(s.Name), strconv.Itoa(r.Weight)
+				}
+				out = append(out, u)
 			}
 		}
 	}
 	slices.SortStableFunc(out, func(a, b routeUse) int {
-		return cmp.Or(cmp.Compare(a.id.path, b.id.path), cmp.Compare(a.id.method, b.id.method))
+		return cmp.Or(cmp.Compare(a.id.host, b.id.host), cmp.Compare(a.id.path, b.id.path), cmp.Compare(a.id.method, b.id.method))
 	})
 	return out
 }
@@ -267,15 +285,15 @@
 }
 
 func (d *differ) routes(old, new *Bundle) {
-	comparePairs(routeUses(old), routeUses(new), func(u *routeUse) string { return u.id.String() }, pairing[routeUse]{
+	comparePairs(routeUses(old), routeUses(new), (*routeUse).name, pairing[routeUse]{
 		added: func(u *routeUse) {
-			d.whole(SubjectRoute, Added, u.id.String(), fmt.Sprintf("Requests for %s go to service %s as class %s, %s.", u.id, u.service, u.class, u.idempotent))
+			d.whole(SubjectRoute, Added, u.name(), fmt.Sprintf("Requests for %s go to service %s as class %s, %s.", u.id, u.service, u.class, u.idempotent))
 		},
 		removed: func(u *routeUse) {
-			d.whole(SubjectRoute, Removed, u.id.String(), fmt.Sprintf("Requests for %s no longer go to service %s by a route of their own.", u.id, u.service))
+			d.whole(SubjectRoute, Removed, u.name(), fmt.Sprintf("Requests for %s no longer go to service %s by a route of their own.", u.id, u.service))
 		},
 		both: func(o, n *routeUse) {
-			d.fields(SubjectRoute, n.id.String(), routeFields.values(o), routeFields.values(n))
+			d.fields(SubjectRoute, n.name(), routeFields.values(o), routeFields.values(n))
 		},
 	})
 }
--- a/internal/bundle/diff_fields.go
+++ b/internal/bundle/diff_fields.go
@@ -44,6 +44,17 @@
 		"Each entry node%[1]s may add %[3]s of extra attempts to a service's first ones instead of %[2]s."},
 	{"hedge_after_quantile", func(r *Retry) string { return hedge(r.HedgeAfterQuantile) },
 		"Idempotent requests%[1]s are hedged %[3]s instead of %[2]s."},
+	{"fleet_extra", func(r *Retry) string { return bound(r.FleetExtra) },
+		"All entry nodes together%[1]s may cause %[3]s extra arrivals in ten seconds at a service instead of %[2]s."},
+}
+
+var callersFields = fieldList[Callers]{
+	{"idle_timeout_ms", func(c *Callers) string { return ms(c.IdleTimeoutMs) },
+		"Callers' idle connections%[1]s are kept for %[3]s instead of %[2]s."},
+	{"header_timeout_ms", func(c *Callers) string { return ms(c.HeaderTimeoutMs) },
+		"The header of a request%[1]s may take %[3]s instead of %[2]s."},
+	{"max_header_bytes", func(c *Callers) string { return override(c.MaxHeaderBytes) },
+		"The header of a request%[1]s may have %[3]s bytes instead of %[2]s."},
 }
 
 var classFields = fieldList[Class]{
@@ -55,6 +66,12 @@
 		"Requests of class %[1]s may name a deadline of up to %[3]s instead of %[2]s."},
 	{"share", func(c *Class) string { return percent(c.Share) },
 		"Class %[1]s is guaranteed %[3]s of an upstream's slots instead of %[2]s."},
+	{"priority", func(c *Class) string { return strconv.Itoa(c.Priority) },
+		"Class %[1]s has rank %[3]s in owners' queues instead of %[2]s."},
+	{"objective_ms", func(c *Class) string { return ms(c.ObjectiveMs) },
+		"An answer of class %[1]s has its full worth within %[3]s instead of %[2]s."},
+	{"max_attempts", func(c *Class) string { return override(c.MaxAttempts) },
+		"A request of class %[1]s may be sent to %[3]s workers instead of %[2]s."},
 }
 
 var tenantFields = fieldList[Tenant]{
@@ -99,6 +116,8 @@
 		"Requests for %[1]s are of class %[3]s instead of %[2]s."},
 	{"idempotent", func(u *routeUse) string { return u.idempotent },
 		"Requests for %[1]s are taken as %[3]s instead of %[2]s."},
+	{"weight", func(u *routeUse) string { return u.weight },
+		"Requests for %[1]s have the weight %[3]s instead of %[2]s."},
 }
 
 func number(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
--- a/internal/bundle/diff_test.go
+++ b/internal/bundle/diff_test.go
@@ -150,10 +150,11 @@
 	}
 	check(reflect.TypeFor[Measuring](), measuringFields.values(&Measuring{}))
 	check(reflect.TypeFor[Retry](), retryFields.values(&Retry{}))
+	check(reflect.TypeFor[Callers](), callersFields.values(&Callers{}))
 	check(reflect.TypeFor[Class](), classFields.values(&Class{}), "name")
 	check(reflect.TypeFor[Tenant](), tenantFields.values(&Tenant{}), "name")
 	check(reflect.TypeFor[Service](), serviceFields.values(&Service{}), "name", "upstream", "route")
 	check(reflect.TypeFor[Upstream](), upstreamFields.values(&Upstream{}), "instance")
-	check(reflect.TypeFor[Route](), routeFields.values(&routeUse{}), "path", "methods")
-	check(reflect.TypeFor[Bundle](), nil, "name", "version", "comment", "measuring", "retry", "class", "tenant", "service")
+	check(reflect.TypeFor[Route](), routeFields.values(&routeUse{}), "host", "path", "methods")
+	check(reflect.TypeFor[Bundle](), nil, "name", "version", "comment", "measuring", "retry", "callers", "class", "tenant", "service")
 }
--- a/internal/bundle/parse.go
+++ b/internal/bundle/parse.go
@@ -19,6 +19,8 @@
 	defaultWarmupMs           = 2000
 	defaultKeyMemoryMs        = 120_000
 	minBurst                  = 1
+	defaultIdleTimeoutMs      = 60_000
+	defaultHeaderTimeoutMs    = 5000
 )
 
 // Parse reads the TOML of a bundle, fills defaults and checks it. file names
@@ -30,6 +32,7 @@
 	b := &Bundle{
 		Measuring: Measuring{PerUpstreamPerSecond: defaultMeasuringPerSecond, PollShare: defaultPollShare},
 		Retry:     Retry{PerPath: defaultRetryPerPath, Ratio: defaultRetryRatio},
+		Callers:   Callers{IdleTimeoutMs: defaultIdleTimeoutMs, HeaderTimeoutMs: defaultHeaderTimeoutMs},
 	}
 	doc := tomlfile.Decode(file, data, b)
 	if doc.Broken() {
--- a/internal/bundle/parse_test.go
+++ b/internal/bundle/parse_test.go
@@ -59,6 +59,7 @@
 		Name: "inyange", Version: 3,
 		Measuring: Measuring{PerUpstreamPerSecond: 4, PollShare: 0.5},
 		Retry:     Retry{PerPath: 2, Ratio: 0.2},
+		Callers:   Callers{IdleTimeoutMs: 60_000, HeaderTimeoutMs: 5000},
 		Classes: []Class{
 			{Name: "payout", Worth: 10, DeadlineMs: 2000, MaxDeadlineMs: 5000, Share: 0.4},
 			{Name: "lookup", DeadlineMs: 500, MaxDeadlineMs: 500, Share: 0.1},
--- a/internal/bundle/set.go
+++ b/internal/bundle/set.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"net"
 	"net/http"
 	"slices"
+	"strings"
 
 	"gypsumstand/internal/model"
 )
@@ -14,7 +16,9 @@
 	byName   map[model.BundleName]*Bundle
 	ordered  []*Bundle
 	services map[model.ServiceName]serviceEntry
-	routes   routeNode
+	// routes are those of any host, hosts those of one.
+	routes routeNode
+	hosts  map[string]*routeNode
 }
 
 type serviceEntry struct {
@@ -57,6 +61,10 @@
 }
 
 func (s *Set) index(b *Bundle) {
+	classes := make(map[model.ClassName]*Class, len(b.Classes))
+	for i := range b.Classes {
+		classes[b.Classes[i].Name] = &b.Classes[i]
+	}
 	for i := range b.Services {
 		svc := &b.Services[i]
 		if _, taken := s.services[svc.Name]; taken {
@@ -65,11 +73,29 @@
 		s.services[svc.Name] = serviceEntry{service: svc, bundle: b}
 		for j := range svc.Routes {
 			r := &svc.Routes[j]
-			s.routes.add(r, Target{Bundle: b, Service: svc, Class: b.Class(r.Class)})
+			s.routesOf(r.Host).add(r, Target{Bundle: b, Service: svc, Class: classes[r.Class]})
 		}
 	}
 }
 
+// routesOf returns the routes of a host, making their list when it is new.
+func (s *Set) routesOf(host string) *routeNode {
+	if host == "" {
+		return &s.routes
+	}
+	host = strings.ToLower(host)
+	n := s.hosts[host]
+	if n != nil {
+		return n
+	}
+	if s.hosts == nil {
+		s.hosts = map[string]*routeNode{}
+	}
+	n = &routeNode{}
+	s.hosts[host] = n
+	return n
+}
+
 // All returns the bundles in the order of their names.
 func (s *Set) All() []*Bundle { return slices.Clone(s.ordered) }
 
@@ -82,10 +108,34 @@
 	return e.service, e.bundle
 }
 
-// Match finds the target of a request; ok is false when no route matches. Its
-// cost grows with the path's segments, not with the number of routes.
+// Match finds the target of a request for any host; see MatchHost.
 func (s *Set) Match(method, path string) (t Target, ok bool) {
-	return s.routes.match(method, path)
+	return s.MatchHost("", method, path, 0)
+}
+
+// MatchHost finds the target of a request; ok is false when no route matches.
+// draw is a uniform random number that chooses among the parts of a split. The
+// cost grows with the path's segments, not with the number of routes.
+func (s *Set) MatchHost(host, method, path string, draw uint64) (t Target, ok bool) {
+	if len(s.hosts) > 0 && host != "" {
+		if n := s.hosts[hostName(host)]; n != nil {
+			if e := n.match(method, path); e != nil {
+				return e.resolve(method, draw), true
+			}
+		}
+	}
+	if e := s.routes.match(method, path); e != nil {
+		return e.resolve(method, draw), true
+	}
+	return Target{}, false
+}
+
+// hostName returns a Host header's name in lower case, without a port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
 }
 
 // idempotent applies RFC 9110, section 9.2.2, where the route says nothing.
--- a/internal/bundle/trie.go
+++ b/internal/bundle/trie.go
@@ -22,6 +22,49 @@
 type routeEntry struct {
 	route  *Route
 	target Target
+	// split holds the parts of a split in the order of adding, this entry's own
+	// first; empty when the route is alone.
+	split splitTargets
+}
+
+// splitTargets are the parts of one split.
+type splitTargets struct {
+	parts []splitPart
+	// total is the sum of the weights.
+	total uint64
+}
+
+type splitPart struct {
+	target Target
+	weight uint64
+}
+
+func (s *splitTargets) add(weight int, t Target) {
+	s.parts = append(s.parts, splitPart{target: t, weight: uint64(weight)})
+	s.total += uint64(weight)
+}
+
+// choose returns the part that a uniform draw falls on.
+func (s *splitTargets) choose(draw uint64) Target {
+	at := draw % s.total
+	for i := range s.parts {
+		p := &s.parts[i]
+		if at < p.weight {
+			return p.target
+		}
+		at -= p.weight
+	}
+	return s.parts[0].target
+}
+
+// resolve returns the target of a request that matched e.
+func (e *routeEntry) resolve(method string, draw uint64) Target {
+	t := e.target
+	if e.split.total > 0 {
+		t = e.split.choose(draw)
+	}
+	t.Idempotent = e.route.idempotent(method)
+	return t
 }
 
 // add puts a route under its path. One that does not start with a slash can
@@ -57,6 +100,13 @@
 }
 
 func (l *routeList) add(e routeEntry) {
+	if e.route.Weight > 0 {
+		if same := l.splitOf(e.route); same != nil {
+			same.split.add(e.route.Weight, e.target)
+			return
+		}
+		e.split.add(e.route.Weight, e.target)
+	}
 	at := len(*l)
 	if len(e.route.Methods) > 0 {
 		at = slices.IndexFunc(*l, func(o routeEntry) bool { return len(o.route.Methods) == 0 })
@@ -67,10 +117,22 @@
 	*l = slices.Insert(*l, at, e)
 }
 
-// match walks down the path and keeps the longest route that has the method.
-func (n *routeNode) match(method, path string) (t Target, ok bool) {
+// splitOf returns the entry whose split a weighted route belongs to, or nil.
+func (l routeList) splitOf(r *Route) *routeEntry {
+	for i := range l {
+		e := &l[i]
+		if e.route.Weight > 0 && slices.Equal(e.route.Methods, r.Methods) {
+			return e
+		}
+	}
+	return nil
+}
+
+// match walks down the path and returns the longest route that has the method,
+// or nil.
+func (n *routeNode) match(method, path string) *routeEntry {
 	if path == "" || path[0] != '/' {
-		return Target{}, false
+		return nil
 	}
 	best := n.below.find(method)
 	for rest, more := path[1:], true; more; {
@@ -90,12 +152,7 @@
 			best = e
 		}
 	}
-	if best == nil {
-		return Target{}, false
-	}
-	t = best.target
-	t.Idempotent = best.route.idempotent(method)
-	return t, true
+	return best
 }
 
 // find returns the first entry that has the method, or nil.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/wire"
@@ -83,6 +84,21 @@
 	Err  error
 }
 
+// DirectoryRead is what a directory told: a source that holds the workers and the
+// configuration, both already checked by whoever writes them.
+type DirectoryRead struct {
+	// Whole says that Listed holds every worker; otherwise Listed holds those that
+	// changed and Gone those that were removed.
+	Whole  bool
+	Listed []model.Listing
+	Gone   []model.WorkerID
+	// Bundle is the configuration; nil when it has not changed.
+	Bundle *bundle.Bundle
+}
+
+// DirectoryFailed says that the directory could not be read.
+type DirectoryFailed struct{ Err error }
+
 // VersionSeen is a bundle version that rode on a call or an answer. Adapters
 // send it only when it is newer than the one in force, at most once a tick.
 type VersionSeen struct {
@@ -107,6 +123,8 @@
 func (IndexReadFailed) isEvent() {}
 func (ValueRead) isEvent()       {}
 func (ValueReadFailed) isEvent() {}
+func (DirectoryRead) isEvent()   {}
+func (DirectoryFailed) isEvent() {}
 func (VersionSeen) isEvent()     {}
 func (SelfChanged) isEvent()     {}
 func (CallFailed) isEvent()      {}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 	"gypsumstand/internal/blackboard"
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
+	"gypsumstand/internal/directory"
 	"gypsumstand/internal/entry"
 	"gypsumstand/internal/measure"
 	"gypsumstand/internal/member"
@@ -39,6 +40,10 @@
 	// ProbeAge is the age of a report beyond which its owner is probed; zero
 	// means the default of 2 s.
 	ProbeAge time.Duration
+	// FollowsDirectory: instances and configuration come from a directory
+	// (control.DirectoryRead), in place of the platform's list, signed bundles and
+	// links between nodes.
+	FollowsDirectory bool
 	// Started is the process's start.
 	Started time.Time
 	// Seed makes the controllers' choices repeatable.
@@ -61,14 +66,34 @@
 	// Origin bounds the probes that this node sends.
 	Origin *measure.Origin
 
-	cfg     Config
-	member  *member.Controller
-	spread  *spread.Controller
-	derived derived
+	cfg    Config
+	member membership
+	spread bundles
+	// directory is set where the node follows one; it is then member and spread.
+	directory *directory.Controller
+	derived   derived
 	// derivedAt is when the derived state was last made.
 	derivedAt time.Time
 }
 
+// membership is the controller that knows the instances.
+type membership interface {
+	control.Controller
+	FleetSize() int
+	Links() []member.Link
+	ListConfirmed() time.Time
+	ListReads() uint64
+}
+
+// bundles is the controller that knows what is in force.
+type bundles interface {
+	control.Controller
+	Missing() []string
+	Confirmed() time.Time
+	IndexReads() uint64
+	Counters() spread.Counters
+}
+
 // Stats are the controllers' counts, for metrics and status.
 type Stats struct {
 	Links  []member.Link
@@ -94,15 +119,19 @@
 	board := &blackboard.Board{}
 	board.Bundles.Put(bundle.NewSet(nil))
 	board.Self.Put(&blackboard.Self{Instance: cfg.Self})
-	table := route.NewTable(route.Config{
+	routing := route.Config{
 		Self:        cfg.Self.ID,
 		DataCentre:  cfg.Self.DataCentre,
 		LocalDelay:  cfg.LocalDelay,
 		RemoteDelay: cfg.RemoteDelay,
 		Random:      cfg.Random,
 		Policy:      cfg.Policy,
-	})
-	return &Node{
+	}
+	if cfg.FollowsDirectory {
+		routing.LeavingMemory = leavingMemory
+	}
+	table := route.NewTable(routing)
+	n := &Node{
 		Board:   board,
 		Table:   table,
 		Owner:   owner.New(owner.Config{Self: cfg.Self, Started: cfg.Started}),
@@ -110,11 +139,22 @@
 		Landing: measure.NewLanding(cfg.Started, bundle.Measuring{}),
 		Origin:  measure.NewOrigin(cfg.Random),
 		cfg:     cfg,
-		member:  member.New(member.Config{Self: cfg.Self, Seeds: cfg.Seeds}, board, rng),
-		spread:  spread.New(spread.Config{Self: cfg.Self, Trusted: cfg.Trusted}, board, rng),
 	}
+	if cfg.FollowsDirectory {
+		n.directory = directory.New(directory.Config{Self: cfg.Self.ID}, board)
+		n.member, n.spread = n.directory, n.directory
+		return n
+	}
+	n.member = member.New(member.Config{Self: cfg.Self, Seeds: cfg.Seeds}, board, rng)
+	n.spread = spread.New(spread.Config{Self: cfg.Self, Trusted: cfg.Trusted}, board, rng)
+	return n
 }
 
+// leavingMemory is how long an owner's word that it leaves keeps attempts away
+// where no membership tells of its next life. A stop lasts up to 6 s; a try too
+// early costs one round trip, since the owner refuses it or its port is closed.
+const leavingMemory = 2 * time.Second
+
 // Handle takes one event. It is called from one goroutine and does not block.
 func (n *Node) Handle(now time.Time, ev control.Event) Output {
 	var out Output
@@ -133,7 +173,9 @@
 		out.Decisions = append(out.Decisions, n.Owner.Paused(now, e.For)...)
 	}
 	n.control(now, n.member, ev, &out)
-	n.control(now, n.spread, ev, &out)
+	if n.directory == nil {
+		n.control(now, n.spread, ev, &out)
+	}
 	n.probe(now, ev, &out)
 	out.Decisions = append(out.Decisions, n.derive(now)...)
 	n.show(ev)
@@ -222,13 +264,19 @@
 	n.derived = seen
 	n.derivedAt = now
 	n.Table.Update(now, fleet, set)
-	n.Owner.Withdraw(listedLeaving(fleet, n.cfg.Self.ID))
+	self, _ := instanceOf(fleet, n.cfg.Self.ID)
+	n.Owner.Withdraw(now, self.State == model.StateLeaving)
+	if n.directory != nil {
+		listed, known := n.directory.Listed()
+		n.Owner.Unlist(now, known && !listed)
+	}
+	n.Engine.SetEntries(n.member.FleetSize())
 	svc, b := set.Service(n.cfg.Self.Service)
 	if svc == nil {
 		return nil
 	}
 	n.Landing.Configure(now, b.Measuring)
-	return n.Owner.Configure(now, b, svc, liveUpstreams(fleet, n.cfg.Self.Service))
+	return n.Owner.Configure(now, b, withSlots(svc, self.Slots), liveUpstreams(fleet, n.cfg.Self.Service))
 }
 
 // show publishes what the controllers tell about themselves: at each tick, as
@@ -255,13 +303,33 @@
 	return &blackboard.Readiness{Ready: len(missing) == 0, Missing: missing}
 }
 
-// listedLeaving tells whether the fleet's view has an instance as leaving: this
-// node's own one also when the platform's list alone says so.
-func listedLeaving(fleet *model.Fleet, id model.InstanceID) bool {
+// withSlots returns svc with the slots that a worker itself names.
+func withSlots(svc *bundle.Service, slots int) *bundle.Service {
+	if slots <= 0 {
+		return svc
+	}
+	own := *svc
+	own.Slots = slots
+	return &own
+}
+
+// instanceOf returns the fleet's view of an instance. What it says of this node's
+// own one counts also when nobody else says so: others may hold an older view.
+func instanceOf(fleet *model.Fleet, id model.InstanceID) (in model.Instance, ok bool) {
 	at, ok := slices.BinarySearchFunc(fleet.Instances, id, func(in model.Instance, id model.InstanceID) int {
 		return cmp.Compare(in.ID, id)
 	})
-	return ok && fleet.Instances[at].State == model.StateLeaving
+	if !ok {
+		return model.Instance{}, false
+	}
+	return fleet.Instances[at], true
+}
+
+// Worker returns the present life of this node's own worker as the fleet's view
+// has it; empty when it names none.
+func (n *Node) Worker() model.WorkerID {
+	self, _ := instanceOf(n.Board.Fleet.Get(), n.cfg.Self.ID)
+	return self.Worker
 }
 
 func liveUpstreams(fleet *model.Fleet, service model.ServiceName) int {
--- /dev/null
+++ b/internal/dialect/dialect.go
@@ -0,0 +1,102 @@
+// Package dialect holds the seam between this system and those it speaks HTTP
+// with: how callers name what they ask for and are told how it ended, and how
+// workers are given an attempt and say what became of it. Product is this system's
+// own; an adapter brings another. A dialect reads and writes; it decides nothing.
+package dialect
+
+import (
+	"net/http"
+	"time"
+
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+// Callers is how callers and entry nodes speak. Its methods are called for each
+// request, by many goroutines at once, and do not block.
+type Callers interface {
+	// ReadRequest returns what a request's header asks for. An error names the header at
+	// fault, for the caller to read.
+	ReadRequest(h http.Header) (wire.CallerHeaders, error)
+	// Forward changes the header that goes on to the worker: h is a copy of the
+	// caller's end-to-end fields, remote the caller's "ip:port".
+	Forward(h http.Header, remote string)
+	// Answered adds to the header of a worker's answer.
+	Answered(h http.Header, e End)
+	// Ended writes the header of an outcome without a worker's answer; request is
+	// the caller's header.
+	Ended(h, request http.Header, e End)
+}
+
+// End is how a call ended, for its caller.
+type End struct {
+	Outcome model.Outcome
+	Reason  model.Reason
+	// RetryAfter is the advice to come back; zero means none.
+	RetryAfter time.Duration
+	// Upstream is the last instance that the request was sent to, and Bundle the
+	// version it was decided under; empty when there was none.
+	Upstream model.InstanceID
+	Bundle   model.BundleVersion
+}
+
+// Workers is how an owner and its worker speak. Its methods are called by many
+// goroutines at once and do not block.
+type Workers interface {
+	// Prepare writes the header fields of an attempt. worker is the worker's
+	// present life, empty when none is known.
+	Prepare(h http.Header, a *model.Attempt, worker model.WorkerID)
+	// ReadAnswer reads the head of an answer to a.
+	ReadAnswer(resp *http.Response, a *model.Attempt) WorkerHead
+	// ReadHealth reads an answer of the worker's health path.
+	ReadHealth(resp *http.Response, body []byte) WorkerHealth
+	// EndsWithConnection tells whether an answer with neither a length nor chunks
+	// is whole when its connection ends in order, without a reset.
+	EndsWithConnection() bool
+}
+
+// Echo tells whether an answer names the attempt that it belongs to.
+type Echo uint8
+
+// The echoes.
+const (
+	// EchoAbsent: the answer names no attempt.
+	EchoAbsent Echo = iota
+	// EchoRight: it names this one.
+	EchoRight
+	// EchoWrong: it names another, or several.
+	EchoWrong
+)
+
+// WorkerHead is what the head of a worker's answer says.
+type WorkerHead struct {
+	Echo Echo
+	// NotRun: the worker says that it did not run the attempt and never will.
+	NotRun bool
+	// Refusal is the reason of a refusal with NotRun.
+	Refusal model.Reason
+	// RetryAfter is the worker's advice to come back; zero means none.
+	RetryAfter time.Duration
+	Load       WorkerLoad
+}
+
+// WorkerHealth is what an answer of the health path says.
+type WorkerHealth struct {
+	// OK: the worker takes work. Leaving: it drains.
+	OK, Leaving bool
+	// Worker is the life that answered, empty when it does not say.
+	Worker model.WorkerID
+	Load   WorkerLoad
+}
+
+// WorkerLoad is a worker's own word about its load.
+type WorkerLoad struct {
+	// Known tells whether there was one.
+	Known bool
+	// Running and Waiting count requests at the worker, Slots how many it runs at
+	// once.
+	Running, Waiting, Slots int
+	// Pace is how long work takes on its machine at this moment, 1 as usual; 0
+	// when it does not say.
+	Pace float64
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -39,6 +39,10 @@
 type Call struct {
 	engine *Engine
 	bucket *bucket
+	// extra is set where the bundle bounds extra arrivals of all entries together.
+	extra *arrivals
+	// arrived counts the attempts that a worker has, or may have, had.
+	arrived int
 	// pace is set where the bundle hedges.
 	pace     *pace
 	req      Request
@@ -221,6 +225,7 @@
 		Bundle:           c.req.Target.Bundle.VersionID(),
 		RetryBudget:      childBudget(c.budget),
 		Delegated:        c.home.delegated(),
+		Caller:           c.req.Caller,
 	}
 	c.engine.table.Sent(now, to.ID)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,9 @@
 	adopted atomic.Uint64
 	budgets registry[model.ServiceName, bucket]
 	paces   registry[paceKey, pace]
+	extra   registry[model.ServiceName, arrivals]
+	// entries is the number of entry nodes; see SetEntries.
+	entries atomic.Int64
 }
 
 // NewEngine returns an engine that chooses by table.
@@ -87,6 +90,8 @@
 	CallerKey bool
 	Target    bundle.Target
 	Tenant    model.TenantName
+	// Caller is the service beside whose worker the request entered the system.
+	Caller model.ServiceName
 	// Idempotent is the target's word, tightened by the caller's.
 	Idempotent bool
 	// Timeout from now to the deadline, already within the class's bound.
@@ -106,6 +111,7 @@
 	c.bucket = e.budgets.of(r.Target.Service.Name, func() *bucket { return newBucket(now) })
 	c.bucket.deposit(r.Target.Bundle.Retry.Ratio)
 	c.budget = max(0, min(r.RetryBudget, r.Target.Bundle.Retry.PerPath))
+	c.extra = e.arrivalsOf(now, &c.req.Target)
 	if r.Idempotent {
 		c.pace = e.paceOf(&c.req.Target)
 	}
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -29,13 +29,15 @@
 		return nil, false
 	}
 	choice, ok := c.choose(now)
-	if !ok || !c.bucket.has(hedgeReserve) || !c.bucket.withdraw(now, costRetry) {
+	if !ok || !c.bucket.has(hedgeReserve) || !c.bucket.withdraw(now, costRetry) || !c.mayHedge(now) {
 		return nil, false
 	}
 	c.budget--
 	c.tried.add(choice.Instance.ID)
 	c.hedgeAt = time.Time{}
 	c.hedged = true
+	// Each of the two counts the other's arrival.
+	c.arrived++
 	h = &Call{}
 	*h = *c
 	h.budget = 0
@@ -43,6 +45,14 @@
 	return h, true
 }
 
+// mayHedge tells whether the hedge may arrive at one more worker beside the one
+// that has the attempt in flight.
+func (c *Call) mayHedge(now time.Time) bool {
+	c.arrived++
+	defer func() { c.arrived-- }()
+	return c.mayArriveAgain(now)
+}
+
 // EndOfBoth returns what the caller is told when neither of a call and its hedge
 // ended with an answer: not-run only when both are proved not to have run.
 func EndOfBoth(a, b Step) Step {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -20,7 +20,7 @@
 		c.exhausted(now)
 		return
 	}
-	if !c.bucket.withdraw(now, c.placeCost()) {
+	if !c.bucket.withdraw(now, c.placeCost()) || !c.mayArriveAgain(now) {
 		c.giveUp(c.reason)
 		return
 	}
@@ -44,7 +44,7 @@
 		return false
 	}
 	until := now.Add(c.engine.jitter(doubled(retryDelay, c.retries)))
-	if !until.Before(c.deadline) || !c.bucket.withdraw(now, costRetry) {
+	if !until.Before(c.deadline) || !c.bucket.withdraw(now, costRetry) || !c.mayArriveAgain(now) {
 		return false
 	}
 	c.budget--
@@ -75,7 +75,7 @@
 		c.giveUp(c.reason)
 		return
 	}
-	if !c.bucket.withdraw(now, c.placeCost()) {
+	if !c.bucket.withdraw(now, c.placeCost()) || !c.mayArriveAgain(now) {
 		c.giveUp(c.reason)
 		return
 	}
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -38,6 +38,7 @@
 		return
 	}
 	c.done(now, route.Result{Failed: failed})
+	c.noteArrival(model.Refusal{})
 	if c.pace != nil && !failed {
 		began := c.deadline.Add(-c.req.Timeout)
 		c.pace.answered(now.Sub(began), c.req.Target.Bundle.Retry.HedgeAfterQuantile)
@@ -56,6 +57,7 @@
 		return
 	}
 	c.done(now, route.Result{Failed: !r.NotRun, Refused: r.Reason, RetryAfter: r.RetryAfter})
+	c.noteArrival(r)
 	switch r.Reason {
 	case model.ReasonDuplicateRunning, model.ReasonDuplicateDone:
 		c.giveUp(r.Reason)
@@ -119,6 +121,7 @@
 		return
 	}
 	c.done(now, route.Result{Failed: true})
+	c.noteArrival(model.Refusal{})
 	if sentToCaller {
 		c.giveUp(model.ReasonLinkBroken)
 		return
--- /dev/null
+++ b/internal/event/directory.go
@@ -0,0 +1,23 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of the directory: the source of workers and configuration.
+var (
+	DirectoryLost = define(620, zerolog.WarnLevel, "directory does not answer",
+		"Reading the directory failed; the node goes on with what it knows. The detail is the age of the last answer.",
+		"Look after the directory when other nodes report it too; otherwise after this instance's network.")
+	DirectoryAnswers = define(621, zerolog.InfoLevel, "directory answers again",
+		"The directory was read after a failure, or for the first time. The detail is how long it was away.", "none")
+	WorkerListed = define(622, zerolog.InfoLevel, "worker listed",
+		"The directory names a new life of a worker, or a new state of one. The subject is the worker, the detail its instance, service and state.", "none")
+	WorkerUnlisted = define(623, zerolog.InfoLevel, "worker no longer listed",
+		"The directory has removed a worker; no new work goes to it. The subject is the worker, the detail its instance and how long the removal was held back.", "none")
+	WorkerMissing = define(624, zerolog.WarnLevel, "worker missing after an outage",
+		"The directory lacks a worker that it listed before it was away. The worker is used until the time in which living workers list themselves again has passed.", "none")
+	ConfigInForce = define(625, zerolog.InfoLevel, "configuration in force",
+		"A newer configuration of the directory replaced the one before. The subject is its version.", "none")
+	ConfigOlder = define(626, zerolog.WarnLevel, "older configuration ignored",
+		"The directory told an older configuration than the one in force. The subject is its version, the detail the one in force.",
+		"Find out whether an old copy of the directory was restored.")
+)
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -36,6 +36,8 @@
 	// Delegated says that the home owner of Request has registered it and sent
 	// it elsewhere, so this owner need not register it.
 	Delegated bool `cbor:"15,keyasint"`
+	// Caller is the service beside whose worker the request entered the system.
+	Caller ServiceName `cbor:"16,keyasint,omitempty"`
 }
 
 // Outcome is what the caller is told of its request.
--- a/internal/model/ident.go
+++ b/internal/model/ident.go
@@ -13,6 +13,9 @@
 // InstanceID names one instance of the fleet, as the platform publishes it.
 type InstanceID string
 
+// WorkerID names one life of a worker: a worker that starts again has another.
+type WorkerID string
+
 // ServiceName names a service of a bundle.
 type ServiceName string
 
--- a/internal/model/load.go
+++ b/internal/model/load.go
@@ -81,6 +81,22 @@
 	// Incarnation is zero while only the platform's list has named the instance.
 	Incarnation Incarnation   `cbor:"5,keyasint"`
 	State       UpstreamState `cbor:"6,keyasint"`
+	// Worker is the present life of the instance's worker, where the source of
+	// instances tells the lives apart; empty otherwise.
+	Worker WorkerID `cbor:"7,keyasint,omitempty"`
+	// Slots is the number of requests that the worker runs at once, as it says
+	// itself; zero when only the bundle tells.
+	Slots int `cbor:"8,keyasint,omitempty"`
+}
+
+// Listing is one life of a worker, as a directory lists it.
+type Listing struct {
+	// Instance is the instance beside which the worker runs, with its worker and
+	// slots. Its State is StateLive, or StateLeaving for a worker that drains.
+	Instance Instance
+	// Created orders the lives that were listed at one instance: the greatest is
+	// the present one.
+	Created uint64
 }
 
 // Fleet is an immutable view of all known instances, sorted by ID. Readers must
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/core"
+	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/link"
 	"gypsumstand/internal/metrics"
@@ -49,6 +50,13 @@
 	Trusted         []bundle.Signer
 	// PeerTLS, when not nil, is the mutual TLS of the peer port.
 	PeerTLS *tls.Config
+	// Callers and Workers are how callers and the worker speak; nil means the
+	// product's own dialect.
+	Callers dialect.Callers
+	Workers dialect.Workers
+	// Directory, when not nil, is the source of instances and configuration, in
+	// place of ListAddresses, ConfigAddresses, Seeds and Trusted.
+	Directory Directory
 	// DialPeer opens connections to other nodes; nil means TCP.
 	DialPeer upstream.Dial
 	// StopTimeout bounds a graceful stop; LeaveGrace is how long callers are
@@ -74,6 +82,13 @@
 	Log    zerolog.Logger
 }
 
+// Directory is a source of instances and configuration.
+type Directory interface {
+	// Run reads the source until ctx ends and hands over what it tells as
+	// control.DirectoryRead and control.DirectoryFailed. sink may block.
+	Run(ctx context.Context, sink func(control.Event))
+}
+
 // DefaultIdleTimeout is how long a caller's idle connection is kept.
 const DefaultIdleTimeout = time.Minute
 
@@ -170,6 +185,47 @@
 
 // provision makes the parts; the ports are open, so addresses are known.
 func (n *Node) provision() error {
+	if n.cfg.Callers == nil {
+		n.cfg.Callers = dialect.Product{}
+	}
+	if n.cfg.Workers == nil {
+		n.cfg.Workers = dialect.Product{}
+	}
+	if err := n.makeRegistry(); err != nil {
+		return err
+	}
+	started := time.Now()
+	n.makeCore(started)
+	n.watch = newWorkerWatch(n)
+	n.executor = server.NewExecutor(server.ExecutorConfig{
+		Owner:   n.core.Owner,
+		Address: n.cfg.WorkerAddress,
+		Dialect: n.cfg.Workers,
+		Worker:  n.worker,
+		Traffic: n.watch.traffic,
+	})
+	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS, n.cfg.MaxIdleConnections)
+	n.links = link.New(link.Config{Self: n.self, Sink: n.sink, TLS: n.cfg.PeerTLS, Dial: n.cfg.DialPeer, MaxAccepted: maxAcceptedLinks})
+	n.settler = newSettler(n)
+	n.makeServers()
+	return nil
+}
+
+// worker returns the present life of the worker: the directory's word, or else
+// what the worker itself last said.
+func (n *Node) worker() model.WorkerID {
+	if id := n.core.Worker(); id != "" {
+		return id
+	}
+	return n.watch.worker()
+}
+
+// makeRegistry makes the clients of the platform's services, unless a directory
+// takes their place.
+func (n *Node) makeRegistry() error {
+	if n.cfg.Directory != nil {
+		return nil
+	}
 	var err error
 	n.list, err = registry.NewClient(registry.ClientConfig{Addresses: n.cfg.ListAddresses, Timeout: n.cfg.PlatformTimeout})
 	if err != nil {
@@ -179,7 +235,10 @@
 	if err != nil {
 		return fmt.Errorf("platform configuration: %w", err)
 	}
-	started := time.Now()
+	return nil
+}
+
+func (n *Node) makeCore(started time.Time) {
 	n.core = core.New(core.Config{
 		Self: model.Instance{
 			ID:          n.cfg.Instance,
@@ -194,16 +253,12 @@
 		RemoteDelay: n.cfg.RemoteDelay,
 		Policy:      n.cfg.Policy,
 		ProbeAge:    n.cfg.ProbeAge,
-		Started:     started,
-		Seed:        uint64(started.UnixNano()),
+
+		FollowsDirectory: n.cfg.Directory != nil,
+
+		Started: started,
+		Seed:    uint64(started.UnixNano()),
 	})
-	n.watch = newWorkerWatch(n)
-	n.executor = server.NewExecutor(n.core.Owner, n.cfg.WorkerAddress, n.watch.traffic)
-	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS, n.cfg.MaxIdleConnections)
-	n.links = link.New(link.Config{Self: n.self, Sink: n.sink, TLS: n.cfg.PeerTLS, Dial: n.cfg.DialPeer, MaxAccepted: maxAcceptedLinks})
-	n.settler = newSettler(n)
-	n.makeServers()
-	return nil
 }
 
 func (n *Node) self() model.Instance { return n.core.Board.Self.Get().Instance }
@@ -238,6 +293,9 @@
 	n.start(n.loop)
 	n.start(n.ownerTicks)
 	n.start(n.watch.run)
+	if n.cfg.Directory != nil {
+		n.start(func() { n.cfg.Directory.Run(n.ctx, n.sink) })
+	}
 	event.Log(&n.log, event.Started).Str("instance", string(n.cfg.Instance)).
 		Str("callers", n.CallerAddress()).Str("peers", n.PeerAddress()).Str("operators", n.OperatorAddress()).Send()
 	var err error
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -50,6 +50,8 @@
 		Log:       &n.log,
 		Seen:      n.seen,
 		Unreached: n.unreached,
+		Dialect:   n.cfg.Callers,
+		Service:   n.cfg.Service,
 		Leaving:   func() bool { return n.self().State >= model.StateLeaving },
 	}
 	r := newRouter()
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -32,6 +31,8 @@
 
 	mu    sync.Mutex
 	judge *health.Judge
+	// life is the worker's life as its health path last said.
+	life model.WorkerID
 }
 
 func newWorkerWatch(n *Node) *workerWatch {
@@ -84,23 +85,28 @@
 		return health.Poll{Refused: isDialError(err)}
 	}
 	defer resp.Body.Close()
-	return readPoll(resp)
+	return w.readPoll(resp)
 }
 
-// readPoll takes 200 for live; a JSON body's "state" may say more.
-func readPoll(resp *http.Response) health.Poll {
-	var body struct {
-		State string `json:"state"`
-	}
+func (w *workerWatch) readPoll(resp *http.Response) health.Poll {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPollBytes))
 	if err != nil {
 		return health.Poll{}
 	}
-	p := health.Poll{Answered: true, OK: resp.StatusCode == http.StatusOK}
-	if json.Unmarshal(data, &body) == nil && body.State == model.StateLeaving.String() {
-		p.OK, p.Leaving = false, true
+	said := w.node.cfg.Workers.ReadHealth(resp, data)
+	if said.Worker != "" {
+		w.mu.Lock()
+		w.life = said.Worker
+		w.mu.Unlock()
 	}
-	return p
+	return health.Poll{Answered: true, OK: said.OK, Leaving: said.Leaving}
+}
+
+// worker returns the worker's life as its health path last said, or empty.
+func (w *workerWatch) worker() model.WorkerID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.life
 }
 
 // knock opens and closes a connection.
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -76,6 +76,8 @@
 		return notRun(model.ReasonBadRequest)
 	case o.keyedHere(a) && len(a.Request) > maxKeyBytes:
 		return notRun(model.ReasonBadRequest)
+	case a.Service != "" && a.Service != o.cfg.Self.Service:
+		return notRun(model.ReasonLeaving)
 	case a.Owner != "" && a.Owner != o.cfg.Self.ID:
 		return notRun(model.ReasonIncarnation)
 	case a.OwnerIncarnation == o.cfg.Self.Incarnation && a.OwnerIncarnation != 0:
@@ -154,7 +156,7 @@
 	switch {
 	case o.leaving():
 		return notRun(model.ReasonLeaving)
-	case o.state == model.StateCold || !o.configured:
+	case o.state == model.StateCold || !o.configured || o.unlisted:
 		return model.Refusal{Reason: model.ReasonNotReady, NotRun: true, RetryAfter: retryNotReady}
 	case o.pause.doubted(t) || a.OwnerClock == 0 && o.pause.recent(t):
 		return model.Refusal{Reason: model.ReasonPaused, NotRun: true, RetryAfter: retryPaused}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -69,8 +69,13 @@
 	// concurrent callers arrive out of order.
 	last  time.Duration
 	state model.UpstreamState
-	// withdrawn: the platform's list says that this upstream leaves.
-	withdrawn bool
+	// withdrawn: the platform's list says that this upstream leaves, since
+	// withdrawnAt.
+	withdrawn   bool
+	withdrawnAt time.Duration
+	// unlisted: the list of instances does not name the worker, since unlistedAt.
+	unlisted   bool
+	unlistedAt time.Duration
 	// coldSince is when the state last became cold.
 	coldSince  time.Duration
 	configured bool
@@ -190,12 +195,46 @@
 // this upstream as leaving: as long as it does, no new attempt is admitted, as
 // others may hold an older view. Unlike the own word (SetState), the list's may be
 // taken back, under a greater incarnation.
-func (o *Owner) Withdraw(leaving bool) {
+// What waits is turned away after withdrawnQueue, by Tick.
+func (o *Owner) Withdraw(now time.Time, leaving bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if leaving && !o.withdrawn {
+		o.withdrawnAt = o.clock(now)
+	}
 	o.withdrawn = leaving
 }
 
+// Unlist says whether the directory that names all workers lacks this node's own
+// one: until it is listed, nothing is admitted, and what waits is turned away as
+// after Withdraw.
+func (o *Owner) Unlist(now time.Time, unlisted bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if unlisted && !o.unlisted {
+		o.unlistedAt = o.clock(now)
+	}
+	o.unlisted = unlisted
+}
+
+// withdrawnQueue is how long what was queued before the worker was withdrawn may
+// still start: half of the 2 s in which an upstream that is leaving may get new
+// work, so that an attempt that starts at its end still arrives in time.
+const withdrawnQueue = time.Second
+
+// refuseWithdrawn turns away what waits for a worker that takes no new work.
+func (o *Owner) refuseWithdrawn(t time.Duration) {
+	if o.queue.length == 0 {
+		return
+	}
+	switch {
+	case o.withdrawn && t-o.withdrawnAt >= withdrawnQueue:
+		o.turnAwayAll(t, notRun(model.ReasonLeaving))
+	case o.unlisted && t-o.unlistedAt >= withdrawnQueue:
+		o.turnAwayAll(t, notRun(model.ReasonNotReady))
+	}
+}
+
 // leaving tells whether no new attempt may be admitted any more.
 func (o *Owner) leaving() bool { return o.state >= model.StateLeaving || o.withdrawn }
 
@@ -278,6 +317,7 @@
 	o.pause.refresh()
 	o.expire(t)
 	o.refuseWhileCold(t)
+	o.refuseWithdrawn(t)
 	o.attempts.forget(t)
 	o.keys.forget(t)
 	o.dispatch(t)
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -14,6 +14,14 @@
 	return byDeadline(a, b)
 }
 
+// byPriority serves the class of the smallest rank first, then by value.
+func byPriority(a, b *item) bool {
+	if a.class.priority != b.class.priority {
+		return a.class.priority < b.class.priority
+	}
+	return byValue(a, b)
+}
+
 // byValue serves the highest worth per expected slot time first, as a short
 // attempt leaves its slot to others sooner. Among attempts of one class it is
 // byWorth.
@@ -29,6 +37,15 @@
 	return it.worth / float64(max(it.class.expected(), minService))
 }
 
+// outranks tells whether it is of a more urgent class, or worth more of an equally
+// urgent one.
+func (it *item) outranks(other *item) bool {
+	if it.class.priority != other.class.priority {
+		return it.class.priority < other.class.priority
+	}
+	return it.value() > other.value()
+}
+
 // byDeadline serves the earliest deadline first, then the first to arrive.
 func byDeadline(a, b *item) bool {
 	if a.deadline != b.deadline {
@@ -71,7 +88,7 @@
 }
 
 func newQueue() queue {
-	return queue{inLane: byWorth, before: byValue, index: map[laneKey]*lane{}}
+	return queue{inLane: byWorth, before: byPriority, index: map[laneKey]*lane{}}
 }
 
 // prune forgets lanes without attempts, as classes and tenants may go.
@@ -172,7 +189,7 @@
 			victim = it
 		}
 	}
-	if victim == nil || !entitled && victim.value() >= newer.value() {
+	if victim == nil || !entitled && !newer.outranks(victim) {
 		return nil
 	}
 	return victim
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -29,6 +29,9 @@
 	if o.leaving() {
 		r.State = max(o.state, model.StateLeaving)
 	}
+	if o.unlisted && r.State == model.StateLive {
+		r.State = model.StateCold
+	}
 	if o.runs() {
 		r.Limit = clamp16(o.limit.effective(t))
 	}
--- a/internal/owner/shares.go
+++ b/internal/owner/shares.go
@@ -17,6 +17,7 @@
 type class struct {
 	name     model.ClassName
 	share    float64
+	priority int
 	inFlight int
 	queued   int
 	// credit grows towards one slot for the part of the share that is no whole
@@ -91,6 +92,7 @@
 			s.byName[b.Name] = c
 		}
 		c.share = max(b.Share, shareFloor)
+		c.priority = b.Priority
 	}
 	s.all = append(s.all[:0], s.other)
 	for _, c := range s.byName {
--- a/internal/route/cell.go
+++ b/internal/route/cell.go
@@ -167,14 +167,18 @@
 	return max(0, min(n, c.inFlight.Load()))
 }
 
-// leaving tells whether the owner itself said that it is leaving or gone.
-func (c *cell) leaving() bool {
+// leaving tells whether the owner itself said that it is leaving or gone, within
+// memory before now where that is not zero.
+func (c *cell) leaving(now, memory int64) bool {
 	h := c.heard.Load()
-	if h != nil && h.report.State >= model.StateLeaving {
+	if h != nil && h.report.State >= model.StateLeaving && (memory == 0 || now-h.at < memory) {
 		return true
 	}
 	in := c.leavingIn.Load()
-	return in != 0 && in == leavingKey(c.incarnation())
+	if in == 0 || in != leavingKey(c.incarnation()) {
+		return false
+	}
+	return memory == 0 || now-c.refusedAt.Load() < memory
 }
 
 // leavingKey tells an unknown incarnation from no refusal.
@@ -267,6 +271,7 @@
 		c.backOffUntil.Store(now + int64(min(r.RetryAfter, maxBackOff)))
 	}
 	if r.Refused == model.ReasonLeaving {
+		c.refusedAt.Store(now)
 		c.leavingIn.Store(leavingKey(c.incarnation()))
 	}
 	u.link.sample(now, int64(r.Latency-r.Held))
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -64,7 +64,7 @@
 		Failure:     time.Duration(e.failure),
 		Expected:    time.Duration(e.latency()),
 		Cost:        time.Duration(e.cost()),
-		Leaving:     u.cell.leaving(),
+		Leaving:     u.cell.leaving(now, int64(t.cfg.LeavingMemory)),
 	}
 	if e.heard {
 		out.Age = time.Duration(e.age)
@@ -78,7 +78,7 @@
 func (t *Table) Stale(now time.Time, age time.Duration, n int) []model.Instance {
 	p := t.picker.Load()
 	nanos := p.nanos(now)
-	s := staleScan{now: nanos, age: int64(age), want: n}
+	s := staleScan{now: nanos, age: int64(age), memory: int64(t.cfg.LeavingMemory), want: n}
 	called, others := p.byLastCall(nanos)
 	for _, svc := range called {
 		s.scan(svc, below(uint32(t.cfg.Random()), len(svc.all)), len(svc.all))
@@ -132,16 +132,16 @@
 
 // staleScan collects upstreams that were not heard for long.
 type staleScan struct {
-	now, age int64
-	want     int
-	found    []model.Instance
+	now, age, memory int64
+	want             int
+	found            []model.Instance
 }
 
 // scan looks at up to most upstreams of a service from place start on.
 func (s *staleScan) scan(svc *service, start, most int) {
 	for i := 0; i < min(most, len(svc.all)) && len(s.found) < s.want; i++ {
 		u := svc.all[(start+i)%len(svc.all)]
-		if u.cell.leaving() {
+		if u.cell.leaving(s.now, s.memory) {
 			continue
 		}
 		if h := u.cell.heard.Load(); h == nil || s.now-h.at > s.age {
--- a/internal/route/home.go
+++ b/internal/route/home.go
@@ -24,7 +24,7 @@
 	if svc == nil {
 		return Choice{}, false
 	}
-	u := svc.home(xxhash.Sum64String(string(id)), passed)
+	u := svc.home(xxhash.Sum64String(string(id)), t.filter(p.nanos(now), passed))
 	if u == nil {
 		return Choice{}, false
 	}
@@ -33,11 +33,11 @@
 
 // home returns the upstream with the highest score for a request's hash, the
 // first of the order of ids among equals, without those passed.
-func (s *service) home(request uint64, passed []model.InstanceID) *upstream {
+func (s *service) home(request uint64, f filter) *upstream {
 	var best *upstream
 	var highest uint64
 	for _, u := range s.all {
-		if !u.eligible(passed) {
+		if !u.eligible(f) {
 			continue
 		}
 		if score := rendezvous(request, u.hash); best == nil || score > highest {
--- a/internal/route/link_test.go
+++ b/internal/route/link_test.go
@@ -41,7 +41,7 @@
 	near, far := 0, 0
 	for range 1000 {
 		var c candidates
-		table.sample(&c, table.picker.Load().services["s"], nil)
+		table.sample(&c, table.picker.Load().services["s"], filter{})
 		for _, u := range c.list[:c.n] {
 			switch u.instance.DataCentre {
 			case "dc1":
--- a/internal/route/policies.go
+++ b/internal/route/policies.go
@@ -46,7 +46,7 @@
 
 func (expectedTime) choose(t *Table, svc *service, now int64, q Query) *upstream {
 	var c candidates
-	t.sample(&c, svc, q.Tried)
+	t.sample(&c, svc, t.filter(now, q.Tried))
 	var best *upstream
 	var least float64
 	start := below(uint32(t.cfg.Random()), c.n)
@@ -65,31 +65,31 @@
 // randomChoice is a baseline.
 type randomChoice struct{}
 
-func (randomChoice) choose(t *Table, svc *service, _ int64, q Query) *upstream {
-	return svc.firstEligible(below(uint32(t.cfg.Random()), len(svc.all)), q.Tried)
+func (randomChoice) choose(t *Table, svc *service, now int64, q Query) *upstream {
+	return svc.firstEligible(below(uint32(t.cfg.Random()), len(svc.all)), t.filter(now, q.Tried))
 }
 
 // roundRobin is a baseline.
 type roundRobin struct{}
 
-func (roundRobin) choose(_ *Table, svc *service, _ int64, q Query) *upstream {
+func (roundRobin) choose(t *Table, svc *service, now int64, q Query) *upstream {
 	if len(svc.all) == 0 {
 		return nil
 	}
 	turn := svc.stats.robin.Add(1)
-	return svc.firstEligible(int(turn%uint64(len(svc.all))), q.Tried)
+	return svc.firstEligible(int(turn%uint64(len(svc.all))), t.filter(now, q.Tried))
 }
 
 // leastInFlight is a baseline.
 type leastInFlight struct{}
 
-func (leastInFlight) choose(t *Table, svc *service, _ int64, q Query) *upstream {
+func (leastInFlight) choose(t *Table, svc *service, now int64, q Query) *upstream {
 	var best *upstream
 	n := len(svc.all)
 	start := below(uint32(t.cfg.Random()), n)
 	for i := range svc.all {
 		u := svc.all[(start+i)%n]
-		if !u.eligible(q.Tried) {
+		if !u.eligible(t.filter(now, q.Tried)) {
 			continue
 		}
 		if best == nil || u.cell.inFlight.Load() < best.cell.inFlight.Load() {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -24,6 +24,9 @@
 	// Random returns uniform 64-bit values and is safe for concurrent use; nil
 	// means math/rand/v2's global source.
 	Random func() uint64
+	// LeavingMemory is how long an owner's own word that it leaves keeps attempts
+	// away; zero means for as long as its incarnation is the newest known.
+	LeavingMemory time.Duration
 	// Policy selects how Pick chooses; the zero value is the product's policy.
 	// The others are baselines for benchmarks only.
 	Policy Policy
--- a/internal/route/sample.go
+++ b/internal/route/sample.go
@@ -29,18 +29,18 @@
 
 // sample fills c with upstreams that may be chosen, of the own data centre and
 // of others; what one side lacks the other gives.
-func (t *Table) sample(c *candidates, svc *service, tried []model.InstanceID) {
+func (t *Table) sample(c *candidates, svc *service, f filter) {
 	local, remote := t.tuning.Local, t.tuning.Remote
 	lackLocal := max(0, local-len(svc.local))
 	lackRemote := max(0, remote-len(svc.remote))
-	t.draw(c, svc.local, local+lackRemote, false, tried)
-	t.draw(c, svc.remote, remote+lackLocal, true, tried)
+	t.draw(c, svc.local, local+lackRemote, false, f)
+	t.draw(c, svc.remote, remote+lackLocal, true, f)
 }
 
 // draw adds up to k distinct upstreams of list at random. With nearer, each is
 // the nearer by link of two draws, so that far data centres do not take the
 // place of near ones.
-func (t *Table) draw(c *candidates, list []*upstream, k int, nearer bool, tried []model.InstanceID) {
+func (t *Table) draw(c *candidates, list []*upstream, k int, nearer bool, f filter) {
 	n := len(list)
 	for range min(k, n, maxCandidates-c.n) {
 		bits := t.cfg.Random()
@@ -48,7 +48,7 @@
 		if j := below(uint32(bits>>32), n); nearer && list[j].link.roundTrip() < list[i].link.roundTrip() {
 			i = j
 		}
-		if !c.addFrom(list, i, tried) {
+		if !c.addFrom(list, i, f) {
 			return
 		}
 	}
@@ -56,10 +56,10 @@
 
 // addFrom adds the first upstream of list from place start on that may be
 // chosen and is not there, and tells whether there was one.
-func (c *candidates) addFrom(list []*upstream, start int, tried []model.InstanceID) bool {
+func (c *candidates) addFrom(list []*upstream, start int, f filter) bool {
 	for i := range list {
 		u := list[(start+i)%len(list)]
-		if u.eligible(tried) && c.add(u) {
+		if u.eligible(f) && c.add(u) {
 			return true
 		}
 	}
@@ -69,21 +69,35 @@
 // below maps 32 random bits to 0..n-1.
 func below(bits uint32, n int) int { return int(uint64(bits) * uint64(n) >> 32) }
 
+// filter says which upstreams may be chosen.
+type filter struct {
+	// tried lists those that must not be.
+	tried []model.InstanceID
+	now   int64
+	// memory is Config.LeavingMemory in nanoseconds.
+	memory int64
+}
+
+// filter returns the table's filter at time now.
+func (t *Table) filter(now int64, tried []model.InstanceID) filter {
+	return filter{tried: tried, now: now, memory: int64(t.cfg.LeavingMemory)}
+}
+
 // eligible tells whether u may be chosen for a request.
-func (u *upstream) eligible(tried []model.InstanceID) bool {
-	for _, id := range tried {
+func (u *upstream) eligible(f filter) bool {
+	for _, id := range f.tried {
 		if id == u.instance.ID {
 			return false
 		}
 	}
-	return !u.cell.leaving()
+	return !u.cell.leaving(f.now, f.memory)
 }
 
 // firstEligible returns the first upstream that may be chosen from place start
 // on, or nil.
-func (s *service) firstEligible(start int, tried []model.InstanceID) *upstream {
+func (s *service) firstEligible(start int, f filter) *upstream {
 	for i := range s.all {
-		if u := s.all[(start+i)%len(s.all)]; u.eligible(tried) {
+		if u := s.all[(start+i)%len(s.all)]; u.eligible(f) {
 			return u
 		}
 	}
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -13,6 +13,7 @@
 
 	"gypsumstand/internal/blackboard"
 	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/entry"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/route"
@@ -73,6 +74,10 @@
 	Unreached func(id model.InstanceID)
 	// Leaving tells whether callers are to be sent away (Connection: close).
 	Leaving func() bool
+	// Dialect is how callers speak.
+	Dialect dialect.Callers
+	// Service is the service beside whose worker this entry runs.
+	Service model.ServiceName
 }
 
 // ServeHTTP implements http.Handler.
@@ -82,16 +87,16 @@
 		w.Header().Set("Connection", "close")
 	}
 	set := c.Board.Bundles.Get()
-	target, ok := set.Match(r.Method, r.URL.Path)
+	target, ok := set.MatchHost(r.Host, r.Method, r.URL.Path, rand.Uint64())
 	if !ok || r.Method == http.MethodConnect {
 		c.refuseUnrouted(w, r)
 		return
 	}
-	w.Header().Set(wire.HeaderBundle, target.Bundle.VersionID().String())
-	headers, err := wire.ParseCallerHeaders(r.Header)
+	end := dialect.End{Outcome: model.OutcomeNotRun, Reason: model.ReasonBadRequest, Bundle: target.Bundle.VersionID()}
+	headers, err := c.Dialect.ReadRequest(r.Header)
 	if err != nil {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		endWith(w, http.StatusBadRequest, model.OutcomeNotRun, model.ReasonBadRequest, 0)
+		c.endWith(w, r, http.StatusBadRequest, end)
 		_, _ = io.WriteString(w, err.Error()+"\n")
 		return
 	}
@@ -99,7 +104,7 @@
 	limitReading(w, began.Add(request.Timeout))
 	body, err := takeBody(r, target.Service.BodyLimitBytes)
 	if err != nil {
-		c.refuseBody(w, err)
+		c.refuseBody(w, r, err, end)
 		return
 	}
 	x := &exchange{caller: c, w: w, r: r, target: target, body: body, began: began, request: request}
@@ -114,30 +119,32 @@
 // earlier sending of the caller's own id was not run.
 func (c *Caller) refuseUnrouted(w http.ResponseWriter, r *http.Request) {
 	if ready := c.Board.Readiness.Get(); ready != nil && ready.Ready {
-		endWith(w, http.StatusNotFound, model.OutcomeNotRun, model.ReasonNoRoute, 0)
+		c.endWith(w, r, http.StatusNotFound, dialect.End{Outcome: model.OutcomeNotRun, Reason: model.ReasonNoRoute})
 		return
 	}
-	outcome := model.OutcomeNotRun
+	end := dialect.End{Outcome: model.OutcomeNotRun, Reason: model.ReasonNotReady, RetryAfter: notReadyRetry}
 	if r.Header.Get(wire.HeaderIdempotencyKey) != "" {
-		outcome = model.OutcomeUnknown
+		end.Outcome = model.OutcomeUnknown
 	}
-	endWith(w, http.StatusServiceUnavailable, outcome, model.ReasonNotReady, notReadyRetry)
+	c.endWith(w, r, http.StatusServiceUnavailable, end)
 }
 
-func (c *Caller) refuseBody(w http.ResponseWriter, err error) {
+func (c *Caller) refuseBody(w http.ResponseWriter, r *http.Request, err error, end dialect.End) {
 	if errors.Is(err, errBodyTooLarge) {
 		w.Header().Set("Connection", "close")
-		endWith(w, http.StatusRequestEntityTooLarge, model.OutcomeNotRun, model.ReasonBodyTooLarge, 0)
+		end.Reason = model.ReasonBodyTooLarge
+		c.endWith(w, r, http.StatusRequestEntityTooLarge, end)
 		return
 	}
-	endWith(w, http.StatusBadRequest, model.OutcomeNotRun, model.ReasonBadRequest, 0)
+	c.endWith(w, r, http.StatusBadRequest, end)
 }
 
 // entryRequest applies the bundle's bounds to what the caller asked for.
 func (c *Caller) entryRequest(h wire.CallerHeaders, t bundle.Target) entry.Request {
 	req := entry.Request{
 		ID:          h.Request,
-		CallerKey:   h.Request != "",
+		CallerKey:   h.Request != "" && !h.OneSending,
+		Caller:      c.Service,
 		Target:      t,
 		Tenant:      model.OtherTenant,
 		Idempotent:  t.Idempotent && !h.NotIdempotent,
@@ -145,7 +152,7 @@
 		RetryBudget: t.Bundle.Retry.PerPath,
 		Replayable:  true,
 	}
-	if !req.CallerKey {
+	if req.ID == "" {
 		req.ID = c.newRequestID()
 	}
 	if t.Bundle.Tenant(h.Tenant) != nil {
@@ -191,12 +198,7 @@
 }
 
 // endWith tells the caller an outcome without an answer.
-func endWith(w http.ResponseWriter, status int, o model.Outcome, reason model.Reason, after time.Duration) {
-	h := w.Header()
-	h.Set(wire.HeaderOutcome, o.String())
-	h.Set(wire.HeaderReason, reason.String())
-	if after > 0 {
-		h.Set(wire.HeaderRetryAfter, wire.FormatRetryAfter(after))
-	}
+func (c *Caller) endWith(w http.ResponseWriter, r *http.Request, status int, e dialect.End) {
+	c.Dialect.Ended(w.Header(), r.Header, e)
 	w.WriteHeader(status)
 }
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -4,14 +4,13 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/entry"
 	"gypsumstand/internal/model"
-	"gypsumstand/internal/wire"
 )
 
 // exchange is one caller's request in hand.
@@ -44,14 +43,15 @@
 	}
 	outcome := step.Outcome
 	defer func() { x.record(c, outcome, step.Reason, attempts) }()
-	if c.upstream != "" {
-		x.w.Header().Set(wire.HeaderUpstream, string(c.upstream))
+	end := dialect.End{
+		Outcome: step.Outcome, Reason: step.Reason, RetryAfter: step.RetryAfter,
+		Upstream: c.upstream, Bundle: x.target.Bundle.VersionID(),
 	}
 	if step.Outcome != model.OutcomeAnswered || c.held == nil {
-		endWith(x.w, statusOf(step), step.Outcome, step.Reason, step.RetryAfter)
+		x.caller.endWith(x.w, x.r, statusOf(step), end)
 		return
 	}
-	if err := x.answer(c.held); err != nil {
+	if err := x.answer(c.held, end); err != nil {
 		c.call.Broken(time.Now(), true)
 		outcome = model.OutcomeUnknown
 		panic(http.ErrAbortHandler)
@@ -59,14 +59,13 @@
 }
 
 // answer sends the answer on; an error means that the caller sees it broken off.
-func (x *exchange) answer(held *heldAnswer) error {
+func (x *exchange) answer(held *heldAnswer, end dialect.End) error {
 	a := held.answer
 	defer a.Body.Close()
 	x.limitAnswer(held)
 	h := x.w.Header()
 	copyInto(h, a.Header)
-	h.Set(wire.HeaderOutcome, model.OutcomeAnswered.String())
-	h.Add("Via", via)
+	x.caller.Dialect.Answered(h, end)
 	length := a.ContentLength
 	if held.whole && x.r.Method != http.MethodHead {
 		length = int64(len(held.start))
@@ -111,10 +110,6 @@
 // outgoingHeader returns the caller's end-to-end headers and whence they came.
 func (x *exchange) outgoingHeader() http.Header {
 	h := endToEnd(x.r.Header)
-	delete(h, wire.HeaderIdempotencyKey)
-	if host, _, err := net.SplitHostPort(x.r.RemoteAddr); err == nil {
-		h = h.Clone()
-		h.Add("X-Forwarded-For", host)
-	}
+	x.caller.Dialect.Forward(h, x.r.RemoteAddr)
 	return h
 }
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -9,12 +9,12 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
 	"gypsumstand/internal/upstream"
@@ -73,9 +73,12 @@
 
 // Executor runs admitted attempts on this node's worker. Safe for concurrent use.
 type Executor struct {
-	owner     *owner.Owner
-	address   string
-	traffic   func(refused bool)
+	owner   *owner.Owner
+	address string
+	traffic func(refused bool)
+	dialect dialect.Workers
+	// worker tells the worker's present life, empty when none is known.
+	worker    func() model.WorkerID
 	transport atomic.Pointer[http.Transport]
 	echo      atomic.Bool
 	limits    limits
@@ -93,10 +96,29 @@
 	initialConnections = 64
 )
 
-// NewExecutor returns an executor for the worker at address ("ip:port"). traffic
-// is told whether the worker refused a connection or answered; it does not block.
-func NewExecutor(o *owner.Owner, address string, traffic func(refused bool)) *Executor {
-	x := &Executor{owner: o, address: address, traffic: traffic, waiters: map[model.AttemptID]chan owner.Decision{}}
+// ExecutorConfig is an executor's fixed setting. Its functions are called by many
+// goroutines at once and do not block.
+type ExecutorConfig struct {
+	Owner *owner.Owner
+	// Address is the worker's ("ip:port").
+	Address string
+	Dialect dialect.Workers
+	// Worker tells the worker's present life, empty when none is known.
+	Worker func() model.WorkerID
+	// Traffic is told whether the worker refused a connection or answered.
+	Traffic func(refused bool)
+}
+
+// NewExecutor returns an executor for one worker.
+func NewExecutor(cfg ExecutorConfig) *Executor {
+	x := &Executor{
+		owner:   cfg.Owner,
+		address: cfg.Address,
+		dialect: cfg.Dialect,
+		worker:  cfg.Worker,
+		traffic: cfg.Traffic,
+		waiters: map[model.AttemptID]chan owner.Decision{},
+	}
 	x.transport.Store(upstream.NewTransport(nil, initialSlots, initialConnections))
 	return x
 }
@@ -241,18 +263,20 @@
 		return x.failed(ctx, w, started, proof.NotRun())
 	}
 	x.traffic(false)
-	if refusal, ok := x.checkHead(w, resp); !ok {
+	head := x.dialect.ReadAnswer(resp, &w.Attempt)
+	if refusal, ok := x.checkHead(w, resp, head); !ok {
 		proof.CloseConn()
 		resp.Body.Close()
 		cancel()
 		x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), Failed: true})
 		return Result{Refusal: refusal}
 	}
-	if notRun, _ := wire.ReadNotRun(resp.Header); notRun && resp.StatusCode == http.StatusServiceUnavailable {
+	if head.NotRun {
 		defer cancel()
 		defer resp.Body.Close()
-		x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: true, Delegate: true, Shed: true, Status: resp.StatusCode})
-		return Result{Refusal: model.Refusal{Reason: delegated(&w.Attempt, model.ReasonWorkerShed), NotRun: true, RetryAfter: retryAfter(resp.Header)}}
+		shed := head.Refusal == model.ReasonWorkerShed
+		x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), NotRun: true, Delegate: true, Shed: shed, Abandoned: !shed, Status: resp.StatusCode})
+		return Result{Refusal: model.Refusal{Reason: delegated(&w.Attempt, head.Refusal), NotRun: true, RetryAfter: head.RetryAfter}}
 	}
 	body := &answerBody{ReadCloser: resp.Body, done: func(whole bool) {
 		f := finishOf(resp.StatusCode, whole, time.Since(started))
@@ -321,16 +345,15 @@
 // checkHead refuses crossed answers, those whose wholeness cannot be known, and a
 // switch of protocols, which no request asked for (RFC 9110, section 15.2.2) and
 // whose body would end with the connection only.
-func (x *Executor) checkHead(w *Work, resp *http.Response) (model.Refusal, bool) {
+func (x *Executor) checkHead(w *Work, resp *http.Response, head dialect.WorkerHead) (model.Refusal, bool) {
 	broken := model.Refusal{Reason: model.ReasonWorkerBroken}
-	echo, present := resp.Header[wire.HeaderAttempt]
-	if present && (len(echo) != 1 || echo[0] != w.Attempt.ID.String()) {
+	if head.Echo == dialect.EchoWrong || head.Echo == dialect.EchoAbsent && x.echo.Load() {
 		return broken, false
 	}
-	if !present && x.echo.Load() {
+	if resp.StatusCode < http.StatusOK {
 		return broken, false
 	}
-	if resp.StatusCode < http.StatusOK || upstream.Whole(resp, w.Method) != nil {
+	if !x.dialect.EndsWithConnection() && upstream.Whole(resp, w.Method) != nil {
 		return broken, false
 	}
 	return model.Refusal{}, true
@@ -341,26 +364,10 @@
 	u := *w.URL
 	u.Scheme, u.Host = "http", x.address
 	req := w.request(ctx, &u)
-	h := req.Header
-	a := &w.Attempt
-	h.Set(wire.HeaderAttempt, a.ID.String())
-	h.Set(wire.HeaderIdempotencyKey, string(a.Request))
-	h.Set(wire.HeaderTimeout, strconv.FormatInt(max(a.Remaining.Milliseconds(), 1), 10))
-	h.Set(wire.HeaderRetryBudget, strconv.Itoa(a.RetryBudget))
-	h.Set(wire.HeaderTenant, string(a.Tenant))
-	h.Set(wire.HeaderClass, string(a.Class))
-	h.Add("Via", via)
+	x.dialect.Prepare(req.Header, &w.Attempt, x.worker())
 	return req
 }
 
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.ParseInt(h.Get(wire.HeaderRetryAfter), 10, 32)
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(seconds) * time.Second
-}
-
 // answerBody tells once how the body ended: whole, cut, or given up.
 type answerBody struct {
 	io.ReadCloser
--- a/internal/server/executor_test.go
+++ b/internal/server/executor_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
 )
@@ -76,7 +77,10 @@
 	o := owner.New(owner.Config{Self: model.Instance{ID: "n0", Service: "ledger", Incarnation: 1}, Started: now.Add(-time.Minute)})
 	o.Configure(now, b, svc, 1)
 	o.SetState(now, model.StateLive)
-	x := NewExecutor(o, address, func(bool) {})
+	x := NewExecutor(ExecutorConfig{
+		Owner: o, Address: address, Dialect: dialect.Product{},
+		Worker: func() model.WorkerID { return "" }, Traffic: func(bool) {},
+	})
 	x.Configure(svc, "n0")
 	return o, x
 }
--- a/internal/server/header.go
+++ b/internal/server/header.go
@@ -9,9 +9,6 @@
 // passed through from outside.
 const gypsumPrefix = "Gypsum-"
 
-// via is this proxy's entry in Via (RFC 9110, section 7.6.3).
-const via = "1.1 gypsumstand"
-
 // hopByHop lists the headers that concern one connection only (RFC 9110,
 // section 7.6.1, and those that older practice adds).
 var hopByHop = []string{
--- a/internal/server/unrouted_test.go
+++ b/internal/server/unrouted_test.go
@@ -9,6 +9,7 @@
 
 	"gypsumstand/internal/blackboard"
 	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/wire"
 )
 
@@ -31,7 +32,7 @@
 			board := &blackboard.Board{}
 			board.Bundles.Put(bundle.NewSet(nil))
 			board.Readiness.Put(&blackboard.Readiness{Ready: tt.ready})
-			c := &Caller{Board: board, Leaving: func() bool { return false }}
+			c := &Caller{Board: board, Dialect: dialect.Product{}, Leaving: func() bool { return false }}
 			r := httptest.NewRequest(http.MethodPost, "/payouts", http.NoBody)
 			if tt.key != "" {
 				r.Header.Set(wire.HeaderIdempotencyKey, tt.key)
