--- a/cmd/gypsumd/main.go
+++ b/cmd/gypsumd/main.go
@@ -38,5 +38,5 @@
 		flag.Usage()
 		os.Exit(daemon.ExitUsage)
 	}
-	os.Exit(daemon.Run(context.Background(), *path, os.Stderr))
+	os.Exit(daemon.Run(context.Background(), *path, os.Stderr, nil))
 }
--- /dev/null
+++ b/cmd/gypsumside/main.go
@@ -0,0 +1,41 @@
+// Command gypsumside is the node on machines that follow a directory: gypsumd with
+// the adapter of package platform.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"gypsumstand/internal/daemon"
+	"gypsumstand/platform"
+)
+
+const usage = `usage: gypsumside [-settings FILE]
+
+Runs one node beside its worker on the users' machines until SIGTERM or SIGINT,
+which begin a graceful stop: readiness goes down first, callers are still served
+for leave_grace_ms, then what is in flight is finished, bounded by stop_timeout_ms.
+SIGHUP checks the settings file anew and logs what it finds. Logs are JSON lines on
+standard output, catalogued in docs/EVENTS.md. docs/PLATFORM.md says how it is run.
+
+Exit codes: 0 stopped gracefully, 1 could not serve, 2 usage, 3 faults in the
+settings (all are logged), 4 stopped with requests cut off.
+
+flags:
+`
+
+func main() {
+	path := flag.String("settings", platform.SettingsPath(), "settings file (TOML); by default the one that the platform names")
+	flag.Usage = func() {
+		fmt.Fprint(flag.CommandLine.Output(), usage)
+		flag.PrintDefaults()
+	}
+	flag.Parse()
+	if *path == "" || flag.NArg() > 0 {
+		flag.Usage()
+		os.Exit(daemon.ExitUsage)
+	}
+	os.Exit(daemon.Run(context.Background(), *path, os.Stdout, platform.Adapt))
+}
--- a/internal/bundle/parse.go
+++ b/internal/bundle/parse.go
@@ -21,6 +21,8 @@
 	minBurst                  = 1
 	defaultIdleTimeoutMs      = 60_000
 	defaultHeaderTimeoutMs    = 5000
+	defaultDeadlineMs         = 30_000
+	defaultSlots              = 16
 )
 
 // Parse reads the TOML of a bundle, fills defaults and checks it. file names
@@ -46,6 +48,40 @@
 	return b, nil
 }
 
+// Complete fills the defaults of a bundle that was not parsed from TOML but made by
+// an adapter from a configuration that others have checked: fields that are zero
+// get the default of an absent key.
+func Complete(b *Bundle) {
+	fill(&b.Measuring.PerUpstreamPerSecond, defaultMeasuringPerSecond)
+	fill(&b.Measuring.PollShare, defaultPollShare)
+	fill(&b.Retry.PerPath, defaultRetryPerPath)
+	fill(&b.Callers.IdleTimeoutMs, defaultIdleTimeoutMs)
+	fill(&b.Callers.HeaderTimeoutMs, defaultHeaderTimeoutMs)
+	for i := range b.Classes {
+		c := &b.Classes[i]
+		fill(&c.DeadlineMs, defaultDeadlineMs)
+		fill(&c.MaxDeadlineMs, c.DeadlineMs)
+	}
+	for i := range b.Services {
+		s := &b.Services[i]
+		fill(&s.Slots, defaultSlots)
+		fill(&s.Connections, s.Slots)
+		fill(&s.QueueLimit, defaultQueuePerSlot*s.Slots)
+		fill(&s.BodyLimitBytes, defaultBodyLimitBytes)
+		// The worker itself tells how long it stays cold.
+		fill(&s.WarmupMs, 1)
+		fill(&s.KeyMemoryMs, defaultKeyMemoryMs)
+	}
+}
+
+// fill sets a field that is zero.
+func fill[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
 func fillDefaults(b *Bundle, doc *tomlfile.Document) {
 	for i := range b.Classes {
 		c := &b.Classes[i]
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,10 +10,12 @@
 	"os"
 	"os/signal"
 	"reflect"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
 
+	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/finding"
 	"gypsumstand/internal/node"
@@ -30,9 +32,19 @@
 	ExitCutOff = 4
 )
 
+// Adaptation is what a platform's adapter brings in place of the product's own.
+type Adaptation struct {
+	Callers   dialect.Callers
+	Workers   dialect.Workers
+	Directory node.Directory
+}
+
+// Adapter makes the adaptation for checked settings; nil means the product's own.
+type Adapter func(s *settings.Settings, log zerolog.Logger) (Adaptation, error)
+
 // Run reads the settings at path and serves until ctx ends or SIGTERM or SIGINT
 // comes, then stops gracefully. It returns the exit code.
-func Run(ctx context.Context, path string, out io.Writer) int {
+func Run(ctx context.Context, path string, out io.Writer, adapt Adapter) int {
 	// net/http's transport prints unsolicited answers of a worker there, whole: what
 	// a caller was to read is not for the log.
 	stdlog.SetOutput(io.Discard)
@@ -49,6 +61,15 @@
 		refuse(&log, err)
 		return ExitSettings
 	}
+	if adapt != nil {
+		adaptation, err := adapt(s, log)
+		if err != nil {
+			refuse(&log, err)
+			return ExitSettings
+		}
+		cfg.Callers, cfg.Workers, cfg.Directory = adaptation.Callers, adaptation.Workers, adaptation.Directory
+	}
+	limitMemory(s.MemoryLimit())
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	n, err := node.New(cfg)
@@ -60,6 +81,17 @@
 	return code(n.Run(ctx))
 }
 
+// heapShare is the part of the process's memory that the collector keeps the heap
+// within: stacks, connections' buffers and the runtime need the rest.
+const heapShare = 2
+
+// limitMemory makes the collector work harder before the process's bound is near.
+func limitMemory(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(bytes / heapShare)
+	}
+}
+
 func code(err error) int {
 	switch {
 	case err == nil:
--- a/internal/event/directory.go
+++ b/internal/event/directory.go
@@ -20,4 +20,7 @@
 	ConfigOlder = define(626, zerolog.WarnLevel, "older configuration ignored",
 		"The directory told an older configuration than the one in force. The subject is its version, the detail the one in force.",
 		"Find out whether an old copy of the directory was restored.")
+	DirectoryItemRefused = define(627, zerolog.ErrorLevel, "directory's item refused",
+		"An item of the directory could not be decoded and is ignored. The subject is its key.",
+		"Find out who wrote the item and in which version of the format.")
 )
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -44,16 +44,27 @@
 	bad     int
 	leaving int
 	answer  time.Time
+	// reachable says that any answer of a poll is good enough.
+	reachable bool
 }
 
 // NewJudge returns a judge of a worker that is taken for cold.
 func NewJudge() *Judge { return &Judge{state: model.StateCold} }
 
+// NewReachabilityJudge returns a judge that asks of polls only whether the worker
+// answers at all. It is for fleets where a directory says which workers take work
+// and health answers are known to be false either way: a worker that calls itself
+// ill and gets no work could not show by its work that it is well.
+func NewReachabilityJudge() *Judge { return &Judge{state: model.StateCold, reachable: true} }
+
 // State returns the present judgement.
 func (j *Judge) State() model.UpstreamState { return j.state }
 
 // Polled takes a poll's outcome and returns the judgement.
 func (j *Judge) Polled(now time.Time, p Poll) model.UpstreamState {
+	if j.reachable {
+		p.OK, p.Leaving = p.Answered, false
+	}
 	j.countRefused(p.Refused)
 	if p.Leaving {
 		j.leaving++
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -42,7 +42,11 @@
 		Timeout:       pollTimeout,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &workerWatch{node: n, client: client, judge: health.NewJudge()}
+	judge := health.NewJudge()
+	if n.cfg.Directory != nil {
+		judge = health.NewReachabilityJudge()
+	}
+	return &workerWatch{node: n, client: client, judge: judge}
 }
 
 // run polls at the pace that the bundle's measuring budget leaves, until the
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -21,6 +21,8 @@
 	defaultLocalDelayUs       = 100
 	defaultRemoteDelayUs      = 1000
 	defaultPlatformTimeoutMs  = 1000
+	defaultRetryRatio         = 0.2
+	defaultRetryExtra         = 50
 )
 
 // Bounds of fields.
@@ -34,6 +36,9 @@
 	maxDelayUs           = 10_000_000
 	maxPlatformTimeoutMs = 60_000
 	maxPeers             = 1000
+	maxStopMarginMs      = 10_000
+	maxMemoryLimitMb     = 1 << 20
+	maxRetryExtra        = 1e6
 )
 
 var logLevels = []string{"debug", "info", "warn", "error"}
@@ -69,6 +74,7 @@
 		LocalDelayUs:       defaultLocalDelayUs,
 		RemoteDelayUs:      defaultRemoteDelayUs,
 		Platform:           Platform{TimeoutMs: defaultPlatformTimeoutMs},
+		Directory:          Directory{RetryRatio: defaultRetryRatio, RetryExtra: defaultRetryExtra},
 	}
 }
 
@@ -95,6 +101,22 @@
 	own.add("worker_address", s.WorkerAddress)
 	reachable(doc, "peer_address", s.PeerAddress)
 	reachable(doc, "worker_address", s.WorkerAddress)
+	checkDirectory(&s.Directory, doc)
+	if s.Directory.Address == "" {
+		checkPlatform(s, doc)
+	}
+}
+
+func checkDirectory(d *Directory, doc *tomlfile.Document) {
+	if d.Address != "" {
+		doc.Address("directory.address", d.Address)
+		reachable(doc, "directory.address", d.Address)
+	}
+	doc.FloatRange("directory.retry_ratio", d.RetryRatio, 0, 1)
+	doc.FloatRange("directory.retry_extra", d.RetryExtra, 0, maxRetryExtra)
+}
+
+func checkPlatform(s *Settings, doc *tomlfile.Document) {
 	doc.Address("platform.config_address", s.Platform.ConfigAddress)
 	reachable(doc, "platform.config_address", s.Platform.ConfigAddress)
 	doc.Address("platform.list_address", s.Platform.ListAddress)
@@ -155,7 +177,7 @@
 }
 
 func checkSigners(s *Settings, doc *tomlfile.Document) {
-	if len(s.Signers) == 0 {
+	if len(s.Signers) == 0 && s.Directory.Address == "" {
 		doc.Add("signer", "missing: without a trusted signer no bundle is ever accepted")
 	}
 	names, public := map[string]string{}, map[string]string{}
@@ -218,6 +240,11 @@
 func checkNumbers(s *Settings, doc *tomlfile.Document) {
 	doc.IntRange("stop_timeout_ms", s.StopTimeoutMs, minStopTimeoutMs, maxStopTimeoutMs)
 	doc.IntRange("leave_grace_ms", s.LeaveGraceMs, 0, maxStopTimeoutMs)
+	doc.IntRange("stop_margin_ms", s.StopMarginMs, 0, maxStopMarginMs)
+	if s.StopMarginMs >= s.StopTimeoutMs && s.StopMarginMs > 0 {
+		doc.Add("stop_margin_ms", "%d must be under stop_timeout_ms of %d", s.StopMarginMs, s.StopTimeoutMs)
+	}
+	doc.IntRange("memory_limit_mb", s.MemoryLimitMb, 0, maxMemoryLimitMb)
 	if s.LeaveGraceMs >= s.StopTimeoutMs {
 		key := "leave_grace_ms"
 		if !doc.Has(key) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,9 @@
 	// WorkerAddress is where the node's own worker takes requests.
 	WorkerAddress string   `toml:"worker_address"`
 	Platform      Platform `toml:"platform"`
+	// Directory, when its address is set, is the source of instances and
+	// configuration in place of Platform, Signers and Peers.
+	Directory Directory `toml:"directory"`
 	// Signers are the people whose sign-off of bundles is trusted; at least one.
 	Signers []Signer `toml:"signer"`
 	// Peers are peer addresses of other nodes that are tried before the
@@ -52,6 +55,13 @@
 	// after the peers were told that this node leaves. Default 2000, from 0 to
 	// less than StopTimeoutMs.
 	LeaveGraceMs int64 `toml:"leave_grace_ms"`
+	// StopMarginMs is how long before the end of StopTimeoutMs the stop ends, in
+	// milliseconds, where StopTimeoutMs is when the process is killed. Default 0,
+	// from 0 to 10000 and under StopTimeoutMs.
+	StopMarginMs int64 `toml:"stop_margin_ms"`
+	// MemoryLimitMb is the memory that the process may have, in MiB; the collector
+	// keeps the heap within half of it. Default 0: no bound. From 0 to 1048576.
+	MemoryLimitMb int64 `toml:"memory_limit_mb"`
 	// MaxHeaderBytes bounds the header of a request, in bytes. Default 32768,
 	// from 4096 to 1048576.
 	MaxHeaderBytes int `toml:"max_header_bytes"`
@@ -77,6 +87,18 @@
 	TimeoutMs int64 `toml:"timeout_ms"`
 }
 
+// Directory is a read-only source of both the workers and the configuration, which
+// others have checked and signed off.
+type Directory struct {
+	// Address is the source's; empty means that there is none.
+	Address string `toml:"address"`
+	// RetryRatio and RetryExtra bound the extra arrivals that all nodes together may
+	// cause at a service's workers in ten seconds: RetryRatio of its requests, and
+	// RetryExtra more. Defaults 0.2, from 0 to 1, and 50, from 0 to 1000000.
+	RetryRatio float64 `toml:"retry_ratio"`
+	RetryExtra float64 `toml:"retry_extra"`
+}
+
 // Timeout returns the bound of one read.
 func (p *Platform) Timeout() time.Duration { return milliseconds(p.TimeoutMs) }
 
@@ -126,7 +148,12 @@
 }
 
 // StopTimeout returns the bound of a planned stop.
-func (s *Settings) StopTimeout() time.Duration { return milliseconds(s.StopTimeoutMs) }
+func (s *Settings) StopTimeout() time.Duration {
+	return milliseconds(s.StopTimeoutMs - s.StopMarginMs)
+}
+
+// MemoryLimit returns the bound of the process's memory in bytes; 0 means none.
+func (s *Settings) MemoryLimit() int64 { return s.MemoryLimitMb << 20 }
 
 // LeaveGrace returns how long callers are accepted after leaving was told.
 func (s *Settings) LeaveGrace() time.Duration { return milliseconds(s.LeaveGraceMs) }
@@ -150,6 +177,7 @@
 		Str("peer_address", s.PeerAddress).
 		Str("operator_address", s.OperatorAddress).
 		Str("worker_address", s.WorkerAddress).
+		Str("directory_address", s.Directory.Address).
 		Str("config_address", s.Platform.ConfigAddress).
 		Str("list_address", s.Platform.ListAddress).
 		Str("signers", s.signerNames()).
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -44,10 +44,11 @@
 		Instance: "ledger-1", Service: "ledger", DataCentre: "kigali-a",
 		CallerAddress: "127.0.0.1:7001", PeerAddress: "127.0.0.1:7002",
 		OperatorAddress: "127.0.0.1:7003", WorkerAddress: "127.0.0.1:7004",
-		Peers:    []string{"127.0.0.1:7012"},
-		Platform: Platform{ConfigAddress: "127.0.0.1:7500", ListAddress: "127.0.0.1:7500", TimeoutMs: 1000},
-		Signers:  []Signer{{Name: "aline", Key: publicKey}},
-		LogLevel: "info", StopTimeoutMs: 30_000, LeaveGraceMs: 2000, MaxHeaderBytes: 32768,
+		Peers:     []string{"127.0.0.1:7012"},
+		Platform:  Platform{ConfigAddress: "127.0.0.1:7500", ListAddress: "127.0.0.1:7500", TimeoutMs: 1000},
+		Signers:   []Signer{{Name: "aline", Key: publicKey}},
+		Directory: Directory{RetryRatio: 0.2, RetryExtra: 50},
+		LogLevel:  "info", StopTimeoutMs: 30_000, LeaveGraceMs: 2000, MaxHeaderBytes: 32768,
 		MaxIdleConnections: 256, LocalDelayUs: 100, RemoteDelayUs: 1000,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
