owner, entry: requests move on from machines that are slow at this moment

Change: an owner samples the pace before it decides, within the measuring budget, turns away as busy what another owner may start sooner, and holds back what no other took while waiting is sooner done. An entry moves on without touching its budgets and stays at the last. An owner uses 0.78 of the slots where workers are known to slow down when nearly full. Lines about requests are logged, bounded.

Ruled out: own processor time (0.003 cores).

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -61,6 +61,10 @@
 	// keeps to its part. 0 (default) means that each node keeps to the ratio alone.
 	// From 0 to 1000000.
 	FleetExtra float64 `toml:"fleet_extra"`
+	// Moves is how many owners may turn a request away because they cannot start
+	// it at once, before it waits at one of them. Default 0: it waits where it was
+	// placed first. From 0 to 10.
+	Moves int `toml:"moves"`
 }
 
 // Callers bounds what callers' connections may do.
@@ -149,6 +153,10 @@
 	// Slots is the number of requests that one upstream runs at once. From 1 to
 	// 65535, with no default.
 	Slots int `toml:"slots"`
+	// SlotShare is the part of the slots that an owner uses at once. Under 1 it
+	// keeps workers that slow down when they are nearly full from doing so.
+	// Default 1, from 0.1 to 1.
+	SlotShare float64 `toml:"slot_share"`
 	// Connections is the number of connections that one upstream takes. From
 	// Slots to 65535, with no default.
 	Connections int `toml:"connections"`
@@ -177,6 +185,14 @@
 	Routes    []Route    `toml:"route"`
 }
 
+// UsableSlots returns how many of a worker's slots are used at once, at least one.
+func (s *Service) UsableSlots(slots int) int {
+	if s.SlotShare <= 0 || s.SlotShare >= 1 {
+		return slots
+	}
+	return max(1, int(float64(slots)*s.SlotShare))
+}
+
 // Warmup returns the slow start's length.
 func (s *Service) Warmup() time.Duration { return time.Duration(s.WarmupMs) * time.Millisecond }
 
--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -21,8 +21,10 @@
 	maxKeyMemoryMs    = 86_400_000
 	maxPathBytes      = 1024
 	maxHostBytes      = 255
+	minSlotShare      = 0.1
 	maxFleetExtra     = 1e6
 	maxPriority       = 1000
+	maxMoves          = 10
 	maxAttempts       = 100
 	maxRouteWeight    = 1_000_000
 	minCallerMs       = 100
@@ -55,6 +57,7 @@
 	doc.IntRange("retry.per_path", int64(r.PerPath), 0, maxRetryPerPath)
 	doc.FloatRange("retry.ratio", r.Ratio, 0, 1)
 	doc.FloatRange("retry.hedge_after_quantile", r.HedgeAfterQuantile, 0, maxHedgeQuantile)
+	doc.IntRange("retry.moves", int64(r.Moves), 0, maxMoves)
 	doc.FloatRange("retry.fleet_extra", r.FleetExtra, 0, maxFleetExtra)
 }
 
--- a/internal/bundle/check_service.go
+++ b/internal/bundle/check_service.go
@@ -41,6 +41,7 @@
 		doc.IntRange(key+".connections", int64(s.Connections), 1, maxUpstreamCount)
 		checkEnough(key+".connections", s.Connections, s.Slots, doc)
 	}
+	doc.FloatRange(key+".slot_share", s.SlotShare, minSlotShare, 1)
 	doc.IntRange(key+".queue_limit", int64(s.QueueLimit), 0, maxUpstreamCount)
 	doc.IntRange(key+".body_limit_bytes", s.BodyLimitBytes, 1, maxBodyLimitBytes)
 }
--- a/internal/bundle/diff_fields.go
+++ b/internal/bundle/diff_fields.go
@@ -44,6 +44,8 @@
 		"Each entry node%[1]s may add %[3]s of extra attempts to a service's first ones instead of %[2]s."},
 	{"hedge_after_quantile", func(r *Retry) string { return hedge(r.HedgeAfterQuantile) },
 		"Idempotent requests%[1]s are hedged %[3]s instead of %[2]s."},
+	{"moves", func(r *Retry) string { return strconv.Itoa(r.Moves) },
+		"Up to %[3]s owners may turn a request away as busy%[1]s instead of %[2]s."},
 	{"fleet_extra", func(r *Retry) string { return bound(r.FleetExtra) },
 		"All entry nodes together%[1]s may cause %[3]s extra arrivals in ten seconds at a service instead of %[2]s."},
 }
@@ -86,6 +88,8 @@
 var serviceFields = fieldList[Service]{
 	{"slots", func(s *Service) string { return strconv.Itoa(s.Slots) },
 		"Each upstream of service %[1]s runs %[3]s requests at once instead of %[2]s."},
+	{"slot_share", func(s *Service) string { return percent(s.SlotShare) },
+		"Owners of service %[1]s use %[3]s of a worker's slots at once instead of %[2]s."},
 	{"connections", func(s *Service) string { return strconv.Itoa(s.Connections) },
 		"Each upstream of service %[1]s takes %[3]s connections instead of %[2]s."},
 	{"queue_limit", func(s *Service) string { return strconv.Itoa(s.QueueLimit) },
--- a/internal/bundle/parse.go
+++ b/internal/bundle/parse.go
@@ -23,6 +23,18 @@
 	defaultHeaderTimeoutMs    = 5000
 	defaultDeadlineMs         = 30_000
 	defaultSlots              = 16
+	// defaultPacePerSecond and defaultPaceShare leave room for a sample of the
+	// worker's pace with each attempt at 20 attempts a second.
+	defaultPacePerSecond = 30
+	defaultPaceShare     = 0.9
+	// defaultMoves lets a request see all owners of a small service: a refusal
+	// costs 1 to 2 ms of way, a start on a machine that its neighbours slow down
+	// hundreds.
+	defaultMoves = 5
+	// defaultSharedSlotShare is for workers of which only the directory is known:
+	// some take 1.7 times as long when more than four fifths of their slots are
+	// used, so that all slots serve less than these.
+	defaultSharedSlotShare = 0.78
 )
 
 // Parse reads the TOML of a bundle, fills defaults and checks it. file names
@@ -52,9 +64,10 @@
 // an adapter from a configuration that others have checked: fields that are zero
 // get the default of an absent key.
 func Complete(b *Bundle) {
-	fill(&b.Measuring.PerUpstreamPerSecond, defaultMeasuringPerSecond)
-	fill(&b.Measuring.PollShare, defaultPollShare)
+	fill(&b.Measuring.PerUpstreamPerSecond, defaultPacePerSecond)
+	fill(&b.Measuring.PollShare, defaultPaceShare)
 	fill(&b.Retry.PerPath, defaultRetryPerPath)
+	fill(&b.Retry.Moves, defaultMoves)
 	fill(&b.Callers.IdleTimeoutMs, defaultIdleTimeoutMs)
 	fill(&b.Callers.HeaderTimeoutMs, defaultHeaderTimeoutMs)
 	for i := range b.Classes {
@@ -66,6 +79,7 @@
 		s := &b.Services[i]
 		fill(&s.Slots, defaultSlots)
 		fill(&s.Connections, s.Slots)
+		fill(&s.SlotShare, defaultSharedSlotShare)
 		fill(&s.QueueLimit, defaultQueuePerSlot*s.Slots)
 		fill(&s.BodyLimitBytes, defaultBodyLimitBytes)
 		// The worker itself tells how long it stays cold.
@@ -96,6 +110,7 @@
 	}
 	for i := range b.Services {
 		s, key := &b.Services[i], serviceKey(i)
+		setDefault(doc, key+".slot_share", &s.SlotShare, 1)
 		setDefault(doc, key+".queue_limit", &s.QueueLimit, min(maxUpstreamCount, defaultQueuePerSlot*s.Slots))
 		setDefault(doc, key+".body_limit_bytes", &s.BodyLimitBytes, defaultBodyLimitBytes)
 		setDefault(doc, key+".warmup_ms", &s.WarmupMs, defaultWarmupMs)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/finding"
+	"gypsumstand/internal/logging"
 	"gypsumstand/internal/node"
 	"gypsumstand/internal/settings"
 )
@@ -48,13 +49,19 @@
 	// net/http's transport prints unsolicited answers of a worker there, whole: what
 	// a caller was to read is not for the log.
 	stdlog.SetOutput(io.Discard)
-	log := zerolog.New(out).With().Timestamp().Logger()
+	plain := zerolog.New(out).With().Timestamp().Logger()
 	s, err := settings.Load(path)
 	if err != nil {
-		refuse(&log, err)
+		refuse(&plain, err)
 		return ExitSettings
 	}
-	log = log.Level(s.Level())
+	logger := logging.New(out, s.Level(), s.RequestLines)
+	defer logger.Close()
+	return serve(ctx, path, s, logger, adapt)
+}
+
+func serve(ctx context.Context, path string, s *settings.Settings, logger *logging.Logger, adapt Adapter) int {
+	log := logger.Main
 	s.Log(&log)
 	cfg, err := config(s, log)
 	if err != nil {
@@ -69,6 +76,7 @@
 		}
 		cfg.Callers, cfg.Workers, cfg.Directory = adaptation.Callers, adaptation.Workers, adaptation.Directory
 	}
+	cfg.Requests = logger.Requests
 	limitMemory(s.MemoryLimit())
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -55,11 +55,12 @@
 	until time.Time
 	after phase
 
-	current model.Attempt
-	to      model.Instance
-	sentAt  time.Time
-	hedgeAt time.Time
-	hedged  bool
+	current  model.Attempt
+	to       model.Instance
+	believed route.Belief
+	sentAt   time.Time
+	hedgeAt  time.Time
+	hedged   bool
 	// open: the current attempt has neither ended nor is proved not to have run.
 	open bool
 	// doubt: an attempt before the current one may have run.
@@ -73,6 +74,10 @@
 	// resent: the current owner was already given a fresh stamp.
 	resent bool
 
+	// moves counts the owners that turned the request away as busy; staying says
+	// that it now waits where it is placed.
+	moves   int
+	staying bool
 	sends   int
 	retries int
 	rounds  int
@@ -145,7 +150,7 @@
 			}
 			c.phase = c.after
 		case phaseSent:
-			return Step{Kind: StepSend, To: c.to, Attempt: c.current, Until: c.deadline, HedgeAt: c.hedgeAt}
+			return Step{Kind: StepSend, To: c.to, Attempt: c.current, Until: c.deadline, HedgeAt: c.hedgeAt, Believed: c.believed}
 		case phaseAsked:
 			return c.settleStep(now)
 		default:
@@ -162,6 +167,7 @@
 		return
 	}
 	c.resent = false
+	c.believed = choice.Belief
 	c.send(now, choice.Instance, choice.OwnerClock)
 }
 
@@ -226,6 +232,7 @@
 		RetryBudget:      childBudget(c.budget),
 		Delegated:        c.home.delegated(),
 		Caller:           c.req.Caller,
+		MayMove:          c.mayMove(),
 	}
 	c.engine.table.Sent(now, to.ID)
 }
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -27,6 +27,31 @@
 	c.phase = phasePlace
 }
 
+// mayMove tells whether the next owner may turn the request away as busy. A call
+// with a caller's own id stays at its home.
+func (c *Call) mayMove() bool {
+	return !c.staying && !c.keyed() && c.req.Replayable && c.moves < c.req.Target.Bundle.Retry.Moves
+}
+
+// moveOn goes on after an owner that was busy. It costs nothing of the budgets: no
+// worker was asked.
+func (c *Call) moveOn(now time.Time) {
+	c.moves++
+	if c.moves >= c.req.Target.Bundle.Retry.Moves || !c.hasOther(now) {
+		c.stay()
+		return
+	}
+	c.phase = phasePlace
+}
+
+// stay places the request where it is expected to start first, to wait there.
+func (c *Call) stay() {
+	c.staying = true
+	c.forgetTried()
+	c.advice = time.Time{}
+	c.phase = phasePlace
+}
+
 // placeCost returns what placing the request once more costs.
 func (c *Call) placeCost() int64 {
 	if c.loaded {
@@ -70,6 +95,10 @@
 		c.giveUp(model.ReasonNoUpstream)
 		return
 	}
+	if c.moves > 0 && !c.staying {
+		c.stay()
+		return
+	}
 	until := c.nextRound(now)
 	if c.loaded || c.rounds == c.engine.tuning.Rounds || c.sends >= maxSends || !until.Before(c.deadline) {
 		c.giveUp(c.reason)
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -101,6 +101,9 @@
 			c.phase = phasePlace
 			return
 		}
+	case model.ReasonBusy:
+		c.moveOn(now)
+		return
 	case model.ReasonTenantLimit, model.ReasonNoRoute, model.ReasonBodyTooLarge, model.ReasonBadRequest, model.ReasonCancelled:
 		c.giveUp(r.Reason)
 		return
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/route"
 	"gypsumstand/internal/wire"
 )
 
@@ -40,6 +41,8 @@
 	To      model.Instance
 	Attempt model.Attempt
 	Until   time.Time
+	// Believed is what the choice of To rested on, for logs; for StepSend.
+	Believed route.Belief
 	// HedgeAt, when set on StepSend, is when the adapter may call Call.Hedge.
 	HedgeAt time.Time
 	// Outcome, Reason and RetryAfter are for StepEnd with no answer. RetryAfter
--- /dev/null
+++ b/internal/event/request.go
@@ -0,0 +1,24 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Events of single requests. They are bounded in number; see LinesLeftOut.
+var (
+	CallEnded = define(410, zerolog.InfoLevel, "request ended",
+		"An entry node told a caller how its request ended: outcome and reason, the status, the time since its arrival, the attempts made, the last upstream, the queue and worker time there, and the configuration's version.",
+		"For a failed request look up the same id at the upstream's node (events 520 and 521).")
+	CallRefusedEarly = define(411, zerolog.WarnLevel, "request refused before it was placed",
+		"A request matched no route, was malformed, or came before the node was ready.",
+		"Compare the configuration's version with the operator's newest.")
+	AttemptPlaced = define(412, zerolog.DebugLevel, "attempt placed",
+		"An entry node chose an upstream for an attempt: the expected time, the load believed there, and the age of the report behind it in milliseconds (-1: none was heard).", "none")
+	AttemptBroke = define(413, zerolog.WarnLevel, "attempt broke",
+		"The way to an owner broke, or its answer was cut. Whether the attempt ran is settled with the owner, or stays unknown.",
+		"Look for event 520 of the same request at that owner, and whether its process ended.")
+	AttemptEnded = define(520, zerolog.InfoLevel, "attempt ended at the worker",
+		"An owner's worker answered, broke or refused an attempt: the status (0: no whole answer), queue and worker time, and the load at that moment.", "none")
+	AttemptRefused = define(521, zerolog.InfoLevel, "attempt refused",
+		"An owner refused an attempt before it started, for the reason given; not_run says that this is proved for good.", "none")
+	LinesLeftOut = define(106, zerolog.WarnLevel, "log lines left out",
+		"More lines about requests came in a second than are written, or the reader of the log was too slow. Metrics count all requests.", "none")
+)
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -38,6 +38,9 @@
 	Delegated bool `cbor:"15,keyasint"`
 	// Caller is the service beside whose worker the request entered the system.
 	Caller ServiceName `cbor:"16,keyasint,omitempty"`
+	// MayMove says that the entry can place the request elsewhere: an owner that
+	// cannot start it now refuses it as busy.
+	MayMove bool `cbor:"17,keyasint,omitempty"`
 }
 
 // Outcome is what the caller is told of its request.
@@ -117,6 +120,8 @@
 	// ReasonOwnerAbsent: the owner's address refused the connection, so that no
 	// process of the owner lives there, nor its memory.
 	ReasonOwnerAbsent
+	// ReasonBusy: the owner cannot start the attempt now; another may.
+	ReasonBusy
 
 	reasonCount
 )
@@ -126,7 +131,7 @@
 	"incarnation", "stale", "tenant-limit", "delegated", "duplicate-running",
 	"duplicate-done", "barred", "worker-unreachable", "worker-shed",
 	"worker-broken", "cancelled", "no-upstream", "no-route", "body-too-large",
-	"paused", "link-broken", "bad-request", "owner-absent",
+	"paused", "link-broken", "bad-request", "owner-absent", "busy",
 }
 
 // String returns the header and label form of r.
--- a/internal/model/load.go
+++ b/internal/model/load.go
@@ -63,6 +63,15 @@
 	// Bundle is the version that governs the owner's service, so that a node
 	// behind learns of a newer one from any call.
 	Bundle BundleVersion `cbor:"10,keyasint"`
+	// Pace is how long work takes at the worker at this moment, in percent of
+	// usual; 0 when the worker does not tell.
+	Pace uint16 `cbor:"11,keyasint,omitempty"`
+}
+
+// Slowness returns how many times as long as usual work takes, at least 1.
+func (r *LoadReport) Slowness() float64 {
+	const usual = 100
+	return max(1, float64(r.Pace)/usual)
 }
 
 // failureUnit is the unit of LoadReport.FailureRate.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -53,6 +53,7 @@
 			return
 		case <-ticker.C:
 			n.executor.Deliver(n.core.Owner.Tick(time.Now()))
+			n.watch.followHeld()
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,8 @@
 	// not block.
 	OnCall func(server.CallRecord)
 	Log    zerolog.Logger
+	// Requests takes the log lines about single requests.
+	Requests zerolog.Logger
 }
 
 // Directory is a source of instances and configuration.
@@ -203,6 +205,9 @@
 		Dialect: n.cfg.Workers,
 		Worker:  n.worker,
 		Traffic: n.watch.traffic,
+
+		Requests: &n.cfg.Requests,
+		Refresh:  n.watch.refresh,
 	})
 	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS, n.cfg.MaxIdleConnections)
 	n.links = link.New(link.Config{Self: n.self, Sink: n.sink, TLS: n.cfg.PeerTLS, Dial: n.cfg.DialPeer, MaxAccepted: maxAcceptedLinks})
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -47,7 +47,7 @@
 		Forwarder: n.forwarder,
 		Settler:   n.settler,
 		Recorder:  recorder{n},
-		Log:       &n.log,
+		Requests:  &n.cfg.Requests,
 		Seen:      n.seen,
 		Unreached: n.unreached,
 		Dialect:   n.cfg.Callers,
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/health"
@@ -22,6 +23,9 @@
 	maxPollBytes  = 4 << 10
 	noBundlePause = 100 * time.Millisecond
 	minPollPause  = 50 * time.Millisecond
+	// livenessPause is the pace of polls where the budget is meant for refresh: they
+	// only show that the worker lives.
+	livenessPause = 400 * time.Millisecond
 )
 
 // workerWatch follows the worker's life stage from polls and traffic.
@@ -33,6 +37,9 @@
 	judge *health.Judge
 	// life is the worker's life as its health path last said.
 	life model.WorkerID
+	// fresh is closed when the refreshing poll under way has ended; nil when there
+	// is none.
+	fresh chan struct{}
 }
 
 func newWorkerWatch(n *Node) *workerWatch {
@@ -64,7 +71,75 @@
 		if w.node.core.Landing.AllowPoll(time.Now()) {
 			w.polled(w.poll(svc.HealthPath))
 		}
-		pause.For(w.node.ctx, pollPause(b.Measuring.PerUpstreamPerSecond*b.Measuring.PollShare))
+		pause.For(w.node.ctx, w.pollPause(b))
+	}
+}
+
+// Freshness of the worker's pace.
+const (
+	// paceAge is how old a sample may be to decide on an attempt. Load: neighbours
+	// that change every 300 ms, so that one in twelve samples of that age is wrong.
+	paceAge = 50 * time.Millisecond
+	// refreshTimeout bounds the wait for a sample: a worker answers it in 1 ms.
+	refreshTimeout = 20 * time.Millisecond
+)
+
+// refresh asks the worker for its pace where the last sample is too old, within the
+// measuring budget. Attempts that come meanwhile wait for the same answer. It blocks
+// for refreshTimeout at most; without an answer the attempt is decided on what is
+// known.
+func (w *workerWatch) refresh(ctx context.Context) {
+	age, known, _ := w.node.core.Owner.PaceAge(time.Now())
+	if !known || age <= paceAge {
+		return
+	}
+	timer := time.NewTimer(refreshTimeout)
+	defer timer.Stop()
+	select {
+	case <-w.refreshing():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// refreshing returns a channel that is closed when a poll that began no earlier
+// than paceAge ago has ended.
+func (w *workerWatch) refreshing() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fresh != nil {
+		return w.fresh
+	}
+	done := make(chan struct{})
+	svc, _ := w.node.core.Board.Bundles.Get().Service(w.node.cfg.Service)
+	if svc == nil || svc.HealthPath == "" || !w.node.core.Landing.AllowPoll(time.Now()) {
+		close(done)
+		return done
+	}
+	w.fresh = done
+	w.node.start(func() {
+		w.polled(w.poll(svc.HealthPath))
+		w.mu.Lock()
+		w.fresh = nil
+		w.mu.Unlock()
+		close(done)
+	})
+	return done
+}
+
+func (w *workerWatch) pollPause(b *bundle.Bundle) time.Duration {
+	pause := pollPause(b.Measuring.PerUpstreamPerSecond * b.Measuring.PollShare)
+	if w.node.cfg.Directory != nil {
+		return max(pause, livenessPause)
+	}
+	return pause
+}
+
+// followHeld keeps the pace fresh while attempts wait for the machine to ease. It is
+// called with the owner's ticks and does not block.
+func (w *workerWatch) followHeld() {
+	if age, _, waiting := w.node.core.Owner.PaceAge(time.Now()); waiting && age > paceAge {
+		w.refreshing()
 	}
 }
 
@@ -98,6 +173,7 @@
 		return health.Poll{}
 	}
 	said := w.node.cfg.Workers.ReadHealth(resp, data)
+	w.node.executor.Deliver(w.node.core.Owner.ObserveLoad(time.Now(), said.Load))
 	if said.Worker != "" {
 		w.mu.Lock()
 		w.life = said.Worker
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -30,6 +30,10 @@
 	// seq is the order of arrival.
 	seq     uint64
 	started bool
+	// mayMove: the entry can place it elsewhere.
+	mayMove bool
+	// slowness is how many times as long as usual work took at the start.
+	slowness float64
 	// confirmed: Confirm let the first byte go.
 	confirmed bool
 	// pauses is the number of pauses seen before the start.
@@ -72,6 +76,7 @@
 	o.classes.charge(it.class, o.limit.effective(t))
 	it.started = true
 	it.startedAt = t
+	it.slowness = o.pace.factor(t)
 	it.pauses = o.pause.count
 	it.class.inFlight++
 	it.tenant.inFlight++
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -166,6 +166,9 @@
 
 // place starts, queues or refuses an attempt that nothing else forbids.
 func (o *Owner) place(t time.Duration, now time.Time, it *item) (Verdict, model.Refusal) {
+	if it.mayMove && o.movesOn(t, it) {
+		return Refuse, o.refuseNew(t, it, o.busy(t, it))
+	}
 	if o.free(t) > 0 {
 		o.queue.push(it)
 		if o.choose(o, t) == it {
@@ -175,6 +178,9 @@
 		}
 		o.queue.remove(it)
 	}
+	if it.mayMove {
+		return Refuse, o.refuseNew(t, it, o.busy(t, it))
+	}
 	if r := o.refuseLate(t, it); r.Reason != model.ReasonNone {
 		return Refuse, o.refuseNew(t, it, r)
 	}
@@ -223,6 +229,7 @@
 		deadline: t + left,
 		arrived:  t,
 		seq:      o.nextSeq,
+		mayMove:  a.MayMove,
 	}
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -96,6 +96,7 @@
 	attempts ledger
 	keys     keyTable
 	pause    pauseState
+	pace     pacing
 	// out holds decisions until the next call that returns some.
 	out []Decision
 }
@@ -164,7 +165,7 @@
 	if connections > 0 {
 		slots = min(slots, connections)
 	}
-	return max(slots, 1)
+	return svc.UsableSlots(max(slots, 1))
 }
 
 // SetState sets the life stage. Leaving never turns back: a smaller state after
--- a/internal/owner/predict.go
+++ b/internal/owner/predict.go
@@ -73,8 +73,9 @@
 		o.speed.ended(t, f.Failed || unreached)
 	}
 	if o.measures(it, f) {
-		it.class.service.add(f.ServiceTime)
-		o.speed.all.add(f.ServiceTime)
+		usual := time.Duration(float64(f.ServiceTime) / max(1, it.slowness))
+		it.class.service.add(usual)
+		o.speed.all.add(usual)
 	}
 }
 
--- a/internal/owner/shares.go
+++ b/internal/owner/shares.go
@@ -140,6 +140,9 @@
 	var bestBounded, bestUnder bool
 	for _, l := range o.queue.lanes {
 		it := l.best()
+		if o.held(t, it) {
+			continue
+		}
 		bounded := l.tenant.atBound(limit)
 		under := l.class.under(limit)
 		switch {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -54,6 +54,18 @@
 	// OwnerClock is the lower bound of the owner's clock now; see
 	// model.Attempt.OwnerClock.
 	OwnerClock time.Duration
+	Belief     Belief
+}
+
+// Belief is what a choice rested on.
+type Belief struct {
+	// Heard tells whether a report was heard, Age how long ago.
+	Heard bool
+	Age   time.Duration
+	// Load is the expected number of requests at the owner.
+	Load float64
+	// Expected is the estimated time to the whole answer.
+	Expected time.Duration
 }
 
 // Result tells how an attempt at a choice ended.
@@ -123,6 +135,10 @@
 	}
 	e := t.estimate(u, now, q.Remaining, 0)
 	c.Expected = time.Duration(e.latency())
+	c.Belief = Belief{Heard: e.heard, Load: e.load, Expected: c.Expected}
+	if e.heard {
+		c.Belief.Age = time.Duration(e.age)
+	}
 	return c
 }
 
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -15,6 +15,7 @@
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/entry"
+	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/route"
 	"gypsumstand/internal/wire"
@@ -66,7 +67,8 @@
 	Forwarder *Forwarder
 	Settler   Settler
 	Recorder  Recorder
-	Log       *zerolog.Logger
+	// Requests takes the log lines about single requests.
+	Requests *zerolog.Logger
 	// Seen is told the bundle versions that owners report; it does not block.
 	Seen func(from model.InstanceID, v model.BundleVersion)
 	// Unreached is told of each owner that no connection could be had to; it does
@@ -96,7 +98,7 @@
 	headers, err := c.Dialect.ReadRequest(r.Header)
 	if err != nil {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		c.endWith(w, r, http.StatusBadRequest, end)
+		c.refuseEarly(w, r, http.StatusBadRequest, end)
 		_, _ = io.WriteString(w, err.Error()+"\n")
 		return
 	}
@@ -119,24 +121,24 @@
 // earlier sending of the caller's own id was not run.
 func (c *Caller) refuseUnrouted(w http.ResponseWriter, r *http.Request) {
 	if ready := c.Board.Readiness.Get(); ready != nil && ready.Ready {
-		c.endWith(w, r, http.StatusNotFound, dialect.End{Outcome: model.OutcomeNotRun, Reason: model.ReasonNoRoute})
+		c.refuseEarly(w, r, http.StatusNotFound, dialect.End{Outcome: model.OutcomeNotRun, Reason: model.ReasonNoRoute})
 		return
 	}
 	end := dialect.End{Outcome: model.OutcomeNotRun, Reason: model.ReasonNotReady, RetryAfter: notReadyRetry}
 	if r.Header.Get(wire.HeaderIdempotencyKey) != "" {
 		end.Outcome = model.OutcomeUnknown
 	}
-	c.endWith(w, r, http.StatusServiceUnavailable, end)
+	c.refuseEarly(w, r, http.StatusServiceUnavailable, end)
 }
 
 func (c *Caller) refuseBody(w http.ResponseWriter, r *http.Request, err error, end dialect.End) {
 	if errors.Is(err, errBodyTooLarge) {
 		w.Header().Set("Connection", "close")
 		end.Reason = model.ReasonBodyTooLarge
-		c.endWith(w, r, http.StatusRequestEntityTooLarge, end)
+		c.refuseEarly(w, r, http.StatusRequestEntityTooLarge, end)
 		return
 	}
-	c.endWith(w, r, http.StatusBadRequest, end)
+	c.refuseEarly(w, r, http.StatusBadRequest, end)
 }
 
 // entryRequest applies the bundle's bounds to what the caller asked for.
@@ -202,3 +204,14 @@
 	c.Dialect.Ended(w.Header(), r.Header, e)
 	w.WriteHeader(status)
 }
+
+// refuseEarly ends a request that was never placed.
+func (c *Caller) refuseEarly(w http.ResponseWriter, r *http.Request, status int, e dialect.End) {
+	c.endWith(w, r, status, e)
+	// What cannot be read names no request.
+	asked, _ := c.Dialect.ReadRequest(r.Header)
+	event.Log(c.Requests, event.CallRefusedEarly).
+		Str("request", string(asked.Request)).Str("host", r.Host).Str("path", r.URL.Path).
+		Str("reason", e.Reason.String()).Int("status", int64(status)).
+		Str("bundle", e.Bundle.String()).Send()
+}
--- a/internal/server/carrier.go
+++ b/internal/server/carrier.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gypsumstand/internal/entry"
+	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/wire"
 )
@@ -20,6 +21,7 @@
 	attempts int
 	added    time.Duration
 	queued   time.Duration
+	worker   time.Duration
 	held     *heldAnswer
 	upstream model.InstanceID
 	// hedge is the call beside this one; nil when there is none.
@@ -91,6 +93,7 @@
 func (c *carrier) send(ctx context.Context, step entry.Step) {
 	c.attempts++
 	c.upstream = step.To.ID
+	c.placed(step)
 	c.drop()
 	result, heard, err := c.attemptHedged(ctx, step)
 	now := time.Now()
@@ -111,6 +114,7 @@
 	}
 	switch {
 	case err != nil:
+		c.broke(step, err)
 		c.call.Broken(now, false)
 		c.noteCallerGone(ctx)
 	case result.Answer == nil:
@@ -120,6 +124,24 @@
 	}
 }
 
+// placed logs the choice behind an attempt.
+func (c *carrier) placed(step entry.Step) {
+	age := int64(-1)
+	if step.Believed.Heard {
+		age = step.Believed.Age.Milliseconds()
+	}
+	event.Log(c.caller.Requests, event.AttemptPlaced).
+		Str("request", string(step.Attempt.Request)).Str("attempt", step.Attempt.ID.String()).
+		Str("upstream", string(step.To.ID)).Int("expected_ms", step.Believed.Expected.Milliseconds()).
+		Int("load", int64(step.Believed.Load)).Int("age_ms", age).Send()
+}
+
+func (c *carrier) broke(step entry.Step, err error) {
+	event.Log(c.caller.Requests, event.AttemptBroke).
+		Str("request", string(step.Attempt.Request)).Str("attempt", step.Attempt.ID.String()).
+		Str("upstream", string(step.To.ID)).Err(err).Send()
+}
+
 func (c *carrier) attempt(ctx context.Context, step entry.Step) (Result, bool, error) {
 	work := &Work{
 		Attempt:       step.Attempt,
@@ -141,6 +163,7 @@
 // before the caller hears of it.
 func (c *carrier) take(ctx context.Context, now time.Time, result Result) {
 	c.queued = result.Times.Queued
+	c.worker = result.Times.Worker
 	c.added = now.Sub(c.began) - result.Times.Queued - result.Times.Worker
 	a := result.Answer
 	start, err := io.ReadAll(io.LimitReader(a.Body, holdAnswerBytes))
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -10,6 +10,7 @@
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/entry"
+	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 )
 
@@ -42,15 +43,17 @@
 		x.caller.Settler.Notify(step.To, *step.Notify)
 	}
 	outcome := step.Outcome
-	defer func() { x.record(c, outcome, step.Reason, attempts) }()
+	status := statusOf(step)
+	defer func() { x.record(c, outcome, step.Reason, status, attempts) }()
 	end := dialect.End{
 		Outcome: step.Outcome, Reason: step.Reason, RetryAfter: step.RetryAfter,
 		Upstream: c.upstream, Bundle: x.target.Bundle.VersionID(),
 	}
 	if step.Outcome != model.OutcomeAnswered || c.held == nil {
-		x.caller.endWith(x.w, x.r, statusOf(step), end)
+		x.caller.endWith(x.w, x.r, status, end)
 		return
 	}
+	status = c.held.answer.Status
 	if err := x.answer(c.held, end); err != nil {
 		c.call.Broken(time.Now(), true)
 		outcome = model.OutcomeUnknown
@@ -93,14 +96,23 @@
 	limitWriting(x.w, x.began.Add(x.request.Timeout))
 }
 
-func (x *exchange) record(c *carrier, o model.Outcome, reason model.Reason, attempts int) {
+func (x *exchange) record(c *carrier, o model.Outcome, reason model.Reason, status, attempts int) {
+	latency := time.Since(x.began)
+	event.Log(x.caller.Requests, event.CallEnded).
+		Str("request", string(x.request.ID)).Str("class", string(x.target.Class.Name)).
+		Str("service", string(x.target.Service.Name)).Str("caller", string(x.request.Caller)).
+		Str("outcome", o.String()).Str("reason", reason.String()).Int("status", int64(status)).
+		Int("latency_ms", latency.Milliseconds()).Int("timeout_ms", x.request.Timeout.Milliseconds()).
+		Int("attempts", int64(attempts)).Str("upstream", string(c.upstream)).
+		Int("queued_ms", c.queued.Milliseconds()).Int("worker_ms", c.worker.Milliseconds()).
+		Str("bundle", x.target.Bundle.VersionID().String()).Send()
 	x.caller.Recorder.Call(CallRecord{
 		Service:  x.target.Service.Name,
 		Class:    x.target.Class.Name,
 		Tenant:   x.request.Tenant,
 		Outcome:  o,
 		Reason:   reason,
-		Latency:  time.Since(x.began),
+		Latency:  latency,
 		Attempts: attempts,
 		Added:    c.added,
 		Queued:   c.queued,
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -13,8 +13,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/dialect"
+	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
 	"gypsumstand/internal/upstream"
@@ -79,6 +82,8 @@
 	dialect dialect.Workers
 	// worker tells the worker's present life, empty when none is known.
 	worker    func() model.WorkerID
+	requests  *zerolog.Logger
+	refresh   func(ctx context.Context)
 	transport atomic.Pointer[http.Transport]
 	echo      atomic.Bool
 	limits    limits
@@ -107,17 +112,25 @@
 	Worker func() model.WorkerID
 	// Traffic is told whether the worker refused a connection or answered.
 	Traffic func(refused bool)
+	// Requests takes the log lines about single requests.
+	Requests *zerolog.Logger
+	// Refresh makes the owner's knowledge of the worker's pace fresh enough to
+	// decide on an attempt; nil where the worker tells none. It may block for a few
+	// milliseconds.
+	Refresh func(ctx context.Context)
 }
 
 // NewExecutor returns an executor for one worker.
 func NewExecutor(cfg ExecutorConfig) *Executor {
 	x := &Executor{
-		owner:   cfg.Owner,
-		address: cfg.Address,
-		dialect: cfg.Dialect,
-		worker:  cfg.Worker,
-		traffic: cfg.Traffic,
-		waiters: map[model.AttemptID]chan owner.Decision{},
+		owner:    cfg.Owner,
+		address:  cfg.Address,
+		dialect:  cfg.Dialect,
+		worker:   cfg.Worker,
+		traffic:  cfg.Traffic,
+		requests: cfg.Requests,
+		refresh:  cfg.Refresh,
+		waiters:  map[model.AttemptID]chan owner.Decision{},
 	}
 	x.transport.Store(upstream.NewTransport(nil, initialSlots, initialConnections))
 	return x
@@ -182,25 +195,53 @@
 // Do offers the attempt, waits for its start and sends it to the worker. ctx
 // ends when the entry gives up.
 func (x *Executor) Do(ctx context.Context, w *Work) Result {
+	if x.refresh != nil {
+		x.refresh(ctx)
+	}
 	offered := time.Now()
 	refusal := x.admit(ctx, w, offered)
 	if refusal != nil {
-		return x.refused(*refusal)
+		return x.refused(w, *refusal, offered)
 	}
 	started := time.Now()
 	if !x.owner.Confirm(started, w.Attempt.ID) {
 		x.finish(w.Attempt.ID, owner.Finish{NotRun: true})
-		return x.refused(model.Refusal{Reason: model.ReasonExpired, NotRun: true})
+		return x.refused(w, model.Refusal{Reason: model.ReasonExpired, NotRun: true}, offered)
 	}
 	w.Attempt.Remaining -= started.Sub(offered)
 	r := x.run(ctx, w, started)
 	r.Times = wire.Times{Queued: started.Sub(offered), Worker: time.Since(started)}
 	r.Report = x.owner.Report(time.Now())
+	x.logEnd(w, &r)
 	return r
 }
 
-func (x *Executor) refused(r model.Refusal) Result {
-	return Result{Refusal: r, Report: x.owner.Report(time.Now())}
+func (x *Executor) refused(w *Work, r model.Refusal, offered time.Time) Result {
+	now := time.Now()
+	result := Result{Refusal: r, Report: x.owner.Report(now)}
+	event.Log(x.requests, event.AttemptRefused).
+		Str("request", string(w.Attempt.Request)).Str("attempt", w.Attempt.ID.String()).
+		Str("class", string(w.Attempt.Class)).Str("reason", r.Reason.String()).Bool("not_run", r.NotRun).
+		Int("waited_ms", now.Sub(offered).Milliseconds()).Int("left_ms", w.Attempt.Remaining.Milliseconds()).
+		Int("retry_after_ms", r.RetryAfter.Milliseconds()).
+		Int("running", int64(result.Report.InFlight)).Int("queued", int64(result.Report.Queued)).
+		Int("limit", int64(result.Report.Limit)).Int("pace_percent", int64(result.Report.Pace)).Send()
+	return result
+}
+
+// logEnd logs how an attempt ended at the worker; of an answer the head has come.
+func (x *Executor) logEnd(w *Work, r *Result) {
+	status := 0
+	if r.Answer != nil {
+		status = r.Answer.Status
+	}
+	event.Log(x.requests, event.AttemptEnded).
+		Str("request", string(w.Attempt.Request)).Str("attempt", w.Attempt.ID.String()).
+		Str("class", string(w.Attempt.Class)).Str("reason", r.Refusal.Reason.String()).Bool("not_run", r.Refusal.NotRun).
+		Int("status", int64(status)).Int("queued_ms", r.Times.Queued.Milliseconds()).
+		Int("worker_ms", r.Times.Worker.Milliseconds()).Str("worker", string(x.worker())).
+		Int("running", int64(r.Report.InFlight)).Int("queued", int64(r.Report.Queued)).
+		Int("limit", int64(r.Report.Limit)).Int("pace_percent", int64(r.Report.Pace)).Send()
 }
 
 // admit returns nil once the attempt may start.
@@ -264,6 +305,7 @@
 	}
 	x.traffic(false)
 	head := x.dialect.ReadAnswer(resp, &w.Attempt)
+	x.Deliver(x.owner.ObserveLoad(time.Now(), head.Load))
 	if refusal, ok := x.checkHead(w, resp, head); !ok {
 		proof.CloseConn()
 		resp.Body.Close()
--- a/internal/server/executor_test.go
+++ b/internal/server/executor_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/model"
@@ -77,9 +79,10 @@
 	o := owner.New(owner.Config{Self: model.Instance{ID: "n0", Service: "ledger", Incarnation: 1}, Started: now.Add(-time.Minute)})
 	o.Configure(now, b, svc, 1)
 	o.SetState(now, model.StateLive)
+	log := zerolog.Nop()
 	x := NewExecutor(ExecutorConfig{
 		Owner: o, Address: address, Dialect: dialect.Product{},
-		Worker: func() model.WorkerID { return "" }, Traffic: func(bool) {},
+		Worker: func() model.WorkerID { return "" }, Traffic: func(bool) {}, Requests: &log,
 	})
 	x.Configure(svc, "n0")
 	return o, x
--- a/internal/server/unrouted_test.go
+++ b/internal/server/unrouted_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
 
 	"gypsumstand/internal/blackboard"
 	"gypsumstand/internal/bundle"
@@ -32,7 +33,8 @@
 			board := &blackboard.Board{}
 			board.Bundles.Put(bundle.NewSet(nil))
 			board.Readiness.Put(&blackboard.Readiness{Ready: tt.ready})
-			c := &Caller{Board: board, Dialect: dialect.Product{}, Leaving: func() bool { return false }}
+			log := zerolog.Nop()
+			c := &Caller{Board: board, Requests: &log, Dialect: dialect.Product{}, Leaving: func() bool { return false }}
 			r := httptest.NewRequest(http.MethodPost, "/payouts", http.NoBody)
 			if tt.key != "" {
 				r.Header.Set(wire.HeaderIdempotencyKey, tt.key)
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -21,6 +21,7 @@
 	defaultLocalDelayUs       = 100
 	defaultRemoteDelayUs      = 1000
 	defaultPlatformTimeoutMs  = 1000
+	defaultRequestLines       = 200
 	defaultRetryRatio         = 0.2
 	defaultRetryExtra         = 50
 )
@@ -39,6 +40,7 @@
 	maxStopMarginMs      = 10_000
 	maxMemoryLimitMb     = 1 << 20
 	maxRetryExtra        = 1e6
+	maxRequestLines      = 100_000
 )
 
 var logLevels = []string{"debug", "info", "warn", "error"}
@@ -67,6 +69,7 @@
 func defaults() *Settings {
 	return &Settings{
 		LogLevel:           defaultLogLevel,
+		RequestLines:       defaultRequestLines,
 		StopTimeoutMs:      defaultStopTimeoutMs,
 		LeaveGraceMs:       defaultLeaveGraceMs,
 		MaxHeaderBytes:     defaultMaxHeaderBytes,
@@ -244,6 +247,7 @@
 	if s.StopMarginMs >= s.StopTimeoutMs && s.StopMarginMs > 0 {
 		doc.Add("stop_margin_ms", "%d must be under stop_timeout_ms of %d", s.StopMarginMs, s.StopTimeoutMs)
 	}
+	doc.IntRange("request_log_lines", int64(s.RequestLines), 0, maxRequestLines)
 	doc.IntRange("memory_limit_mb", s.MemoryLimitMb, 0, maxMemoryLimitMb)
 	if s.LeaveGraceMs >= s.StopTimeoutMs {
 		key := "leave_grace_ms"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,6 +48,9 @@
 	TLS TLS `toml:"tls"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string `toml:"log_level"`
+	// RequestLines bounds the log lines a second about single requests. Default 200,
+	// from 0 to 100000.
+	RequestLines int `toml:"request_log_lines"`
 	// StopTimeoutMs bounds a planned stop, in milliseconds; what is in flight
 	// after it is cut off. Default 30000, from 100 to 3600000.
 	StopTimeoutMs int64 `toml:"stop_timeout_ms"`
