--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,157 @@
+package directory
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumstand/internal/blackboard"
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/model"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// rig drives one controller on a fake clock.
+type rig struct {
+	*Controller
+	board *blackboard.Board
+	now   time.Time
+}
+
+func newRig() *rig {
+	board := &blackboard.Board{}
+	board.Bundles.Put(bundle.NewSet(nil))
+	return &rig{Controller: New(Config{Self: "10.0.0.1"}, board), board: board, now: epoch}
+}
+
+func (r *rig) handle(ev control.Event) { r.Handle(r.now, ev) }
+
+// pass lets d pass with a tick at its end.
+func (r *rig) pass(d time.Duration) {
+	r.now = r.now.Add(d)
+	r.handle(control.Tick{})
+}
+
+func listing(worker model.WorkerID, at model.InstanceID, created uint64, state model.UpstreamState) model.Listing {
+	return model.Listing{Created: created, Instance: model.Instance{ID: at, Service: "shop", Worker: worker, State: state}}
+}
+
+// fleet returns the workers that the fleet's view names, with their states.
+func (r *rig) fleet() map[model.WorkerID]model.UpstreamState {
+	out := map[model.WorkerID]model.UpstreamState{}
+	for _, in := range r.board.Fleet.Get().Instances {
+		out[in.Worker] = in.State
+	}
+	return out
+}
+
+func (r *rig) want(t *testing.T, want map[model.WorkerID]model.UpstreamState) {
+	t.Helper()
+	if diff := cmp.Diff(want, r.fleet()); diff != "" {
+		t.Errorf("fleet (-want +got):\n%s", diff)
+	}
+}
+
+func two() control.DirectoryRead {
+	return control.DirectoryRead{Whole: true, Listed: []model.Listing{
+		listing("w1", "10.0.0.1", 1, model.StateLive), listing("w2", "10.0.0.2", 2, model.StateLive),
+	}}
+}
+
+func TestARemovalIsBelievedAtOnceWhileTheDirectoryIsSound(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	r.handle(control.DirectoryRead{Gone: []model.WorkerID{"w2"}})
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
+}
+
+func TestAWorkerThatLapsedDuringAnOutageHasTimeToListItselfAgain(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	r.handle(control.DirectoryFailed{Err: errors.New("down")})
+	r.pass(time.Second)
+	// The directory is back and lacks both.
+	r.handle(control.DirectoryRead{Whole: true})
+	both := map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLive}
+	r.pass(relistTime - 100*time.Millisecond)
+	r.want(t, both)
+	r.handle(control.DirectoryRead{Listed: []model.Listing{listing("w1", "10.0.0.1", 9, model.StateLive)}})
+	r.pass(200 * time.Millisecond)
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
+}
+
+func TestAWorkerThatDrainedBeforeAnOutageIsGoneAtOnce(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	r.handle(control.DirectoryRead{Listed: []model.Listing{listing("w2", "10.0.0.2", 2, model.StateLeaving)}})
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLeaving})
+	r.handle(control.DirectoryFailed{Err: errors.New("down")})
+	r.handle(control.DirectoryRead{Whole: true, Listed: two().Listed[:1]})
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
+}
+
+func TestAnOutageAloneChangesNothing(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	for range 100 {
+		r.handle(control.DirectoryFailed{Err: errors.New("down")})
+		r.pass(time.Second)
+	}
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLive})
+}
+
+func TestTheLifeCreatedLastCountsAtAnInstance(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	r.handle(control.DirectoryRead{Listed: []model.Listing{listing("w3", "10.0.0.2", 7, model.StateLive)}})
+	want := map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w3": model.StateLive}
+	r.want(t, want)
+	r.handle(control.DirectoryRead{Gone: []model.WorkerID{"w2"}})
+	r.want(t, want)
+}
+
+func TestAnOlderConfigurationIsNeverTaken(t *testing.T) {
+	r := newRig()
+	for _, version := range []uint64{3, 7, 5, 7, 6} {
+		r.handle(control.DirectoryRead{Bundle: &bundle.Bundle{Name: "operator", Version: version}})
+	}
+	if got := r.board.Bundles.Get().Bundle("operator").Version; got != 7 {
+		t.Errorf("version %d is in force, want 7", got)
+	}
+}
+
+func TestANodeNeedsAnAnswerAndAConfiguration(t *testing.T) {
+	r := newRig()
+	var got [][]string
+	got = append(got, r.Missing())
+	r.handle(two())
+	got = append(got, r.Missing())
+	r.handle(control.DirectoryRead{Bundle: &bundle.Bundle{Name: "operator", Version: 1}})
+	got = append(got, r.Missing())
+	want := [][]string{{"an answer of the directory"}, {"a configuration"}, nil}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("missing (-want +got):\n%s", diff)
+	}
+}
+
+func TestTheOwnWorkerIsListedOnlyWhileTheDirectoryNamesIt(t *testing.T) {
+	r := newRig()
+	type told struct{ Listed, Known bool }
+	var got []told
+	note := func() {
+		listed, known := r.Listed()
+		got = append(got, told{listed, known})
+	}
+	note()
+	r.handle(two())
+	note()
+	r.handle(control.DirectoryRead{Gone: []model.WorkerID{"w1"}})
+	note()
+	if diff := cmp.Diff([]told{{false, false}, {true, true}, {false, true}}, got); diff != "" {
+		t.Errorf("listed (-want +got):\n%s", diff)
+	}
+}
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -81,10 +81,12 @@
 	traffic func(refused bool)
 	dialect dialect.Workers
 	// worker tells the worker's present life, empty when none is known.
-	worker    func() model.WorkerID
-	requests  *zerolog.Logger
-	refresh   func(ctx context.Context)
+	worker   func() model.WorkerID
+	requests *zerolog.Logger
+	refresh  func(ctx context.Context)
+	// transport is for idempotent requests, cautious for others; see cautiousIdle.
 	transport atomic.Pointer[http.Transport]
+	cautious  atomic.Pointer[http.Transport]
 	echo      atomic.Bool
 	limits    limits
 
@@ -95,6 +97,20 @@
 // limits are those that the transport was made for.
 type limits struct{ slots, connections int }
 
+// Bounds of connections to the worker.
+const (
+	workerDialTimeout = time.Second
+	// workerIdle is a fifth of the shortest time that workers were seen to keep
+	// idle connections (10 s).
+	workerIdle = 2 * time.Second
+	// cautiousIdle is how long a connection may have been idle to carry a request
+	// that must not run twice: a worker that has forgotten the connection resets it,
+	// and then nothing proves that the request did not run.
+	cautiousIdle = 250 * time.Millisecond
+	// workerSilence ends a connection to a worker whose machine is gone.
+	workerSilence = 3 * time.Second
+)
+
 // Transport limits until a bundle names them.
 const (
 	initialSlots       = 16
@@ -132,7 +148,7 @@
 		refresh:  cfg.Refresh,
 		waiters:  map[model.AttemptID]chan owner.Decision{},
 	}
-	x.transport.Store(upstream.NewTransport(nil, initialSlots, initialConnections))
+	x.renewTransports(limits{slots: initialSlots, connections: initialConnections})
 	return x
 }
 
@@ -153,12 +169,39 @@
 		return
 	}
 	x.limits = want
-	old := x.transport.Swap(upstream.NewTransport(nil, want.slots, want.connections))
-	old.CloseIdleConnections()
+	x.renewTransports(want)
+}
+
+// renewTransports makes transports for other limits; requests in flight go on with
+// the old ones.
+func (x *Executor) renewTransports(l limits) {
+	o := upstream.Options{
+		Idle: l.slots, Connections: l.connections,
+		DialTimeout: workerDialTimeout, IdleTimeout: workerIdle, Silence: workerSilence,
+	}
+	before := []*http.Transport{x.transport.Swap(upstream.NewTransport(o)), nil}
+	o.IdleTimeout = cautiousIdle
+	before[1] = x.cautious.Swap(upstream.NewTransport(o))
+	for _, t := range before {
+		if t != nil {
+			t.CloseIdleConnections()
+		}
+	}
+}
+
+// transportFor returns the transport that an attempt goes by.
+func (x *Executor) transportFor(a *model.Attempt) *http.Transport {
+	if a.Idempotent {
+		return x.transport.Load()
+	}
+	return x.cautious.Load()
 }
 
 // Close closes idle connections to the worker.
-func (x *Executor) Close() { x.transport.Load().CloseIdleConnections() }
+func (x *Executor) Close() {
+	x.transport.Load().CloseIdleConnections()
+	x.cautious.Load().CloseIdleConnections()
+}
 
 // Deliver hands the owner's decisions to the attempts that wait for them.
 func (x *Executor) Deliver(ds []owner.Decision) {
@@ -298,7 +341,7 @@
 	var proof upstream.Proof
 	req := proof.Attach(x.request(ctx, w))
 	upstream.Seal(req)
-	resp, err := x.transport.Load().RoundTrip(req)
+	resp, err := x.transportFor(&w.Attempt).RoundTrip(req)
 	if err != nil {
 		defer cancel()
 		return x.failed(ctx, w, started, proof.NotRun())
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -152,8 +152,14 @@
 
 // Settings of the transport between nodes.
 const (
-	peerDialTimeout = time.Second
-	peerIdleTimeout = 60 * time.Second
+	// peerDialTimeout is some times the longest way between two regions (70 ms and
+	// back); a machine without power answers nothing.
+	peerDialTimeout = 400 * time.Millisecond
+	// peerIdleTimeout is under DefaultIdleTimeout of the peer port, so that the
+	// side that asks closes first.
+	peerIdleTimeout = 20 * time.Second
+	// peerSilence ends a connection to a machine that lost power or is cut off.
+	peerSilence     = 3 * time.Second
 	peerIdlePerHost = 32
 	peerIdle        = 1024
 	// peerMaxHeaderBytes is what the worker may send and what its owner adds.
@@ -170,9 +176,11 @@
 	if idle == 0 {
 		idle = peerIdle
 	}
-	t := upstream.NewTransport(dial, peerIdlePerHost, 0)
+	t := upstream.NewTransport(upstream.Options{
+		Dial: dial, Idle: peerIdlePerHost,
+		DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, Silence: peerSilence,
+	})
 	t.MaxIdleConns = idle
-	t.IdleConnTimeout = peerIdleTimeout
 	t.MaxResponseHeaderBytes = peerMaxHeaderBytes
 	t.ExpectContinueTimeout = peerContinueTimeout
 	t.TLSClientConfig = secured
--- a/internal/upstream/protocol_bench_test.go
+++ b/internal/upstream/protocol_bench_test.go
@@ -45,7 +45,7 @@
 	})}
 	go s.Serve(l)
 	defer s.Close()
-	transport := upstream.NewTransport(nil, benchConcurrency, 0)
+	transport := upstream.NewTransport(upstream.Options{Idle: benchConcurrency})
 	transport.Protocols = &protocols
 	defer transport.CloseIdleConnections()
 	target := &url.URL{Scheme: "http", Host: l.Addr().String(), Path: "/"}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -5,21 +5,49 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Options are the settings of a transport.
+type Options struct {
+	// Dial opens connections; nil means TCP with DialTimeout and Silence.
+	Dial Dial
+	// Idle is how many idle connections are kept to each address, Connections how
+	// many are open to each at most (0: any number).
+	Idle, Connections int
+	// DialTimeout bounds opening a connection; zero means 2 s.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an idle connection is kept; zero means 30 s. It must
+	// be shorter than the other side's: a request that crosses its close may have
+	// been read.
+	IdleTimeout time.Duration
+	// Silence is how long the other side's kernel may acknowledge nothing before
+	// the connection ends; zero means 15 s.
+	Silence time.Duration
+}
+
+// Defaults of Options.
+const (
+	defaultDialTimeout = 2 * time.Second
+	defaultIdleTimeout = 30 * time.Second
+	defaultSilence     = 15 * time.Second
 )
 
-// Settings of the transport to the worker.
 const (
-	dialTimeout     = 2 * time.Second
-	idleConnTimeout = 30 * time.Second
-	maxHeaderBytes  = 64 << 10
-	tcpKeepAlive    = 15 * time.Second
+	maxHeaderBytes = 64 << 10
+	// silenceProbes is the number of keep-alive probes that go unanswered within
+	// Options.Silence.
+	silenceProbes = 2
 )
 
 // Canonical and replay-proof names of the header that makes net/http take a
@@ -35,18 +63,32 @@
 // Dial opens a connection; net.Dialer.DialContext is one.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// dialTCP is the Dial in use when none is given.
-func dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAlive}
-	return dialer.DialContext(ctx, network, address)
+// tcpDialer returns the Dial in use when none is given: connections that end when
+// the other side is silent, whether they are idle or have sent something.
+func tcpDialer(timeout, silence time.Duration) Dial {
+	interval := max(silence/(silenceProbes+1), time.Second)
+	dialer := net.Dialer{
+		Timeout:         timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: silenceProbes},
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+			})
+			return errors.Join(err, failed)
+		},
+	}
+	return dialer.DialContext
 }
 
-// NewTransport returns a transport that keeps idle connections open to each
-// address, and opens at most connections to each (0: any number). A nil dial
-// means TCP.
-func NewTransport(dial Dial, idle, connections int) *http.Transport {
+// NewTransport returns a transport that cannot replay a sealed request.
+func NewTransport(o Options) *http.Transport {
+	o.DialTimeout = cmp.Or(o.DialTimeout, defaultDialTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
+	o.Silence = cmp.Or(o.Silence, defaultSilence)
+	dial := o.Dial
 	if dial == nil {
-		dial = dialTCP
+		dial = tcpDialer(o.DialTimeout, o.Silence)
 	}
 	return &http.Transport{
 		Proxy: nil,
@@ -58,10 +100,10 @@
 			return &countingConn{Conn: conn}, nil
 		},
 		DisableCompression:     true,
-		MaxIdleConns:           idle,
-		MaxIdleConnsPerHost:    idle,
-		MaxConnsPerHost:        connections,
-		IdleConnTimeout:        idleConnTimeout,
+		MaxIdleConns:           o.Idle,
+		MaxIdleConnsPerHost:    o.Idle,
+		MaxConnsPerHost:        o.Connections,
+		IdleConnTimeout:        o.IdleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		ExpectContinueTimeout:  time.Second,
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -88,7 +88,7 @@
 // roundTrip warms one connection up and then sends r on it.
 func roundTrip(t *testing.T, w *replayWorker, r *http.Request) error {
 	t.Helper()
-	transport := upstream.NewTransport(nil, 1, 1)
+	transport := upstream.NewTransport(upstream.Options{Idle: 1, Connections: 1})
 	defer transport.CloseIdleConnections()
 	resp, err := transport.RoundTrip(w.request(http.MethodGet, "/warm", "", http.Header{}))
 	if err != nil {
@@ -152,7 +152,7 @@
 			Header: http.Header{"Idempotency-Key": {"k"}},
 		}
 		upstream.Seal(r)
-		transport := upstream.NewTransport(nil, 1, 1)
+		transport := upstream.NewTransport(upstream.Options{Idle: 1, Connections: 1})
 		resp, err := transport.RoundTrip(r)
 		if err != nil {
 			t.Fatal(err)
@@ -189,7 +189,7 @@
 			r := (&http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: address, Path: "/"}, Header: http.Header{}}).WithContext(c.ctx())
 			r = proof.Attach(r)
 			upstream.Seal(r)
-			transport := upstream.NewTransport(nil, 1, 1)
+			transport := upstream.NewTransport(upstream.Options{Idle: 1, Connections: 1})
 			defer transport.CloseIdleConnections()
 			if _, err := transport.RoundTrip(r); err == nil {
 				t.Fatal("want an error")
@@ -240,7 +240,7 @@
 		}
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf an ans")
 	})
-	transport := upstream.NewTransport(nil, 1, 1)
+	transport := upstream.NewTransport(upstream.Options{Idle: 1, Connections: 1})
 	defer transport.CloseIdleConnections()
 	resp, err := transport.RoundTrip(&http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: address, Path: "/"}, Header: http.Header{}})
 	if err != nil {
