--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -5,6 +5,7 @@
 package blackboard
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,8 @@
 	// Sources tells how old what was read from the platform is. Writer: spread
 	// for Config, member for List, through control.
 	Sources Section[Sources]
+	// Directory is what is known of the directory, for peers. Writer: directory.
+	Directory Section[Directory]
 	// Readiness tells whether the node serves. Writer: control.
 	Readiness Section[Readiness]
 }
@@ -63,6 +66,29 @@
 	ListReads   uint64
 }
 
+// Directory is what a node knows of the directory that it follows.
+type Directory struct {
+	// Revision is the directory's up to which every change is known, and Confirmed
+	// when that was known to be the newest, by this node's reading or a peer's.
+	Revision  uint64
+	Confirmed time.Time
+	// Listed holds the workers that the directory names, Gone those that it removed
+	// after Floor.
+	Listed []model.Listing
+	Gone   []model.Unlisted
+	Floor  uint64
+	Config *model.RawConfig
+}
+
+// Mark returns what rides on messages at time now.
+func (d *Directory) Mark(now time.Time) model.DirectoryMark {
+	if d == nil || d.Revision == 0 {
+		return model.DirectoryMark{}
+	}
+	age := max(now.Sub(d.Confirmed).Milliseconds(), 0)
+	return model.DirectoryMark{Revision: d.Revision, AgeMs: uint32(min(age, math.MaxUint32))}
+}
+
 // Readiness tells whether callers may be served, and what is still missing.
 type Readiness struct {
 	Ready   bool
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -87,18 +87,42 @@
 // DirectoryRead is what a directory told: a source that holds the workers and the
 // configuration, both already checked by whoever writes them.
 type DirectoryRead struct {
+	// Revision is the directory's up to which this tells every change.
+	Revision uint64
 	// Whole says that Listed holds every worker; otherwise Listed holds those that
 	// changed and Gone those that were removed.
 	Whole  bool
 	Listed []model.Listing
-	Gone   []model.WorkerID
-	// Bundle is the configuration; nil when it has not changed.
+	Gone   []model.Unlisted
+	// Config is the configuration and Bundle what it means; nil when it has not
+	// changed.
+	Config *model.RawConfig
 	Bundle *bundle.Bundle
 }
 
 // DirectoryFailed says that the directory could not be read.
 type DirectoryFailed struct{ Err error }
 
+// DirectoryHeard is a peer's mark, as it came with an attempt or a report.
+type DirectoryHeard struct {
+	From model.InstanceID
+	Mark model.DirectoryMark
+}
+
+// DirectoryTold is a peer's answer to AskDirectory, Age how old it was when the peer
+// sent it.
+type DirectoryTold struct {
+	From model.InstanceID
+	DirectoryRead
+	Age time.Duration
+}
+
+// DirectoryAskFailed says that a peer did not answer AskDirectory.
+type DirectoryAskFailed struct {
+	From model.InstanceID
+	Err  error
+}
+
 // VersionSeen is a bundle version that rode on a call or an answer. Adapters
 // send it only when it is newer than the one in force, at most once a tick.
 type VersionSeen struct {
@@ -123,11 +147,15 @@
 func (IndexReadFailed) isEvent() {}
 func (ValueRead) isEvent()       {}
 func (ValueReadFailed) isEvent() {}
-func (DirectoryRead) isEvent()   {}
-func (DirectoryFailed) isEvent() {}
 func (VersionSeen) isEvent()     {}
-func (SelfChanged) isEvent()     {}
-func (CallFailed) isEvent()      {}
+
+func (DirectoryRead) isEvent()      {}
+func (DirectoryFailed) isEvent()    {}
+func (DirectoryHeard) isEvent()     {}
+func (DirectoryTold) isEvent()      {}
+func (DirectoryAskFailed) isEvent() {}
+func (SelfChanged) isEvent()        {}
+func (CallFailed) isEvent()         {}
 
 // Action is something an adapter must do.
 type Action interface{ isAction() }
@@ -162,6 +190,16 @@
 // ReadValue reads one signed bundle from the configuration service.
 type ReadValue struct{ Name model.BundleName }
 
+// ReadDirectory reads what changed in the directory after a revision; zero asks for
+// the whole.
+type ReadDirectory struct{ After uint64 }
+
+// AskDirectory asks a peer what changed in the directory after a revision.
+type AskDirectory struct {
+	Peer  model.Instance
+	After uint64
+}
+
 // SettleAnswered hands an owner's settlement to the call that asked for it.
 type SettleAnswered struct{ Reply wire.SettleReply }
 
@@ -189,6 +227,8 @@
 func (AdoptIncarnation) isAction() {}
 func (SettleAnswered) isAction()   {}
 func (SendDirect) isAction()       {}
+func (ReadDirectory) isAction()    {}
+func (AskDirectory) isAction()     {}
 
 // Controller is one writer of blackboard sections.
 type Controller interface {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -141,7 +141,7 @@
 		cfg:     cfg,
 	}
 	if cfg.FollowsDirectory {
-		n.directory = directory.New(directory.Config{Self: cfg.Self.ID}, board)
+		n.directory = directory.New(directory.Config{Self: cfg.Self}, board, rng)
 		n.member, n.spread = n.directory, n.directory
 		return n
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -1,12 +1,18 @@
 // Package directory follows a source that holds both the workers and the
 // configuration, and that this system can only read. It writes the fleet and the
 // bundle in force to the blackboard. It does no I/O; an adapter feeds it with what
-// the source tells. Design: docs/PLATFORM.md, "Who reads the store".
+// the source and the peers tell.
+//
+// Nodes share the reading: each passes on how fresh its knowledge is with every
+// attempt and report, and a node reads the source itself only when it has heard of
+// nothing fresh for a second (package suppress). Who hears of a newer revision asks
+// that peer for the changes. Design: docs/PLATFORM.md, "Who reads the store".
 package directory
 
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -17,6 +23,7 @@
 	"gypsumstand/internal/member"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/spread"
+	"gypsumstand/internal/suppress"
 )
 
 // Times after an outage of the directory.
@@ -25,15 +32,21 @@
 	// take to list itself again: heartbeats come every 1.5 s, and the platform's
 	// owners promise "about two seconds".
 	relistTime = 2200 * time.Millisecond
-	// outageMemory is how long after a failed read a removal may still be the
-	// lapse of a lease that could not be renewed, not a worker's leaving.
-	outageMemory = 3 * time.Second
+	// outageGap is the time without an answer after which leases may have lapsed
+	// that could not be renewed: one ends after three missed heartbeats, 4.5 s.
+	outageGap = 2 * time.Second
 )
 
+// pace is how often the fleet reads the directory. A change has to be in force after
+// 2 s on nodes that the directory serves: the interval, the first read after it (in
+// 98 of 100 cases within four times the mean), and 0.3 s to reach every node with
+// the traffic. A longer mean makes fewer nodes read before they hear of the first.
+var pace = suppress.Pace{Interval: 800 * time.Millisecond, MeanFirst: 100 * time.Millisecond}
+
 // Config is a controller's fixed setting.
 type Config struct {
 	// Self is this node's own instance.
-	Self model.InstanceID
+	Self model.Instance
 }
 
 // Controller implements control.Controller. Its accessors are for the goroutine
@@ -41,17 +54,29 @@
 type Controller struct {
 	cfg   Config
 	board *blackboard.Board
+	rng   *rand.Rand
+	timer *suppress.Timer
+	asks  asking
 
-	workers map[model.WorkerID]*worker
-	// confirmed is when the directory last answered, zero for never; failed when
-	// it last did not.
-	confirmed time.Time
-	failed    time.Time
-	// lost says that the last read failed.
-	lost     bool
-	reads    uint64
+	// revision is the directory's up to which every change is known.
 	revision uint64
+	workers  map[model.WorkerID]*worker
+	removed  removals
+	config   *model.RawConfig
+	// confirmed is when the directory, by whatever way, was last known to hold what
+	// this node knows; zero for never.
+	confirmed time.Time
+	// published is the time confirmed that peers are told.
+	published time.Time
+	// lost says that the last read of this node's own failed.
+	lost bool
+	// doubtUntil is until when a removal that the directory tells may be the lapse of
+	// a lease, not a worker's leaving.
+	doubtUntil time.Time
+	started    bool
+	// dirty says that the fleet changed since it was published.
 	dirty    bool
+	fleetRev uint64
 	out      []control.Action
 }
 
@@ -68,9 +93,9 @@
 var _ control.Controller = (*Controller)(nil)
 
 // New returns a controller that knows nothing.
-func New(cfg Config, board *blackboard.Board) *Controller {
-	c := &Controller{cfg: cfg, board: board, workers: map[model.WorkerID]*worker{}}
-	c.publish()
+func New(cfg Config, board *blackboard.Board, rng *rand.Rand) *Controller {
+	c := &Controller{cfg: cfg, board: board, rng: rng, timer: suppress.NewPaced(rng, pace), workers: map[model.WorkerID]*worker{}}
+	c.publishFleet()
 	return c
 }
 
@@ -82,34 +107,46 @@
 		c.read(now, e)
 	case control.DirectoryFailed:
 		c.readFailed(now, e.Err)
+	case control.DirectoryHeard:
+		c.heard(now, e)
+	case control.DirectoryTold:
+		c.told(now, e)
+	case control.DirectoryAskFailed:
+		c.asks.end(e.From)
+	case control.Paused:
+		c.timer.Paused(now, e.For)
 	case control.Tick:
-		c.expire(now)
+		c.tick(now)
 	}
 	if c.dirty {
-		c.publish()
+		c.publishFleet()
 	}
 	return c.out
 }
 
+// tick reads the directory or asks a peer when that is due.
+func (c *Controller) tick(now time.Time) {
+	c.expire(now)
+	// The first read waits for nobody: without it the node serves no request.
+	if due := c.timer.Due(now, c.FleetSize()); due || !c.started {
+		c.started = true
+		c.do(control.ReadDirectory{After: c.revision})
+	}
+	c.gossip(now)
+}
+
+// read takes an own reading of the directory.
 func (c *Controller) read(now time.Time, r control.DirectoryRead) {
-	c.reads++
 	if c.lost || c.confirmed.IsZero() {
 		c.record(event.DirectoryAnswers, "", since(now, c.confirmed), nil)
 	}
-	c.lost = false
-	c.confirmed = now
-	if r.Bundle != nil {
-		c.takeBundle(r.Bundle)
-	}
-	for _, l := range r.Listed {
-		c.list(l)
-	}
-	for _, id := range r.Gone {
-		c.remove(now, id)
-	}
-	if r.Whole {
-		c.removeOthers(now, r.Listed)
+	if c.lost || !c.confirmed.IsZero() && now.Sub(c.confirmed) > outageGap {
+		c.doubtUntil = now.Add(relistTime)
 	}
+	c.lost = false
+	c.timer.Own(now, true)
+	c.take(now, &r, now.Before(c.doubtUntil))
+	c.confirm(now)
 }
 
 func (c *Controller) readFailed(now time.Time, err error) {
@@ -117,7 +154,7 @@
 		c.record(event.DirectoryLost, "", since(now, c.confirmed), err)
 	}
 	c.lost = true
-	c.failed = now
+	c.timer.Own(now, false)
 }
 
 // since words the time since t.
@@ -128,8 +165,47 @@
 	return now.Sub(t).Round(time.Millisecond).String()
 }
 
+// confirm notes that what is known was the newest at a time.
+func (c *Controller) confirm(at time.Time) {
+	if !at.After(c.confirmed) {
+		return
+	}
+	c.confirmed = at
+	if at.Sub(c.published) >= publishStep {
+		c.publishForPeers()
+	}
+}
+
+// publishStep is by how much fresher knowledge must be to be published between ticks.
+const publishStep = 50 * time.Millisecond
+
+// take applies what a reading or a peer told. doubted says that removals may be
+// lapsed leases; a peer that passes one on has made up its mind.
+func (c *Controller) take(now time.Time, r *control.DirectoryRead, doubted bool) {
+	before := c.revision
+	defer func() {
+		if c.revision != before {
+			c.publishForPeers()
+		}
+	}()
+	if r.Bundle != nil {
+		c.takeBundle(r)
+	}
+	for _, l := range r.Listed {
+		c.list(l)
+	}
+	for _, gone := range r.Gone {
+		c.remove(now, gone, doubted)
+	}
+	if r.Whole {
+		c.removeOthers(now, r, doubted)
+	}
+	c.revision = max(c.revision, r.Revision)
+}
+
 // takeBundle puts a newer configuration in force; an older one never is.
-func (c *Controller) takeBundle(b *bundle.Bundle) {
+func (c *Controller) takeBundle(r *control.DirectoryRead) {
+	b := r.Bundle
 	held := c.board.Bundles.Get().Bundle(b.Name)
 	switch {
 	case held != nil && held.Version == b.Version:
@@ -138,54 +214,57 @@
 		c.record(event.ConfigOlder, b.VersionID().String(), held.VersionID().String(), nil)
 		return
 	}
+	c.config = r.Config
 	c.board.Bundles.Put(bundle.NewSet([]*bundle.Bundle{b}))
 	c.record(event.ConfigInForce, b.VersionID().String(), fmt.Sprintf("%d services, %d classes", len(b.Services), len(b.Classes)), nil)
 }
 
+// list takes a worker's entry, unless a newer change of it is known.
 func (c *Controller) list(l model.Listing) {
-	w := c.workers[l.Instance.Worker]
-	if w != nil && w.listing == l && w.missingUntil.IsZero() {
+	id := l.Instance.Worker
+	w := c.workers[id]
+	if l.Revision < c.removed.at(id) || w != nil && l.Revision < w.listing.Revision {
 		return
 	}
-	if w == nil {
-		w = &worker{}
-		c.workers[l.Instance.Worker] = w
+	if w != nil && w.missingUntil.IsZero() && w.listing == l {
+		return
 	}
-	if w.listing.Instance.State != l.Instance.State || !w.missingUntil.IsZero() {
+	if w == nil || w.listing.Instance.State != l.Instance.State || !w.missingUntil.IsZero() {
 		in := &l.Instance
-		c.record(event.WorkerListed, string(in.Worker), fmt.Sprintf("%s %s %s", in.ID, in.Service, in.State), nil)
+		c.record(event.WorkerListed, string(id), fmt.Sprintf("%s %s %s", in.ID, in.Service, in.State), nil)
 	}
-	*w = worker{listing: l}
+	c.workers[id] = &worker{listing: l}
+	c.removed.forget(id)
 	c.dirty = true
 }
 
 // remove takes a worker off the list, at once while the directory is sound. Soon
 // after an outage its lease may merely have lapsed: then it has the time in which
 // the living list themselves again. One that was draining is gone at once.
-func (c *Controller) remove(now time.Time, id model.WorkerID) {
-	w := c.workers[id]
-	if w == nil || !w.missingUntil.IsZero() {
+func (c *Controller) remove(now time.Time, gone model.Unlisted, doubted bool) {
+	w := c.workers[gone.Worker]
+	if w == nil || gone.Revision < w.listing.Revision || doubted && !w.missingUntil.IsZero() {
 		return
 	}
-	doubted := !c.failed.IsZero() && now.Sub(c.failed) < outageMemory
 	if !doubted || w.listing.Instance.State == model.StateLeaving {
-		c.drop(id, 0)
+		c.removed.note(gone)
+		c.drop(gone.Worker, 0)
 		return
 	}
 	w.missingSince = now
-	w.missingUntil = now.Add(relistTime)
-	c.record(event.WorkerMissing, string(id), string(w.listing.Instance.ID), nil)
+	w.missingUntil = c.doubtUntil
+	c.record(event.WorkerMissing, string(gone.Worker), string(w.listing.Instance.ID), nil)
 }
 
 // removeOthers removes the workers that a whole list lacks.
-func (c *Controller) removeOthers(now time.Time, listed []model.Listing) {
-	named := make(map[model.WorkerID]bool, len(listed))
-	for i := range listed {
-		named[listed[i].Instance.Worker] = true
+func (c *Controller) removeOthers(now time.Time, r *control.DirectoryRead, doubted bool) {
+	named := make(map[model.WorkerID]bool, len(r.Listed))
+	for i := range r.Listed {
+		named[r.Listed[i].Instance.Worker] = true
 	}
 	for _, id := range c.sorted() {
 		if !named[id] {
-			c.remove(now, id)
+			c.remove(now, model.Unlisted{Worker: id, Revision: r.Revision}, doubted)
 		}
 	}
 }
@@ -197,6 +276,7 @@
 		if c.lost || w.missingUntil.IsZero() || now.Before(w.missingUntil) {
 			continue
 		}
+		c.removed.note(model.Unlisted{Worker: id, Revision: c.revision})
 		c.drop(id, now.Sub(w.missingSince))
 	}
 }
@@ -217,10 +297,10 @@
 	return ids
 }
 
-// publish writes the fleet: of several lives at one instance the newest.
-func (c *Controller) publish() {
+// publishFleet writes the fleet: of several lives at one instance the newest.
+func (c *Controller) publishFleet() {
 	c.dirty = false
-	c.revision++
+	c.fleetRev++
 	newest := make(map[model.InstanceID]model.Listing, len(c.workers))
 	for _, w := range c.workers {
 		l := w.listing
@@ -233,11 +313,13 @@
 		instances = append(instances, l.Instance)
 	}
 	slices.SortFunc(instances, func(a, b model.Instance) int { return cmp.Compare(a.ID, b.ID) })
-	c.board.Fleet.Put(&model.Fleet{Revision: c.revision, Instances: instances})
+	c.board.Fleet.Put(&model.Fleet{Revision: c.fleetRev, Instances: instances})
 }
 
+func (c *Controller) do(a control.Action) { c.out = append(c.out, a) }
+
 func (c *Controller) record(id event.ID, subject, detail string, err error) {
-	c.out = append(c.out, control.Record{Event: id, Subject: subject, Detail: detail, Err: err})
+	c.do(control.Record{Event: id, Subject: subject, Detail: detail, Err: err})
 }
 
 // Listed tells whether the directory names a worker beside this node: known is
@@ -247,7 +329,7 @@
 		return false, false
 	}
 	for _, w := range c.workers {
-		if w.listing.Instance.ID == c.cfg.Self {
+		if w.listing.Instance.ID == c.cfg.Self.ID {
 			return true, true
 		}
 	}
@@ -271,17 +353,17 @@
 // Links returns none: nodes that follow a directory keep no links to each other.
 func (c *Controller) Links() []member.Link { return nil }
 
-// ListConfirmed returns when the directory last answered.
+// ListConfirmed returns when what is known of the directory was last the newest.
 func (c *Controller) ListConfirmed() time.Time { return c.confirmed }
 
-// Confirmed returns when the directory last answered.
+// Confirmed returns when what is known of the directory was last the newest.
 func (c *Controller) Confirmed() time.Time { return c.confirmed }
 
-// ListReads counts the directory's answers.
-func (c *Controller) ListReads() uint64 { return c.reads }
+// ListReads counts this node's own reads of the directory.
+func (c *Controller) ListReads() uint64 { return c.timer.Reads() }
 
-// IndexReads counts the directory's answers.
-func (c *Controller) IndexReads() uint64 { return c.reads }
+// IndexReads counts this node's own reads of the directory.
+func (c *Controller) IndexReads() uint64 { return c.timer.Reads() }
 
 // Counters returns zero: bundles are not spread between nodes.
 func (c *Controller) Counters() spread.Counters { return spread.Counters{} }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -25,10 +26,10 @@
 func newRig() *rig {
 	board := &blackboard.Board{}
 	board.Bundles.Put(bundle.NewSet(nil))
-	return &rig{Controller: New(Config{Self: "10.0.0.1"}, board), board: board, now: epoch}
+	return &rig{Controller: New(Config{Self: model.Instance{ID: "10.0.0.1", DataCentre: "a"}}, board, rand.New(rand.NewPCG(1, 2))), board: board, now: epoch}
 }
 
-func (r *rig) handle(ev control.Event) { r.Handle(r.now, ev) }
+func (r *rig) handle(ev control.Event) []control.Action { return r.Handle(r.now, ev) }
 
 // pass lets d pass with a tick at its end.
 func (r *rig) pass(d time.Duration) {
@@ -49,6 +50,11 @@
 	return out
 }
 
+// gone is the removal of a worker at a late revision.
+func gone(id model.WorkerID) []model.Unlisted {
+	return []model.Unlisted{{Worker: id, Revision: 100}}
+}
+
 func (r *rig) want(t *testing.T, want map[model.WorkerID]model.UpstreamState) {
 	t.Helper()
 	if diff := cmp.Diff(want, r.fleet()); diff != "" {
@@ -57,7 +63,7 @@
 }
 
 func two() control.DirectoryRead {
-	return control.DirectoryRead{Whole: true, Listed: []model.Listing{
+	return control.DirectoryRead{Whole: true, Revision: 2, Listed: []model.Listing{
 		listing("w1", "10.0.0.1", 1, model.StateLive), listing("w2", "10.0.0.2", 2, model.StateLive),
 	}}
 }
@@ -65,7 +71,7 @@
 func TestARemovalIsBelievedAtOnceWhileTheDirectoryIsSound(t *testing.T) {
 	r := newRig()
 	r.handle(two())
-	r.handle(control.DirectoryRead{Gone: []model.WorkerID{"w2"}})
+	r.handle(control.DirectoryRead{Gone: gone("w2")})
 	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
 }
 
@@ -75,11 +81,13 @@
 	r.handle(control.DirectoryFailed{Err: errors.New("down")})
 	r.pass(time.Second)
 	// The directory is back and lacks both.
-	r.handle(control.DirectoryRead{Whole: true})
+	r.handle(control.DirectoryRead{Whole: true, Revision: 50})
+	relisted := listing("w1", "10.0.0.1", 60, model.StateLive)
+	relisted.Revision = 60
 	both := map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLive}
 	r.pass(relistTime - 100*time.Millisecond)
 	r.want(t, both)
-	r.handle(control.DirectoryRead{Listed: []model.Listing{listing("w1", "10.0.0.1", 9, model.StateLive)}})
+	r.handle(control.DirectoryRead{Listed: []model.Listing{relisted}})
 	r.pass(200 * time.Millisecond)
 	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
 }
@@ -90,7 +98,7 @@
 	r.handle(control.DirectoryRead{Listed: []model.Listing{listing("w2", "10.0.0.2", 2, model.StateLeaving)}})
 	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLeaving})
 	r.handle(control.DirectoryFailed{Err: errors.New("down")})
-	r.handle(control.DirectoryRead{Whole: true, Listed: two().Listed[:1]})
+	r.handle(control.DirectoryRead{Whole: true, Revision: 50, Listed: two().Listed[:1]})
 	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
 }
 
@@ -110,7 +118,7 @@
 	r.handle(control.DirectoryRead{Listed: []model.Listing{listing("w3", "10.0.0.2", 7, model.StateLive)}})
 	want := map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w3": model.StateLive}
 	r.want(t, want)
-	r.handle(control.DirectoryRead{Gone: []model.WorkerID{"w2"}})
+	r.handle(control.DirectoryRead{Gone: gone("w2")})
 	r.want(t, want)
 }
 
@@ -149,7 +157,7 @@
 	note()
 	r.handle(two())
 	note()
-	r.handle(control.DirectoryRead{Gone: []model.WorkerID{"w1"}})
+	r.handle(control.DirectoryRead{Gone: gone("w1")})
 	note()
 	if diff := cmp.Diff([]told{{false, false}, {true, true}, {false, true}}, got); diff != "" {
 		t.Errorf("listed (-want +got):\n%s", diff)
--- /dev/null
+++ b/internal/directory/peers.go
@@ -0,0 +1,157 @@
+package directory
+
+import (
+	"slices"
+	"time"
+
+	"gypsumstand/internal/blackboard"
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/model"
+)
+
+// Asking peers.
+const (
+	// gossipQuiet is how long a node that hears no marks with its traffic waits
+	// before it asks a random peer: three times within the second after which it
+	// would read the directory itself.
+	gossipQuiet = 300 * time.Millisecond
+	// askTimeout is how long an answer of a peer is awaited before another is asked.
+	askTimeout = 500 * time.Millisecond
+	// nearShare is how many of this many random peers are of the own data centre
+	// where it has any: what is asked there crosses no link between data centres.
+	nearShare, nearOf = 3, 4
+)
+
+// asking is the state of questions to peers.
+type asking struct {
+	// peer is the one that was asked last, at the time of asking; empty when it has
+	// answered.
+	peer model.InstanceID
+	at   time.Time
+	// heard is when any peer was last heard.
+	heard time.Time
+}
+
+// open tells whether a peer may be asked now.
+func (a *asking) open(now time.Time) bool {
+	return a.peer == "" || now.Sub(a.at) >= askTimeout
+}
+
+func (a *asking) begin(now time.Time, peer model.InstanceID) { a.peer, a.at = peer, now }
+
+func (a *asking) end(peer model.InstanceID) {
+	if a.peer == peer {
+		a.peer = ""
+	}
+}
+
+// heard takes a peer's mark. One of the same revision makes this node's knowledge as
+// fresh as the peer's; a greater one is asked for.
+func (c *Controller) heard(now time.Time, e control.DirectoryHeard) {
+	c.asks.heard = now
+	age := time.Duration(e.Mark.AgeMs) * time.Millisecond
+	switch {
+	case e.Mark.Revision > c.revision:
+		if in, ok := c.instance(e.From); ok && c.asks.open(now) {
+			c.ask(now, in)
+		}
+	case e.Mark.Revision == c.revision && c.revision != 0:
+		c.hearFresh(now, age)
+	}
+}
+
+// told takes a peer's answer.
+func (c *Controller) told(now time.Time, e control.DirectoryTold) {
+	c.asks.end(e.From)
+	c.asks.heard = now
+	if e.Revision < c.revision {
+		return
+	}
+	c.take(now, &e.DirectoryRead, false)
+	c.hearFresh(now, e.Age)
+}
+
+// hearFresh notes that what is known was the newest an age ago. Failed attempts of
+// others are not heard of: the directory may turn some nodes away and serve others,
+// and those must not wait for it.
+func (c *Controller) hearFresh(now time.Time, age time.Duration) {
+	c.timer.Heard(now, age, age)
+	c.confirm(now.Add(-age))
+}
+
+// gossip asks a random peer when none was heard for a while.
+func (c *Controller) gossip(now time.Time) {
+	if now.Sub(c.asks.heard) < gossipQuiet || !c.asks.open(now) {
+		return
+	}
+	if peer, ok := c.randomPeer(); ok {
+		c.ask(now, peer)
+	}
+}
+
+func (c *Controller) ask(now time.Time, peer model.Instance) {
+	c.asks.begin(now, peer.ID)
+	c.do(control.AskDirectory{Peer: peer, After: c.revision})
+}
+
+// randomPeer draws another instance, mostly of the own data centre.
+func (c *Controller) randomPeer() (model.Instance, bool) {
+	fleet := c.board.Fleet.Get().Instances
+	near := c.rng.IntN(nearOf) < nearShare
+	var chosen model.Instance
+	seen := 0
+	for pass := 0; pass < 2 && seen == 0; pass++ {
+		for i := range fleet {
+			in := &fleet[i]
+			if in.ID == c.cfg.Self.ID || near && pass == 0 && in.DataCentre != c.cfg.Self.DataCentre {
+				continue
+			}
+			seen++
+			if c.rng.IntN(seen) == 0 {
+				chosen = *in
+			}
+		}
+	}
+	return chosen, seen > 0
+}
+
+func (c *Controller) instance(id model.InstanceID) (model.Instance, bool) {
+	fleet := c.board.Fleet.Get().Instances
+	at := slices.IndexFunc(fleet, func(in model.Instance) bool { return in.ID == id })
+	if at < 0 {
+		return model.Instance{}, false
+	}
+	return fleet[at], true
+}
+
+// publishForPeers writes what peers may ask for.
+func (c *Controller) publishForPeers() {
+	d := &blackboard.Directory{
+		Revision: c.revision, Confirmed: c.confirmed,
+		Gone: slices.Clone(c.removed.list), Floor: c.removed.floor, Config: c.config,
+	}
+	for _, id := range c.sorted() {
+		d.Listed = append(d.Listed, c.workers[id].listing)
+	}
+	c.published = c.confirmed
+	c.board.Directory.Put(d)
+}
+
+// Changes returns what a node that knows every change up to a revision lacks of d.
+func Changes(d *blackboard.Directory, after uint64) control.DirectoryRead {
+	out := control.DirectoryRead{Revision: d.Revision, Whole: after < d.Floor || after == 0}
+	for _, l := range d.Listed {
+		if out.Whole || l.Revision > after {
+			out.Listed = append(out.Listed, l)
+		}
+	}
+	for _, gone := range d.Gone {
+		if !out.Whole && gone.Revision > after {
+			out.Gone = append(out.Gone, gone)
+		}
+	}
+	if d.Config != nil && (out.Whole || d.Config.Revision > after) {
+		out.Config = d.Config
+	}
+	return out
+}
--- /dev/null
+++ b/internal/directory/peers_test.go
@@ -0,0 +1,141 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/model"
+)
+
+// asked returns the peers that actions ask, and whether they read the directory.
+func asked(actions []control.Action) (peers []model.InstanceID, reads int) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case control.AskDirectory:
+			peers = append(peers, a.Peer.ID)
+		case control.ReadDirectory:
+			reads++
+		}
+	}
+	return peers, reads
+}
+
+// ticks lets d pass and returns what its ticks asked.
+func (r *rig) ticks(d time.Duration) (peers []model.InstanceID, reads int) {
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.now = r.now.Add(control.TickInterval)
+		p, n := asked(r.handle(control.Tick{}))
+		peers, reads = append(peers, p...), reads+n
+	}
+	return peers, reads
+}
+
+func TestAFreshNodeReadsAtOnce(t *testing.T) {
+	r := newRig()
+	if _, reads := asked(r.handle(control.Tick{})); reads != 1 {
+		t.Errorf("%d reads at the first tick, want 1", reads)
+	}
+}
+
+func TestFreshMarksOfPeersKeepANodeFromReading(t *testing.T) {
+	r := newRig()
+	r.handle(control.Tick{})
+	r.handle(two())
+	for range 50 {
+		r.handle(control.DirectoryHeard{From: "10.0.0.2", Mark: model.DirectoryMark{Revision: 2, AgeMs: 300}})
+		if peers, reads := r.ticks(200 * time.Millisecond); reads != 0 || len(peers) != 0 {
+			t.Fatalf("%d reads, asked %v", reads, peers)
+		}
+	}
+	// Nothing is heard any more: the node asks peers, then reads itself.
+	peers, reads := r.ticks(5 * time.Second)
+	if len(peers) == 0 || reads == 0 {
+		t.Errorf("%d reads, asked %v after silence", reads, peers)
+	}
+}
+
+func TestANewerRevisionIsAskedOfThePeerThatKnowsIt(t *testing.T) {
+	r := newRig()
+	r.handle(control.Tick{})
+	r.handle(two())
+	peers, _ := asked(r.handle(control.DirectoryHeard{From: "10.0.0.2", Mark: model.DirectoryMark{Revision: 9}}))
+	if diff := cmp.Diff([]model.InstanceID{"10.0.0.2"}, peers); diff != "" {
+		t.Fatalf("asked (-want +got):\n%s", diff)
+	}
+	// One question at a time.
+	if peers, _ := asked(r.handle(control.DirectoryHeard{From: "10.0.0.2", Mark: model.DirectoryMark{Revision: 10}})); len(peers) != 0 {
+		t.Errorf("asked %v while an answer is awaited", peers)
+	}
+	draining := listing("w2", "10.0.0.2", 2, model.StateLeaving)
+	draining.Revision = 9
+	r.handle(control.DirectoryTold{From: "10.0.0.2", DirectoryRead: control.DirectoryRead{Revision: 9, Listed: []model.Listing{draining}}})
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLeaving})
+	if got := r.board.Directory.Get().Revision; got != 9 {
+		t.Errorf("revision %d, want 9", got)
+	}
+}
+
+func TestAnOlderWordOfAPeerChangesNothing(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	late := listing("w2", "10.0.0.2", 2, model.StateLeaving)
+	late.Revision = 8
+	r.handle(control.DirectoryRead{Revision: 8, Listed: []model.Listing{late}})
+	early := listing("w2", "10.0.0.2", 2, model.StateLive)
+	early.Revision = 5
+	r.handle(control.DirectoryTold{From: "10.0.0.2", DirectoryRead: control.DirectoryRead{Revision: 5, Listed: []model.Listing{early}}})
+	r.handle(control.DirectoryTold{From: "10.0.0.2", DirectoryRead: control.DirectoryRead{Revision: 9, Listed: []model.Listing{early}}})
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLeaving})
+}
+
+func TestChangesAreWhatAPeerLacks(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	third := listing("w3", "10.0.0.3", 5, model.StateLive)
+	third.Revision = 5
+	raw := &model.RawConfig{Revision: 6, Packed: []byte("packed")}
+	r.handle(control.DirectoryRead{
+		Revision: 7, Listed: []model.Listing{third}, Gone: []model.Unlisted{{Worker: "w2", Revision: 7}},
+		Config: raw, Bundle: &bundle.Bundle{Name: "operator", Version: 1},
+	})
+	d := r.board.Directory.Get()
+	type lack struct {
+		Whole  bool
+		Listed []model.WorkerID
+		Gone   int
+		Config bool
+	}
+	got := map[uint64]lack{}
+	for _, after := range []uint64{0, 2, 5, 6, 7} {
+		c := Changes(d, after)
+		l := lack{Whole: c.Whole, Gone: len(c.Gone), Config: c.Config != nil}
+		for _, w := range c.Listed {
+			l.Listed = append(l.Listed, w.Instance.Worker)
+		}
+		got[after] = l
+	}
+	want := map[uint64]lack{
+		0: {Whole: true, Listed: []model.WorkerID{"w1", "w3"}, Config: true},
+		2: {Listed: []model.WorkerID{"w3"}, Gone: 1, Config: true},
+		5: {Gone: 1, Config: true},
+		6: {Gone: 1},
+		7: {},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("changes after a revision (-want +got):\n%s", diff)
+	}
+}
+
+func TestForgottenRemovalsMakeTheAnswerWhole(t *testing.T) {
+	var r removals
+	for i := range maxRemovals + 10 {
+		r.note(model.Unlisted{Worker: model.WorkerID(rune(i + 1)), Revision: uint64(i + 1)})
+	}
+	if len(r.list) != maxRemovals || r.floor != 10 {
+		t.Errorf("%d removals remembered above %d", len(r.list), r.floor)
+	}
+}
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -41,6 +41,8 @@
 	// MayMove says that the entry can place the request elsewhere: an owner that
 	// cannot start it now refuses it as busy.
 	MayMove bool `cbor:"17,keyasint,omitempty"`
+	// Directory is what the entry knows of the directory, where it follows one.
+	Directory DirectoryMark `cbor:"18,keyasint,omitempty"`
 }
 
 // Outcome is what the caller is told of its request.
--- a/internal/model/load.go
+++ b/internal/model/load.go
@@ -66,6 +66,8 @@
 	// Pace is how long work takes at the worker at this moment, in percent of
 	// usual; 0 when the worker does not tell.
 	Pace uint16 `cbor:"11,keyasint,omitempty"`
+	// Directory is what the owner's node knows of the directory, where it follows one.
+	Directory DirectoryMark `cbor:"12,keyasint,omitempty"`
 }
 
 // Slowness returns how many times as long as usual work takes, at least 1.
@@ -98,16 +100,6 @@
 	Slots int `cbor:"8,keyasint,omitempty"`
 }
 
-// Listing is one life of a worker, as a directory lists it.
-type Listing struct {
-	// Instance is the instance beside which the worker runs, with its worker and
-	// slots. Its State is StateLive, or StateLeaving for a worker that drains.
-	Instance Instance
-	// Created orders the lives that were listed at one instance: the greatest is
-	// the present one.
-	Created uint64
-}
-
 // Fleet is an immutable view of all known instances, sorted by ID. Readers must
 // not change it.
 type Fleet struct {
--- a/internal/node/callfilter.go
+++ b/internal/node/callfilter.go
@@ -13,6 +13,20 @@
 	mu        sync.Mutex
 	sent      map[model.BundleVersion]bool
 	unreached map[model.InstanceID]bool
+	// marked is the newest mark of a directory that was passed on in this tick.
+	marked model.DirectoryMark
+}
+
+// newMark reports whether no mark as new as m has been passed on since the last
+// tick.
+func (f *callFilter) newMark(m model.DirectoryMark) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.Revision < f.marked.Revision || m.Revision == f.marked.Revision && m.AgeMs+freshStep > f.marked.AgeMs {
+		return false
+	}
+	f.marked = m
+	return true
 }
 
 // first reports whether v has not been passed on since the last tick.
@@ -38,6 +52,7 @@
 	defer f.mu.Unlock()
 	clear(f.sent)
 	clear(f.unreached)
+	f.marked = model.DirectoryMark{}
 }
 
 // firstUnreached reports whether id has not been passed on since the last tick.
--- /dev/null
+++ b/internal/node/directory.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/directory"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/packed"
+	"gypsumstand/internal/wire"
+)
+
+const (
+	// directoryPath is where a node tells peers what changed in the directory after
+	// the revision in the query.
+	directoryPath  = "/v1/directory"
+	directoryAfter = "after"
+	// askTimeout bounds a question to a peer; see package directory.
+	askTimeout = 500 * time.Millisecond
+)
+
+func (n *Node) readDirectory(after uint64) {
+	read, err := n.cfg.Directory.Read(n.ctx, after)
+	if err != nil {
+		n.sink(control.DirectoryFailed{Err: err})
+		return
+	}
+	n.sink(read)
+}
+
+// askDirectory asks a peer over the connections that calls use.
+func (n *Node) askDirectory(a control.AskDirectory) {
+	ctx, cancel := context.WithTimeout(n.ctx, askTimeout)
+	defer cancel()
+	query := url.Values{directoryAfter: {strconv.FormatUint(a.After, 10)}}
+	data, err := n.forwarder.Get(ctx, a.Peer.PeerAddress, directoryPath+"?"+query.Encode(), wire.MaxDirectoryBytes)
+	if err != nil {
+		n.sink(control.DirectoryAskFailed{From: a.Peer.ID, Err: err})
+		return
+	}
+	told, err := n.decodeDirectory(data)
+	if err != nil {
+		n.sink(control.DirectoryAskFailed{From: a.Peer.ID, Err: err})
+		return
+	}
+	told.From = a.Peer.ID
+	n.sink(told)
+}
+
+func (n *Node) decodeDirectory(data []byte) (control.DirectoryTold, error) {
+	c, err := wire.DecodeDirectory(data)
+	if err != nil {
+		return control.DirectoryTold{}, err
+	}
+	told := control.DirectoryTold{
+		Age: time.Duration(c.AgeMs) * time.Millisecond,
+		DirectoryRead: control.DirectoryRead{
+			Revision: c.Revision, Whole: c.Whole, Listed: c.Listed, Gone: c.Gone,
+		},
+	}
+	if c.Config == nil {
+		return told, nil
+	}
+	raw, err := packed.Unpack(c.Config.Packed)
+	if err != nil {
+		return control.DirectoryTold{}, fmt.Errorf("the directory's configuration: %w", err)
+	}
+	told.Config = c.Config
+	told.Bundle, err = n.cfg.Directory.Configuration(raw)
+	return told, err
+}
+
+// serveDirectory answers a peer's question.
+func (n *Node) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	known := n.core.Board.Directory.Get()
+	after, err := strconv.ParseUint(r.URL.Query().Get(directoryAfter), 10, 64)
+	if err != nil {
+		http.Error(w, directoryAfter+": want a whole number", http.StatusBadRequest)
+		return
+	}
+	if known == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	changes := directory.Changes(known, after)
+	data, err := wire.EncodeDirectory(&wire.DirectoryChanges{
+		Revision: changes.Revision, AgeMs: known.Mark(time.Now()).AgeMs,
+		Whole: changes.Whole, Listed: changes.Listed, Gone: changes.Gone, Config: changes.Config,
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	// A peer that is gone asks another.
+	_, _ = w.Write(data)
+}
+
+// mark returns what this node knows of the directory, for messages to peers.
+func (n *Node) mark() model.DirectoryMark {
+	return n.core.Board.Directory.Get().Mark(time.Now())
+}
+
+// markHeard is told each mark that rode on a message; it passes on those that tell
+// something, at most a few a tick.
+func (n *Node) markHeard(from model.InstanceID, m model.DirectoryMark) {
+	if m.Revision == 0 || n.cfg.Directory == nil {
+		return
+	}
+	known := n.mark()
+	if m.Revision < known.Revision || m.Revision == known.Revision && m.AgeMs+freshStep > known.AgeMs {
+		return
+	}
+	if n.calls.newMark(m) {
+		n.sink(control.DirectoryHeard{From: from, Mark: m})
+	}
+}
+
+// freshStep is by how many milliseconds a mark must be fresher than what is known to
+// be passed on: a tenth of the second after which a node reads the directory itself.
+const freshStep = 100
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -86,6 +86,10 @@
 		n.start(n.readIndex)
 	case control.ReadValue:
 		n.start(func() { n.readValue(a.Name) })
+	case control.ReadDirectory:
+		n.start(func() { n.readDirectory(a.After) })
+	case control.AskDirectory:
+		n.start(func() { n.askDirectory(a) })
 	case control.SettleAnswered:
 		n.settler.answered(a.Reply)
 	case control.Record:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,11 +84,16 @@
 	Requests zerolog.Logger
 }
 
-// Directory is a source of instances and configuration.
+// Directory is a source of instances and configuration. Its methods may be called by
+// many goroutines at once.
 type Directory interface {
-	// Run reads the source until ctx ends and hands over what it tells as
-	// control.DirectoryRead and control.DirectoryFailed. sink may block.
-	Run(ctx context.Context, sink func(control.Event))
+	// Read tells what changed after a revision, everything after zero. It blocks for
+	// a bounded time.
+	Read(ctx context.Context, after uint64) (control.DirectoryRead, error)
+	// Configuration decodes a configuration as the source holds it.
+	Configuration(data []byte) (*bundle.Bundle, error)
+	// Close ends idle connections; it is called once no Read is under way.
+	Close()
 }
 
 // DefaultIdleTimeout is how long a caller's idle connection is kept.
@@ -208,6 +213,7 @@
 
 		Requests: &n.cfg.Requests,
 		Refresh:  n.watch.refresh,
+		Mark:     n.mark,
 	})
 	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS, n.cfg.MaxIdleConnections)
 	n.links = link.New(link.Config{Self: n.self, Sink: n.sink, TLS: n.cfg.PeerTLS, Dial: n.cfg.DialPeer, MaxAccepted: maxAcceptedLinks})
@@ -298,9 +304,6 @@
 	n.start(n.loop)
 	n.start(n.ownerTicks)
 	n.start(n.watch.run)
-	if n.cfg.Directory != nil {
-		n.start(func() { n.cfg.Directory.Run(n.ctx, n.sink) })
-	}
 	event.Log(&n.log, event.Started).Str("instance", string(n.cfg.Instance)).
 		Str("callers", n.CallerAddress()).Str("peers", n.PeerAddress()).Str("operators", n.OperatorAddress()).Send()
 	var err error
@@ -394,4 +397,7 @@
 	n.wg.Wait()
 	n.executor.Close()
 	n.forwarder.Close()
+	if n.cfg.Directory != nil {
+		n.cfg.Directory.Close()
+	}
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -49,6 +49,8 @@
 		Recorder:  recorder{n},
 		Requests:  &n.cfg.Requests,
 		Seen:      n.seen,
+		Heard:     n.markHeard,
+		Mark:      n.mark,
 		Unreached: n.unreached,
 		Dialect:   n.cfg.Callers,
 		Service:   n.cfg.Service,
@@ -73,7 +75,10 @@
 func (n *Node) peerRoutes() http.Handler {
 	r := newRouter()
 	r.Path(link.Path).Handler(n.links.Handler())
-	r.PathPrefix("/v1/attempt/").Handler(&server.Peer{Executor: n.executor, Seen: n.seen})
+	r.PathPrefix("/v1/attempt/").Handler(&server.Peer{Executor: n.executor, Seen: n.seen, Heard: n.markHeard})
+	if n.cfg.Directory != nil {
+		r.Path(directoryPath).Methods(http.MethodGet).HandlerFunc(n.serveDirectory)
+	}
 	return r
 }
 
--- a/internal/spread/pack.go
+++ b/internal/packed/packed.go
@@ -1,4 +1,6 @@
-package spread
+// Package packed compresses what operators write, for passing on between nodes:
+// signed bundles and a directory's configuration.
+package packed
 
 import (
 	"bytes"
@@ -9,12 +11,12 @@
 	"gypsumstand/internal/bundle"
 )
 
-// maxPackedOne bounds one packed body: incompressible bytes grow a little.
-const maxPackedOne = bundle.MaxBytes + bundle.MaxBytes/512
+// MaxBytes bounds one packed body: incompressible bytes grow a little.
+const MaxBytes = bundle.MaxBytes + bundle.MaxBytes/512
 
-// pack compresses a signed bundle for passing on. It is done once per version, by
+// Pack compresses a text for passing on. It is done once per version, by
 // the nodes that read the platform; others pass on what they got.
-func pack(raw []byte) ([]byte, error) {
+func Pack(raw []byte) ([]byte, error) {
 	var out bytes.Buffer
 	w, err := flate.NewWriter(&out, flate.BestCompression)
 	if err != nil {
@@ -29,9 +31,9 @@
 	return out.Bytes(), nil
 }
 
-// unpack reverses pack and refuses more than the bound.
-func unpack(packed []byte) ([]byte, error) {
-	if len(packed) > maxPackedOne {
+// Unpack reverses Pack and refuses more than the bound.
+func Unpack(packed []byte) ([]byte, error) {
+	if len(packed) > MaxBytes {
 		return nil, fmt.Errorf("%d packed bytes: %w", len(packed), bundle.ErrTooLarge)
 	}
 	r := flate.NewReader(bytes.NewReader(packed))
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -71,6 +71,10 @@
 	Requests *zerolog.Logger
 	// Seen is told the bundle versions that owners report; it does not block.
 	Seen func(from model.InstanceID, v model.BundleVersion)
+	// Heard is told the directory marks of owners; it does not block.
+	Heard func(from model.InstanceID, m model.DirectoryMark)
+	// Mark tells what this node knows of the directory.
+	Mark func() model.DirectoryMark
 	// Unreached is told of each owner that no connection could be had to; it does
 	// not block.
 	Unreached func(id model.InstanceID)
--- a/internal/server/carrier.go
+++ b/internal/server/carrier.go
@@ -104,6 +104,7 @@
 	if heard {
 		c.caller.Table.Observe(now, result.Report)
 		c.caller.Seen(step.To.ID, result.Report.Bundle)
+		c.caller.Heard(step.To.ID, result.Report.Directory)
 		c.call.Report(now, result.Report)
 	}
 	if !heard && err == nil && result.Answer == nil {
@@ -143,6 +144,7 @@
 }
 
 func (c *carrier) attempt(ctx context.Context, step entry.Step) (Result, bool, error) {
+	step.Attempt.Directory = c.caller.Mark()
 	work := &Work{
 		Attempt:       step.Attempt,
 		Method:        c.r.Method,
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -84,6 +84,7 @@
 	worker   func() model.WorkerID
 	requests *zerolog.Logger
 	refresh  func(ctx context.Context)
+	mark     func() model.DirectoryMark
 	// transport is for idempotent requests, cautious for others; see cautiousIdle.
 	transport atomic.Pointer[http.Transport]
 	cautious  atomic.Pointer[http.Transport]
@@ -134,6 +135,8 @@
 	// decide on an attempt; nil where the worker tells none. It may block for a few
 	// milliseconds.
 	Refresh func(ctx context.Context)
+	// Mark tells what this node knows of the directory.
+	Mark func() model.DirectoryMark
 }
 
 // NewExecutor returns an executor for one worker.
@@ -146,6 +149,7 @@
 		traffic:  cfg.Traffic,
 		requests: cfg.Requests,
 		refresh:  cfg.Refresh,
+		mark:     cfg.Mark,
 		waiters:  map[model.AttemptID]chan owner.Decision{},
 	}
 	x.renewTransports(limits{slots: initialSlots, connections: initialConnections})
@@ -254,14 +258,14 @@
 	w.Attempt.Remaining -= started.Sub(offered)
 	r := x.run(ctx, w, started)
 	r.Times = wire.Times{Queued: started.Sub(offered), Worker: time.Since(started)}
-	r.Report = x.owner.Report(time.Now())
+	r.Report = x.report(time.Now())
 	x.logEnd(w, &r)
 	return r
 }
 
 func (x *Executor) refused(w *Work, r model.Refusal, offered time.Time) Result {
 	now := time.Now()
-	result := Result{Refusal: r, Report: x.owner.Report(now)}
+	result := Result{Refusal: r, Report: x.report(now)}
 	event.Log(x.requests, event.AttemptRefused).
 		Str("request", string(w.Attempt.Request)).Str("attempt", w.Attempt.ID.String()).
 		Str("class", string(w.Attempt.Class)).Str("reason", r.Reason.String()).Bool("not_run", r.NotRun).
@@ -272,6 +276,13 @@
 	return result
 }
 
+// report returns the owner's report with this node's mark.
+func (x *Executor) report(now time.Time) model.LoadReport {
+	r := x.owner.Report(now)
+	r.Directory = x.mark()
+	return r
+}
+
 // logEnd logs how an attempt ended at the worker; of an answer the head has come.
 func (x *Executor) logEnd(w *Work, r *Result) {
 	status := 0
--- a/internal/server/executor_test.go
+++ b/internal/server/executor_test.go
@@ -83,6 +83,7 @@
 	x := NewExecutor(ExecutorConfig{
 		Owner: o, Address: address, Dialect: dialect.Product{},
 		Worker: func() model.WorkerID { return "" }, Traffic: func(bool) {}, Requests: &log,
+		Mark: func() model.DirectoryMark { return model.DirectoryMark{} },
 	})
 	x.Configure(svc, "n0")
 	return o, x
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -27,6 +28,8 @@
 	Executor *Executor
 	// Seen is told the bundle version of each attempt; it does not block.
 	Seen func(from model.InstanceID, v model.BundleVersion)
+	// Heard is told the directory mark of each attempt; it does not block.
+	Heard func(from model.InstanceID, m model.DirectoryMark)
 }
 
 // ServeHTTP implements http.Handler.
@@ -43,6 +46,7 @@
 	deadline := time.Now().Add(min(attempt.Remaining, maxPeerTime))
 	limitReading(w, deadline)
 	p.Seen(attempt.ID.Entry, attempt.Bundle)
+	p.Heard(attempt.ID.Entry, attempt.Directory)
 	w.Header().Set(wire.HeaderAttempt, attempt.ID.String())
 	work := &Work{
 		Attempt:       attempt,
@@ -218,6 +222,23 @@
 	return f.read(w, resp, &proof)
 }
 
+// Get asks another node for what it tells on its peer port; most bounds the answer.
+func (f *Forwarder) Get(ctx context.Context, address, path string, most int64) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.scheme+"://"+address+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := f.transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: %s", path, resp.Status)
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, most+1))
+}
+
 // unreached tells an owner that is not there from one that cannot be reached.
 func unreached(err error) model.Reason {
 	if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/spread/accept.go
+++ b/internal/spread/accept.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"gypsumstand/internal/packed"
 	"time"
 
 	"gypsumstand/internal/control"
@@ -89,7 +90,7 @@
 
 // packed returns nil on a fault, so the bundle is in force but not passed on.
 func (c *Controller) packed(raw []byte) []byte {
-	out, err := pack(raw)
+	out, err := packed.Pack(raw)
 	if err != nil {
 		return nil
 	}
--- a/internal/spread/accept_test.go
+++ b/internal/spread/accept_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/ed25519"
 	"fmt"
+	"gypsumstand/internal/packed"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -110,11 +111,11 @@
 }
 
 func packedBody(name model.BundleName, version uint64, raw []byte) wire.BundleBody {
-	packed, err := pack(raw)
+	body, err := packed.Pack(raw)
 	if err != nil {
 		panic(err)
 	}
-	return wire.BundleBody{Version: model.BundleVersion{Name: name, Version: version}, Packed: packed}
+	return wire.BundleBody{Version: model.BundleVersion{Name: name, Version: version}, Packed: body}
 }
 
 func marshal(s bundle.Signed) []byte {
--- a/internal/spread/measure_test.go
+++ b/internal/spread/measure_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/ed25519"
 	"fmt"
+	"gypsumstand/internal/packed"
 	"math/rand/v2"
 	"runtime"
 	"slices"
@@ -301,13 +302,13 @@
 // alone.
 func BenchmarkCheck(b *testing.B) {
 	raw := signed("svc", 1, 12_000)
-	packed, err := pack(raw)
+	body, err := packed.Pack(raw)
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Run("whole", func(b *testing.B) {
 		for range b.N {
-			raw, err := unpack(packed)
+			raw, err := packed.Unpack(body)
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -316,7 +317,7 @@
 			}
 		}
 		b.ReportMetric(float64(len(raw)), "raw-B")
-		b.ReportMetric(float64(len(packed)), "packed-B")
+		b.ReportMetric(float64(len(body)), "packed-B")
 	})
 	b.Run("signature", func(b *testing.B) {
 		signature := ed25519.Sign(testKey, raw)
@@ -328,7 +329,7 @@
 	})
 	b.Run("pack", func(b *testing.B) {
 		for range b.N {
-			if _, err := pack(raw); err != nil {
+			if _, err := packed.Pack(raw); err != nil {
 				b.Fatal(err)
 			}
 		}
--- a/internal/spread/notice.go
+++ b/internal/spread/notice.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"gypsumstand/internal/packed"
 	"time"
 
 	"gypsumstand/internal/control"
@@ -184,7 +185,7 @@
 		return
 	}
 	o := &offered{name: m.Version.Name, packed: m.Packed, peer: l.id}
-	raw, err := unpack(m.Packed)
+	raw, err := packed.Unpack(m.Packed)
 	if err != nil {
 		c.refuseBody(o, refuse(err, ReasonMalformed))
 	}
--- a/internal/suppress/suppress.go
+++ b/internal/suppress/suppress.go
@@ -63,7 +63,8 @@
 
 // Timer decides for one source. It is not safe for concurrent use.
 type Timer struct {
-	rng *rand.Rand
+	rng  *rand.Rand
+	pace Pace
 	// started is the time of the first call.
 	started time.Time
 	// attempt and confirmed are the newest known times by anyone; zero for none.
@@ -86,9 +87,22 @@
 	doubtUntil time.Time
 }
 
-// New returns a timer that has heard of no attempt. It starts at its first call.
+// Pace is how often a source is read.
+type Pace struct {
+	// Interval is the age of the last attempt up to which nobody reads, MeanFirst
+	// the expected time from its end to the fleet's first read.
+	Interval, MeanFirst time.Duration
+}
+
+// New returns a timer of the usual pace that has heard of no attempt. It starts at
+// its first call.
 func New(rng *rand.Rand) *Timer {
-	t := &Timer{rng: rng}
+	return NewPaced(rng, Pace{Interval: ReadInterval, MeanFirst: MeanFirst})
+}
+
+// NewPaced returns a timer of another pace.
+func NewPaced(rng *rand.Rand, p Pace) *Timer {
+	t := &Timer{rng: rng, pace: p}
 	t.redraw()
 	return t
 }
@@ -166,7 +180,7 @@
 
 // Failing reports whether the last known attempt came after the last success
 // by more than the interval.
-func (t *Timer) Failing() bool { return t.failing() > ReadInterval }
+func (t *Timer) Failing() bool { return t.failing() > t.pace.Interval }
 
 func (t *Timer) start(now time.Time) {
 	if !t.started.IsZero() {
@@ -212,7 +226,7 @@
 // 1/(fleetSize*MeanFirst) that doubles every Doubling.
 func (t *Timer) hazard(silence time.Duration, fleetSize int) float64 {
 	growth := math.Ln2 / Doubling.Seconds()
-	rate := 1 / (float64(fleetSize) * MeanFirst.Seconds())
+	rate := 1 / (float64(fleetSize) * t.pace.MeanFirst.Seconds())
 	rate /= float64(uint(1) << min(t.failures, maxFailureShift))
 	return rate * math.Expm1(growth*silence.Seconds()) / growth
 }
@@ -233,8 +247,8 @@
 // have failed, within bounds: all nodes that share the ages compute it alike.
 func (t *Timer) interval() time.Duration {
 	failing := t.failing()
-	if failing <= ReadInterval {
-		return ReadInterval
+	if failing <= t.pace.Interval {
+		return t.pace.Interval
 	}
 	return time.Duration(t.stretch * float64(min(failing, FailedInterval)))
 }
--- /dev/null
+++ b/internal/wire/directory.go
@@ -0,0 +1,38 @@
+package wire
+
+import (
+	"fmt"
+
+	"gypsumstand/internal/model"
+)
+
+// MaxDirectoryBytes bounds a DirectoryChanges message: a configuration of a megabyte
+// and 10,000 workers of 100 bytes.
+const MaxDirectoryBytes = 4 << 20
+
+// DirectoryChanges is a node's answer to a peer that follows the same directory. Its
+// fields are those of control.DirectoryRead; Config is packed.
+type DirectoryChanges struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	// AgeMs is how long ago this was known to be the newest, in milliseconds.
+	AgeMs  uint32           `cbor:"2,keyasint"`
+	Whole  bool             `cbor:"3,keyasint"`
+	Listed []model.Listing  `cbor:"4,keyasint"`
+	Gone   []model.Unlisted `cbor:"5,keyasint"`
+	Config *model.RawConfig `cbor:"6,keyasint"`
+}
+
+// EncodeDirectory returns the CBOR form of c.
+func EncodeDirectory(c *DirectoryChanges) ([]byte, error) { return Marshal(c) }
+
+// DecodeDirectory reads the form that EncodeDirectory writes.
+func DecodeDirectory(data []byte) (*DirectoryChanges, error) {
+	if len(data) > MaxDirectoryBytes {
+		return nil, fmt.Errorf("changes of the directory: %d bytes are over the bound of %d", len(data), MaxDirectoryBytes)
+	}
+	var c DirectoryChanges
+	if err := Unmarshal(data, &c); err != nil {
+		return nil, fmt.Errorf("changes of the directory: %w", err)
+	}
+	return &c, nil
+}
