route, daemon, server: stay in the own data centre, live in less memory

Cause: two thirds of the attempts crossed data centres for a millisecond's gain, and each node held 15.6 MB at its peak, much of it idle connections to 72 others and a heap that doubled before it was collected.

Change: an attempt to another data centre costs 15 ms beside its time where nodes follow a directory; idle connections between nodes last 3 s; the collector lets the heap grow by a quarter. A directory without workers is read again after 1.5 s.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -129,6 +129,7 @@
 	}
 	if cfg.FollowsDirectory {
 		routing.LeavingMemory = leavingMemory
+		routing.RemoteCost = remoteCost
 	}
 	table := route.NewTable(routing)
 	n := &Node{
@@ -150,6 +151,11 @@
 	return n
 }
 
+// remoteCost is what an attempt to another data centre costs where traffic between
+// them is paid for: a twentieth of the shortest run that callers wait for. Below it a
+// small difference in load sends two thirds of the traffic away.
+const remoteCost = 15 * time.Millisecond
+
 // leavingMemory is how long an owner's word that it leaves keeps attempts away
 // where no membership tells of its next life. A stop lasts up to 6 s; a try too
 // early costs one round trip, since the owner refuses it or its port is closed.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -93,10 +93,16 @@
 // within: stacks, connections' buffers and the runtime need the rest.
 const heapShare = 2
 
+// frugalPercent is the collector's growth of the heap (GOGC) where memory is bounded:
+// a quarter of what lives, in place of as much again. Live data are 2 to 4 MB, so it
+// saves about 3 MB of 15 a process, for under 0.1% of a core at 20 requests a second.
+const frugalPercent = 25
+
 // limitMemory makes the collector work harder before the process's bound is near.
 func limitMemory(bytes int64) {
 	if bytes > 0 {
 		debug.SetMemoryLimit(bytes / heapShare)
+		debug.SetGCPercent(frugalPercent)
 	}
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -37,6 +37,10 @@
 	outageGap = 2 * time.Second
 )
 
+// emptyWait is the least time before a directory without workers is read again; at
+// the start of a whole fleet workers list themselves over some seconds.
+const emptyWait = 1500 * time.Millisecond
+
 // pace is how often the fleet reads the directory. A change has to be in force after
 // 2 s on nodes that the directory serves: the interval, the first read after it (in
 // 98 of 100 cases within four times the mean), and 0.3 s to reach every node with
@@ -145,6 +149,10 @@
 	}
 	c.lost = false
 	c.timer.Own(now, true)
+	if r.Whole && len(r.Listed) == 0 {
+		// Nothing runs yet that could be served by.
+		c.timer.HoldBack(now, emptyWait)
+	}
 	c.take(now, &r, now.Before(c.doubtUntil))
 	c.confirm(now)
 }
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -94,6 +94,8 @@
 	failureRate float64
 
 	link, wait, service, silence, failure float64
+	// remote is Config.RemoteCost for an upstream of another data centre.
+	remote float64
 }
 
 // latency is the expected time to the answer.
@@ -103,7 +105,7 @@
 // that come after it, and a failure loses more than time, so both weigh more
 // than the rest of the latency.
 func (p *parts) cost() float64 {
-	return p.link + p.service + p.silence + queueWeight*(p.wait+p.failure)
+	return p.link + p.service + p.silence + p.remote + queueWeight*(p.wait+p.failure)
 }
 
 // estimate computes the parts for one candidate. deviate is how many standard
@@ -115,6 +117,9 @@
 		meanService = defaultServiceTime
 	}
 	p := parts{link: float64(u.link.roundTrip())}
+	if u.instance.DataCentre != t.cfg.DataCentre {
+		p.remote = float64(t.cfg.RemoteCost)
+	}
 	if t.tuning.Path {
 		p.link += max(0, beyond(c.path.value(now, pathMemory), deadZone*meanService))
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -24,6 +24,9 @@
 	// Random returns uniform 64-bit values and is safe for concurrent use; nil
 	// means math/rand/v2's global source.
 	Random func() uint64
+	// RemoteCost is what an attempt to another data centre costs beside its time: the
+	// traffic between them is paid for. Zero means nothing.
+	RemoteCost time.Duration
 	// LeavingMemory is how long an owner's own word that it leaves keeps attempts
 	// away; zero means for as long as its incarnation is the newest known.
 	LeavingMemory time.Duration
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -159,9 +159,10 @@
 	// peerDialTimeout is some times the longest way between two regions (70 ms and
 	// back); a machine without power answers nothing.
 	peerDialTimeout = 400 * time.Millisecond
-	// peerIdleTimeout is under DefaultIdleTimeout of the peer port, so that the
-	// side that asks closes first.
-	peerIdleTimeout = 20 * time.Second
+	// peerIdleTimeout keeps connections to the peers that are used all the time; each
+	// costs both sides about 25 KB. It is far under DefaultIdleTimeout of the peer
+	// port, so that the side that asks closes first.
+	peerIdleTimeout = 3 * time.Second
 	// peerSilence ends a connection to a machine that lost power or is cut off.
 	peerSilence     = 3 * time.Second
 	peerIdlePerHost = 32
