owner: nothing is started that would end after its deadline; a slow peer keeps nobody from news

Cause: requests that had waited for most of their time were started with less left than a run takes, held a slot for an answer that came too late, and were held to their end. Change: what has less than 0.8 of the expected service time left is refused while it waits.

While a question to one peer was open, marks of others were not followed, and two machines were five times slower at that time: a node that asked one of them heard nothing for 0.5 s at a time. Change: another peer is asked after 60 ms, and the store itself after 0.25 s of knowing to be behind. That this was the cause is inferred, not seen.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -132,7 +132,8 @@
 func (c *Controller) tick(now time.Time) {
 	c.expire(now)
 	// The first read waits for nobody: without it the node serves no request.
-	if due := c.timer.Due(now, c.FleetSize()); due || !c.started {
+	due := c.timer.Due(now, c.FleetSize())
+	if due || !c.started || c.asks.overdue(now) {
 		c.started = true
 		c.do(control.ReadDirectory{After: c.revision})
 	}
@@ -212,6 +213,7 @@
 		c.removed.floor = max(c.removed.floor, r.Revision)
 	}
 	c.revision = max(c.revision, r.Revision)
+	c.asks.caughtUp(c.revision)
 }
 
 // takeBundle puts a newer configuration in force; an older one never is.
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -15,8 +15,14 @@
 	// before it asks a random peer: three times within the second after which it
 	// would read the directory itself.
 	gossipQuiet = 300 * time.Millisecond
-	// askTimeout is how long an answer of a peer is awaited before another is asked.
+	// askTimeout is how long an answer of a peer is awaited before it is asked again.
 	askTimeout = 500 * time.Millisecond
+	// askGap is the least time between questions to two peers: the first may be a
+	// machine that is slow, and all others know as much. An answer takes 1 to 5 ms.
+	askGap = 60 * time.Millisecond
+	// behindLimit is how long a node that has heard of a newer revision waits for its
+	// peers before it reads the directory itself.
+	behindLimit = 250 * time.Millisecond
 	// nearShare is how many of this many random peers are of the own data centre
 	// where it has any: what is asked there crosses no link between data centres.
 	nearShare, nearOf = 3, 4
@@ -30,11 +36,46 @@
 	at   time.Time
 	// heard is when any peer was last heard.
 	heard time.Time
+	// newest is the greatest revision heard of, behindSince when this node first
+	// heard of one that it lacks; zero while it lacks none.
+	newest      uint64
+	behindSince time.Time
 }
 
 // open tells whether a peer may be asked now.
-func (a *asking) open(now time.Time) bool {
-	return a.peer == "" || now.Sub(a.at) >= askTimeout
+func (a *asking) open(now time.Time, peer model.InstanceID) bool {
+	switch a.peer {
+	case "":
+		return true
+	case peer:
+		return now.Sub(a.at) >= askTimeout
+	}
+	return now.Sub(a.at) >= askGap
+}
+
+// note takes the revision that a peer knows; known is this node's.
+func (a *asking) note(now time.Time, revision, known uint64) {
+	a.newest = max(a.newest, revision)
+	if a.newest > known && a.behindSince.IsZero() {
+		a.behindSince = now
+	}
+}
+
+// caughtUp takes the revision that this node knows now.
+func (a *asking) caughtUp(known uint64) {
+	if known >= a.newest {
+		a.behindSince = time.Time{}
+	}
+}
+
+// overdue tells whether peers have had their time to tell what this node lacks, and
+// begins that time anew.
+func (a *asking) overdue(now time.Time) bool {
+	if a.behindSince.IsZero() || now.Sub(a.behindSince) < behindLimit {
+		return false
+	}
+	a.behindSince = now
+	return true
 }
 
 func (a *asking) begin(now time.Time, peer model.InstanceID) { a.peer, a.at = peer, now }
@@ -49,10 +90,11 @@
 // fresh as the peer's; a greater one is asked for.
 func (c *Controller) heard(now time.Time, e control.DirectoryHeard) {
 	c.asks.heard = now
+	c.asks.note(now, e.Mark.Revision, c.revision)
 	age := time.Duration(e.Mark.AgeMs) * time.Millisecond
 	switch {
 	case e.Mark.Revision > c.revision:
-		if in, ok := c.instance(e.From); ok && c.asks.open(now) {
+		if in, ok := c.instance(e.From); ok && c.asks.open(now, e.From) {
 			c.ask(now, in)
 		}
 	case e.Mark.Revision == c.revision && c.revision != 0:
@@ -81,10 +123,10 @@
 
 // gossip asks a random peer when none was heard for a while.
 func (c *Controller) gossip(now time.Time) {
-	if now.Sub(c.asks.heard) < gossipQuiet || !c.asks.open(now) {
+	if now.Sub(c.asks.heard) < gossipQuiet {
 		return
 	}
-	if peer, ok := c.randomPeer(); ok {
+	if peer, ok := c.randomPeer(); ok && c.asks.open(now, peer.ID) {
 		c.ask(now, peer)
 	}
 }
--- a/internal/directory/peers_test.go
+++ b/internal/directory/peers_test.go
@@ -67,7 +67,7 @@
 	if diff := cmp.Diff([]model.InstanceID{"10.0.0.2"}, peers); diff != "" {
 		t.Fatalf("asked (-want +got):\n%s", diff)
 	}
-	// One question at a time.
+	// One question at a time to one peer.
 	if peers, _ := asked(r.handle(control.DirectoryHeard{From: "10.0.0.2", Mark: model.DirectoryMark{Revision: 10}})); len(peers) != 0 {
 		t.Errorf("asked %v while an answer is awaited", peers)
 	}
@@ -80,6 +80,24 @@
 	}
 }
 
+func TestASlowPeerKeepsNobodyFromNews(t *testing.T) {
+	r := newRig()
+	r.handle(control.Tick{})
+	r.handle(two())
+	r.handle(control.DirectoryHeard{From: "10.0.0.2", Mark: model.DirectoryMark{Revision: 9}})
+	r.now = r.now.Add(askGap)
+	peers, _ := asked(r.handle(control.DirectoryHeard{From: "10.0.0.1", Mark: model.DirectoryMark{Revision: 9}}))
+	if diff := cmp.Diff([]model.InstanceID{"10.0.0.1"}, peers); diff != "" {
+		t.Errorf("asked while the first does not answer (-want +got):\n%s", diff)
+	}
+	// Neither answers: the node reads the directory itself, although it has been read
+	// a moment ago.
+	_, reads := r.ticks(behindLimit + control.TickInterval)
+	if reads != 1 {
+		t.Errorf("%d reads, want 1", reads)
+	}
+}
+
 func TestAnOlderWordOfAPeerChangesNothing(t *testing.T) {
 	r := newRig()
 	r.handle(two())
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -66,7 +66,7 @@
 		if it == nil {
 			return
 		}
-		if t >= it.deadline {
+		if it.hopeless(t) {
 			o.turnAway(t, it, notRun(model.ReasonExpired))
 			n++
 			continue
@@ -110,9 +110,20 @@
 	o.out = append(o.out, Decision{Attempt: it.id, Verdict: Refuse, Refusal: r})
 }
 
-// expire refuses queued attempts whose time ran out.
+// hopeShare is the part of the expected service time that must be left for a start: of
+// runs that vary by a third, one in four takes less than 0.8 of the mean. A start with
+// less left would mostly hold a slot for an answer that nobody waits for.
+const hopeShare = 0.8
+
+// hopeless tells whether a start now would mostly end after the deadline.
+func (it *item) hopeless(t time.Duration) bool {
+	need := time.Duration(hopeShare * float64(it.class.expected()))
+	return t+need >= it.deadline
+}
+
+// expire refuses queued attempts that cannot be answered in time any more.
 func (o *Owner) expire(t time.Duration) {
-	for _, it := range o.queue.where(func(it *item) bool { return t >= it.deadline }) {
+	for _, it := range o.queue.where(func(it *item) bool { return it.hopeless(t) }) {
 		o.turnAway(t, it, notRun(model.ReasonExpired))
 	}
 }
--- a/internal/owner/order_test.go
+++ b/internal/owner/order_test.go
@@ -249,3 +249,14 @@
 	r.pass(10 * time.Millisecond)
 	r.wantDecisions(r.finish(running[0], Finish{ServiceTime: 10 * time.Millisecond, Status: 200}), Decision{Attempt: urgent.ID, Verdict: Start})
 }
+
+func TestWhatWouldEndAfterItsDeadlineIsRefusedWhileItWaits(t *testing.T) {
+	r := newRig(t, testService())
+	r.learnService(100 * time.Millisecond)
+	r.fill(2)
+	a := r.attempt()
+	a.Remaining = 300 * time.Millisecond
+	r.want(r.offer(a), waits)
+	r.pass(225 * time.Millisecond)
+	r.wantDecisions(r.o.Tick(r.now), Decision{Attempt: a.ID, Verdict: Refuse, Refusal: notRun(model.ReasonExpired)})
+}
