soak: the real nodes under faults from outside, checked by clients and workers

gypsumsoak starts gypsumside processes beside stand-ins of the store and the workers, draws a plan of overlapping troubles from a seed (signals, wires that delay, reset, cut one way or silence, a store that misbehaves, workers that drain, spoil answers or refuse) and checks: nothing twice, no refusal that ran, answers whole and their own, configuration in force in time, drains, nothing lost around planned work, timeouts, the retry budget, recovery, no process that ends by itself.

--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,348 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"gypsumstand/platform/names"
+	"gypsumstand/platform/standin"
+)
+
+// The two services: orders run at most once, the catalogue may run again.
+const (
+	serviceOrders    = "orders"
+	serviceCatalogue = "catalogue"
+)
+
+// Bounds that nodes are given, and that the checks hold them to.
+const (
+	retryRatio   = 0.2
+	retryExtra   = 40
+	routeTimeout = 1500 * time.Millisecond
+	stopTimeout  = 6 * time.Second
+	leaveGrace   = 1200 * time.Millisecond
+	workerSlots  = 18
+)
+
+// fleet is a deployment: a store in this process, and on each machine a worker in this
+// process and a node in one of its own. Each machine has IP numbers of its own on the
+// loopback network; what crosses between machines, to the store and to the worker
+// passes a proxy.
+type fleet struct {
+	dir      string
+	program  string
+	peerPort string
+	ledger   *ledger
+	store    *standin.Store
+	storeAt  net.Listener
+	machines []*machine
+
+	mu sync.Mutex
+	// version is that of the newest configuration.
+	version int
+}
+
+// machine is one node with its worker and wires.
+type machine struct {
+	fleet   *fleet
+	index   int
+	service string
+	worker  *standin.Worker
+	// peerWire leads peers to the node, storeWire the node to the store and
+	// workerWire the node to its worker.
+	peerWire, storeWire, workerWire *proxy
+	caller, operator                string
+	settings                        string
+
+	mu sync.Mutex
+	// process is nil while the node is down.
+	process *process
+	lives   int
+	// spoil is how the worker spoils a part of its answers; empty for not.
+	spoil string
+	count int
+}
+
+// process is one life of a node.
+type process struct {
+	cmd *exec.Cmd
+	// expected: its end was asked for.
+	expected bool
+	ended    chan struct{}
+}
+
+func ip(network, machine int) string { return fmt.Sprintf("127.%d.0.%d", network, machine+1) }
+
+// Networks of the machines' IP numbers.
+const (
+	networkNode = iota + 70
+	networkPeer
+	networkStore
+	networkWorker
+)
+
+// newFleet starts a deployment of n machines; its nodes write their logs to dir.
+func newFleet(dir, program string, n int, l *ledger) (*fleet, error) {
+	f := &fleet{dir: dir, program: program, ledger: l, store: standin.NewStore()}
+	at, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f.storeAt = at
+	go func() {
+		// It ends when the listener is closed.
+		_ = http.Serve(at, f.store)
+	}()
+	if f.peerPort, err = freePort(ip(networkNode, 0)); err != nil {
+		return nil, err
+	}
+	for i := range n {
+		if err := f.addMachine(i); err != nil {
+			return nil, errors.Join(err, f.close())
+		}
+	}
+	f.configure()
+	for _, m := range f.machines {
+		if err := m.start(); err != nil {
+			return nil, errors.Join(err, f.close())
+		}
+	}
+	return f, nil
+}
+
+func freePort(host string) (string, error) {
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	_, port, err := net.SplitHostPort(l.Addr().String())
+	return port, err
+}
+
+func (f *fleet) addMachine(i int) error {
+	m := &machine{fleet: f, index: i, service: serviceOrders}
+	if i%2 == 1 {
+		m.service = serviceCatalogue
+	}
+	l, err := net.Listen("tcp", ip(networkNode, i)+":0")
+	if err != nil {
+		return err
+	}
+	m.worker = standin.NewWorker(standin.WorkerConfig{Service: m.service, OnRun: f.ledger.ran, Fault: m.fault}, m.lifeID(), l)
+	var errs [5]error
+	m.peerWire, errs[0] = newProxy(net.JoinHostPort(ip(networkPeer, i), f.peerPort), net.JoinHostPort(ip(networkNode, i), f.peerPort))
+	m.storeWire, errs[1] = newProxy(ip(networkStore, i)+":0", f.storeAt.Addr().String())
+	m.workerWire, errs[2] = newProxy(ip(networkWorker, i)+":0", m.worker.Address())
+	m.caller, errs[3] = freeAddress(ip(networkNode, i))
+	m.operator, errs[4] = freeAddress(ip(networkNode, i))
+	if err := errors.Join(errs[:]...); err != nil {
+		return err
+	}
+	f.machines = append(f.machines, m)
+	m.list(names.Ready)
+	return m.writeSettings()
+}
+
+func freeAddress(host string) (string, error) {
+	port, err := freePort(host)
+	return net.JoinHostPort(host, port), err
+}
+
+func (m *machine) writeSettings() error {
+	m.settings = filepath.Join(m.fleet.dir, fmt.Sprintf("node-%d.toml", m.index))
+	text := fmt.Sprintf(`instance = %q
+service = %q
+data_centre = "dc-%d"
+caller_address = %q
+peer_address = %q
+operator_address = %q
+worker_address = %q
+stop_timeout_ms = %d
+leave_grace_ms = %d
+request_log_lines = 2000
+log_level = "debug"
+[directory]
+address = %q
+retry_ratio = %g
+retry_extra = %d
+`, ip(networkPeer, m.index), m.service, m.index%3, m.caller, net.JoinHostPort(ip(networkNode, m.index), m.fleet.peerPort),
+		m.operator, m.workerWire.address(), stopTimeout.Milliseconds(), leaveGrace.Milliseconds(), m.storeWire.address(), retryRatio, retryExtra)
+	return os.WriteFile(m.settings, []byte(text), 0o600)
+}
+
+func (m *machine) lifeID() string { return fmt.Sprintf("w%d-%d", m.index, m.lives) }
+
+// list writes the worker's entry.
+func (m *machine) list(state string) {
+	address := net.JoinHostPort(ip(networkPeer, m.index), "80")
+	m.fleet.store.PutWorker(m.worker.ID(), m.service, fmt.Sprintf("dc-%d", m.index%3), address, state, workerSlots)
+}
+
+// start starts the node.
+func (m *machine) start() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	log, err := os.OpenFile(filepath.Join(m.fleet.dir, fmt.Sprintf("node-%d.log", m.index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(m.fleet.program, "-settings", m.settings)
+	cmd.Stdout, cmd.Stderr = log, log
+	err = cmd.Start()
+	log.Close()
+	if err != nil {
+		return err
+	}
+	p := &process{cmd: cmd, ended: make(chan struct{})}
+	m.process = p
+	go m.await(p)
+	return nil
+}
+
+// await notes the end of a process.
+func (m *machine) await(p *process) {
+	err := p.cmd.Wait()
+	m.mu.Lock()
+	if !p.expected {
+		m.fleet.ledger.violate("process", "node %d ended by itself: %v", m.index, err)
+	}
+	if m.process == p {
+		m.process = nil
+	}
+	m.mu.Unlock()
+	close(p.ended)
+}
+
+// signal sends a signal to the node, if it runs; ending says that it should end.
+func (m *machine) signal(s syscall.Signal, ending bool) *process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.process
+	if p == nil {
+		return nil
+	}
+	p.expected = p.expected || ending
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		m.fleet.ledger.violate("soak", "signal %v to node %d: %v", s, m.index, err)
+	}
+	return p
+}
+
+// startAgain starts the node unless it runs.
+func (m *machine) startAgain() {
+	m.mu.Lock()
+	down := m.process == nil
+	m.mu.Unlock()
+	if !down {
+		return
+	}
+	if err := m.start(); err != nil {
+		m.fleet.ledger.violate("soak", "start node %d: %v", m.index, err)
+	}
+}
+
+// killTime is how long after SIGTERM a node is killed.
+const killTime = stopTimeout + 2*time.Second
+
+// stopGracefully ends the node by SIGTERM and waits for its end.
+func (m *machine) stopGracefully() {
+	p := m.signal(syscall.SIGTERM, true)
+	if p == nil {
+		return
+	}
+	timer := time.NewTimer(killTime)
+	defer timer.Stop()
+	select {
+	case <-p.ended:
+	case <-timer.C:
+		m.fleet.ledger.violate("stop", "node %d did not stop in %s", m.index, killTime)
+		m.signal(syscall.SIGKILL, true)
+		<-p.ended
+	}
+}
+
+// spoilEvery is how many answers pass for each that is spoilt.
+const spoilEvery = 4
+
+// fault implements standin.WorkerConfig.Fault.
+func (m *machine) fault() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.count++
+	if m.spoil == "" || m.count%spoilEvery != 0 {
+		return ""
+	}
+	return m.spoil
+}
+
+func (m *machine) setSpoil(how string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.spoil = how
+}
+
+// nextLife ends the worker's life, whose entry goes, and begins another.
+func (m *machine) nextLife() {
+	m.fleet.store.Remove(names.Workers + m.worker.ID())
+	m.mu.Lock()
+	m.lives++
+	id := m.lifeID()
+	m.mu.Unlock()
+	m.worker.Restart(id)
+	m.list(names.Ready)
+}
+
+// keptVersions is how many configurations a route of generations stays in.
+const keptVersions = 3
+
+// configure writes the next configuration. Version v has the routes /gen-k/ for the
+// last keptVersions values of k up to v.
+func (f *fleet) configure() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	route := func(name, kind, service string) string {
+		return fmt.Sprintf(`{"name":%q,"host":"shop.example","prefix":"/%s/","kind":%q,"timeout_ms":%d,"target_latency_ms":400,"priority":1,"service":%q,"max_attempts":3}`,
+			name, name, kind, routeTimeout.Milliseconds(), service)
+	}
+	routes := route("order", names.KindNotIdempotent, serviceOrders) + "," + route("browse", names.KindIdempotent, serviceCatalogue)
+	for k := max(1, f.version-keptVersions+1); k <= f.version; k++ {
+		routes += "," + route(generation(k), names.KindIdempotent, serviceCatalogue)
+	}
+	f.store.Put(names.Config, fmt.Sprintf(
+		`{"version":%d,"routes":[%s],"services":[{"name":%q,"health_path":"/health","max_connections":200},{"name":%q,"health_path":"/health","max_connections":200}],`+
+			`"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":5000}}`,
+		f.version, routes, serviceOrders, serviceCatalogue))
+	f.ledger.configured(f.version)
+}
+
+func generation(k int) string { return fmt.Sprintf("gen-%d", k) }
+
+func (f *fleet) newest() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// close ends everything that the fleet started, by the processes it started.
+func (f *fleet) close() error {
+	for _, m := range f.machines {
+		if p := m.signal(syscall.SIGKILL, true); p != nil {
+			<-p.ended
+		}
+		m.worker.Close()
+		for _, w := range []*proxy{m.peerWire, m.storeWire, m.workerWire} {
+			w.close()
+		}
+	}
+	return f.storeAt.Close()
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,104 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+)
+
+// kind is a kind of trouble.
+type kind string
+
+// The kinds. Signals go to node processes, the rest to wires, store and workers.
+const (
+	kindTerm      kind = "term"        // SIGTERM, then started again
+	kindKill      kind = "kill"        // SIGKILL, then started again
+	kindPause     kind = "pause"       // SIGSTOP, SIGCONT after the time
+	kindHangUp    kind = "hangup"      // SIGHUP
+	kindDelay     kind = "delay"       // all wires of a machine are slow
+	kindReset     kind = "reset"       // all its connections are reset
+	kindCutOneWay kind = "cut-one-way" // what comes from a machine is held back
+	kindSilence   kind = "silence"     // its wires pass nothing on
+	kindStoreDown kind = "store-down"  // refuses, or answers nothing
+	kindStoreSlow kind = "store-slow"  // 0.4 s an answer
+	kindStoreCut  kind = "store-cut"   // one machine does not reach it
+	kindForget    kind = "forget"      // the store drops its history
+	kindConfig    kind = "config"      // the next configuration
+	kindDrain     kind = "drain"       // a worker drains and comes back as another life
+	kindAnswers   kind = "answers"     // a worker spoils a part of its answers
+	kindShed      kind = "shed"        // a worker refuses all
+	kindPace      kind = "pace"        // a worker's machine is slow
+	kindKillMany  kind = "kill-many"   // half of the nodes at once
+)
+
+var kinds = []kind{
+	kindTerm, kindTerm, kindKill, kindPause, kindHangUp, kindDelay, kindReset, kindCutOneWay, kindSilence,
+	kindStoreDown, kindStoreSlow, kindStoreCut, kindForget, kindConfig, kindConfig, kindDrain, kindDrain,
+	kindAnswers, kindShed, kindPace, kindKillMany,
+}
+
+// trouble is one thing that goes wrong.
+type trouble struct {
+	at      time.Duration
+	lasts   time.Duration
+	kind    kind
+	machine int
+}
+
+// String words a trouble for reports.
+func (t trouble) String() string {
+	return fmt.Sprintf("%6.2fs %-11s machine %d for %.2fs", t.at.Seconds(), t.kind, t.machine, t.lasts.Seconds())
+}
+
+// plan is what goes wrong in one soak; a seed repeats it.
+type plan []trouble
+
+// Times of a plan.
+const (
+	// calmStart and calmEnd are without new trouble: for learning, and for showing
+	// that service is back.
+	calmStart = 2 * time.Second
+	calmEnd   = 9 * time.Second
+	// meanGap is the mean time between two troubles, so that they overlap.
+	meanGap  = 700 * time.Millisecond
+	minLasts = 200 * time.Millisecond
+	maxLasts = 4 * time.Second
+	// series is the chance that a trouble of the same kind follows at once on the next
+	// machine.
+	series = 0.3
+)
+
+// makePlan draws a plan for machines over a length.
+func makePlan(seed uint64, machines int, length time.Duration) plan {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	var p plan
+	for at := calmStart; at < length-calmEnd; {
+		t := trouble{
+			at: at, kind: kinds[rng.IntN(len(kinds))], machine: rng.IntN(machines),
+			lasts: minLasts + time.Duration(rng.Int64N(int64(maxLasts-minLasts))),
+		}
+		t.lasts = min(t.lasts, length-calmEnd-at)
+		p = append(p, t)
+		for n := 1; rng.Float64() < series; n++ {
+			next := t
+			next.machine = (t.machine + n) % machines
+			next.at += time.Duration(rng.Int64N(int64(time.Second)))
+			next.lasts = max(min(next.lasts, length-calmEnd-next.at), minLasts)
+			p = append(p, next)
+		}
+		at += time.Duration(rng.ExpFloat64() * float64(meanGap))
+	}
+	sort.SliceStable(p, func(i, j int) bool { return p[i].at < p[j].at })
+	return p
+}
+
+// String lists the plan, a trouble a line.
+func (p plan) String() string {
+	lines := make([]string, len(p))
+	for i, t := range p {
+		lines[i] = t.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// wire is how a proxy treats the bytes of its connections.
+type wire struct {
+	// delay is added before each piece of bytes, in both directions.
+	delay time.Duration
+	// cutTo and cutFrom hold back what goes to the far side, and what comes from it.
+	// Both together are silence.
+	cutTo, cutFrom bool
+}
+
+// proxy passes TCP connections on to a far address and harms them on demand.
+type proxy struct {
+	listener net.Listener
+	far      string
+
+	mu    sync.Mutex
+	wire  wire
+	calm  *sync.Cond
+	conns map[net.Conn]bool
+	over  bool
+}
+
+// newProxy listens at address and passes on to far.
+func newProxy(address, far string) (*proxy, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, far: far, conns: map[net.Conn]bool{}}
+	p.calm = sync.NewCond(&p.mu)
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes how bytes are treated from now on; bytes that a cut held back go on once
+// it ends.
+func (p *proxy) set(w wire) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wire = w
+	p.calm.Broadcast()
+}
+
+// reset ends all open connections with a reset.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			// With no time to linger, closing resets.
+			_ = tcp.SetLinger(0)
+		}
+		conn.Close()
+	}
+}
+
+func (p *proxy) close() {
+	p.listener.Close()
+	p.mu.Lock()
+	p.over = true
+	p.calm.Broadcast()
+	p.mu.Unlock()
+	p.reset()
+}
+
+func (p *proxy) accept() {
+	for {
+		near, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.join(near)
+	}
+}
+
+// join connects a near side with the far one.
+func (p *proxy) join(near net.Conn) {
+	far, err := net.DialTimeout("tcp", p.far, time.Second)
+	if err != nil {
+		// As if the port were closed.
+		if tcp, ok := near.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		near.Close()
+		return
+	}
+	if !p.keep(near, far) {
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go p.copy(&wg, far, near, func(w wire) bool { return w.cutTo })
+	go p.copy(&wg, near, far, func(w wire) bool { return w.cutFrom })
+	wg.Wait()
+	p.drop(near, far)
+}
+
+func (p *proxy) keep(conns ...net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		if p.over {
+			c.Close()
+			continue
+		}
+		p.conns[c] = true
+	}
+	return !p.over
+}
+
+func (p *proxy) drop(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		delete(p.conns, c)
+		c.Close()
+	}
+}
+
+// pieceBytes is the size of the pieces that are delayed and held back.
+const pieceBytes = 16 << 10
+
+func (p *proxy) copy(wg *sync.WaitGroup, to, from net.Conn, cut func(wire) bool) {
+	defer wg.Done()
+	buf := make([]byte, pieceBytes)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			p.hold(cut)
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				from.Close()
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF {
+			// The other direction may go on.
+			_ = tcp.CloseWrite()
+		} else {
+			to.Close()
+		}
+		return
+	}
+}
+
+// hold waits as long as the wire asks for.
+func (p *proxy) hold(cut func(wire) bool) {
+	p.mu.Lock()
+	for cut(p.wire) && !p.over {
+		p.calm.Wait()
+	}
+	delay := p.wire.delay
+	p.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+}
