server: a caller that leaves does not speak against the upstream

Cause: found while writing OPERATIONS.md: an attempt that ended because its caller had gone was counted as a failure of the owner's, logged as a broken way, and so made good upstreams look bad while clients gave up.

--- a/internal/server/carrier.go
+++ b/internal/server/carrier.go
@@ -115,13 +115,11 @@
 	}
 	switch {
 	case err != nil:
-		c.broke(step, err)
-		c.call.Broken(now, false)
-		c.noteCallerGone(ctx)
+		c.ended(ctx, now, step, err)
 	case result.Answer == nil:
 		c.call.Refused(now, result.Refusal)
 	default:
-		c.take(ctx, now, result)
+		c.take(ctx, now, step, result)
 	}
 }
 
@@ -137,6 +135,17 @@
 		Int("load", int64(step.Believed.Load)).Int("age_ms", age).Send()
 }
 
+// ended reports an attempt that ended without a whole answer. When the caller has
+// gone that says nothing of the upstream.
+func (c *carrier) ended(ctx context.Context, now time.Time, step entry.Step, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		c.call.CallerGone(now)
+		return
+	}
+	c.broke(step, err)
+	c.call.Broken(now, false)
+}
+
 func (c *carrier) broke(step entry.Step, err error) {
 	event.Log(c.caller.Requests, event.AttemptBroke).
 		Str("request", string(step.Attempt.Request)).Str("attempt", step.Attempt.ID.String()).
@@ -163,7 +172,7 @@
 
 // take holds the answer's beginning, so that a short one is known to be whole
 // before the caller hears of it.
-func (c *carrier) take(ctx context.Context, now time.Time, result Result) {
+func (c *carrier) take(ctx context.Context, now time.Time, step entry.Step, result Result) {
 	c.queued = result.Times.Queued
 	c.worker = result.Times.Worker
 	c.added = now.Sub(c.began) - result.Times.Queued - result.Times.Worker
@@ -171,8 +180,7 @@
 	start, err := io.ReadAll(io.LimitReader(a.Body, holdAnswerBytes))
 	if err != nil {
 		a.Body.Close()
-		c.call.Broken(time.Now(), false)
-		c.noteCallerGone(ctx)
+		c.ended(ctx, time.Now(), step, err)
 		return
 	}
 	whole := len(start) < holdAnswerBytes
