daemon: a hang-up during a stop ends nothing

SIGHUP came 0.6 s after SIGTERM; its handler had gone with the stop's beginning, so that the process died by the signal's default. The same held between the process's start and its handler. Ruled out: the stop's own bound (it had 5 s left).

Change: hang-ups are taken from the first moment to the last. The test ends its own process without the change (tried).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,11 @@
 	// net/http's transport prints unsolicited answers of a worker there, whole: what
 	// a caller was to read is not for the log.
 	stdlog.SetOutput(io.Discard)
+	// From the first moment to the last: by default a hang-up ends a process, also one
+	// that is finishing what it has.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
 	plain := zerolog.New(out).With().Timestamp().Logger()
 	s, err := settings.Load(path)
 	if err != nil {
@@ -57,10 +62,10 @@
 	}
 	logger := logging.New(out, s.Level(), s.RequestLines)
 	defer logger.Close()
-	return serve(ctx, path, s, logger, adapt)
+	return serve(ctx, path, s, logger, adapt, hangUps)
 }
 
-func serve(ctx context.Context, path string, s *settings.Settings, logger *logging.Logger, adapt Adapter) int {
+func serve(ctx context.Context, path string, s *settings.Settings, logger *logging.Logger, adapt Adapter, hangUps <-chan os.Signal) int {
 	log := logger.Main
 	s.Log(&log)
 	cfg, err := config(s, log)
@@ -85,7 +90,9 @@
 		event.Log(&log, event.Fatal).Err(err).Send()
 		return ExitFailed
 	}
-	go watchHangUp(ctx, path, s, &log)
+	ended := make(chan struct{})
+	go watchHangUps(hangUps, ended, path, s, &log)
+	defer close(ended)
 	return code(n.Run(ctx))
 }
 
@@ -159,17 +166,14 @@
 	}, nil
 }
 
-// watchHangUp checks the settings file anew at each SIGHUP and says whether it is
+// watchHangUps checks the settings file anew at each SIGHUP and says whether it is
 // sound and differs from the settings in force. Nothing is changed: a node's own
 // settings take force by a planned stop and a start, so that no node runs on
 // half of an edit; all that changes while it runs is in the bundles.
-func watchHangUp(ctx context.Context, path string, inForce *settings.Settings, log *zerolog.Logger) {
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	defer signal.Stop(hangUps)
+func watchHangUps(hangUps <-chan os.Signal, ended <-chan struct{}, path string, inForce *settings.Settings, log *zerolog.Logger) {
 	for {
 		select {
-		case <-ctx.Done():
+		case <-ended:
 			return
 		case <-hangUps:
 			checkAnew(path, inForce, log)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,7 +1,9 @@
 package daemon
 
 import (
+	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -9,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -97,3 +100,38 @@
 		}
 	}
 }
+
+// Found by seed 101 of the soak: a node that was told to stop, and then got a
+// hang-up, ended at once.
+func TestAHangUpDuringAStopEndsNothing(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	path := filepath.Join(t.TempDir(), "node.toml")
+	if err := os.WriteFile(path, fmt.Appendf(nil, testSettings, "ledger-1", "127.0.0.1:0", 30_000), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	code := make(chan int, 1)
+	go func() {
+		defer write.Close()
+		code <- Run(ctx, path, write, nil)
+	}()
+	lines := bufio.NewScanner(read)
+	for lines.Scan() {
+		switch {
+		case strings.Contains(lines.Text(), `"event":100,`):
+			stop()
+		case strings.Contains(lines.Text(), `"event":101,`):
+			// Without a handler this ends the test's process.
+			if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if got := <-code; got != ExitOK {
+		t.Errorf("exit code %d, want %d", got, ExitOK)
+	}
+}
