--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -107,7 +107,13 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	path := filepath.Join(t.TempDir(), "node.toml")
-	if err := os.WriteFile(path, fmt.Appendf(nil, testSettings, "ledger-1", "127.0.0.1:0", 30_000), 0o600); err != nil {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	free.Close()
+	if err := os.WriteFile(path, fmt.Appendf(nil, testSettings, "ledger-1", address, 30_000), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	read, write, err := os.Pipe()
