--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -13,10 +13,12 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"gypsumstand/internal/node"
+	"gypsumstand/internal/pause"
 )
 
 const testSettings = `instance = %q
@@ -131,7 +133,9 @@
 		case strings.Contains(lines.Text(), `"event":100,`):
 			stop()
 		case strings.Contains(lines.Text(), `"event":101,`):
-			// Without a handler this ends the test's process.
+			// Whatever ends with the stop's beginning has ended then. Without a handler
+			// the signal ends the test's process.
+			pause.For(t.Context(), 300*time.Millisecond)
 			if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 				t.Fatal(err)
 			}
