--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	$(GO) build -o bin/ ./cmd/...
 
 lint:
-	@bad=$$(gofmt -l cmd internal); if [ -n "$$bad" ]; then echo "not gofmt clean: $$bad"; exit 1; fi
+	@bad=$$(gofmt -l cmd internal platform); if [ -n "$$bad" ]; then echo "not gofmt clean: $$bad"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
@@ -28,6 +28,13 @@
 		$(GO) test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZEACH) ./$$dir || exit 1; \
 	done
 
+.PHONY: soak
+# Harms real node processes by SEEDS plans from seed SEED on; see cmd/gypsumsoak.
+SEED ?= 1
+SEEDS ?= 8
+soak: build
+	bin/gypsumsoak -node bin/gypsumside -seed $(SEED) -seeds $(SEEDS)
+
 .PHONY: docs
 # Writes the pages that are made from the code.
 docs:
--- /dev/null
+++ b/internal/soak/ledger_test.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gypsumstand/platform/standin"
+)
+
+var began = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+// at returns the time d after the beginning.
+func at(d time.Duration) time.Time { return began.Add(d) }
+
+// served is a request that was answered after one run.
+func served(id, class, service string, sent time.Duration) *request {
+	return &request{
+		id: id, class: class, service: service, sent: at(sent), ended: at(sent + 20*time.Millisecond), status: http.StatusOK,
+		runs: []standin.Run{{ID: id, Service: service, Worker: "w1-0", At: at(sent + time.Millisecond)}},
+	}
+}
+
+// calmLedger has a served request each 50 ms for 20 s and no trouble.
+func calmLedger() *ledger {
+	l := newLedger()
+	l.versions[1] = began
+	for d := time.Duration(0); d < 20*time.Second; d += 50 * time.Millisecond {
+		l.add(served("r"+d.String(), "browse", serviceCatalogue, d))
+	}
+	l.lastEnd = at(10 * time.Second)
+	return l
+}
+
+func (l *ledger) add(r *request) {
+	l.requests[r.id] = r
+	l.order = append(l.order, r)
+}
+
+func TestACalmDayBreaksNothing(t *testing.T) {
+	if got := calmLedger().check(); len(got) != 0 {
+		t.Errorf("broken: %q", got)
+	}
+}
+
+func TestEachCheckFindsItsFault(t *testing.T) {
+	for rule, spoil := range map[string]func(*ledger){
+		"twice": func(l *ledger) {
+			r := served("x", "order", serviceOrders, time.Second)
+			r.runs = append(r.runs, r.runs[0])
+			l.add(r)
+		},
+		"refused": func(l *ledger) {
+			r := served("x", "browse", serviceCatalogue, time.Second)
+			r.status = http.StatusServiceUnavailable
+			l.add(r)
+		},
+		"lost": func(l *ledger) {
+			r := served("x", "order", serviceOrders, time.Second)
+			r.status = 0
+			l.add(r)
+		},
+		"timeout": func(l *ledger) {
+			r := served("x", "order", serviceOrders, 6*time.Second)
+			r.ended = r.sent.Add(routeTimeout + 2*time.Second)
+			l.add(r)
+		},
+		"config": func(l *ledger) {
+			r := served("x", generation(1), serviceCatalogue, 9*time.Second)
+			r.status, r.runs = http.StatusNotFound, nil
+			l.add(r)
+		},
+		"budget": func(l *ledger) {
+			for range 4 * retryExtra {
+				r := served("x", "browse", serviceCatalogue, 15*time.Second)
+				r.runs = append(r.runs, r.runs[0])
+				l.add(r)
+			}
+		},
+		"recover": func(l *ledger) {
+			for _, r := range l.order {
+				if r.sent.After(at(15 * time.Second)) {
+					r.status, r.runs = http.StatusBadGateway, nil
+				}
+			}
+		},
+		"unasked": func(l *ledger) { l.ran(standin.Run{ID: "nobody's"}) },
+		"route": func(l *ledger) {
+			l.add(&request{id: "x", class: "order", service: serviceOrders})
+			l.ran(standin.Run{ID: "x", Service: serviceCatalogue, Worker: "w1-0"})
+		},
+		"drain": func(l *ledger) {
+			l.drained["w1-0"] = began
+			l.add(&request{id: "x", class: "order", service: serviceOrders})
+			l.ran(standin.Run{ID: "x", Service: serviceOrders, Worker: "w1-0", At: at(drainTime + time.Second)})
+		},
+		"mixed": func(l *ledger) {
+			r := served("x", "order", serviceOrders, time.Second)
+			l.add(r)
+			l.answered(r, &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}, []byte("another's"), "own")
+			r.ended = r.sent.Add(time.Millisecond)
+		},
+	} {
+		t.Run(rule, func(t *testing.T) {
+			l := calmLedger()
+			spoil(l)
+			got := l.check()
+			if !slices.ContainsFunc(got, func(v string) bool { return strings.HasPrefix(v, rule+": ") }) {
+				t.Errorf("not found; found %q", got)
+			}
+		})
+	}
+}
+
+func TestTroubleExcusesWhatHasATimeBound(t *testing.T) {
+	l := calmLedger()
+	l.machineTrouble[0] = []span{{from: at(5 * time.Second), to: at(8 * time.Second)}}
+	r := served("x", generation(1), serviceCatalogue, 9*time.Second)
+	r.status, r.runs = http.StatusNotFound, nil
+	l.add(r)
+	if got := l.check(); len(got) != 0 {
+		t.Errorf("broken: %q", got)
+	}
+}
+
+func TestASeedRepeatsThePlan(t *testing.T) {
+	if makePlan(7, 6, 20*time.Second).String() != makePlan(7, 6, 20*time.Second).String() {
+		t.Error("two plans of one seed differ")
+	}
+	if makePlan(7, 6, 20*time.Second).String() == makePlan(8, 6, 20*time.Second).String() {
+		t.Error("two seeds give one plan")
+	}
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -145,14 +145,25 @@
 		if err == nil {
 			continue
 		}
-		if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF {
-			// The other direction may go on.
-			_ = tcp.CloseWrite()
-		} else {
-			to.Close()
-		}
+		passEnd(to, err)
+		return
+	}
+}
+
+// passEnd ends a direction as it ended on the other side: in order, so that the other
+// direction may go on, or by a reset.
+func passEnd(to net.Conn, err error) {
+	tcp, ok := to.(*net.TCPConn)
+	if !ok {
+		to.Close()
+		return
+	}
+	if err == io.EOF {
+		_ = tcp.CloseWrite()
 		return
 	}
+	_ = tcp.SetLinger(0)
+	tcp.Close()
 }
 
 // hold waits as long as the wire asks for.
