--- a/cmd/gypsumd/main.go
+++ b/cmd/gypsumd/main.go
@@ -3,9 +3,6 @@
 package main
 
 import (
-	"context"
-	"flag"
-	"fmt"
 	"os"
 
 	"gypsumstand/internal/daemon"
@@ -28,15 +25,5 @@
 `
 
 func main() {
-	path := flag.String("settings", "", "settings file (TOML)")
-	flag.Usage = func() {
-		fmt.Fprint(flag.CommandLine.Output(), usage)
-		flag.PrintDefaults()
-	}
-	flag.Parse()
-	if *path == "" || flag.NArg() > 0 {
-		flag.Usage()
-		os.Exit(daemon.ExitUsage)
-	}
-	os.Exit(daemon.Run(context.Background(), *path, os.Stderr, nil))
+	os.Exit(daemon.Main(usage, "", os.Stderr, nil))
 }
--- a/cmd/gypsumside/main.go
+++ b/cmd/gypsumside/main.go
@@ -3,9 +3,6 @@
 package main
 
 import (
-	"context"
-	"flag"
-	"fmt"
 	"os"
 
 	"gypsumstand/internal/daemon"
@@ -27,15 +24,5 @@
 `
 
 func main() {
-	path := flag.String("settings", platform.SettingsPath(), "settings file (TOML); by default the one that the platform names")
-	flag.Usage = func() {
-		fmt.Fprint(flag.CommandLine.Output(), usage)
-		flag.PrintDefaults()
-	}
-	flag.Parse()
-	if *path == "" || flag.NArg() > 0 {
-		flag.Usage()
-		os.Exit(daemon.ExitUsage)
-	}
-	os.Exit(daemon.Run(context.Background(), *path, os.Stdout, platform.Adapt))
+	os.Exit(daemon.Main(usage, platform.SettingsPath(), os.Stdout, platform.Adapt))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"flag"
+	"fmt"
 	"io"
 	stdlog "log"
 	"os"
@@ -33,6 +35,22 @@
 	ExitCutOff = 4
 )
 
+// Main is a node program: it reads the command line and runs. settingsPath is used
+// where no flag names the file. It returns the exit code.
+func Main(usage, settingsPath string, out io.Writer, adapt Adapter) int {
+	path := flag.String("settings", settingsPath, "settings file (TOML)")
+	flag.Usage = func() {
+		fmt.Fprint(flag.CommandLine.Output(), usage)
+		flag.PrintDefaults()
+	}
+	flag.Parse()
+	if *path == "" || flag.NArg() > 0 {
+		flag.Usage()
+		return ExitUsage
+	}
+	return Run(context.Background(), *path, out, adapt)
+}
+
 // Adaptation is what a platform's adapter brings in place of the product's own.
 type Adaptation struct {
 	Callers   dialect.Callers
--- a/internal/entry/move_test.go
+++ b/internal/entry/move_test.go
@@ -92,9 +92,9 @@
 	r := testRequest()
 	r.Idempotent, r.RetryBudget = true, 10
 	r.Target = bundle.Target{Bundle: b, Service: &b.Services[0], Class: &b.Classes[0], Idempotent: true}
-	arrivals, now := 0, epoch
+	arrivals := 0
 	for n := range perSecond * int(fleetWindow.Seconds()) {
-		now = epoch.Add(time.Duration(n) * time.Second / time.Duration(perSecond))
+		now := epoch.Add(time.Duration(n) * time.Second / time.Duration(perSecond))
 		c := engine.Begin(now, r)
 		at := now
 		for s := c.Next(at); s.Kind != StepEnd; s = c.Next(at) {
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -15,9 +15,7 @@
 
 	"github.com/rs/zerolog"
 
-	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/dialect"
-	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
 	"gypsumstand/internal/upstream"
@@ -95,29 +93,6 @@
 	waiters map[model.AttemptID]chan owner.Decision
 }
 
-// limits are those that the transport was made for.
-type limits struct{ slots, connections int }
-
-// Bounds of connections to the worker.
-const (
-	workerDialTimeout = time.Second
-	// workerIdle is a fifth of the shortest time that workers were seen to keep
-	// idle connections (10 s).
-	workerIdle = 2 * time.Second
-	// cautiousIdle is how long a connection may have been idle to carry a request
-	// that must not run twice: a worker that has forgotten the connection resets it,
-	// and then nothing proves that the request did not run.
-	cautiousIdle = 250 * time.Millisecond
-	// workerSilence ends a connection to a worker whose machine is gone.
-	workerSilence = 3 * time.Second
-)
-
-// Transport limits until a bundle names them.
-const (
-	initialSlots       = 16
-	initialConnections = 64
-)
-
 // ExecutorConfig is an executor's fixed setting. Its functions are called by many
 // goroutines at once and do not block.
 type ExecutorConfig struct {
@@ -156,57 +131,6 @@
 	return x
 }
 
-// Configure applies a bundle's limits; requests in flight go on with the old
-// transport. It is called from one goroutine.
-func (x *Executor) Configure(svc *bundle.Service, self model.InstanceID) {
-	x.echo.Store(svc.RequireEcho)
-	want := limits{slots: svc.Slots, connections: svc.Connections}
-	for _, u := range svc.Upstreams {
-		if u.Instance == self && u.Slots > 0 {
-			want.slots = u.Slots
-		}
-		if u.Instance == self && u.Connections > 0 {
-			want.connections = u.Connections
-		}
-	}
-	if want == x.limits {
-		return
-	}
-	x.limits = want
-	x.renewTransports(want)
-}
-
-// renewTransports makes transports for other limits; requests in flight go on with
-// the old ones.
-func (x *Executor) renewTransports(l limits) {
-	o := upstream.Options{
-		Idle: l.slots, Connections: l.connections,
-		DialTimeout: workerDialTimeout, IdleTimeout: workerIdle, Silence: workerSilence,
-	}
-	before := []*http.Transport{x.transport.Swap(upstream.NewTransport(o)), nil}
-	o.IdleTimeout = cautiousIdle
-	before[1] = x.cautious.Swap(upstream.NewTransport(o))
-	for _, t := range before {
-		if t != nil {
-			t.CloseIdleConnections()
-		}
-	}
-}
-
-// transportFor returns the transport that an attempt goes by.
-func (x *Executor) transportFor(a *model.Attempt) *http.Transport {
-	if a.Idempotent {
-		return x.transport.Load()
-	}
-	return x.cautious.Load()
-}
-
-// Close closes idle connections to the worker.
-func (x *Executor) Close() {
-	x.transport.Load().CloseIdleConnections()
-	x.cautious.Load().CloseIdleConnections()
-}
-
 // Deliver hands the owner's decisions to the attempts that wait for them.
 func (x *Executor) Deliver(ds []owner.Decision) {
 	for _, d := range ds {
@@ -263,41 +187,6 @@
 	return r
 }
 
-func (x *Executor) refused(w *Work, r model.Refusal, offered time.Time) Result {
-	now := time.Now()
-	result := Result{Refusal: r, Report: x.report(now)}
-	event.Log(x.requests, event.AttemptRefused).
-		Str("request", string(w.Attempt.Request)).Str("attempt", w.Attempt.ID.String()).
-		Str("class", string(w.Attempt.Class)).Str("reason", r.Reason.String()).Bool("not_run", r.NotRun).
-		Int("waited_ms", now.Sub(offered).Milliseconds()).Int("left_ms", w.Attempt.Remaining.Milliseconds()).
-		Int("retry_after_ms", r.RetryAfter.Milliseconds()).
-		Int("running", int64(result.Report.InFlight)).Int("queued", int64(result.Report.Queued)).
-		Int("limit", int64(result.Report.Limit)).Int("pace_percent", int64(result.Report.Pace)).Send()
-	return result
-}
-
-// report returns the owner's report with this node's mark.
-func (x *Executor) report(now time.Time) model.LoadReport {
-	r := x.owner.Report(now)
-	r.Directory = x.mark()
-	return r
-}
-
-// logEnd logs how an attempt ended at the worker; of an answer the head has come.
-func (x *Executor) logEnd(w *Work, r *Result) {
-	status := 0
-	if r.Answer != nil {
-		status = r.Answer.Status
-	}
-	event.Log(x.requests, event.AttemptEnded).
-		Str("request", string(w.Attempt.Request)).Str("attempt", w.Attempt.ID.String()).
-		Str("class", string(w.Attempt.Class)).Str("reason", r.Refusal.Reason.String()).Bool("not_run", r.Refusal.NotRun).
-		Int("status", int64(status)).Int("queued_ms", r.Times.Queued.Milliseconds()).
-		Int("worker_ms", r.Times.Worker.Milliseconds()).Str("worker", string(x.worker())).
-		Int("running", int64(r.Report.InFlight)).Int("queued", int64(r.Report.Queued)).
-		Int("limit", int64(r.Report.Limit)).Int("pace_percent", int64(r.Report.Pace)).Send()
-}
-
 // admit returns nil once the attempt may start.
 func (x *Executor) admit(ctx context.Context, w *Work, now time.Time) *model.Refusal {
 	id := w.Attempt.ID
--- /dev/null
+++ b/internal/server/executorlog.go
@@ -0,0 +1,43 @@
+package server
+
+import (
+	"time"
+
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+)
+
+func (x *Executor) refused(w *Work, r model.Refusal, offered time.Time) Result {
+	now := time.Now()
+	result := Result{Refusal: r, Report: x.report(now)}
+	event.Log(x.requests, event.AttemptRefused).
+		Str("request", string(w.Attempt.Request)).Str("attempt", w.Attempt.ID.String()).
+		Str("class", string(w.Attempt.Class)).Str("reason", r.Reason.String()).Bool("not_run", r.NotRun).
+		Int("waited_ms", now.Sub(offered).Milliseconds()).Int("left_ms", w.Attempt.Remaining.Milliseconds()).
+		Int("retry_after_ms", r.RetryAfter.Milliseconds()).
+		Int("running", int64(result.Report.InFlight)).Int("queued", int64(result.Report.Queued)).
+		Int("limit", int64(result.Report.Limit)).Int("pace_percent", int64(result.Report.Pace)).Send()
+	return result
+}
+
+// report returns the owner's report with this node's mark.
+func (x *Executor) report(now time.Time) model.LoadReport {
+	r := x.owner.Report(now)
+	r.Directory = x.mark()
+	return r
+}
+
+// logEnd logs how an attempt ended at the worker; of an answer the head has come.
+func (x *Executor) logEnd(w *Work, r *Result) {
+	status := 0
+	if r.Answer != nil {
+		status = r.Answer.Status
+	}
+	event.Log(x.requests, event.AttemptEnded).
+		Str("request", string(w.Attempt.Request)).Str("attempt", w.Attempt.ID.String()).
+		Str("class", string(w.Attempt.Class)).Str("reason", r.Refusal.Reason.String()).Bool("not_run", r.Refusal.NotRun).
+		Int("status", int64(status)).Int("queued_ms", r.Times.Queued.Milliseconds()).
+		Int("worker_ms", r.Times.Worker.Milliseconds()).Str("worker", string(x.worker())).
+		Int("running", int64(r.Report.InFlight)).Int("queued", int64(r.Report.Queued)).
+		Int("limit", int64(r.Report.Limit)).Int("pace_percent", int64(r.Report.Pace)).Send()
+}
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -126,10 +126,11 @@
 }
 
 func TestASeedRepeatsThePlan(t *testing.T) {
-	if makePlan(7, 6, 20*time.Second).String() != makePlan(7, 6, 20*time.Second).String() {
+	first, again := makePlan(7, 6, 20*time.Second), makePlan(7, 6, 20*time.Second)
+	if first.String() != again.String() {
 		t.Error("two plans of one seed differ")
 	}
-	if makePlan(7, 6, 20*time.Second).String() == makePlan(8, 6, 20*time.Second).String() {
+	if other := makePlan(8, 6, 20*time.Second); other.String() == first.String() {
 		t.Error("two seeds give one plan")
 	}
 }
