--- a/internal/owner/limit_test.go
+++ b/internal/owner/limit_test.go
@@ -127,7 +127,7 @@
 // limit, 821 by workers).
 func TestAWorkerThatRefusesWithRoomIsNotGivenLess(t *testing.T) {
 	svc := testService()
-	svc.Slots = 12
+	svc.Slots, svc.Connections = 12, 20
 	r := newRig(t, svc)
 	for range 30 {
 		a := r.attempt()
