directory: each node judges for itself whether removals are to be doubted

At that time two machines are five times slower; a worker's entry is removed without a drain. When a slow machine reads it first, its knowledge is over 2 s old, so it takes that for an outage, holds the removal back for 2.2 s, and told its peers to do the same. The earlier guess (questions to a slow peer) was not the cause. Change: a removal is passed on at once, and each node holds it back only when its own knowledge was that old. The test fails with the old rule.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -145,17 +145,15 @@
 	if c.lost || c.confirmed.IsZero() {
 		c.record(event.DirectoryAnswers, "", since(now, c.confirmed), nil)
 	}
-	if c.lost || !c.confirmed.IsZero() && now.Sub(c.confirmed) > outageGap {
-		c.doubtUntil = now.Add(relistTime)
-	}
+	c.noteReturn(now)
 	c.lost = false
 	c.timer.Own(now, true)
 	if r.Whole && len(r.Listed) == 0 {
 		// Nothing runs yet that could be served by.
 		c.timer.HoldBack(now, emptyWait)
 	}
-	c.take(now, &r, now.Before(c.doubtUntil))
-	c.confirm(now, now)
+	c.take(now, &r)
+	c.confirm(now)
 }
 
 func (c *Controller) readFailed(now time.Time, err error) {
@@ -175,26 +173,34 @@
 }
 
 // confirm notes that what is known was the newest at a time.
-func (c *Controller) confirm(now, at time.Time) {
+func (c *Controller) confirm(at time.Time) {
 	if !at.After(c.confirmed) {
 		return
 	}
 	c.confirmed = at
 	if at.Sub(c.published) >= publishStep {
-		c.publishForPeers(now)
+		c.publishForPeers()
 	}
 }
 
 // publishStep is by how much fresher knowledge must be to be published between ticks.
 const publishStep = 50 * time.Millisecond
 
-// take applies what a reading or a peer told. doubted says that removals may be
-// lapsed leases; a peer that passes one on has made up its mind.
-func (c *Controller) take(now time.Time, r *control.DirectoryRead, doubted bool) {
+// noteReturn begins the time in which removals are doubted, when the directory is back
+// after an outage as far as this node knows. Each node judges that for itself: one that
+// was slow, or turned away, must not keep a leaving worker in use at the others.
+func (c *Controller) noteReturn(now time.Time) {
+	if c.lost || !c.confirmed.IsZero() && now.Sub(c.confirmed) > outageGap {
+		c.doubtUntil = now.Add(relistTime)
+	}
+}
+
+// take applies what a reading or a peer told.
+func (c *Controller) take(now time.Time, r *control.DirectoryRead) {
 	before := c.revision
 	defer func() {
 		if c.revision != before {
-			c.publishForPeers(now)
+			c.publishForPeers()
 		}
 	}()
 	if r.Bundle != nil {
@@ -204,10 +210,10 @@
 		c.list(l)
 	}
 	for _, gone := range r.Gone {
-		c.remove(now, gone, doubted)
+		c.remove(now, gone)
 	}
 	if r.Whole {
-		c.removeOthers(now, r, doubted)
+		c.removeOthers(now, r)
 		// What was removed before is known only by its absence, which no list of
 		// changes tells.
 		c.removed.floor = max(c.removed.floor, r.Revision)
@@ -254,18 +260,14 @@
 // remove takes a worker off the list, at once while the directory is sound. Soon
 // after an outage its lease may merely have lapsed: then it has the time in which
 // the living list themselves again. One that was draining is gone at once. Peers are
-// told of a removal when it is seen, with what is left of that time.
-func (c *Controller) remove(now time.Time, gone model.Unlisted, doubted bool) {
+// told of a removal when it is seen.
+func (c *Controller) remove(now time.Time, gone model.Unlisted) {
 	w := c.workers[gone.Worker]
 	if w == nil || gone.Revision < w.listing.Revision {
 		return
 	}
-	until := now.Add(time.Duration(gone.HeldMs) * time.Millisecond)
-	if doubted {
-		until = c.doubtUntil
-	}
 	c.removed.note(gone)
-	if !until.After(now) || w.listing.Instance.State == model.StateLeaving {
+	if !now.Before(c.doubtUntil) || w.listing.Instance.State == model.StateLeaving {
 		c.drop(gone.Worker, 0)
 		return
 	}
@@ -273,12 +275,12 @@
 		return
 	}
 	w.missingSince = now
-	w.missingUntil = until
+	w.missingUntil = c.doubtUntil
 	c.record(event.WorkerMissing, string(gone.Worker), string(w.listing.Instance.ID), nil)
 }
 
 // removeOthers removes the workers that a whole list lacks.
-func (c *Controller) removeOthers(now time.Time, r *control.DirectoryRead, doubted bool) {
+func (c *Controller) removeOthers(now time.Time, r *control.DirectoryRead) {
 	named := make(map[model.WorkerID]bool, len(r.Listed))
 	for i := range r.Listed {
 		named[r.Listed[i].Instance.Worker] = true
@@ -288,7 +290,7 @@
 	}
 	for _, id := range c.sorted() {
 		if !named[id] {
-			c.remove(now, model.Unlisted{Worker: id, Revision: r.Revision}, doubted)
+			c.remove(now, model.Unlisted{Worker: id, Revision: r.Revision})
 		}
 	}
 }
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -109,7 +109,8 @@
 	if e.Revision < c.revision {
 		return
 	}
-	c.take(now, &e.DirectoryRead, false)
+	c.noteReturn(now)
+	c.take(now, &e.DirectoryRead)
 	c.hearFresh(now, e.Age)
 }
 
@@ -117,8 +118,9 @@
 // others are not heard of: the directory may turn some nodes away and serve others,
 // and those must not wait for it.
 func (c *Controller) hearFresh(now time.Time, age time.Duration) {
+	c.noteReturn(now)
 	c.timer.Heard(now, age, age)
-	c.confirm(now, now.Add(-age))
+	c.confirm(now.Add(-age))
 }
 
 // gossip asks a random peer when none was heard for a while.
@@ -167,17 +169,10 @@
 }
 
 // publishForPeers writes what peers may ask for.
-func (c *Controller) publishForPeers(now time.Time) {
+func (c *Controller) publishForPeers() {
 	d := &blackboard.Directory{
 		Revision: c.revision, Confirmed: c.confirmed,
-		Floor: c.removed.floor, Config: c.config,
-	}
-	for _, gone := range c.removed.list {
-		gone.HeldMs = 0
-		if w := c.workers[gone.Worker]; w != nil {
-			gone.HeldMs = uint32(max(w.missingUntil.Sub(now).Milliseconds(), 1))
-		}
-		d.Gone = append(d.Gone, gone)
+		Gone: slices.Clone(c.removed.list), Floor: c.removed.floor, Config: c.config,
 	}
 	for _, id := range c.sorted() {
 		if w := c.workers[id]; w.missingUntil.IsZero() {
--- a/internal/directory/peers_test.go
+++ b/internal/directory/peers_test.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"errors"
 	"testing"
 	"time"
 
@@ -165,16 +164,38 @@
 	old.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
 }
 
-func TestAHeldRemovalEndsAtPeersToo(t *testing.T) {
+// Found by a score: a machine that was five times slower took its own lateness for an
+// outage, held a removal back, and had every peer hold it back with it for 2.2 s.
+func TestAPeersDoubtHoldsNothingBackHere(t *testing.T) {
+	slow, peer := newRig(), newRig()
+	slow.handle(two())
+	peer.handle(two())
+	// The peer hears of fresh news all the while, the slow one of nothing.
+	for range 6 {
+		slow.now, peer.now = slow.now.Add(time.Second), peer.now.Add(time.Second)
+		peer.handle(control.DirectoryHeard{From: "10.0.0.1", Mark: model.DirectoryMark{Revision: 2, AgeMs: 10}})
+	}
+	whole := two()
+	whole.Revision, whole.Listed = 9, whole.Listed[:1]
+	slow.handle(whole)
+	tell(slow, peer)
+	slow.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLive})
+	peer.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
+}
+
+func TestEachNodeHoldsRemovalsBackAfterAnOutage(t *testing.T) {
 	reader, peer := newRig(), newRig()
 	reader.handle(two())
 	peer.handle(two())
-	reader.handle(control.DirectoryFailed{Err: errors.New("down")})
+	for _, r := range []*rig{reader, peer} {
+		r.now = r.now.Add(outageGap + time.Second)
+	}
 	whole := two()
 	whole.Revision, whole.Listed = 9, whole.Listed[:1]
 	reader.handle(whole)
 	tell(reader, peer)
 	both := map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLive}
+	reader.want(t, both)
 	peer.want(t, both)
 	for _, r := range []*rig{reader, peer} {
 		r.pass(relistTime + 10*time.Millisecond)
@@ -182,11 +203,13 @@
 	}
 }
 
-func TestAWorkerListedAgainIsKeptByPeersThatHeldIt(t *testing.T) {
+func TestAWorkerListedAgainAfterAnOutageIsKept(t *testing.T) {
 	reader, peer := newRig(), newRig()
 	reader.handle(two())
 	peer.handle(two())
-	reader.handle(control.DirectoryFailed{Err: errors.New("down")})
+	for _, r := range []*rig{reader, peer} {
+		r.now = r.now.Add(outageGap + time.Second)
+	}
 	whole := two()
 	whole.Revision, whole.Listed = 9, whole.Listed[:1]
 	reader.handle(whole)
--- a/internal/model/directory.go
+++ b/internal/model/directory.go
@@ -16,9 +16,6 @@
 type Unlisted struct {
 	Worker   WorkerID `cbor:"1,keyasint"`
 	Revision uint64   `cbor:"2,keyasint"`
-	// HeldMs is how long the node that tells of it still uses the worker, in
-	// milliseconds, since its lease may merely have lapsed; zero for not at all.
-	HeldMs uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // RawConfig is a configuration as a directory holds it.
