--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -6,9 +6,11 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"gypsumstand/internal/local"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/pause"
 )
 
 func get(t *testing.T, url string) (int, string) {
@@ -39,6 +41,24 @@
 	}
 }
 
+// countTime bounds the wait for a call to be counted.
+const countTime = 20 * time.Second
+
+// pageOfOneCall returns the metrics once a call has been counted: a node counts it when
+// its caller has been answered, so that the caller may ask before that.
+func pageOfOneCall(t *testing.T, f *local.Fleet) string {
+	t.Helper()
+	for end := time.Now().Add(countTime); ; pause.For(t.Context(), 10*time.Millisecond) {
+		status, page := get(t, "http://"+f.Members()[0].Node.OperatorAddress()+"/metrics")
+		if status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		if strings.Contains(page, "gypsum_calls_total{") || time.Now().After(end) {
+			return page
+		}
+	}
+}
+
 func TestMetricsShowCallsAndBlackboardWithLabelsOfTheBundleOnly(t *testing.T) {
 	f := newFleet(t, 2, &httpWorker{runs: map[string]int{}})
 	if err := f.Await(t.Context(), seesLive(2)); err != nil {
@@ -48,10 +68,7 @@
 	if _, _, err := do(t, f, http.MethodGet, "/", "", header); err != nil {
 		t.Fatal(err)
 	}
-	status, page := get(t, "http://"+f.Members()[0].Node.OperatorAddress()+"/metrics")
-	if status != http.StatusOK {
-		t.Fatalf("status %d", status)
-	}
+	page := pageOfOneCall(t, f)
 	for _, want := range []string{
 		`gypsum_calls_total\{class="view",outcome="answered",reason="none",service="ledger",tenant="other"\} 1\n`,
 		`gypsum_call_seconds_count\{class="view",tenant="other"\} 1\n`,
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -100,14 +100,6 @@
 
 func (x *exchange) record(c *carrier, o model.Outcome, reason model.Reason, status, attempts int) {
 	latency := time.Since(x.began)
-	event.Log(x.caller.Requests, event.CallEnded).
-		Str("request", string(x.request.ID)).Str("class", string(x.target.Class.Name)).
-		Str("service", string(x.target.Service.Name)).Str("caller", string(x.request.Caller)).
-		Str("outcome", o.String()).Str("reason", reason.String()).Int("status", int64(status)).
-		Int("latency_ms", latency.Milliseconds()).Int("timeout_ms", x.request.Timeout.Milliseconds()).
-		Int("attempts", int64(attempts)).Str("upstream", string(c.upstream)).
-		Int("queued_ms", c.queued.Milliseconds()).Int("worker_ms", c.worker.Milliseconds()).
-		Str("bundle", x.target.Bundle.VersionID().String()).Send()
 	x.caller.Recorder.Call(CallRecord{
 		Service:  x.target.Service.Name,
 		Class:    x.target.Class.Name,
@@ -119,6 +111,14 @@
 		Added:    c.added,
 		Queued:   c.queued,
 	})
+	event.Log(x.caller.Requests, event.CallEnded).
+		Str("request", string(x.request.ID)).Str("class", string(x.target.Class.Name)).
+		Str("service", string(x.target.Service.Name)).Str("caller", string(x.request.Caller)).
+		Str("outcome", o.String()).Str("reason", reason.String()).Int("status", int64(status)).
+		Int("latency_ms", latency.Milliseconds()).Int("timeout_ms", x.request.Timeout.Milliseconds()).
+		Int("attempts", int64(attempts)).Str("upstream", string(c.upstream)).
+		Int("queued_ms", c.queued.Milliseconds()).Int("worker_ms", c.worker.Milliseconds()).
+		Str("bundle", x.target.Bundle.VersionID().String()).Send()
 }
 
 // outgoingHeader returns the caller's end-to-end headers and whence they came.
