--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -44,7 +44,7 @@
 // countTime bounds the wait for a call to be counted.
 const countTime = 20 * time.Second
 
-// pageOfOneCall returns the metrics once a call has been counted: a node counts it when
+// pageOfOneCall returns the metrics once a call has been counted, its wait last: a node counts it when
 // its caller has been answered, so that the caller may ask before that.
 func pageOfOneCall(t *testing.T, f *local.Fleet) string {
 	t.Helper()
@@ -53,7 +53,7 @@
 		if status != http.StatusOK {
 			t.Fatalf("status %d", status)
 		}
-		if strings.Contains(page, "gypsum_calls_total{") || time.Now().After(end) {
+		if strings.Contains(page, "gypsum_queue_seconds_count{") || time.Now().After(end) {
 			return page
 		}
 	}
