directory: a failed read doubts nothing while peers are served

An owner whose own read had failed stayed doubtful until its next own reading, which peers that keep it fresh put off for long; nine seconds later it held the removal of its own worker back for 2.2 s. Doubt now rests on the age of the knowledge alone.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -188,9 +188,10 @@
 
 // noteReturn begins the time in which removals are doubted, when the directory is back
 // after an outage as far as this node knows. Each node judges that for itself: one that
-// was slow, or turned away, must not keep a leaving worker in use at the others.
+// was slow, or turned away, must not keep a leaving worker in use at the others. A
+// failed read of its own says nothing while peers are served.
 func (c *Controller) noteReturn(now time.Time) {
-	if c.lost || !c.confirmed.IsZero() && now.Sub(c.confirmed) > outageGap {
+	if !c.confirmed.IsZero() && now.Sub(c.confirmed) > outageGap {
 		c.doubtUntil = now.Add(relistTime)
 	}
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -79,7 +79,7 @@
 	r := newRig()
 	r.handle(two())
 	r.handle(control.DirectoryFailed{Err: errors.New("down")})
-	r.pass(time.Second)
+	r.pass(outageGap + time.Second)
 	// The directory is back and lacks both.
 	r.handle(control.DirectoryRead{Whole: true, Revision: 50})
 	relisted := listing("w1", "10.0.0.1", 60, model.StateLive)
@@ -92,6 +92,20 @@
 	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
 }
 
+// Found by a hunt at 81 nodes: a read that had failed nine seconds before made an owner
+// hold the removal of its own worker back, although peers had kept it fresh all the while.
+func TestAFailedReadDoubtsNothingWhilePeersAreServed(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	r.handle(control.DirectoryFailed{Err: errors.New("turned away")})
+	for range 9 {
+		r.pass(time.Second)
+		r.handle(control.DirectoryHeard{From: "10.0.0.2", Mark: model.DirectoryMark{Revision: 2, AgeMs: 10}})
+	}
+	r.handle(control.DirectoryTold{From: "10.0.0.2", DirectoryRead: control.DirectoryRead{Revision: 100, Gone: gone("w1")}})
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w2": model.StateLive})
+}
+
 func TestAWorkerThatDrainedBeforeAnOutageIsGoneAtOnce(t *testing.T) {
 	r := newRig()
 	r.handle(two())
