--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -154,7 +154,7 @@
 // remoteCost is what an attempt to another data centre costs where traffic between
 // them is paid for: a quarter of the shortest run that callers wait for. Below it a
 // small difference in load sends two thirds of the traffic away. 50 ms in place of 15
-// gained 0.006 to 0.008 of the mean worth of both small sites (score).
+// gained 0.006 to 0.008 of the mean worth on both of the smaller deployments.
 const remoteCost = 50 * time.Millisecond
 
 // leavingMemory is how long an owner's word that it leaves keeps attempts away
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -92,7 +92,7 @@
 	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
 }
 
-// Found by a hunt at 81 nodes: a read that had failed nine seconds before made an owner
+// A read that had failed nine seconds before made an owner
 // hold the removal of its own worker back, although peers had kept it fresh all the while.
 func TestAFailedReadDoubtsNothingWhilePeersAreServed(t *testing.T) {
 	r := newRig()
--- a/internal/directory/peers_test.go
+++ b/internal/directory/peers_test.go
@@ -164,7 +164,7 @@
 	old.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
 }
 
-// Found by a score: a machine that was five times slower took its own lateness for an
+// A machine that was five times slower took its own lateness for an
 // outage, held a removal back, and had every peer hold it back with it for 2.2 s.
 func TestAPeersDoubtHoldsNothingBackHere(t *testing.T) {
 	slow, peer := newRig(), newRig()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"gypsumstand/platform/names"
 	"gypsumstand/platform/standin"
 )
 
@@ -131,7 +132,7 @@
 		return
 	}
 	r.status = resp.StatusCode
-	if r.status >= 200 && r.status < 300 && (string(body) != want || resp.Header.Get("X-Response-Signature") != standin.Signature) {
+	if r.status >= 200 && r.status < 300 && (string(body) != want || resp.Header.Get(names.Signature) != standin.Signature) {
 		l.note("mixed", "%s got %d with %.60q, want %.60q", r.id, r.status, body, want)
 	}
 }
