--- a/internal/owner/limit_test.go
+++ b/internal/owner/limit_test.go
@@ -123,7 +123,7 @@
 }
 
 // Load: workers of a service refuse half of their requests for 8 s although they have
-// room (a score on the grown site: 8302 requests refused by owners that had cut their
+// room (8302 requests were refused by owners that had cut their
 // limit, 821 by workers).
 func TestAWorkerThatRefusesWithRoomIsNotGivenLess(t *testing.T) {
 	svc := testService()
