--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -45,7 +45,11 @@
 // 2 s on nodes that the directory serves: the interval, the first read after it (in
 // 98 of 100 cases within four times the mean), and 0.3 s to reach every node with
 // the traffic. A longer mean makes fewer nodes read before they hear of the first.
-var pace = suppress.Pace{Interval: 800 * time.Millisecond, MeanFirst: 100 * time.Millisecond}
+var pace = suppress.Pace{Interval: 800 * time.Millisecond, MeanFirst: 100 * time.Millisecond, Failed: failedInterval}
+
+// failedInterval bounds the time between a node's reads while they fail: a directory
+// that is back must be followed within 3 s, also where all nodes have just failed.
+const failedInterval = 1200 * time.Millisecond
 
 // Config is a controller's fixed setting.
 type Config struct {
--- a/internal/suppress/suppress.go
+++ b/internal/suppress/suppress.go
@@ -92,12 +92,14 @@
 	// Interval is the age of the last attempt up to which nobody reads, MeanFirst
 	// the expected time from its end to the fleet's first read.
 	Interval, MeanFirst time.Duration
+	// Failed bounds the interval while reads fail.
+	Failed time.Duration
 }
 
 // New returns a timer of the usual pace that has heard of no attempt. It starts at
 // its first call.
 func New(rng *rand.Rand) *Timer {
-	return NewPaced(rng, Pace{Interval: ReadInterval, MeanFirst: MeanFirst})
+	return NewPaced(rng, Pace{Interval: ReadInterval, MeanFirst: MeanFirst, Failed: FailedInterval})
 }
 
 // NewPaced returns a timer of another pace.
@@ -250,7 +252,7 @@
 	if failing <= t.pace.Interval {
 		return t.pace.Interval
 	}
-	return time.Duration(t.stretch * float64(min(failing, FailedInterval)))
+	return time.Duration(t.stretch * float64(min(failing, t.pace.Failed)))
 }
 
 // failing is the time from the last success, or else the start, to the last
