directory: a tick sorts only the workers that are overdue

Cause: each tick, ten a second, copied and sorted the ids of all workers to find those whose time to list themselves again is over, though mostly none is.

Ruled out: a count or a set of the missing kept beside the list; it would have to follow every list, removal and drop, for the remaining 0.1% of a core.

Measured (BenchmarkExpireInALargeFleet, 10,000 workers, none missing): 2.29 ms, 163,840 B and 1 allocation a tick before; 0.122 ms and none after. At ten ticks a second that is 2.3% of a core before, 0.12% after. The order of removals and what is logged are as before; the directory's tests are unchanged.

The sorted ids themselves now come from the standard library.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -302,13 +303,26 @@
 
 // expire takes for gone what is still missing.
 func (c *Controller) expire(now time.Time) {
-	for _, id := range c.sorted() {
-		w := c.workers[id]
-		if c.lost || w.missingUntil.IsZero() || now.Before(w.missingUntil) {
-			continue
+	if c.lost {
+		return
+	}
+	for _, id := range c.overdue(now) {
+		c.drop(id, now.Sub(c.workers[id].missingSince))
+	}
+}
+
+// overdue names in order the workers whose time to list themselves again is over.
+// Only those are sorted: every tick asks, and mostly none is. With 10,000 workers that
+// takes 0.12 ms, and 2.3 ms where all are sorted (BenchmarkExpireInALargeFleet).
+func (c *Controller) overdue(now time.Time) []model.WorkerID {
+	var ids []model.WorkerID
+	for id, w := range c.workers {
+		if !w.missingUntil.IsZero() && !now.Before(w.missingUntil) {
+			ids = append(ids, id)
 		}
-		c.drop(id, now.Sub(w.missingSince))
 	}
+	slices.Sort(ids)
+	return ids
 }
 
 func (c *Controller) drop(id model.WorkerID, held time.Duration) {
@@ -318,14 +332,7 @@
 	c.dirty = true
 }
 
-func (c *Controller) sorted() []model.WorkerID {
-	ids := make([]model.WorkerID, 0, len(c.workers))
-	for id := range c.workers {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
+func (c *Controller) sorted() []model.WorkerID { return slices.Sorted(maps.Keys(c.workers)) }
 
 // publishFleet writes the fleet: of several lives at one instance the newest.
 func (c *Controller) publishFleet() {
--- /dev/null
+++ b/internal/directory/scale_test.go
@@ -0,0 +1,27 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/model"
+)
+
+// BenchmarkExpireInALargeFleet measures the look for missing workers that each tick
+// takes, at a node that follows 10,000 of which none is missing.
+func BenchmarkExpireInALargeFleet(b *testing.B) {
+	const workers = 10_000
+	r := newRig()
+	read := control.DirectoryRead{Revision: workers, Whole: true}
+	for i := range workers {
+		id := model.WorkerID(fmt.Sprintf("w%d", i))
+		at := model.InstanceID(fmt.Sprintf("10.0.%d.%d", i/250, i%250))
+		read.Listed = append(read.Listed, listing(id, at, uint64(i+1), model.StateLive))
+	}
+	r.handle(read)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.expire(r.now)
+	}
+}
