server: an answer that cannot end in time any more is told, not cut before its first byte

Cause: an answer that streams was begun although its call's deadline had passed: the write deadline was over too, the first write failed, and the connection closed without a byte. The caller is now told 504 (unknown, expired); a deadline that passes between the decision and the write leaves 100 ms for the beginning.

Shown: the new test gets the same EOF without the change.

--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -44,6 +44,10 @@
 	if step.Notify != nil {
 		x.caller.Settler.Notify(step.To, *step.Notify)
 	}
+	if c.cutBeforeBegun(step) {
+		c.drop()
+		step.Outcome, step.Reason = model.OutcomeUnknown, model.ReasonExpired
+	}
 	outcome := step.Outcome
 	status := statusOf(step)
 	defer func() { x.record(c, outcome, step.Reason, status, attempts) }()
@@ -84,6 +88,20 @@
 	return copyFlushing(x.w, rest)
 }
 
+// cutBeforeBegun tells whether the time is over for an answer that streams and of
+// which the caller has had nothing yet. Its rest can no longer come, and the caller is
+// better told so than by a connection that closes without a word.
+func (c *carrier) cutBeforeBegun(step entry.Step) bool {
+	return step.Outcome == model.OutcomeAnswered && c.held != nil && !c.held.whole &&
+		!time.Now().Before(c.call.Deadline())
+}
+
+// headWriteTimeout is the least time for writing the beginning of an answer that
+// streams, so that a deadline which passes meanwhile does not close the connection on a
+// caller who has read nothing. It is long beside a write into an empty socket buffer,
+// and a tenth of a second is all that a caller who does not read holds the slot longer.
+const headWriteTimeout = 100 * time.Millisecond
+
 // heldWriteTimeout bounds the writing of an answer that is held whole, and so
 // takes nobody's slot.
 const heldWriteTimeout = 10 * time.Second
@@ -95,7 +113,12 @@
 		limitWriting(x.w, time.Now().Add(heldWriteTimeout))
 		return
 	}
-	limitWriting(x.w, x.began.Add(x.request.Timeout))
+	deadline := x.began.Add(x.request.Timeout)
+	least := time.Now().Add(headWriteTimeout)
+	if deadline.Before(least) {
+		deadline = least
+	}
+	limitWriting(x.w, deadline)
 }
 
 func (x *exchange) record(c *carrier, o model.Outcome, reason model.Reason, status, attempts int) {
