reach: owners that cannot be connected to are probed and left out of choices

Each spent 400 ms of its 600 ms on a connection to a machine that was cut off: a failed connection left no trace in the routing table, and once the others were busy the lost owner was the only one not tried.

Ruled out: the owners that answered were not full (7 of 14 slots); the directory was read by those not cut off.

Change: package reach (no I/O) probes a doubted owner on a connection of its own, the table leaves it out meanwhile; where all are out of reach a request is refused at once.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -136,6 +136,20 @@
 // CallFailed says that a call to a peer found it unreachable (no connection).
 type CallFailed struct{ Peer model.InstanceID }
 
+// OwnerDoubted says that an attempt got no answer of its owner, for a reason that may
+// lie with the way there. Adapters send it at most once an owner and tick.
+type OwnerDoubted struct {
+	Owner model.Instance
+	// NoConnection: no connection could be had.
+	NoConnection bool
+}
+
+// ReachProbed is the end of a ProbeReach: Err is nil when the owner's node answered.
+type ReachProbed struct {
+	Owner model.Instance
+	Err   error
+}
+
 func (Tick) isEvent()            {}
 func (Paused) isEvent()          {}
 func (LinkUp) isEvent()          {}
@@ -156,6 +170,8 @@
 func (DirectoryAskFailed) isEvent() {}
 func (SelfChanged) isEvent()        {}
 func (CallFailed) isEvent()         {}
+func (OwnerDoubted) isEvent()       {}
+func (ReachProbed) isEvent()        {}
 
 // Action is something an adapter must do.
 type Action interface{ isAction() }
@@ -200,6 +216,10 @@
 	After uint64
 }
 
+// ProbeReach opens a connection to an owner's node and asks for any answer;
+// ReachProbed follows.
+type ProbeReach struct{ Owner model.Instance }
+
 // SettleAnswered hands an owner's settlement to the call that asked for it.
 type SettleAnswered struct{ Reply wire.SettleReply }
 
@@ -229,6 +249,7 @@
 func (SendDirect) isAction()       {}
 func (ReadDirectory) isAction()    {}
 func (AskDirectory) isAction()     {}
+func (ProbeReach) isAction()       {}
 
 // Controller is one writer of blackboard sections.
 type Controller interface {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -20,6 +20,7 @@
 	"gypsumstand/internal/member"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
+	"gypsumstand/internal/reach"
 	"gypsumstand/internal/route"
 	"gypsumstand/internal/spread"
 	"gypsumstand/internal/wire"
@@ -67,6 +68,7 @@
 	Origin *measure.Origin
 
 	cfg    Config
+	reach  *reach.Controller
 	member membership
 	spread bundles
 	// directory is set where the node follows one; it is then member and spread.
@@ -140,6 +142,7 @@
 		Landing: measure.NewLanding(cfg.Started, bundle.Measuring{}),
 		Origin:  measure.NewOrigin(cfg.Random),
 		cfg:     cfg,
+		reach:   reach.New(table, rng),
 	}
 	if cfg.FollowsDirectory {
 		n.directory = directory.New(directory.Config{Self: cfg.Self}, board, rng)
@@ -179,6 +182,7 @@
 	case control.Paused:
 		out.Decisions = append(out.Decisions, n.Owner.Paused(now, e.For)...)
 	}
+	n.control(now, n.reach, ev, &out)
 	n.control(now, n.member, ev, &out)
 	if n.directory == nil {
 		n.control(now, n.spread, ev, &out)
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -15,6 +15,11 @@
 	AttemptBroke = define(413, zerolog.WarnLevel, "attempt broke",
 		"The way to an owner broke, or its answer was cut. Whether the attempt ran is settled with the owner, or stays unknown.",
 		"Look for event 520 of the same request at that owner, and whether its process ended.")
+	OwnerUnreached = define(414, zerolog.WarnLevel, "owner out of reach",
+		"This node cannot connect to an owner's node, or it answers nothing: a request or a probe found out. No attempt goes there until a probe gets through. The subject is the instance, the detail how it was found out.",
+		"Look at that instance when other nodes report it too; otherwise at the network between the two.")
+	OwnerReached = define(415, zerolog.InfoLevel, "owner in reach again",
+		"A probe got through to an owner that was out of reach; it is used again. The detail is how long it was out of reach.", "none")
 	AttemptEnded = define(520, zerolog.InfoLevel, "attempt ended at the worker",
 		"An owner's worker answered, broke or refused an attempt: the status (0: no whole answer), queue and worker time, and the load at that moment.", "none")
 	AttemptRefused = define(521, zerolog.InfoLevel, "attempt refused",
--- a/internal/node/callfilter.go
+++ b/internal/node/callfilter.go
@@ -8,11 +8,11 @@
 )
 
 // callFilter passes on what calls show: newer bundle versions that rode on
-// them, and owners that could not be reached; each once a tick.
+// them, and owners that gave no answer; each once a tick.
 type callFilter struct {
-	mu        sync.Mutex
-	sent      map[model.BundleVersion]bool
-	unreached map[model.InstanceID]bool
+	mu         sync.Mutex
+	sent       map[model.BundleVersion]bool
+	unanswered map[model.InstanceID]bool
 	// marked is the newest mark of a directory that was passed on in this tick.
 	marked model.DirectoryMark
 }
@@ -51,24 +51,30 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.sent)
-	clear(f.unreached)
+	clear(f.unanswered)
 	f.marked = model.DirectoryMark{}
 }
 
-// firstUnreached reports whether id has not been passed on since the last tick.
-func (f *callFilter) firstUnreached(id model.InstanceID) bool {
+// firstUnanswered reports whether id has not been passed on since the last tick.
+func (f *callFilter) firstUnanswered(id model.InstanceID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unreached[id] {
+	if f.unanswered[id] {
 		return false
 	}
-	if f.unreached == nil {
-		f.unreached = map[model.InstanceID]bool{}
+	if f.unanswered == nil {
+		f.unanswered = map[model.InstanceID]bool{}
 	}
-	f.unreached[id] = true
+	f.unanswered[id] = true
 	return true
 }
 
+// probeReach finds out whether an owner's node answers.
+func (n *Node) probeReach(owner model.Instance) {
+	err := n.forwarder.Probe(n.ctx, owner.PeerAddress)
+	n.sink(control.ReachProbed{Owner: owner, Err: err})
+}
+
 // seen is told each version that rode on a call.
 func (n *Node) seen(from model.InstanceID, v model.BundleVersion) {
 	if v.Name == "" {
@@ -83,9 +89,13 @@
 	}
 }
 
-// unreached is told each owner that no connection could be had to.
-func (n *Node) unreached(id model.InstanceID) {
-	if n.calls.firstUnreached(id) {
-		n.sink(control.CallFailed{Peer: id})
+// unanswered is told each owner that gave an attempt no answer.
+func (n *Node) unanswered(owner model.Instance, noConnection bool) {
+	if !n.calls.firstUnanswered(owner.ID) {
+		return
+	}
+	if noConnection {
+		n.sink(control.CallFailed{Peer: owner.ID})
 	}
+	n.sink(control.OwnerDoubted{Owner: owner, NoConnection: noConnection})
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -44,23 +44,23 @@
 
 func (n *Node) callerRoutes() http.Handler {
 	caller := &server.Caller{
-		Self:      n.cfg.Instance,
-		Board:     n.core.Board,
-		Engine:    n.core.Engine,
-		Table:     n.core.Table,
-		Executor:  n.executor,
-		Forwarder: n.forwarder,
-		Settler:   n.settler,
-		Recorder:  recorder{n},
-		Requests:  &n.cfg.Requests,
-		Seen:      n.seen,
-		Heard:     n.markHeard,
-		Mark:      n.mark,
-		Unreached: n.unreached,
-		Stop:      n.stopBound,
-		Dialect:   n.cfg.Callers,
-		Service:   n.cfg.Service,
-		Leaving:   n.leaving,
+		Self:       n.cfg.Instance,
+		Board:      n.core.Board,
+		Engine:     n.core.Engine,
+		Table:      n.core.Table,
+		Executor:   n.executor,
+		Forwarder:  n.forwarder,
+		Settler:    n.settler,
+		Recorder:   recorder{n},
+		Requests:   &n.cfg.Requests,
+		Seen:       n.seen,
+		Heard:      n.markHeard,
+		Mark:       n.mark,
+		Unanswered: n.unanswered,
+		Stop:       n.stopBound,
+		Dialect:    n.cfg.Callers,
+		Service:    n.cfg.Service,
+		Leaving:    n.leaving,
 	}
 	r := newRouter()
 	r.PathPrefix("/").HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -93,6 +93,7 @@
 func (n *Node) peerRoutes() http.Handler {
 	r := newRouter()
 	r.Path(link.Path).Handler(n.links.Handler())
+	r.Path(server.ReachPath).Methods(http.MethodGet).HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	r.PathPrefix("/v1/attempt/").Handler(&server.Peer{Executor: n.executor, Seen: n.seen, Heard: n.markHeard})
 	if n.cfg.Directory != nil {
 		r.Path(directoryPath).Methods(http.MethodGet).HandlerFunc(n.serveDirectory)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -163,7 +163,7 @@
 	query := &route.Query{Service: t.Service.Name, Class: class.Name, Remaining: class.Deadline()}
 	for _, e := range n.core.Table.Explain(now, query) {
 		out.Candidates = append(out.Candidates, candidate(&e))
-		if out.Chosen == "" && !e.Leaving {
+		if out.Chosen == "" && !e.Leaving && !e.Unreached {
 			out.Chosen = e.Instance.ID
 		}
 	}
@@ -187,6 +187,8 @@
 	switch {
 	case e.Leaving:
 		c.Note = "leaving: not chosen"
+	case e.Unreached:
+		c.Note = "out of reach: not chosen"
 	case !e.Heard:
 		c.Note = "no report heard yet: taken for the service's mean"
 	}
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,151 @@
+package reach
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+)
+
+// fakeTable notes who is left out of choices.
+type fakeTable struct {
+	out   map[model.InstanceID]bool
+	known map[model.InstanceID]bool
+	heard map[model.InstanceID]bool
+}
+
+func (f *fakeTable) Unreached(_ time.Time, owner model.Instance) bool {
+	if !f.known[owner.ID] {
+		return false
+	}
+	f.out[owner.ID] = true
+	return true
+}
+
+func (f *fakeTable) Reached(_ time.Time, id model.InstanceID) { delete(f.out, id) }
+
+func (f *fakeTable) HeardWithin(_ time.Time, id model.InstanceID, _ time.Duration) bool {
+	return f.heard[id]
+}
+
+var epoch = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+var errNoAnswer = errors.New("no answer")
+
+func owner(id model.InstanceID) model.Instance {
+	return model.Instance{ID: id, PeerAddress: string(id) + ":1"}
+}
+
+func start(known ...model.InstanceID) (*Controller, *fakeTable) {
+	f := &fakeTable{out: map[model.InstanceID]bool{}, known: map[model.InstanceID]bool{}, heard: map[model.InstanceID]bool{}}
+	for _, id := range known {
+		f.known[id] = true
+	}
+	return New(f, rand.New(rand.NewPCG(1, 2))), f
+}
+
+// seen splits actions into the owners probed and the events recorded.
+func seen(actions []control.Action) (probed []model.InstanceID, recorded []event.ID) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case control.ProbeReach:
+			probed = append(probed, a.Owner.ID)
+		case control.Record:
+			recorded = append(recorded, a.Event)
+		}
+	}
+	return probed, recorded
+}
+
+func want(t *testing.T, what string, actions []control.Action, probes []model.InstanceID, events []event.ID) {
+	t.Helper()
+	probed, recorded := seen(actions)
+	if diff := cmp.Diff(probes, probed); diff != "" {
+		t.Errorf("%s: probes %s", what, diff)
+	}
+	if diff := cmp.Diff(events, recorded); diff != "" {
+		t.Errorf("%s: events %s", what, diff)
+	}
+}
+
+func TestAnOwnerWithoutAConnectionIsLeftOutUntilAProbeGetsThrough(t *testing.T) {
+	c, f := start("w")
+	now := epoch
+	want(t, "doubted", c.Handle(now, control.OwnerDoubted{Owner: owner("w"), NoConnection: true}),
+		[]model.InstanceID{"w"}, []event.ID{event.OwnerUnreached})
+	if !f.out["w"] {
+		t.Fatal("still chosen")
+	}
+	want(t, "probe failed", c.Handle(now, control.ReachProbed{Owner: owner("w"), Err: errNoAnswer}), nil, nil)
+	want(t, "too early", c.Handle(now.Add(interval/4), control.Tick{}), nil, nil)
+	now = now.Add(2 * interval)
+	want(t, "due", c.Handle(now, control.Tick{}), []model.InstanceID{"w"}, nil)
+	want(t, "under way", c.Handle(now.Add(2*interval), control.Tick{}), nil, nil)
+	want(t, "through", c.Handle(now, control.ReachProbed{Owner: owner("w")}), nil, []event.ID{event.OwnerReached})
+	if f.out["w"] {
+		t.Error("still left out")
+	}
+	want(t, "over", c.Handle(now.Add(time.Second), control.Tick{}), nil, nil)
+}
+
+func TestABrokenWayAloneLeavesNobodyOut(t *testing.T) {
+	c, f := start("w")
+	broke := control.OwnerDoubted{Owner: owner("w")}
+	want(t, "doubted", c.Handle(epoch, broke), []model.InstanceID{"w"}, nil)
+	if f.out["w"] {
+		t.Error("left out before a probe failed")
+	}
+	want(t, "doubted again", c.Handle(epoch, broke), nil, nil)
+	want(t, "through", c.Handle(epoch, control.ReachProbed{Owner: owner("w")}), nil, nil)
+	want(t, "doubted later", c.Handle(epoch, broke), []model.InstanceID{"w"}, nil)
+	want(t, "probe failed", c.Handle(epoch, control.ReachProbed{Owner: owner("w"), Err: errNoAnswer}), nil, []event.ID{event.OwnerUnreached})
+	if !f.out["w"] {
+		t.Error("still chosen after a failed probe")
+	}
+}
+
+func TestAnOwnerThatIsHeardIsNotProbedForASlowWorker(t *testing.T) {
+	c, f := start("w")
+	f.heard["w"] = true
+	want(t, "time ran out", c.Handle(epoch, control.OwnerDoubted{Owner: owner("w")}), nil, nil)
+	want(t, "no connection", c.Handle(epoch, control.OwnerDoubted{Owner: owner("w"), NoConnection: true}),
+		[]model.InstanceID{"w"}, []event.ID{event.OwnerUnreached})
+}
+
+func TestAnOwnerThatTheFleetNoLongerKnowsIsProbedNoMore(t *testing.T) {
+	c, f := start("w")
+	c.Handle(epoch, control.OwnerDoubted{Owner: owner("w"), NoConnection: true})
+	delete(f.known, "w")
+	c.Handle(epoch, control.ReachProbed{Owner: owner("w"), Err: errNoAnswer})
+	want(t, "later", c.Handle(epoch.Add(time.Second), control.Tick{}), nil, nil)
+}
+
+func TestTheProbesOfALostDataCentreAreBounded(t *testing.T) {
+	var ids []model.InstanceID
+	for i := range 10 * maxDoubted {
+		ids = append(ids, model.InstanceID(fmt.Sprintf("w%d", i)))
+	}
+	c, _ := start(ids...)
+	probes := 0
+	for _, id := range ids {
+		probed, _ := seen(c.Handle(epoch, control.OwnerDoubted{Owner: owner(id), NoConnection: true}))
+		probes += len(probed)
+	}
+	if probes != maxDoubted {
+		t.Errorf("%d probes at once, want %d", probes, maxDoubted)
+	}
+}
+
+func TestWhatWasDoubtedBeforeAPauseIsForgotten(t *testing.T) {
+	c, _ := start("w")
+	c.Handle(epoch, control.OwnerDoubted{Owner: owner("w")})
+	c.Handle(epoch, control.Paused{For: 3 * time.Second})
+	want(t, "a probe from before the pause", c.Handle(epoch, control.ReachProbed{Owner: owner("w"), Err: errNoAnswer}), nil, nil)
+}
--- a/internal/route/cell.go
+++ b/internal/route/cell.go
@@ -90,7 +90,10 @@
 	refusedAt    atomic.Int64
 	// leavingIn is the incarnation whose owner refused as leaving.
 	leavingIn atomic.Uint64
-	failure   decaying
+	// unreachedUntil is until when the owner counts as out of reach, zero while it
+	// does not.
+	unreachedUntil atomic.Int64
+	failure        decaying
 	// path is the time of the way beyond the link's usual one, in nanoseconds.
 	path decaying
 	// polledLoad is for the baseline PolicyPolledTwoChoices only.
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -82,8 +82,9 @@
 	// Cost is what candidates are compared by: Link + Service + Silence +
 	// 3 x (Wait + Failure).
 	Cost time.Duration
-	// Leaving candidates are not chosen.
-	Leaving bool
+	// Leaving candidates and those out of reach are not chosen.
+	Leaving   bool
+	Unreached bool
 }
 
 // parts is an estimate in nanoseconds.
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -65,6 +65,7 @@
 		Expected:    time.Duration(e.latency()),
 		Cost:        time.Duration(e.cost()),
 		Leaving:     u.cell.leaving(now, int64(t.cfg.LeavingMemory)),
+		Unreached:   u.cell.unreached(now),
 	}
 	if e.heard {
 		out.Age = time.Duration(e.age)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -113,8 +113,8 @@
 	return t
 }
 
-// Pick chooses an upstream; ok is false when none is known, or all were tried
-// or are leaving. It never blocks.
+// Pick chooses an upstream; ok is false when none is known, or all were tried,
+// are leaving or out of reach. It never blocks.
 func (t *Table) Pick(now time.Time, q *Query) (c Choice, ok bool) {
 	p := t.picker.Load()
 	svc := p.services[q.Service]
--- a/internal/route/sample.go
+++ b/internal/route/sample.go
@@ -90,7 +90,7 @@
 			return false
 		}
 	}
-	return !u.cell.leaving(f.now, f.memory)
+	return !u.cell.leaving(f.now, f.memory) && !u.cell.unreached(f.now)
 }
 
 // firstEligible returns the first upstream that may be chosen from place start
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -75,9 +75,9 @@
 	Heard func(from model.InstanceID, m model.DirectoryMark)
 	// Mark tells what this node knows of the directory.
 	Mark func() model.DirectoryMark
-	// Unreached is told of each owner that no connection could be had to; it does
-	// not block.
-	Unreached func(id model.InstanceID)
+	// Unanswered is told of each owner that gave an attempt no answer, and whether
+	// that was for want of a connection; it does not block.
+	Unanswered func(in model.Instance, noConnection bool)
 	// Leaving tells whether callers are to be sent away (Connection: close).
 	Leaving func() bool
 	// Stop bounds calls by a planned stop.
--- a/internal/server/carrier.go
+++ b/internal/server/carrier.go
@@ -107,8 +107,8 @@
 		c.caller.Heard(step.To.ID, result.Report.Directory)
 		c.call.Report(now, result.Report)
 	}
-	if !heard && err == nil && result.Answer == nil {
-		c.caller.Unreached(step.To.ID)
+	if !heard && result.Answer == nil {
+		c.unanswered(ctx, step, err)
 	}
 	if c.body.stream != nil {
 		c.call.SetReplayable(!c.body.touched.Load())
@@ -123,6 +123,15 @@
 	}
 }
 
+// unanswered tells of an owner that gave no answer, unless the caller's leaving is
+// why, or the attempt is this node's own.
+func (c *carrier) unanswered(ctx context.Context, step entry.Step, err error) {
+	if step.To.ID == c.caller.Self || errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	c.caller.Unanswered(step.To, err == nil)
+}
+
 // placed logs the choice behind an attempt.
 func (c *carrier) placed(step entry.Step) {
 	age := int64(-1)
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -147,7 +147,10 @@
 // Forwarder sends attempts to the owners of other nodes.
 type Forwarder struct {
 	transport *http.Transport
-	scheme    string
+	// probes opens a connection for each probe: one that is kept may be silent for
+	// good while new ones work, or the other way round.
+	probes *http.Transport
+	scheme string
 }
 
 // PeerHeaderBytes bounds the headers that nodes add to a message between them,
@@ -189,11 +192,14 @@
 	t.MaxResponseHeaderBytes = peerMaxHeaderBytes
 	t.ExpectContinueTimeout = peerContinueTimeout
 	t.TLSClientConfig = secured
+	probes := upstream.NewTransport(upstream.Options{Dial: dial, DialTimeout: peerDialTimeout, Silence: peerSilence})
+	probes.DisableKeepAlives = true
+	probes.TLSClientConfig = secured
 	scheme := "http"
 	if secured != nil {
 		scheme = "https"
 	}
-	return &Forwarder{transport: t, scheme: scheme}
+	return &Forwarder{transport: t, probes: probes, scheme: scheme}
 }
 
 // Close closes idle connections.
@@ -223,6 +229,29 @@
 	return f.read(w, resp, &proof)
 }
 
+// ReachPath is where a node answers probes on its peer port.
+const ReachPath = "/v1/reach"
+
+// probeTimeout bounds a probe: some times the longest way between two regions (70 ms
+// and back), for a connection and an answer.
+const probeTimeout = 600 * time.Millisecond
+
+// Probe asks the node at address for any answer, on a connection of its own. An error
+// means that there was none within probeTimeout.
+func (f *Forwarder) Probe(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.scheme+"://"+address+ReachPath, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := f.probes.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
 // Get asks another node for what it tells on its peer port; most bounds the answer.
 func (f *Forwarder) Get(ctx context.Context, address, path string, most int64) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.scheme+"://"+address+path, nil)
