--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -45,6 +45,9 @@
 	// (control.DirectoryRead), in place of the platform's list, signed bundles and
 	// links between nodes.
 	FollowsDirectory bool
+	// Breaking is told when the own worker begins to break every attempt (true), and
+	// when that ends. It must not block.
+	Breaking func(open bool)
 	// Started is the process's start.
 	Started time.Time
 	// Seed makes the controllers' choices repeatable.
@@ -137,7 +140,7 @@
 	n := &Node{
 		Board:   board,
 		Table:   table,
-		Owner:   owner.New(owner.Config{Self: cfg.Self, Started: cfg.Started}),
+		Owner:   owner.New(owner.Config{Self: cfg.Self, Started: cfg.Started, Breaking: cfg.Breaking}),
 		Engine:  entry.NewEngine(entry.Config{Self: cfg.Self, Random: cfg.Random}, table),
 		Landing: measure.NewLanding(cfg.Started, bundle.Measuring{}),
 		Origin:  measure.NewOrigin(cfg.Random),
--- a/internal/node/callfilter.go
+++ b/internal/node/callfilter.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"gypsumstand/internal/control"
+	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 )
 
@@ -89,6 +90,16 @@
 	}
 }
 
+// workerBreaks is told when this node's worker begins to break every attempt, and when
+// that ends.
+func (n *Node) workerBreaks(open bool) {
+	id := event.WorkerAnswers
+	if open {
+		id = event.WorkerBreaks
+	}
+	event.Log(&n.log, id).Send()
+}
+
 // unanswered is told each owner that gave an attempt no answer.
 func (n *Node) unanswered(owner model.Instance, noConnection bool) {
 	if !n.calls.firstUnanswered(owner.ID) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -268,6 +268,7 @@
 		RemoteDelay: n.cfg.RemoteDelay,
 		Policy:      n.cfg.Policy,
 		ProbeAge:    n.cfg.ProbeAge,
+		Breaking:    n.workerBreaks,
 
 		FollowsDirectory: n.cfg.Directory != nil,
 
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -58,6 +58,9 @@
 	if r := o.refuseState(t, a); r.Reason != model.ReasonNone {
 		return Refuse, o.refuseNew(t, it, r)
 	}
+	if r := o.refuseBreaking(t, a); r.Reason != model.ReasonNone {
+		return Refuse, o.refuseNew(t, it, r)
+	}
 	if wait := o.tenants.wait(now, it.tenant); wait > 0 {
 		wait = min(max(wait, retryMin), retryTenant)
 		r := model.Refusal{Reason: model.ReasonTenantLimit, NotRun: true, RetryAfter: wait}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,6 +13,9 @@
 	Self model.Instance
 	// Started is the process's start; LoadReport.Clock counts from it.
 	Started time.Time
+	// Breaking is told when the breaker opens (true) and closes. It is called with
+	// the owner's lock held: it must not block nor call the owner. nil means nobody.
+	Breaking func(open bool)
 }
 
 // Verdict is the owner's answer to an offered attempt.
@@ -56,6 +59,8 @@
 	// Whim: the worker refused although it had room, so that fewer attempts at once
 	// would not help. It counts as a failure, and with NotRun the attempt did not run.
 	Whim bool
+	// Expired, with Failed: the attempt's time ran out before a whole answer came.
+	Expired bool
 	// Abandoned: the entry gave the attempt up, or its time ended before a byte
 	// left, so that its end says nothing of the worker.
 	Abandoned bool
@@ -102,6 +107,7 @@
 	keys     keyTable
 	pause    pauseState
 	pace     pacing
+	breaker  breaker
 	// out holds decisions until the next call that returns some.
 	out []Decision
 }
@@ -289,6 +295,7 @@
 		return o.take()
 	}
 	o.learn(t, it, f)
+	o.noteBreak(t, f)
 	o.release(it)
 	switch {
 	case !f.NotRun:
--- a/internal/owner/sim_test.go
+++ b/internal/owner/sim_test.go
@@ -172,7 +172,7 @@
 	}
 	f := Finish{ServiceTime: service, Status: 200}
 	if left := call.deadline - s.now; service > left {
-		f = Finish{ServiceTime: left, Failed: true}
+		f = Finish{ServiceTime: left, Failed: true, Expired: true}
 	}
 	s.after(f.ServiceTime, func() {
 		s.atWork--
--- a/internal/proof/executor.go
+++ b/internal/proof/executor.go
@@ -176,7 +176,7 @@
 	}
 	j.finish(owner.Finish{
 		ServiceTime: j.l.w.now.Sub(j.started), NotRun: notRun,
-		Delegate: notRun && !j.gaveUp, Failed: !j.gaveUp,
+		Delegate: notRun && !j.gaveUp, Failed: !j.gaveUp, Expired: j.expired,
 	})
 	reason := model.ReasonWorkerBroken
 	switch {
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -274,6 +274,7 @@
 	body := &answerBody{ReadCloser: resp.Body, done: func(whole bool) {
 		f := finishOf(resp.StatusCode, whole, time.Since(started))
 		f.Abandoned = !whole && givenUp(ctx)
+		f.Expired = !whole && ctx.Err() != nil && !f.Abandoned
 		cancel()
 		x.finish(w.Attempt.ID, f)
 	}}
@@ -306,6 +307,7 @@
 		NotRun:      notRun,
 		Delegate:    notRun && !gaveUp,
 		Failed:      !gaveUp,
+		Expired:     ctx.Err() != nil && !gaveUp,
 		Abandoned:   gaveUp || notRun && ctx.Err() != nil,
 	})
 	if notRun && ctx.Err() == nil {
