server: a request without a body sets no limit to its connection

The bound on reading a body was set for requests without one too. net/http does not lift it there, and its watch of the connection took it for a caller who had left: every later request on that connection ended as cancelled at once, calls of workers above all, and attempts between nodes.

Ruled out: the called service, the network, the bounds of idle connections.

410 now says by which connection its request came.

--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -5,7 +5,7 @@
 // Events of single requests. They are bounded in number; see LinesLeftOut.
 var (
 	CallEnded = define(410, zerolog.InfoLevel, "request ended",
-		"An entry node told a caller how its request ended: outcome and reason, the status, the time since its arrival, the attempts made, the last upstream, the queue and worker time there, and the configuration's version.",
+		"An entry node told a caller how its request ended: the connection that it came from, outcome and reason, the status, the time since its arrival, the attempts made, the last upstream, the queue and worker time there, and the configuration's version.",
 		"For a failed request look up the same id at the upstream's node (events 520 and 521).")
 	CallRefusedEarly = define(411, zerolog.WarnLevel, "request refused before it was placed",
 		"A request matched no route, was malformed, or came before the node was ready.",
--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -82,8 +82,13 @@
 }
 
 // limitReading ends the reading of the request's body at t: no context ends a
-// read from the connection. net/http lifts the limit once the body is read.
-func limitReading(w http.ResponseWriter, t time.Time) {
+// read from the connection. net/http lifts the limit once the body is read, but not
+// where there is none: the limit would then end net/http's own watch of the
+// connection, and with it the contexts of all later requests there.
+func limitReading(w http.ResponseWriter, r *http.Request, t time.Time) {
+	if r.ContentLength == 0 {
+		return
+	}
 	// Only a writer without a connection, as in tests, refuses.
 	_ = http.NewResponseController(w).SetReadDeadline(t)
 }
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -115,7 +115,7 @@
 		return
 	}
 	request := c.entryRequest(headers, target)
-	limitReading(w, began.Add(request.Timeout))
+	limitReading(w, r, began.Add(request.Timeout))
 	body, err := takeBody(r, target.Service.BodyLimitBytes)
 	if err != nil {
 		c.refuseBody(w, r, err, end)
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -136,7 +136,7 @@
 	})
 	event.Log(x.caller.Requests, event.CallEnded).
 		Str("request", string(x.request.ID)).Str("class", string(x.target.Class.Name)).
-		Str("service", string(x.target.Service.Name)).Str("caller", string(x.request.Caller)).
+		Str("service", string(x.target.Service.Name)).Str("caller", string(x.request.Caller)).Str("from", x.r.RemoteAddr).
 		Str("outcome", o.String()).Str("reason", reason.String()).Int("status", int64(status)).
 		Int("latency_ms", latency.Milliseconds()).Int("timeout_ms", x.request.Timeout.Milliseconds()).
 		Int("attempts", int64(attempts)).Str("upstream", string(c.upstream)).
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -44,7 +44,7 @@
 		return
 	}
 	deadline := time.Now().Add(min(attempt.Remaining, maxPeerTime))
-	limitReading(w, deadline)
+	limitReading(w, r, deadline)
 	p.Seen(attempt.ID.Entry, attempt.Bundle)
 	p.Heard(attempt.ID.Entry, attempt.Directory)
 	w.Header().Set(wire.HeaderAttempt, attempt.ID.String())
