reach: nodes tell each other of lost owners, probe silent ones, give up attempts there

For 3 s the rest answered 28 to 125 requests a second of 660, since each node found each lost owner out by a request of its own, and requests on open connections to them waited for their deadlines.

Ruled out: want of room (the living owners ran a few attempts each), the directory (leases end after 4.5 s only).

Change: peers' word and silence make a node probe; a failed probe ends the attempts there that may be repeated.

--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -47,6 +47,8 @@
 	Sources Section[Sources]
 	// Directory is what is known of the directory, for peers. Writer: directory.
 	Directory Section[Directory]
+	// OutOfReach names owners that this node cannot connect to. Writer: reach.
+	OutOfReach Section[[]model.InstanceID]
 	// Readiness tells whether the node serves. Writer: control.
 	Readiness Section[Readiness]
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -144,6 +144,10 @@
 	NoConnection bool
 }
 
+// OwnersSaidLost names owners that a peer cannot connect to. Adapters send each at
+// most once a tick.
+type OwnersSaidLost struct{ Owners []model.InstanceID }
+
 // ReachProbed is the end of a ProbeReach: Err is nil when the owner's node answered.
 type ReachProbed struct {
 	Owner model.Instance
@@ -171,6 +175,7 @@
 func (SelfChanged) isEvent()        {}
 func (CallFailed) isEvent()         {}
 func (OwnerDoubted) isEvent()       {}
+func (OwnersSaidLost) isEvent()     {}
 func (ReachProbed) isEvent()        {}
 
 // Action is something an adapter must do.
@@ -220,6 +225,10 @@
 // ReachProbed follows.
 type ProbeReach struct{ Owner model.Instance }
 
+// GiveUpAttempts ends the attempts at an owner whose requests may be repeated: the
+// owner is out of reach.
+type GiveUpAttempts struct{ Owner model.InstanceID }
+
 // SettleAnswered hands an owner's settlement to the call that asked for it.
 type SettleAnswered struct{ Reply wire.SettleReply }
 
@@ -250,6 +259,7 @@
 func (ReadDirectory) isAction()    {}
 func (AskDirectory) isAction()     {}
 func (ProbeReach) isAction()       {}
+func (GiveUpAttempts) isAction()   {}
 
 // Controller is one writer of blackboard sections.
 type Controller interface {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -145,7 +145,7 @@
 		Landing: measure.NewLanding(cfg.Started, bundle.Measuring{}),
 		Origin:  measure.NewOrigin(cfg.Random),
 		cfg:     cfg,
-		reach:   reach.New(table, rng),
+		reach:   reach.New(cfg.Self.ID, table, board, rng),
 	}
 	if cfg.FollowsDirectory {
 		n.directory = directory.New(directory.Config{Self: cfg.Self}, board, rng)
--- a/internal/node/callfilter.go
+++ b/internal/node/callfilter.go
@@ -9,11 +9,13 @@
 )
 
 // callFilter passes on what calls show: newer bundle versions that rode on
-// them, and owners that gave no answer; each once a tick.
+// them, owners that gave no answer, and those that peers cannot connect to; each once a
+// tick.
 type callFilter struct {
 	mu         sync.Mutex
 	sent       map[model.BundleVersion]bool
 	unanswered map[model.InstanceID]bool
+	lost       map[model.InstanceID]bool
 	// marked is the newest mark of a directory that was passed on in this tick.
 	marked model.DirectoryMark
 }
@@ -34,14 +36,7 @@
 func (f *callFilter) first(v model.BundleVersion) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.sent[v] {
-		return false
-	}
-	if f.sent == nil {
-		f.sent = map[model.BundleVersion]bool{}
-	}
-	f.sent[v] = true
-	return true
+	return firstOf(&f.sent, v)
 }
 
 // reset forgets at each tick what was passed on.
@@ -53,29 +48,38 @@
 	defer f.mu.Unlock()
 	clear(f.sent)
 	clear(f.unanswered)
+	clear(f.lost)
 	f.marked = model.DirectoryMark{}
 }
 
-// firstUnanswered reports whether id has not been passed on since the last tick.
+// firstUnanswered reports whether id has not been passed on since the last tick as an
+// owner that gave no answer.
 func (f *callFilter) firstUnanswered(id model.InstanceID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unanswered[id] {
+	return firstOf(&f.unanswered, id)
+}
+
+// firstLost reports whether id has not been passed on since the last tick as an owner
+// that a peer cannot connect to.
+func (f *callFilter) firstLost(id model.InstanceID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return firstOf(&f.lost, id)
+}
+
+// firstOf adds id to a set and reports whether it was not there.
+func firstOf[K comparable](set *map[K]bool, id K) bool {
+	if (*set)[id] {
 		return false
 	}
-	if f.unanswered == nil {
-		f.unanswered = map[model.InstanceID]bool{}
+	if *set == nil {
+		*set = map[K]bool{}
 	}
-	f.unanswered[id] = true
+	(*set)[id] = true
 	return true
 }
 
-// probeReach finds out whether an owner's node answers.
-func (n *Node) probeReach(owner model.Instance) {
-	err := n.forwarder.Probe(n.ctx, owner.PeerAddress)
-	n.sink(control.ReachProbed{Owner: owner, Err: err})
-}
-
 // seen is told each version that rode on a call.
 func (n *Node) seen(from model.InstanceID, v model.BundleVersion) {
 	if v.Name == "" {
@@ -99,14 +103,3 @@
 	}
 	event.Log(&n.log, id).Send()
 }
-
-// unanswered is told each owner that gave an attempt no answer.
-func (n *Node) unanswered(owner model.Instance, noConnection bool) {
-	if !n.calls.firstUnanswered(owner.ID) {
-		return
-	}
-	if noConnection {
-		n.sink(control.CallFailed{Peer: owner.ID})
-	}
-	n.sink(control.OwnerDoubted{Owner: owner, NoConnection: noConnection})
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,7 +133,10 @@
 	stopBound *server.StopBound
 	watch     *workerWatch
 	events    chan control.Event
-	calls     callFilter
+	inFlight  server.InFlight
+	// lostTold counts the owners out of reach that were named to peers.
+	lostTold atomic.Uint64
+	calls    callFilter
 
 	ports  ports
 	ctx    context.Context
@@ -219,6 +222,7 @@
 		Mark:     n.mark,
 	})
 	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS, n.cfg.MaxIdleConnections)
+	n.forwarder.Lost = &server.LostOwners{Tell: n.tellLost, Heard: n.heardLost}
 	n.links = link.New(link.Config{Self: n.self, Sink: n.sink, TLS: n.cfg.PeerTLS, Dial: n.cfg.DialPeer, MaxAccepted: maxAcceptedLinks})
 	n.settler = newSettler(n)
 	n.stopBound = server.NewStopBound()
--- /dev/null
+++ b/internal/node/reach.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/wire"
+)
+
+// unanswered is told each owner that gave an attempt no answer.
+func (n *Node) unanswered(owner model.Instance, noConnection bool) {
+	if !n.calls.firstUnanswered(owner.ID) {
+		return
+	}
+	if noConnection {
+		n.sink(control.CallFailed{Peer: owner.ID})
+	}
+	n.sink(control.OwnerDoubted{Owner: owner, NoConnection: noConnection})
+}
+
+// probeReach finds out whether an owner's node answers.
+func (n *Node) probeReach(owner model.Instance) {
+	err := n.forwarder.Probe(n.ctx, owner.PeerAddress)
+	n.sink(control.ReachProbed{Owner: owner, Err: err})
+}
+
+// tellLost returns some of the owners that this node cannot connect to, in turn.
+func (n *Node) tellLost() []model.InstanceID {
+	lost := n.core.Board.OutOfReach.Get()
+	if lost == nil || len(*lost) <= wire.MaxLost {
+		return value(lost)
+	}
+	out := make([]model.InstanceID, wire.MaxLost)
+	first := int(n.lostTold.Add(wire.MaxLost) % uint64(len(*lost)))
+	for i := range out {
+		out[i] = (*lost)[(first+i)%len(*lost)]
+	}
+	return out
+}
+
+// value returns what p points to, nothing where it is nil.
+func value(p *[]model.InstanceID) []model.InstanceID {
+	if p == nil {
+		return nil
+	}
+	return *p
+}
+
+// heardLost is told the owners that a peer cannot connect to.
+func (n *Node) heardLost(ids []model.InstanceID) {
+	var fresh []model.InstanceID
+	for _, id := range ids {
+		if n.calls.firstLost(id) {
+			fresh = append(fresh, id)
+		}
+	}
+	if len(fresh) > 0 {
+		n.sink(control.OwnersSaidLost{Owners: fresh})
+	}
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -1,15 +1,18 @@
-// Package reach finds out which owners this node cannot connect to, so that no
-// caller's request is spent on finding out. An owner that a request could not
-// reach, or whose way broke, is probed on a connection of its own; while that fails,
-// the routing table leaves the owner out. Each node judges for itself and for a short
-// while only: what it finds is passed on to nobody, and a probe that gets through
-// ends it at once. No I/O. Design: docs/DESIGN.md, "Owners out of reach".
+// Package reach finds out which owners this node cannot connect to, so that few
+// callers' requests are spent on finding out. An owner is probed on a connection of its
+// own when a request could not reach it, its way broke, it has been silent for long, or
+// a peer says that it cannot reach it. While probes fail the routing table leaves the
+// owner out. Each node judges for itself and for a short while only: a peer's word makes
+// it probe and nothing else, and a probe that gets through ends the matter at once. No
+// I/O. Design: docs/DESIGN.md, "Owners out of reach".
 package reach
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"gypsumstand/internal/blackboard"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
@@ -28,6 +31,15 @@
 	// attempt's time ran out there: a slow worker is no lost owner. It is twice the
 	// time in which a called owner is heard at 10 calls a second.
 	aliveAge = 200 * time.Millisecond
+	// soundAge is for how long an owner that was heard, or answered a probe, is not
+	// probed for what peers say or for silence. Peers that are cut off themselves would
+	// otherwise have everybody probe everybody.
+	soundAge = time.Second
+	// silentAge is how long an owner with attempts of this node must have been silent
+	// to be probed, if that is over twice the time that it was expected to take. A
+	// machine without power ends no connection that is open; the time-outs of requests
+	// are 1.2 s and more.
+	silentAge = 500 * time.Millisecond
 )
 
 // Table is what the controller needs of a route.Table.
@@ -39,13 +51,22 @@
 	Reached(now time.Time, id model.InstanceID)
 	// HeardWithin tells whether the owner itself was heard in the last age.
 	HeardWithin(now time.Time, id model.InstanceID, age time.Duration) bool
+	// Owner returns an owner that may be chosen; ok is false for others.
+	Owner(id model.InstanceID) (owner model.Instance, ok bool)
+	// Silent returns owners with attempts of this node that nothing was heard of for
+	// age, nor for twice the time that an answer was expected to take.
+	Silent(now time.Time, age time.Duration) []model.Instance
 }
 
 // Controller probes doubted owners. It is fed by one goroutine.
 type Controller struct {
+	self    model.InstanceID
 	table   Table
+	board   *blackboard.Board
 	rng     *rand.Rand
 	doubted map[model.InstanceID]*doubt
+	// sound holds when an owner last answered a probe.
+	sound map[model.InstanceID]time.Time
 }
 
 // doubt is one owner that may be out of reach.
@@ -53,47 +74,96 @@
 	owner model.Instance
 	// lost is when it was first found out of reach, zero before.
 	lost time.Time
+	// gaveUp: the attempts there were ended.
+	gaveUp bool
 	// probing: a probe is under way. next is when another one is due.
 	probing bool
 	next    time.Time
 }
 
-// New returns a controller that doubts nobody.
-func New(table Table, rng *rand.Rand) *Controller {
-	return &Controller{table: table, rng: rng, doubted: map[model.InstanceID]*doubt{}}
+// New returns a controller of the node self that doubts nobody. It writes the board's
+// section OutOfReach.
+func New(self model.InstanceID, table Table, board *blackboard.Board, rng *rand.Rand) *Controller {
+	return &Controller{
+		self: self, table: table, board: board, rng: rng,
+		doubted: map[model.InstanceID]*doubt{}, sound: map[model.InstanceID]time.Time{},
+	}
 }
 
 // Handle implements control.Controller.
 func (c *Controller) Handle(now time.Time, ev control.Event) []control.Action {
 	switch e := ev.(type) {
 	case control.OwnerDoubted:
-		return c.doubt(now, e)
+		return c.unanswered(now, e)
+	case control.OwnersSaidLost:
+		return c.saidLost(now, e.Owners)
 	case control.ReachProbed:
 		return c.probed(now, e)
 	case control.Tick:
-		return c.probeDue(now)
+		return c.tick(now)
 	case control.Paused:
 		// Failures that waited while the process was stopped are its own.
 		clear(c.doubted)
+		c.publish()
 	}
 	return nil
 }
 
-// doubt begins to probe an owner.
-func (c *Controller) doubt(now time.Time, e control.OwnerDoubted) []control.Action {
-	if c.doubted[e.Owner.ID] != nil || len(c.doubted) == maxDoubted {
-		return nil
+// unanswered doubts an owner that gave an attempt no answer.
+func (c *Controller) unanswered(now time.Time, e control.OwnerDoubted) []control.Action {
+	if !e.NoConnection {
+		if c.table.HeardWithin(now, e.Owner.ID, aliveAge) {
+			return nil
+		}
+		return c.doubt(e.Owner)
 	}
-	if !e.NoConnection && c.table.HeardWithin(now, e.Owner.ID, aliveAge) {
-		return nil
+	out := c.doubt(e.Owner)
+	if len(out) > 0 {
+		out = append(out, c.lose(now, c.doubted[e.Owner.ID])...)
 	}
-	d := &doubt{owner: e.Owner}
-	c.doubted[e.Owner.ID] = d
+	return out
+}
+
+// saidLost doubts owners that a peer cannot connect to.
+func (c *Controller) saidLost(now time.Time, ids []model.InstanceID) []control.Action {
 	var out []control.Action
-	if e.NoConnection {
-		out = c.lose(now, d)
+	for _, id := range ids {
+		if owner, ok := c.table.Owner(id); ok && id != c.self && !c.isSound(now, id) {
+			out = append(out, c.doubt(owner)...)
+		}
+	}
+	return out
+}
+
+// isSound tells whether an owner was heard, or answered a probe, a short while ago.
+func (c *Controller) isSound(now time.Time, id model.InstanceID) bool {
+	return now.Sub(c.sound[id]) < soundAge || c.table.HeardWithin(now, id, soundAge)
+}
+
+// doubt begins to probe an owner, unless it is doubted already.
+func (c *Controller) doubt(owner model.Instance) []control.Action {
+	if c.doubted[owner.ID] != nil || len(c.doubted) == maxDoubted {
+		return nil
+	}
+	d := &doubt{owner: owner}
+	c.doubted[owner.ID] = d
+	return []control.Action{d.probe()}
+}
+
+// tick doubts owners that have been silent, and probes those whose time has come.
+func (c *Controller) tick(now time.Time) []control.Action {
+	for id, at := range c.sound {
+		if now.Sub(at) >= soundAge {
+			delete(c.sound, id)
+		}
+	}
+	out := c.probeDue(now)
+	for _, owner := range c.table.Silent(now, silentAge) {
+		if !c.isSound(now, owner.ID) {
+			out = append(out, c.doubt(owner)...)
+		}
 	}
-	return append(out, d.probe())
+	return out
 }
 
 // probed takes the end of a probe.
@@ -105,7 +175,9 @@
 	d.probing = false
 	if e.Err == nil {
 		delete(c.doubted, e.Owner.ID)
+		c.sound[e.Owner.ID] = now
 		c.table.Reached(now, e.Owner.ID)
+		c.publish()
 		if d.lost.IsZero() {
 			return nil
 		}
@@ -113,17 +185,25 @@
 	}
 	if !c.table.Unreached(now, d.owner) {
 		delete(c.doubted, e.Owner.ID)
+		c.publish()
 		return nil
 	}
 	// Half of the interval is random, so that the nodes that lost an owner together
 	// do not probe it together.
 	half := interval / 2
 	d.next = now.Add(half + time.Duration(c.rng.Int64N(int64(interval))))
+	var out []control.Action
+	if !d.gaveUp {
+		// An open connection to an owner that takes no new one is silent for long.
+		d.gaveUp = true
+		out = append(out, control.GiveUpAttempts{Owner: d.owner.ID})
+	}
 	if !d.lost.IsZero() {
-		return nil
+		return out
 	}
 	d.lost = now
-	return record(event.OwnerUnreached, d, "a probe failed", e.Err)
+	c.publish()
+	return append(out, record(event.OwnerUnreached, d, "a probe failed", e.Err)...)
 }
 
 // lose leaves the owner out of choices until a probe gets through.
@@ -132,9 +212,22 @@
 		return nil
 	}
 	d.lost = now
+	c.publish()
 	return record(event.OwnerUnreached, d, "a request could not connect", nil)
 }
 
+// publish names the owners out of reach, for peers.
+func (c *Controller) publish() {
+	var lost []model.InstanceID
+	for id, d := range c.doubted {
+		if !d.lost.IsZero() {
+			lost = append(lost, id)
+		}
+	}
+	slices.Sort(lost)
+	c.board.OutOfReach.Put(&lost)
+}
+
 // probeDue probes the owners whose time has come.
 func (c *Controller) probeDue(now time.Time) []control.Action {
 	var out []control.Action
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"gypsumstand/internal/blackboard"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
@@ -19,6 +20,8 @@
 	out   map[model.InstanceID]bool
 	known map[model.InstanceID]bool
 	heard map[model.InstanceID]bool
+	// silent are the owners of which nothing was heard although they were sent to.
+	silent []model.Instance
 }
 
 func (f *fakeTable) Unreached(_ time.Time, owner model.Instance) bool {
@@ -31,6 +34,10 @@
 
 func (f *fakeTable) Reached(_ time.Time, id model.InstanceID) { delete(f.out, id) }
 
+func (f *fakeTable) Owner(id model.InstanceID) (model.Instance, bool) { return owner(id), f.known[id] }
+
+func (f *fakeTable) Silent(time.Time, time.Duration) []model.Instance { return f.silent }
+
 func (f *fakeTable) HeardWithin(_ time.Time, id model.InstanceID, _ time.Duration) bool {
 	return f.heard[id]
 }
@@ -48,7 +55,7 @@
 	for _, id := range known {
 		f.known[id] = true
 	}
-	return New(f, rand.New(rand.NewPCG(1, 2))), f
+	return New("self", f, &blackboard.Board{}, rand.New(rand.NewPCG(1, 2))), f
 }
 
 // seen splits actions into the owners probed and the events recorded.
@@ -149,3 +156,72 @@
 	c.Handle(epoch, control.Paused{For: 3 * time.Second})
 	want(t, "a probe from before the pause", c.Handle(epoch, control.ReachProbed{Owner: owner("w"), Err: errNoAnswer}), nil, nil)
 }
+
+func TestAPeersWordMakesANodeProbeAndNothingElse(t *testing.T) {
+	c, f := start("w", "heard", "self")
+	f.heard["heard"] = true
+	said := control.OwnersSaidLost{Owners: []model.InstanceID{"w", "heard", "self", "unknown"}}
+	want(t, "said", c.Handle(epoch, said), []model.InstanceID{"w"}, nil)
+	if f.out["w"] {
+		t.Error("left out on a peer's word alone")
+	}
+	want(t, "through", c.Handle(epoch, control.ReachProbed{Owner: owner("w")}), nil, nil)
+	want(t, "said again at once", c.Handle(epoch.Add(soundAge/2), said), nil, nil)
+	want(t, "said again later", c.Handle(epoch.Add(soundAge), said), []model.InstanceID{"w"}, nil)
+}
+
+func TestASilentOwnerIsProbed(t *testing.T) {
+	c, f := start("w")
+	f.silent = []model.Instance{owner("w")}
+	want(t, "silent", c.Handle(epoch, control.Tick{}), []model.InstanceID{"w"}, nil)
+	want(t, "through", c.Handle(epoch, control.ReachProbed{Owner: owner("w")}), nil, nil)
+	want(t, "still silent", c.Handle(epoch.Add(soundAge/2), control.Tick{}), nil, nil)
+	want(t, "silent for long", c.Handle(epoch.Add(soundAge), control.Tick{}), []model.InstanceID{"w"}, nil)
+}
+
+func TestOwnersOutOfReachAreNamedToPeersUntilTheyAreBack(t *testing.T) {
+	c, _ := start("v", "w")
+	named := func() []model.InstanceID {
+		if lost := c.board.OutOfReach.Get(); lost != nil {
+			return *lost
+		}
+		return nil
+	}
+	c.Handle(epoch, control.OwnerDoubted{Owner: owner("w"), NoConnection: true})
+	c.Handle(epoch, control.OwnerDoubted{Owner: owner("v")})
+	if diff := cmp.Diff([]model.InstanceID{"w"}, named()); diff != "" {
+		t.Errorf("one is lost, one doubted: %s", diff)
+	}
+	c.Handle(epoch, control.ReachProbed{Owner: owner("v"), Err: errNoAnswer})
+	if diff := cmp.Diff([]model.InstanceID{"v", "w"}, named()); diff != "" {
+		t.Errorf("both are lost: %s", diff)
+	}
+	c.Handle(epoch, control.ReachProbed{Owner: owner("v")})
+	c.Handle(epoch, control.ReachProbed{Owner: owner("w")})
+	if len(named()) != 0 {
+		t.Errorf("none is lost: %v", named())
+	}
+}
+
+func TestAttemptsAreGivenUpOnceAProbeHasFailed(t *testing.T) {
+	c, _ := start("w")
+	given := func(actions []control.Action) int {
+		n := 0
+		for _, a := range actions {
+			if a, ok := a.(control.GiveUpAttempts); ok && a.Owner == "w" {
+				n++
+			}
+		}
+		return n
+	}
+	failed := control.ReachProbed{Owner: owner("w"), Err: errNoAnswer}
+	if n := given(c.Handle(epoch, control.OwnerDoubted{Owner: owner("w"), NoConnection: true})); n != 0 {
+		t.Error("given up for one request that could not connect")
+	}
+	if n := given(c.Handle(epoch, failed)); n != 1 {
+		t.Errorf("given up %d times after the probe failed", n)
+	}
+	if n := given(c.Handle(epoch, failed)); n != 0 {
+		t.Error("given up once more")
+	}
+}
--- a/internal/route/reach_test.go
+++ b/internal/route/reach_test.go
@@ -47,3 +47,28 @@
 		t.Errorf("once reached: chosen %q, want w1", got)
 	}
 }
+
+func TestAnOwnerIsSilentOnceAnAnswerIsLongOverdue(t *testing.T) {
+	now := time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+	table := NewTable(Config{Self: "e"})
+	in := model.Instance{ID: "w1", Service: "shop", State: model.StateLive}
+	table.Update(now, &model.Fleet{Instances: []model.Instance{in}}, nil)
+	report := model.LoadReport{Owner: "w1", Incarnation: 1, Clock: time.Second, State: model.StateLive, Limit: 4, ServiceTime: 400 * time.Millisecond}
+	table.Observe(now, report)
+	const age = 500 * time.Millisecond
+	silent := func(after time.Duration) bool { return len(table.Silent(now.Add(after), age)) == 1 }
+	if silent(5 * time.Second) {
+		t.Error("silent although nothing was sent")
+	}
+	table.Sent(now, "w1")
+	if silent(600 * time.Millisecond) {
+		t.Error("silent within twice the expected time")
+	}
+	if !silent(2 * time.Second) {
+		t.Error("not silent after five times the expected time")
+	}
+	table.Done(now, "w1", Result{Latency: time.Second})
+	if silent(5 * time.Second) {
+		t.Error("silent although everything was answered")
+	}
+}
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -30,6 +30,8 @@
 	Seen func(from model.InstanceID, v model.BundleVersion)
 	// Heard is told the directory mark of each attempt; it does not block.
 	Heard func(from model.InstanceID, m model.DirectoryMark)
+	// Lost carries which owners are out of reach; nil means that nothing is told.
+	Lost *LostOwners
 }
 
 // ServeHTTP implements http.Handler.
@@ -47,6 +49,8 @@
 	limitReading(w, r, deadline)
 	p.Seen(attempt.ID.Entry, attempt.Bundle)
 	p.Heard(attempt.ID.Entry, attempt.Directory)
+	p.Lost.read(r.Header)
+	p.Lost.write(w.Header())
 	w.Header().Set(wire.HeaderAttempt, attempt.ID.String())
 	work := &Work{
 		Attempt:       attempt,
@@ -151,6 +155,9 @@
 	// good while new ones work, or the other way round.
 	probes *http.Transport
 	scheme string
+	// Lost carries which owners are out of reach; nil means that nothing is told. It is
+	// set before the first use.
+	Lost *LostOwners
 }
 
 // PeerHeaderBytes bounds the headers that nodes add to a message between them,
@@ -284,6 +291,7 @@
 	}
 	req := w.request(ctx, u)
 	req.Header.Set(wire.HeaderOffer, offer)
+	f.Lost.write(req.Header)
 	if w.ContentLength > replayBytes {
 		req.Header.Set("Expect", "100-continue")
 	}
@@ -297,6 +305,7 @@
 		resp.Body.Close()
 		return Result{}, false, ErrBroken
 	}
+	f.Lost.read(resp.Header)
 	var result Result
 	report, err := wire.DecodeReport(resp.Header.Get(wire.HeaderReport))
 	heard := err == nil
--- /dev/null
+++ b/internal/wire/lost_test.go
@@ -0,0 +1,43 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"gypsumstand/internal/model"
+)
+
+func TestLostOwnersSurviveTheirHeader(t *testing.T) {
+	want := []model.InstanceID{"10.1.0.4", "a, b", "w-3"}
+	s, err := EncodeLost(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeLost(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestTooManyLostOwnersAreRefused(t *testing.T) {
+	var ids []model.InstanceID
+	for i := range MaxLost + 1 {
+		ids = append(ids, model.InstanceID(fmt.Sprint("w", i)))
+	}
+	s, err := EncodeLost(ids)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, value := range map[string]string{"too many": s, "no base64": "%", "too long": strings.Repeat("a", 2*maxLostBytes)} {
+		if _, err := DecodeLost(value); !errors.Is(err, ErrBadLost) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
