reach: attempts at a lost owner are also made elsewhere, not given up

Change: the attempt goes on, and a hedge is begun beside it where the budgets allow one. TestRequestsAtANodeThatStandsStillAreAnsweredByAnother fails without it (504 at the deadline).

A trial that is not taken: reports that tell for how long a machine holds back, so that entries prefer others.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -225,9 +225,9 @@
 // ReachProbed follows.
 type ProbeReach struct{ Owner model.Instance }
 
-// GiveUpAttempts ends the attempts at an owner whose requests may be repeated: the
-// owner is out of reach.
-type GiveUpAttempts struct{ Owner model.InstanceID }
+// OwnerLost tells the attempts at an owner that it is out of reach: those whose
+// requests may be repeated are also made elsewhere.
+type OwnerLost struct{ Owner model.InstanceID }
 
 // SettleAnswered hands an owner's settlement to the call that asked for it.
 type SettleAnswered struct{ Reply wire.SettleReply }
@@ -259,7 +259,7 @@
 func (ReadDirectory) isAction()    {}
 func (AskDirectory) isAction()     {}
 func (ProbeReach) isAction()       {}
-func (GiveUpAttempts) isAction()   {}
+func (OwnerLost) isAction()        {}
 
 // Controller is one writer of blackboard sections.
 type Controller interface {
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -24,12 +24,28 @@
 // with an answer is the caller's, and the other is told CallerGone. When neither
 // has one the caller is told EndOfBoth.
 func (c *Call) Hedge(now time.Time) (h *Call, ok bool) {
+	if c.hedgeAt.IsZero() || !c.bucket.has(hedgeReserve) {
+		return nil, false
+	}
+	return c.hedge(now)
+}
+
+// HedgeLost is Hedge for an attempt whose owner was found out of reach: it waits for
+// no time and needs no reserve, as it stands for the retry that would follow.
+func (c *Call) HedgeLost(now time.Time) (h *Call, ok bool) {
+	if !c.req.Idempotent || !c.replaceable() || c.hedged {
+		return nil, false
+	}
+	return c.hedge(now)
+}
+
+func (c *Call) hedge(now time.Time) (h *Call, ok bool) {
 	left := c.budget - c.current.RetryBudget
-	if c.phase != phaseSent || c.hedgeAt.IsZero() || left < 1 {
+	if c.phase != phaseSent || left < 1 {
 		return nil, false
 	}
 	choice, ok := c.choose(now)
-	if !ok || !c.bucket.has(hedgeReserve) || !c.bucket.withdraw(now, costRetry) || !c.mayHedge(now) {
+	if !ok || !c.bucket.withdraw(now, costRetry) || !c.mayHedge(now) {
 		return nil, false
 	}
 	c.budget--
--- a/internal/entry/hedge_test.go
+++ b/internal/entry/hedge_test.go
@@ -88,3 +88,38 @@
 		}
 	}
 }
+
+func TestAnAttemptAtALostOwnerIsAlsoMadeElsewhere(t *testing.T) {
+	s := hedging(t, func(r *Request) { r.Target.Bundle.Retry.HedgeAfterQuantile = 0 })
+	first := s.step.To.ID
+	if _, ok := s.call.Hedge(epoch); ok {
+		t.Fatal("hedged without a quantile")
+	}
+	h, ok := s.call.HedgeLost(epoch)
+	if !ok {
+		t.Fatal("not made elsewhere")
+	}
+	if step := h.Next(epoch); step.Kind != StepSend || step.To.ID == first {
+		t.Fatalf("%v to %q", step.Kind, step.To.ID)
+	}
+	if _, again := s.call.HedgeLost(epoch); again {
+		t.Error("made elsewhere twice")
+	}
+	h.Answered(epoch, false)
+	s.call.CallerGone(epoch)
+	if !s.table.balanced() {
+		t.Errorf("Sent and Done do not balance: %v", s.table.inFlight)
+	}
+}
+
+func TestWhatMustNotRunTwiceWaitsForALostOwner(t *testing.T) {
+	for name, trait := range map[string]func(*Request){
+		"not idempotent":   func(r *Request) { r.Idempotent = false },
+		"body streams":     streamed,
+		"no budget's left": func(r *Request) { r.RetryBudget = 0 },
+	} {
+		if _, ok := hedging(t, trait).call.HedgeLost(epoch); ok {
+			t.Errorf("%s: made elsewhere", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/failure/lost_test.go
@@ -0,0 +1,37 @@
+//go:build unix
+
+package failure
+
+import (
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A stopped process keeps its connections: nothing but its silence tells of it. Without
+// a second attempt elsewhere the requests there end at their deadlines, unanswered.
+func TestRequestsAtANodeThatStandsStillAreAnsweredByAnother(t *testing.T) {
+	t.Parallel()
+	d := startProcesses(t, 2)
+	entry, stopped := d.nodes[0], d.nodes[1]
+	c := newCallers(t)
+	for _, p := range d.nodes {
+		awaitAnswer(t, c, p.Caller, "/a")
+	}
+	if err := stopped.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = stopped.cmd.Process.Signal(syscall.SIGCONT) })
+	var calling sync.WaitGroup
+	for range 2 * slots {
+		calling.Go(func() {
+			r := view("/a")
+			r.timeout = 15 * time.Second
+			if got := c.send(t.Context(), entry.Caller, r); !got.answered() {
+				t.Errorf("told %d %q", got.status, got.outcome)
+			}
+		})
+	}
+	calling.Wait()
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -92,8 +92,8 @@
 		n.start(func() { n.askDirectory(a) })
 	case control.ProbeReach:
 		n.start(func() { n.probeReach(a.Owner) })
-	case control.GiveUpAttempts:
-		n.inFlight.GiveUp(a.Owner)
+	case control.OwnerLost:
+		n.lostOwners.Lost(a.Owner)
 	case control.SettleAnswered:
 		n.settler.answered(a.Reply)
 	case control.Record:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,10 +130,10 @@
 	// directs counts the direct messages that are under way.
 	directs atomic.Int64
 	// stopBound ends calls before a planned stop does.
-	stopBound *server.StopBound
-	watch     *workerWatch
-	events    chan control.Event
-	inFlight  server.InFlight
+	stopBound  *server.StopBound
+	watch      *workerWatch
+	events     chan control.Event
+	lostOwners server.LostSignal
 	// lostTold counts the owners out of reach that were named to peers.
 	lostTold atomic.Uint64
 	calls    callFilter
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -57,7 +57,7 @@
 		Heard:      n.markHeard,
 		Mark:       n.mark,
 		Unanswered: n.unanswered,
-		InFlight:   &n.inFlight,
+		Lost:       &n.lostOwners,
 		Stop:       n.stopBound,
 		Dialect:    n.cfg.Callers,
 		Service:    n.cfg.Service,
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -74,8 +74,8 @@
 	owner model.Instance
 	// lost is when it was first found out of reach, zero before.
 	lost time.Time
-	// gaveUp: the attempts there were ended.
-	gaveUp bool
+	// told: the attempts there were told.
+	told bool
 	// probing: a probe is under way. next is when another one is due.
 	probing bool
 	next    time.Time
@@ -193,10 +193,9 @@
 	half := interval / 2
 	d.next = now.Add(half + time.Duration(c.rng.Int64N(int64(interval))))
 	var out []control.Action
-	if !d.gaveUp {
-		// An open connection to an owner that takes no new one is silent for long.
-		d.gaveUp = true
-		out = append(out, control.GiveUpAttempts{Owner: d.owner.ID})
+	if !d.told {
+		d.told = true
+		out = append(out, control.OwnerLost{Owner: d.owner.ID})
 	}
 	if !d.lost.IsZero() {
 		return out
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -203,25 +203,25 @@
 	}
 }
 
-func TestAttemptsAreGivenUpOnceAProbeHasFailed(t *testing.T) {
+func TestAttemptsAreToldOnceAProbeHasFailed(t *testing.T) {
 	c, _ := start("w")
-	given := func(actions []control.Action) int {
+	told := func(actions []control.Action) int {
 		n := 0
 		for _, a := range actions {
-			if a, ok := a.(control.GiveUpAttempts); ok && a.Owner == "w" {
+			if a, ok := a.(control.OwnerLost); ok && a.Owner == "w" {
 				n++
 			}
 		}
 		return n
 	}
 	failed := control.ReachProbed{Owner: owner("w"), Err: errNoAnswer}
-	if n := given(c.Handle(epoch, control.OwnerDoubted{Owner: owner("w"), NoConnection: true})); n != 0 {
-		t.Error("given up for one request that could not connect")
+	if n := told(c.Handle(epoch, control.OwnerDoubted{Owner: owner("w"), NoConnection: true})); n != 0 {
+		t.Error("told for one request that could not connect")
 	}
-	if n := given(c.Handle(epoch, failed)); n != 1 {
-		t.Errorf("given up %d times after the probe failed", n)
+	if n := told(c.Handle(epoch, failed)); n != 1 {
+		t.Errorf("told %d times after the probe failed", n)
 	}
-	if n := given(c.Handle(epoch, failed)); n != 0 {
-		t.Error("given up once more")
+	if n := told(c.Handle(epoch, failed)); n != 0 {
+		t.Error("told once more")
 	}
 }
--- a/internal/server/carrier.go
+++ b/internal/server/carrier.go
@@ -176,11 +176,6 @@
 		work.SameNode = true
 		return c.caller.Executor.Do(ctx, work), true, nil
 	}
-	if !c.request.Idempotent {
-		return c.caller.Forwarder.Do(ctx, step.To.PeerAddress, work)
-	}
-	ctx, end := c.caller.InFlight.begin(ctx, step.To.ID)
-	defer end()
 	return c.caller.Forwarder.Do(ctx, step.To.PeerAddress, work)
 }
 
--- a/internal/server/hedge.go
+++ b/internal/server/hedge.go
@@ -39,11 +39,11 @@
 	err    error
 }
 
-// attemptHedged carries one attempt out, with a hedge beside it from the step's
-// HedgeAt on where the call allows one. When the hedge has an answer first, the
-// attempt is given up.
+// attemptHedged carries one attempt out, with a hedge beside it where the call allows
+// one: from the step's HedgeAt on, or once the owner is found out of reach. When the
+// hedge has an answer first, the attempt is given up.
 func (c *carrier) attemptHedged(ctx context.Context, step entry.Step) (Result, bool, error) {
-	if step.HedgeAt.IsZero() || c.body.stream != nil {
+	if step.HedgeAt.IsZero() && !c.mayLose(step) || c.body.stream != nil {
 		return c.attempt(ctx, step)
 	}
 	attemptCtx, giveUp := context.WithCancel(ctx)
@@ -63,15 +63,29 @@
 	return a.result, a.heard, a.err
 }
 
+// mayLose tells whether the attempt is worth a hedge should its owner be lost.
+func (c *carrier) mayLose(step entry.Step) bool {
+	return c.request.Idempotent && step.To.ID != c.caller.Self && c.hedge == nil
+}
+
 func (c *carrier) raceHedge(ctx context.Context, step entry.Step, done <-chan attempted, giveUp context.CancelFunc) attempted {
-	timer := time.NewTimer(time.Until(step.HedgeAt))
-	defer timer.Stop()
+	lost, end := c.caller.Lost.wait(step.To.ID)
+	defer end()
+	var late <-chan time.Time
+	if !step.HedgeAt.IsZero() {
+		timer := time.NewTimer(time.Until(step.HedgeAt))
+		defer timer.Stop()
+		late = timer.C
+	}
+	begin := c.call.Hedge
 	select {
 	case a := <-done:
 		return a
-	case <-timer.C:
+	case <-late:
+	case <-lost:
+		begin = c.call.HedgeLost
 	}
-	if !c.startHedge(ctx) {
+	if !c.startHedge(ctx, begin) {
 		return <-done
 	}
 	select {
@@ -87,8 +101,8 @@
 }
 
 // startHedge begins a call beside this one; false when the budgets forbid it.
-func (c *carrier) startHedge(ctx context.Context) bool {
-	call, ok := c.call.Hedge(time.Now())
+func (c *carrier) startHedge(ctx context.Context, begin func(time.Time) (*entry.Call, bool)) bool {
+	call, ok := begin(time.Now())
 	if !ok {
 		return false
 	}
