owner: what waited stops starting 0.3 s after the news that its worker leaves

News of the leaving had taken 1 s, within what the directory's timing allows (1.5 s), and what had been queued might start for another second: half of the 2 s that new work may still arrive, as if news took no time.

What is turned away is placed elsewhere at once.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -233,9 +233,10 @@
 }
 
 // withdrawnQueue is how long what was queued before the worker was withdrawn may
-// still start: half of the 2 s in which an upstream that is leaving may get new
-// work, so that an attempt that starts at its end still arrives in time.
-const withdrawnQueue = time.Second
+// still start. Work may reach a worker for 2 s after it left, and the news takes up to
+// 1.5 s (package directory); a tenth of a second is kept for the way to the worker and
+// one for a tick that comes late. What is turned away is placed elsewhere at once.
+const withdrawnQueue = 300 * time.Millisecond
 
 // refuseWithdrawn turns away what waits for a worker that takes no new work.
 func (o *Owner) refuseWithdrawn(t time.Duration) {
