--- a/internal/server/lostowners_test.go
+++ b/internal/server/lostowners_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -30,3 +31,16 @@
 		t.Error(diff)
 	}
 }
+
+func TestAnswersBetweenNodesCarryNoDate(t *testing.T) {
+	s := httptest.NewServer(&Peer{})
+	defer s.Close()
+	resp, err := http.Get(s.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusBadRequest || resp.Header.Get("Date") != "" {
+		t.Errorf("status %d, date %q", resp.StatusCode, resp.Header.Get("Date"))
+	}
+}
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -36,6 +36,8 @@
 
 // ServeHTTP implements http.Handler.
 func (p *Peer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// Nodes have no use for each other's date; a worker's own is passed on.
+	w.Header()["Date"] = nil
 	attempt, err := wire.DecodeOffer(r.Header.Get(wire.HeaderOffer))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
