--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -26,8 +26,11 @@
 // tellLost returns some of the owners that this node cannot connect to, in turn.
 func (n *Node) tellLost() []model.InstanceID {
 	lost := n.core.Board.OutOfReach.Get()
-	if lost == nil || len(*lost) <= wire.MaxLost {
-		return value(lost)
+	if lost == nil {
+		return nil
+	}
+	if len(*lost) <= wire.MaxLost {
+		return *lost
 	}
 	out := make([]model.InstanceID, wire.MaxLost)
 	first := int(n.lostTold.Add(wire.MaxLost) % uint64(len(*lost)))
@@ -37,14 +40,6 @@
 	return out
 }
 
-// value returns what p points to, nothing where it is nil.
-func value(p *[]model.InstanceID) []model.InstanceID {
-	if p == nil {
-		return nil
-	}
-	return *p
-}
-
 // heardLost is told the owners that a peer cannot connect to.
 func (n *Node) heardLost(ids []model.InstanceID) {
 	var fresh []model.InstanceID
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -22,7 +22,7 @@
 	// interval is the time between two probes of one owner. Load: a cut of some
 	// seconds, or a node that restarts within one; on average an owner that is back
 	// is used again after half of it. Ten nodes and a dead one cost 50 probes a
-	// second over the fleet, of about 150 bytes each.
+	// second over the fleet, of about 0.3 KB each with its connection (reckoned).
 	interval = 200 * time.Millisecond
 	// maxDoubted bounds the owners that are probed at the same time, so that a lost
 	// data centre of thousands costs this node no more than 64 probes an interval.
