reach: one event for a failed connection, names that tell two things apart, a dead check less

Read again as a whole. One happening went to the core as two events (CallFailed for membership, OwnerDoubted for reach): membership takes the second now, and the first is gone; its test keeps its assertions. A field Lost stood for two types (LostOwners between nodes, LostSignal within one): the second is LostSignal. An attempt at the own owner always has a report, so its check in carrier.unanswered could not be reached. Reached had a time that it did not use; workerBreaks stands beside the worker's watch.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -133,9 +133,6 @@
 // SelfChanged says that this node's own life stage changed.
 type SelfChanged struct{ State model.UpstreamState }
 
-// CallFailed says that a call to a peer found it unreachable (no connection).
-type CallFailed struct{ Peer model.InstanceID }
-
 // OwnerDoubted says that an attempt got no answer of its owner, for a reason that may
 // lie with the way there. Adapters send it at most once an owner and tick.
 type OwnerDoubted struct {
@@ -173,7 +170,6 @@
 func (DirectoryTold) isEvent()      {}
 func (DirectoryAskFailed) isEvent() {}
 func (SelfChanged) isEvent()        {}
-func (CallFailed) isEvent()         {}
 func (OwnerDoubted) isEvent()       {}
 func (OwnersSaidLost) isEvent()     {}
 func (ReachProbed) isEvent()        {}
--- a/internal/member/accuse_test.go
+++ b/internal/member/accuse_test.go
@@ -81,7 +81,7 @@
 	s.now = s.now.Add(time.Minute)
 	s.actions = nil
 	s.handle(control.Paused{For: time.Minute})
-	s.handle(control.CallFailed{Peer: id(1)})
+	s.handle(control.OwnerDoubted{Owner: instance(1, 1, 0), NoConnection: true})
 	s.run(2 * time.Second)
 	if recorded(s.actions, event.MemberSuspected) || len(s.c.Links()) != 4 {
 		t.Errorf("%d links and actions %v just after a pause", len(s.c.Links()), s.actions)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -97,8 +97,10 @@
 	case control.SelfChanged:
 		c.selfChanged(now, e.State)
 		c.publish()
-	case control.CallFailed:
-		c.suspect(now, e.Peer, "a call could not connect")
+	case control.OwnerDoubted:
+		if e.NoConnection {
+			c.suspect(now, e.Owner.ID, "a call could not connect")
+		}
 	}
 	return c.out
 }
--- a/internal/node/callfilter.go
+++ b/internal/node/callfilter.go
@@ -4,7 +4,6 @@
 	"sync"
 
 	"gypsumstand/internal/control"
-	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 )
 
@@ -93,13 +92,3 @@
 		n.sink(control.VersionSeen{From: from, Version: v})
 	}
 }
-
-// workerBreaks is told when this node's worker begins to break every attempt, and when
-// that ends.
-func (n *Node) workerBreaks(open bool) {
-	id := event.WorkerAnswers
-	if open {
-		id = event.WorkerBreaks
-	}
-	event.Log(&n.log, id).Send()
-}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -93,7 +93,7 @@
 	case control.ProbeReach:
 		n.start(func() { n.probeReach(a.Owner) })
 	case control.OwnerLost:
-		n.lostOwners.Lost(a.Owner)
+		n.lostSignal.Lost(a.Owner)
 	case control.SettleAnswered:
 		n.settler.answered(a.Reply)
 	case control.Record:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,7 +133,7 @@
 	stopBound  *server.StopBound
 	watch      *workerWatch
 	events     chan control.Event
-	lostOwners server.LostSignal
+	lostSignal server.LostSignal
 	// lostTold counts the owners out of reach that were named to peers.
 	lostTold atomic.Uint64
 	calls    callFilter
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -8,13 +8,9 @@
 
 // unanswered is told each owner that gave an attempt no answer.
 func (n *Node) unanswered(owner model.Instance, noConnection bool) {
-	if !n.calls.firstUnanswered(owner.ID) {
-		return
+	if n.calls.firstUnanswered(owner.ID) {
+		n.sink(control.OwnerDoubted{Owner: owner, NoConnection: noConnection})
 	}
-	if noConnection {
-		n.sink(control.CallFailed{Peer: owner.ID})
-	}
-	n.sink(control.OwnerDoubted{Owner: owner, NoConnection: noConnection})
 }
 
 // probeReach finds out whether an owner's node answers.
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -57,7 +57,7 @@
 		Heard:      n.markHeard,
 		Mark:       n.mark,
 		Unanswered: n.unanswered,
-		Lost:       &n.lostOwners,
+		LostSignal: &n.lostSignal,
 		Stop:       n.stopBound,
 		Dialect:    n.cfg.Callers,
 		Service:    n.cfg.Service,
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -233,3 +233,13 @@
 	event.Log(&w.node.log, event.WorkerState).Str("from", before.String()).Str("to", after.String()).Send()
 	w.node.sink(control.SelfChanged{State: after})
 }
+
+// workerBreaks is told when this node's worker begins to break every attempt, and when
+// that ends.
+func (n *Node) workerBreaks(open bool) {
+	id := event.WorkerAnswers
+	if open {
+		id = event.WorkerBreaks
+	}
+	event.Log(&n.log, id).Send()
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -48,7 +48,7 @@
 	// tells whether it is known at that address.
 	Unreached(now time.Time, owner model.Instance) bool
 	// Reached takes that back.
-	Reached(now time.Time, id model.InstanceID)
+	Reached(id model.InstanceID)
 	// HeardWithin tells whether the owner itself was heard in the last age.
 	HeardWithin(now time.Time, id model.InstanceID, age time.Duration) bool
 	// Owner returns an owner that may be chosen; ok is false for others.
@@ -176,7 +176,7 @@
 	if e.Err == nil {
 		delete(c.doubted, e.Owner.ID)
 		c.sound[e.Owner.ID] = now
-		c.table.Reached(now, e.Owner.ID)
+		c.table.Reached(e.Owner.ID)
 		c.publish()
 		if d.lost.IsZero() {
 			return nil
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -32,7 +32,7 @@
 	return true
 }
 
-func (f *fakeTable) Reached(_ time.Time, id model.InstanceID) { delete(f.out, id) }
+func (f *fakeTable) Reached(id model.InstanceID) { delete(f.out, id) }
 
 func (f *fakeTable) Owner(id model.InstanceID) (model.Instance, bool) { return owner(id), f.known[id] }
 
--- a/internal/route/reach.go
+++ b/internal/route/reach.go
@@ -25,7 +25,7 @@
 }
 
 // Reached takes Unreached back: a connection could be had.
-func (t *Table) Reached(_ time.Time, id model.InstanceID) {
+func (t *Table) Reached(id model.InstanceID) {
 	if u := t.picker.Load().byID[id]; u != nil {
 		u.cell.unreachedUntil.Store(0)
 	}
--- a/internal/route/reach_test.go
+++ b/internal/route/reach_test.go
@@ -42,7 +42,7 @@
 		t.Errorf("after the memory: chosen %q, want w1", got)
 	}
 	table.Unreached(now, lost)
-	table.Reached(now, "w1")
+	table.Reached("w1")
 	if got := chosen(now); got != "w1" {
 		t.Errorf("once reached: chosen %q, want w1", got)
 	}
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -78,8 +78,8 @@
 	// Unanswered is told of each owner that gave an attempt no answer, and whether
 	// that was for want of a connection; it does not block.
 	Unanswered func(in model.Instance, noConnection bool)
-	// Lost tells attempts that their owner is out of reach.
-	Lost *LostSignal
+	// LostSignal tells attempts that their owner is out of reach.
+	LostSignal *LostSignal
 	// Leaving tells whether callers are to be sent away (Connection: close).
 	Leaving func() bool
 	// Stop bounds calls by a planned stop.
--- a/internal/server/carrier.go
+++ b/internal/server/carrier.go
@@ -124,12 +124,11 @@
 }
 
 // unanswered tells of an owner that gave no answer, unless the caller's leaving is
-// why, or the attempt is this node's own.
+// why. This node's own owner always answers.
 func (c *carrier) unanswered(ctx context.Context, step entry.Step, err error) {
-	if step.To.ID == c.caller.Self || errors.Is(ctx.Err(), context.Canceled) {
-		return
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		c.caller.Unanswered(step.To, err == nil)
 	}
-	c.caller.Unanswered(step.To, err == nil)
 }
 
 // placed logs the choice behind an attempt.
--- a/internal/server/hedge.go
+++ b/internal/server/hedge.go
@@ -69,7 +69,7 @@
 }
 
 func (c *carrier) raceHedge(ctx context.Context, step entry.Step, done <-chan attempted, giveUp context.CancelFunc) attempted {
-	lost, end := c.caller.Lost.wait(step.To.ID)
+	lost, end := c.caller.LostSignal.wait(step.To.ID)
 	defer end()
 	var late <-chan time.Time
 	if !step.HedgeAt.IsZero() {
