platform, directory, owner: lives under one id, entries of other writers

What was learned of a worker's life was never dropped; an unknown state counted as live; an entry that could not be decoded left the one before it in use and was logged at each reading.

Change: `born` is part of a worker's life; another life of the own worker starts slowly and without the breaks, refusals, pace and failures of the one before, whose attempts' ends teach nothing. A field that every worker writes is required, of its type; anything else is told as "replaced": no worker, at once, without an outage's doubt. An entry of a service that the configuration does not name takes no worker's place. One line 627 for each change.

Ruled out: ending attempts when another life is listed, as the news come seconds late and would cut work of the new life; ordering lives at one address by `born`, as clocks jump.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 FUZZEACH ?= 10s
 fuzz:
 	$(GO) test -count=1 -timeout 2h -run TestPromisesHoldUnderFaults ./internal/proof -proof.fuzz $(FUZZTIME)
-	@grep -rno 'func Fuzz[A-Za-z]*' --include=*_test.go cmd internal | \
+	@grep -rno 'func Fuzz[A-Za-z]*' --include=*_test.go cmd internal platform | \
 	sed -E 's|^(.*)/[^/]*:[0-9]+:func (.*)$$|\1 \2|' | \
 	while read -r dir name; do \
 		echo "$$dir $$name"; \
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -77,6 +77,8 @@
 	// directory is set where the node follows one; it is then member and spread.
 	directory *directory.Controller
 	derived   derived
+	// life is the own worker's life that the fleet's view named last; zero before.
+	life model.WorkerLife
 	// derivedAt is when the derived state was last made.
 	derivedAt time.Time
 }
@@ -279,6 +281,7 @@
 	n.derivedAt = now
 	n.Table.Update(now, fleet, set)
 	self, _ := instanceOf(fleet, n.cfg.Self.ID)
+	ds := n.followLife(now, self.Life())
 	n.Owner.Withdraw(now, self.State == model.StateLeaving)
 	if n.directory != nil {
 		listed, known := n.directory.Listed()
@@ -287,10 +290,24 @@
 	n.Engine.SetEntries(n.member.FleetSize())
 	svc, b := set.Service(n.cfg.Self.Service)
 	if svc == nil {
-		return nil
+		return ds
 	}
 	n.Landing.Configure(now, b.Measuring)
-	return n.Owner.Configure(now, b, withSlots(svc, self.Slots), liveUpstreams(fleet, n.cfg.Self.Service))
+	return append(ds, n.Owner.Configure(now, b, withSlots(svc, self.Slots), liveUpstreams(fleet, n.cfg.Self.Service))...)
+}
+
+// followLife tells the owner when another life of its worker is listed. A worker that is
+// not listed for a while may come back as the same life.
+func (n *Node) followLife(now time.Time, life model.WorkerLife) []owner.Decision {
+	before := n.life
+	if life == (model.WorkerLife{}) || life == before {
+		return nil
+	}
+	n.life = life
+	if before == (model.WorkerLife{}) {
+		return nil
+	}
+	return n.Owner.Restarted(now)
 }
 
 // show publishes what the controllers tell about themselves: at each tick, as
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -200,3 +200,37 @@
 		t.Errorf("%d keys handed over, want %d", len(handed), keys)
 	}
 }
+
+// listedLife is a directory's word of the test node's own worker.
+func listedLife(id model.WorkerID, born int64, created, revision uint64) control.DirectoryRead {
+	in := instances("ledger", 1)[0]
+	in.Worker = id
+	in.WorkerBorn = born
+	return control.DirectoryRead{Revision: revision, Listed: []model.Listing{{Created: created, Revision: revision, Instance: in}}}
+}
+
+func TestAnotherLifeOfTheOwnWorkerStartsSlowly(t *testing.T) {
+	self := instances("ledger", 1)[0]
+	self.State, self.Incarnation = model.StateCold, 1
+	n := New(Config{Self: self, Started: epoch, FollowsDirectory: true})
+	now := epoch
+	handle := func(ev control.Event) { n.Handle(now, ev) }
+	b := &bundle.Bundle{Name: "operator", Version: 1, Services: []bundle.Service{{Name: "ledger", Slots: 20, QueueLimit: 10, WarmupMs: 2000}}}
+	handle(control.SelfChanged{State: model.StateLive})
+	handle(control.DirectoryRead{Revision: 1, Bundle: b})
+	limits := []uint16{}
+	for i, read := range []control.DirectoryRead{
+		listedLife("w1", 0, 2, 2),
+		listedLife("w1", 0, 2, 3),
+		listedLife("w1", 17, 2, 4),
+		listedLife("w2", 17, 5, 5),
+		listedLife("w2", 17, 5, 6),
+	} {
+		now = epoch.Add(time.Duration(i+1) * 10 * time.Second)
+		handle(read)
+		limits = append(limits, n.Owner.Report(now).Limit)
+	}
+	if diff := cmp.Diff([]uint16{20, 20, 2, 2, 20}, limits); diff != "" {
+		t.Errorf("limits after each word (-want +got):\n%s", diff)
+	}
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -91,7 +91,7 @@
 	out      []control.Action
 }
 
-// worker is one listed life of a worker.
+// worker is one listed worker.
 type worker struct {
 	listing model.Listing
 	// missingUntil is when a worker that the directory lacks after an outage is
@@ -249,6 +249,8 @@
 	}
 	c.config = r.Config
 	c.board.Bundles.Put(bundle.NewSet([]*bundle.Bundle{b}))
+	// Entries of services that it names may be used from now on.
+	c.dirty = true
 	c.record(event.ConfigInForce, b.VersionID().String(), fmt.Sprintf("%d services, %d classes", len(b.Services), len(b.Classes)), nil)
 }
 
@@ -262,9 +264,9 @@
 	if w != nil && w.missingUntil.IsZero() && w.listing == l {
 		return
 	}
-	if w == nil || w.listing.Instance.State != l.Instance.State || !w.missingUntil.IsZero() {
+	if w == nil || w.listing.Instance.State != l.Instance.State || w.listing.Instance.Life() != l.Instance.Life() || !w.missingUntil.IsZero() {
 		in := &l.Instance
-		c.record(event.WorkerListed, string(id), fmt.Sprintf("%s %s %s", in.ID, in.Service, in.State), nil)
+		c.record(event.WorkerListed, string(id), fmt.Sprintf("%s %s %s, born %d", in.ID, in.Service, in.State, in.WorkerBorn), nil)
 	}
 	c.workers[id] = &worker{listing: l}
 	c.removed.forget(id)
@@ -281,7 +283,7 @@
 		return
 	}
 	c.removed.note(gone)
-	if !now.Before(c.doubtUntil) || w.listing.Instance.State == model.StateLeaving {
+	if gone.Replaced || !now.Before(c.doubtUntil) || w.listing.Instance.State == model.StateLeaving {
 		c.drop(gone.Worker, 0)
 		return
 	}
@@ -342,13 +344,27 @@
 
 func (c *Controller) sorted() []model.WorkerID { return slices.Sorted(maps.Keys(c.workers)) }
 
-// publishFleet writes the fleet: of several lives at one instance the newest.
+// usable tells whether an entry names a worker of a service of the configuration in
+// force. Another is no worker to use, nor does it take the place of one that is.
+func (c *Controller) usable(l *model.Listing) bool {
+	set := c.board.Bundles.Get()
+	if len(set.All()) == 0 {
+		return true
+	}
+	svc, _ := set.Service(l.Instance.Service)
+	return svc != nil
+}
+
+// publishFleet writes the fleet: of several workers at one instance the newest.
 func (c *Controller) publishFleet() {
 	c.dirty = false
 	c.fleetRev++
 	newest := make(map[model.InstanceID]model.Listing, len(c.workers))
 	for _, w := range c.workers {
 		l := w.listing
+		if !c.usable(&l) {
+			continue
+		}
 		if before, taken := newest[l.Instance.ID]; !taken || before.Created < l.Created {
 			newest[l.Instance.ID] = l
 		}
@@ -373,12 +389,8 @@
 	if c.confirmed.IsZero() {
 		return false, false
 	}
-	for _, w := range c.workers {
-		if w.listing.Instance.ID == c.cfg.Self.ID {
-			return true, true
-		}
-	}
-	return false, true
+	_, listed = c.instance(c.cfg.Self.ID)
+	return listed, true
 }
 
 // Missing names what the node still needs before it can serve.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -11,6 +11,7 @@
 	"gypsumstand/internal/blackboard"
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
+	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 )
 
@@ -177,3 +178,54 @@
 		t.Errorf("listed (-want +got):\n%s", diff)
 	}
 }
+
+// Another writer's entry is no lease that lapsed: nothing is doubted.
+func TestAReplacedEntryNamesNoWorkerAlsoAfterAnOutage(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	r.handle(control.DirectoryFailed{Err: errors.New("down")})
+	r.pass(outageGap + time.Second)
+	r.handle(control.DirectoryRead{Revision: 50, Gone: []model.Unlisted{{Worker: "w2", Revision: 50, Replaced: true}}})
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
+}
+
+func TestAnEntryOfAnUnknownServiceTakesNoWorkersPlace(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	r.handle(control.DirectoryRead{Revision: 3, Bundle: &bundle.Bundle{Name: "operator", Version: 1, Services: []bundle.Service{{Name: "shop"}}}})
+	foreign := listing("w3", "10.0.0.2", 4, model.StateLive)
+	foreign.Instance.Service = "nobody's"
+	r.handle(control.DirectoryRead{Revision: 4, Listed: []model.Listing{foreign}})
+	both := map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLive}
+	r.want(t, both)
+	// A later configuration may name it.
+	r.handle(control.DirectoryRead{Revision: 5, Bundle: &bundle.Bundle{Name: "operator", Version: 2, Services: []bundle.Service{{Name: "shop"}, {Name: "nobody's"}}}})
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w3": model.StateLive})
+}
+
+func TestAWorkerThatStartsAgainUnderItsIDIsAnotherLife(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	// Its lease lapsed during an outage, and it is back as another life.
+	r.handle(control.DirectoryFailed{Err: errors.New("down")})
+	r.pass(outageGap + time.Second)
+	r.handle(control.DirectoryRead{Revision: 50, Gone: []model.Unlisted{{Worker: "w2", Revision: 50}}})
+	again := listing("w2", "10.0.0.2", 60, model.StateLive)
+	again.Revision = 60
+	again.Instance.WorkerBorn = 1783600000123
+	var listed int
+	for _, a := range r.handle(control.DirectoryRead{Revision: 60, Listed: []model.Listing{again}}) {
+		if rec, ok := a.(control.Record); ok && rec.Event == event.WorkerListed {
+			listed++
+		}
+	}
+	if listed != 1 {
+		t.Errorf("%d events of a listed worker, want 1", listed)
+	}
+	r.pass(2 * relistTime)
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLive})
+	in, _ := r.instance("10.0.0.2")
+	if want := (model.WorkerLife{ID: "w2", Born: 1783600000123}); in.Life() != want {
+		t.Errorf("life %+v, want %+v", in.Life(), want)
+	}
+}
--- a/internal/event/directory.go
+++ b/internal/event/directory.go
@@ -21,6 +21,6 @@
 		"The directory told an older configuration than the one in force. The subject is its version, the detail the one in force.",
 		"Find out whether an old copy of the directory was restored.")
 	DirectoryItemRefused = define(627, zerolog.ErrorLevel, "directory's item refused",
-		"An item of the directory could not be decoded and is ignored. The subject is its key.",
+		"An item of the directory could not be decoded: it has fields missing or of another type, an unknown state, or unreadable bytes. A worker's entry of that kind names no worker to use, also where it replaces a sound one; an older configuration stays in force. Logged once for each change. The subject is its key.",
 		"Find out who wrote the item and in which version of the format.")
 )
--- a/internal/model/directory.go
+++ b/internal/model/directory.go
@@ -17,10 +17,13 @@
 	Revision uint64 `cbor:"3,keyasint"`
 }
 
-// Unlisted is a life of a worker that a directory removed at a revision.
+// Unlisted is a worker that a directory removed at a revision.
 type Unlisted struct {
 	Worker   WorkerID `cbor:"1,keyasint"`
 	Revision uint64   `cbor:"2,keyasint"`
+	// Replaced: the worker's entry is still there, but somebody has written what names
+	// no worker. That is no lease that lapsed.
+	Replaced bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RawConfig is a configuration as a directory holds it.
--- a/internal/model/ident.go
+++ b/internal/model/ident.go
@@ -13,7 +13,8 @@
 // InstanceID names one instance of the fleet, as the platform publishes it.
 type InstanceID string
 
-// WorkerID names one life of a worker: a worker that starts again has another.
+// WorkerID names a worker. One that starts again may have another, or the same: lives of
+// one id are told apart by WorkerLife.
 type WorkerID string
 
 // ServiceName names a service of a bundle.
--- a/internal/model/load.go
+++ b/internal/model/load.go
@@ -95,11 +95,24 @@
 	// Worker is the present life of the instance's worker, where the source of
 	// instances tells the lives apart; empty otherwise.
 	Worker WorkerID `cbor:"7,keyasint,omitempty"`
+	// WorkerBorn tells lives of one Worker apart that started again under the same id:
+	// when the present one started, in Unix milliseconds by its own clock; zero where
+	// the source does not say. It only identifies and is never compared with a time.
+	WorkerBorn int64 `cbor:"9,keyasint,omitempty"`
 	// Slots is the number of requests that the worker runs at once, as it says
 	// itself; zero when only the bundle tells.
 	Slots int `cbor:"8,keyasint,omitempty"`
 }
 
+// WorkerLife identifies one life of a worker.
+type WorkerLife struct {
+	ID   WorkerID
+	Born int64
+}
+
+// Life returns the present life of the instance's worker; zero when none is known.
+func (in *Instance) Life() WorkerLife { return WorkerLife{ID: in.Worker, Born: in.WorkerBorn} }
+
 // Fleet is an immutable view of all known instances, sorted by ID. Readers must
 // not change it.
 type Fleet struct {
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -43,6 +43,8 @@
 	confirmed bool
 	// pauses is the number of pauses seen before the start.
 	pauses uint64
+	// life is the number of the worker's life at the start.
+	life uint64
 }
 
 // free returns the number of attempts that may start now.
@@ -84,6 +86,7 @@
 	it.startedAt = t
 	it.slowness = o.pace.factor(t)
 	it.pauses = o.pause.count
+	it.life = o.life
 	it.class.inFlight++
 	it.tenant.inFlight++
 	o.inFlight++
--- a/internal/owner/limit.go
+++ b/internal/owner/limit.go
@@ -58,7 +58,9 @@
 	adapt    adaptation
 }
 
-func newLimiter() limiter { return limiter{adapt: &aimd{margin: timeoutMargin}} }
+func newLimiter() limiter { return limiter{adapt: newAdaptation()} }
+
+func newAdaptation() adaptation { return &aimd{margin: timeoutMargin} }
 
 func (l *limiter) configure(slots int, warmup time.Duration) {
 	l.slots = slots
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -108,6 +108,8 @@
 	pause    pauseState
 	pace     pacing
 	breaker  breaker
+	// life counts the worker's lives that were told by Restarted.
+	life uint64
 	// out holds decisions until the next call that returns some.
 	out []Decision
 }
@@ -295,8 +297,10 @@
 	if it == nil || !it.started {
 		return o.take()
 	}
-	o.learn(t, it, f)
-	o.noteBreak(t, f)
+	if it.life == o.life {
+		o.learn(t, it, f)
+		o.noteBreak(t, f)
+	}
 	o.release(it)
 	switch {
 	case !f.NotRun:
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -66,6 +66,8 @@
 	// process is nil while the node is down.
 	process *process
 	lives   int
+	// born tells the worker's lives under one id apart.
+	born int
 	// spoil is how the worker spoils a part of its answers; empty for not.
 	spoil string
 	count int
@@ -182,9 +184,15 @@
 func (m *machine) lifeID() string { return fmt.Sprintf("w%d-%d", m.index, m.lives) }
 
 // list writes the worker's entry.
-func (m *machine) list(state string) {
-	address := net.JoinHostPort(ip(networkPeer, m.index), "80")
-	m.fleet.store.PutWorker(m.worker.ID(), m.service, fmt.Sprintf("dc-%d", m.index%3), address, state, workerSlots)
+func (m *machine) list(state string) { m.fleet.store.PutWorker(m.entry(state)) }
+
+func (m *machine) entry(state string) standin.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return standin.Entry{
+		ID: m.worker.ID(), Service: m.service, Zone: fmt.Sprintf("dc-%d", m.index%3),
+		Address: net.JoinHostPort(ip(networkPeer, m.index), "80"), State: state, Born: int64(m.born), Slots: workerSlots,
+	}
 }
 
 // start starts the node.
@@ -301,6 +309,15 @@
 	m.list(names.Ready)
 }
 
+// crash ends the worker's life; it starts again under the same id.
+func (m *machine) crash() {
+	m.mu.Lock()
+	m.born++
+	m.mu.Unlock()
+	m.worker.Restart(m.worker.ID())
+	m.list(names.Ready)
+}
+
 // keptVersions is how many configurations a route of generations stays in.
 const keptVersions = 3
 
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -55,7 +55,7 @@
 	machineTrouble map[int][]span
 	planned        map[int][]span
 	storeTrouble   []span
-	// drained is when a worker's life was listed as draining.
+	// drained is when a worker's life was listed as draining, or no longer as a worker.
 	drained map[string]time.Time
 	// versions is when each configuration was written.
 	versions   map[int]time.Time
@@ -149,6 +149,13 @@
 	l.drained[life] = time.Now()
 }
 
+// listed takes that a life which was not to be used any more is listed again.
+func (l *ledger) listed(life string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.drained, life)
+}
+
 // begin opens a span of trouble and returns its end. machine is -1 for the store.
 func (l *ledger) begin(machine int, isPlanned bool) (end func()) {
 	l.mu.Lock()
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -126,11 +126,11 @@
 }
 
 func TestASeedRepeatsThePlan(t *testing.T) {
-	first, again := makePlan(7, 6, 20*time.Second), makePlan(7, 6, 20*time.Second)
+	first, again := makePlan(7, 6, 20*time.Second, newestKinds), makePlan(7, 6, 20*time.Second, newestKinds)
 	if first.String() != again.String() {
 		t.Error("two plans of one seed differ")
 	}
-	if other := makePlan(8, 6, 20*time.Second); other.String() == first.String() {
+	if other := makePlan(8, 6, 20*time.Second, newestKinds); other.String() == first.String() {
 		t.Error("two seeds give one plan")
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -31,14 +32,38 @@
 	kindShed      kind = "shed"        // a worker refuses all
 	kindPace      kind = "pace"        // a worker's machine is slow
 	kindKillMany  kind = "kill-many"   // half of the nodes at once
+	kindReborn    kind = "reborn"      // a worker starts again under its id
+	kindForeign   kind = "foreign"     // another writer replaces a worker's entry
+	kindCutConfig kind = "cut-config"  // silence, and a configuration right after it
 )
 
-var kinds = []kind{
+// firstKinds is what plans of PlanFirst are drawn from.
+var firstKinds = []kind{
 	kindTerm, kindTerm, kindKill, kindPause, kindHangUp, kindDelay, kindReset, kindCutOneWay, kindSilence,
 	kindStoreDown, kindStoreSlow, kindStoreCut, kindForget, kindConfig, kindConfig, kindDrain, kindDrain,
 	kindAnswers, kindShed, kindPace, kindKillMany,
 }
 
+// newestKinds is what plans of PlanNewest are drawn from.
+var newestKinds = append(slices.Clone(firstKinds), kindReborn, kindForeign, kindForeign, kindCutConfig, kindCutConfig)
+
+// PlanVersion is a list of kinds that plans are drawn from. A seed repeats its plan
+// under the version that it was played with.
+type PlanVersion int
+
+// The versions.
+const (
+	PlanNewest PlanVersion = iota
+	PlanFirst
+)
+
+func (v PlanVersion) kinds() []kind {
+	if v == PlanFirst {
+		return firstKinds
+	}
+	return newestKinds
+}
+
 // trouble is one thing that goes wrong.
 type trouble struct {
 	at      time.Duration
@@ -71,7 +96,7 @@
 )
 
 // makePlan draws a plan for machines over a length.
-func makePlan(seed uint64, machines int, length time.Duration) plan {
+func makePlan(seed uint64, machines int, length time.Duration, kinds []kind) plan {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	var p plan
 	for at := calmStart; at < length-calmEnd; {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -30,6 +30,8 @@
 	// Machines is the number of nodes, Length how long clients send.
 	Machines int
 	Length   time.Duration
+	// Plan is the list of kinds that the plan is drawn from.
+	Plan PlanVersion
 }
 
 // Report is what a soak found.
@@ -53,7 +55,7 @@
 	if err := f.awaitReady(ctx); err != nil {
 		return Report{}, fmt.Errorf("%w; %v", err, f.close())
 	}
-	p := makePlan(cfg.Seed, cfg.Machines, cfg.Length)
+	p := makePlan(cfg.Seed, cfg.Machines, cfg.Length, cfg.Plan.kinds())
 	clientsCtx, stopClients := context.WithCancel(ctx)
 	var clients sync.WaitGroup
 	for i := range cfg.Machines * clientsPerMachine {
@@ -173,6 +175,13 @@
 	case kindKillMany:
 		f.killMany(ctx, t)
 		return
+	case kindForeign:
+		defer f.ledger.begin(t.machine, true)()
+		m.replaceEntry(ctx, t)
+		return
+	case kindCutConfig:
+		// It begins when the machine is in reach again.
+		defer f.configure()
 	}
 	defer f.ledger.begin(t.machine, false)()
 	m.harm(t)
@@ -202,6 +211,30 @@
 	}
 }
 
+// foreignValues are entries that name no worker.
+var foreignValues = []string{
+	"", "\xff\xfe", "[]", `{"address":"10.0.0.1:80"}`,
+	`{"address":7,"info":{"service":"orders","version":"v1","zone":"dc-0","slots":18},"status":{"state":"ready","seq":1,"cold_left_ms":0}}`,
+	`{"address":"127.71.0.1:80","info":{"service":"orders","version":"v1","zone":"dc-0","slots":18},"status":{"state":"resting","seq":1,"cold_left_ms":0}}`,
+}
+
+// replaceEntry lets another writer replace the worker's entry for a while, and put one of
+// an unknown service beside it.
+func (m *machine) replaceEntry(ctx context.Context, t trouble) {
+	id := m.worker.ID()
+	m.fleet.store.Put(names.Workers+id, foreignValues[int(t.lasts)%len(foreignValues)])
+	m.fleet.ledger.draining(id)
+	beside := m.entry(names.Ready)
+	beside.ID, beside.Service = "beside-"+id, "nobody"
+	m.fleet.store.PutWorker(beside)
+	sleep(ctx, t.lasts)
+	m.fleet.store.Remove(names.Workers + beside.ID)
+	if m.worker.ID() == id {
+		m.fleet.ledger.listed(id)
+		m.list(names.Ready)
+	}
+}
+
 // killMany kills every other node at once.
 func (f *fleet) killMany(ctx context.Context, t trouble) {
 	for i, m := range f.machines {
@@ -236,9 +269,11 @@
 		for _, p := range wires {
 			p.reset()
 		}
+	case kindReborn:
+		m.crash()
 	case kindCutOneWay:
 		each(wire{cutFrom: true})
-	case kindSilence:
+	case kindSilence, kindCutConfig:
 		each(wire{cutTo: true, cutFrom: true})
 	case kindStoreCut:
 		m.storeWire.set(wire{cutTo: true, cutFrom: true})
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,7 +18,7 @@
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	for _, seed := range regressionSeeds {
-		report, err := Run(t.Context(), Config{Program: program, Dir: t.TempDir(), Seed: seed, Machines: 6, Length: 24 * time.Second})
+		report, err := Run(t.Context(), Config{Program: program, Dir: t.TempDir(), Seed: seed, Machines: 6, Length: 24 * time.Second, Plan: PlanFirst})
 		if err != nil {
 			t.Fatal(err)
 		}
