upstream: no first byte of an attempt leaves after its deadline

Cause: between the owner's last look at the clock (Confirm) and the first byte a process may be stopped for longer than the attempt's time; when it wakes, the timer of the attempt's context may fire later than the transport writes, and a payout runs after its caller was told that the call had ended (known red test, seen once).

Change: the connection looks at the clock right before a request's first byte and bars itself after the deadline.

--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -19,7 +19,9 @@
 func (x *Executor) run(ctx context.Context, w *Work, started time.Time) Result {
 	deadline := started.Add(w.Attempt.Remaining)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	var proof upstream.Proof
+	// A process that is stopped here wakes late: what it then writes would run after
+	// its caller was told that the call has ended.
+	proof := upstream.Proof{Expires: deadline}
 	req := proof.Attach(x.request(ctx, w))
 	upstream.Seal(req)
 	resp, err := x.transportFor(&w.Attempt).RoundTrip(req)
--- a/internal/upstream/proof.go
+++ b/internal/upstream/proof.go
@@ -6,12 +6,18 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 // Proof watches one RoundTrip and tells afterwards whether it is proved that
 // not a byte of the request left. It is the one place that says which errors
 // prove "not run"; a write that failed proves nothing by itself.
 type Proof struct {
+	// Expires, unless zero, is the time after which the request's first byte must not
+	// leave any more. A process may be stopped at any point between its last look at the
+	// clock and the write: what remains of that is the way into the system call.
+	Expires time.Time
+
 	mu     sync.Mutex
 	got    bool
 	conn   *countingConn
@@ -30,7 +36,7 @@
 	p.got = true
 	p.conn = unwrap(info.Conn)
 	if p.conn != nil {
-		p.before = p.conn.count()
+		p.before = p.conn.begins(p.Expires)
 	}
 }
 
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -121,6 +121,10 @@
 	written int64
 	writing bool
 	barred  bool
+	// first is what had been written before the present request, and expires the time
+	// after which its first byte must not leave; zero for none.
+	first   int64
+	expires time.Time
 }
 
 // Write implements net.Conn.
@@ -136,6 +140,9 @@
 func (c *countingConn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.expires.IsZero() && c.written == c.first && time.Now().After(c.expires) {
+		c.barred = true
+	}
 	if c.barred {
 		return false
 	}
@@ -150,10 +157,12 @@
 	c.written += int64(n)
 }
 
-// count returns the bytes that left so far.
-func (c *countingConn) count() int64 {
+// begins takes that a request has this connection, whose first byte must not leave after
+// expires, unless that is zero. It returns the bytes that left so far.
+func (c *countingConn) begins(expires time.Time) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.first, c.expires = c.written, expires
 	return c.written
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gypsumstand/internal/upstream"
 )
@@ -251,3 +253,72 @@
 		t.Errorf("Whole() = %v, want %v", err, upstream.ErrCloseDelimited)
 	}
 }
+
+// stopBeforeWrite returns a context with which a request stands still past a time right
+// before its first byte is written, as in a process that is stopped there. The context
+// has no deadline: when the process wakes, timers may fire later than it writes.
+func stopBeforeWrite(t *testing.T, until time.Time) context.Context {
+	t.Helper()
+	return httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { time.Sleep(time.Until(until) + 5*time.Millisecond) },
+	})
+}
+
+// A process that was stopped right before it wrote ran a payout at its worker after the
+// caller had been told that the call had ended.
+func TestNoFirstByteLeavesAfterItsTime(t *testing.T) {
+	w := newReplayWorker(t)
+	transport := upstream.NewTransport(upstream.Options{Idle: 1})
+	warm, err := transport.RoundTrip(w.request(http.MethodGet, "/warm", "", http.Header{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	warm.Body.Close()
+	expires := time.Now().Add(20 * time.Millisecond)
+	proof := upstream.Proof{Expires: expires}
+	late := proof.Attach(w.request(http.MethodPost, "/payout", "", http.Header{}).WithContext(stopBeforeWrite(t, expires)))
+	upstream.Seal(late)
+	if _, err := transport.RoundTrip(late); err == nil {
+		t.Fatal("answered after its time")
+	}
+	if !proof.NotRun() {
+		t.Error("not proved not run")
+	}
+	time.Sleep(10 * time.Millisecond)
+	if runs := w.runs.Load(); runs != 0 {
+		t.Fatalf("%d runs of a request whose first byte was late", runs)
+	}
+	transport.CloseIdleConnections()
+}
+
+// slowBody gives its last byte after a while.
+type slowBody struct {
+	until time.Time
+	over  bool
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	time.Sleep(time.Until(b.until))
+	if b.over {
+		return 0, io.EOF
+	}
+	b.over = true
+	p[0] = 'x'
+	return 1, nil
+}
+
+func TestABodyGoesOnPastTheTimeOfTheFirstByte(t *testing.T) {
+	w := newReplayWorker(t)
+	proof := upstream.Proof{Expires: time.Now().Add(50 * time.Millisecond)}
+	r := w.request(http.MethodPost, "/payout", "", http.Header{})
+	slow := &slowBody{until: proof.Expires.Add(20 * time.Millisecond)}
+	r.Body, r.ContentLength = io.NopCloser(io.MultiReader(strings.NewReader(strings.Repeat("x", 64<<10)), slow)), 64<<10+1
+	resp, err := upstream.NewTransport(upstream.Options{}).RoundTrip(proof.Attach(r))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if runs := w.runs.Load(); runs != 1 {
+		t.Errorf("%d runs, want 1", runs)
+	}
+}
