owner, entry: what will not be served is refused at once; returns are known; no moves among full owners

Ruled out: wrong order of the queue (late work already waited behind), the worker's knee (8 of 11 slots are right below it).

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -47,6 +47,8 @@
 	pace     *pace
 	req      Request
 	deadline time.Time
+	// waited is how long the caller is believed to have waited before this sending.
+	waited time.Duration
 	// budget is the number of extra attempts left to the path.
 	budget int
 
@@ -232,7 +234,7 @@
 		RetryBudget:      childBudget(c.budget),
 		Delegated:        c.home.delegated(),
 		Caller:           c.req.Caller,
-		MayMove:          c.mayMove(),
+		MayMove:          c.mayMove() && !c.believedFull(),
 		Objective:        c.objectiveLeft(now),
 	}
 	c.engine.table.Sent(now, to.ID)
@@ -244,7 +246,7 @@
 	if c.req.Target.Class.ObjectiveMs <= 0 {
 		return 0
 	}
-	began := c.deadline.Add(-c.req.Timeout)
+	began := c.deadline.Add(-c.req.Timeout - c.waited)
 	left := began.Add(c.req.Target.Class.Objective()).Sub(now)
 	if left == 0 {
 		return -1
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,8 @@
 	budgets registry[model.ServiceName, bucket]
 	paces   registry[paceKey, pace]
 	extra   registry[model.ServiceName, arrivals]
+	// patiences knows callers' timeouts by service and class.
+	patiences registry[paceKey, patience]
 	// entries is the number of entry nodes; see SetEntries.
 	entries atomic.Int64
 }
@@ -96,6 +98,8 @@
 	Idempotent bool
 	// Timeout from now to the deadline, already within the class's bound.
 	Timeout time.Duration
+	// Asked is the timeout that the caller named itself; zero for none.
+	Asked time.Duration
 	// RetryBudget is the number of extra attempts left to the path, from the
 	// caller's Gypsum-Retry-Budget when it is itself a worker of a path, at most
 	// the bundle's.
@@ -112,6 +116,9 @@
 	c.bucket.deposit(r.Target.Bundle.Retry.Ratio)
 	c.budget = max(0, min(r.RetryBudget, r.Target.Bundle.Retry.PerPath))
 	c.extra = e.arrivalsOf(now, &c.req.Target)
+	if r.Asked > 0 {
+		c.waited = e.patienceOf(&c.req.Target).note(now, r.Asked)
+	}
 	if r.Idempotent {
 		c.pace = e.paceOf(&c.req.Target)
 	}
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -30,6 +30,8 @@
 	// seq is the order of arrival.
 	seq     uint64
 	started bool
+	// predicted is the wait that was predicted when it was queued.
+	predicted time.Duration
 	// objective is the time up to which an answer has its full worth, on the owner's
 	// clock; zero when there is none.
 	objective time.Duration
@@ -73,6 +75,7 @@
 			n++
 			continue
 		}
+		o.learnWait(t, it, t-it.arrived)
 		o.start(t, it)
 		o.out = append(o.out, Decision{Attempt: it.id, Verdict: Start})
 	}
@@ -85,6 +88,7 @@
 	it.started = true
 	it.startedAt = t
 	it.slowness = o.pace.factor(t)
+	o.slowed += it.slowness
 	it.pauses = o.pause.count
 	it.life = o.life
 	it.class.inFlight++
@@ -95,6 +99,7 @@
 // release gives back what start took.
 func (o *Owner) release(it *item) {
 	delete(o.live, it.id)
+	o.slowed -= it.slowness
 	it.class.inFlight--
 	it.tenant.inFlight--
 	o.inFlight--
@@ -120,8 +125,12 @@
 
 // hopeless tells whether a start now would mostly end after the deadline.
 func (it *item) hopeless(t time.Duration) bool {
-	need := time.Duration(hopeShare * float64(it.class.expected()))
-	return t+need >= it.deadline
+	return t+it.least() >= it.deadline
+}
+
+// least is the time that must be left for a start.
+func (it *item) least() time.Duration {
+	return time.Duration(hopeShare * float64(it.class.expected()))
 }
 
 // expire refuses queued attempts that cannot be answered in time any more.
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -196,11 +196,16 @@
 	return Wait, model.Refusal{}
 }
 
-// refuseLate refuses what could not be answered in its remaining time, and a
-// caller's own request id that would wait here although it may run elsewhere.
+// refuseLate refuses what could not be answered in its remaining time, or gives way to
+// others, and a caller's own request id that would wait here although it may run
+// elsewhere.
 func (o *Owner) refuseLate(t time.Duration, it *item) model.Refusal {
-	wait := o.wait(t, it)
+	it.predicted = o.wait(t, it)
+	wait := it.predicted
 	left := it.deadline - t
+	if o.givesWay(t, it, o.foreseen(t, it)) {
+		return model.Refusal{Reason: model.ReasonOverloaded, NotRun: true, RetryAfter: o.retryAfter(wait)}
+	}
 	if late := wait + it.class.expected() - left; late > 0 {
 		return model.Refusal{Reason: model.ReasonOverloaded, NotRun: true, RetryAfter: o.retryAfter(late)}
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -95,6 +95,8 @@
 	queueLimit int
 
 	inFlight int
+	// slowed is the sum of the slowness of what is in flight.
+	slowed   float64
 	nextSeq  uint64
 	live     map[model.AttemptID]*item
 	queue    queue
@@ -339,6 +341,7 @@
 	t := o.clock(now)
 	o.pause.refresh()
 	o.expire(t)
+	o.refuseHopeless(t)
 	o.refuseWhileCold(t)
 	o.refuseWithdrawn(t)
 	o.attempts.forget(t)
--- a/internal/owner/predict.go
+++ b/internal/owner/predict.go
@@ -109,13 +109,22 @@
 	return true
 }
 
+// slowness is how many times as long as usual the runs at the worker take on average:
+// each keeps the pace at its start.
+func (o *Owner) slowness() float64 {
+	if o.inFlight == 0 {
+		return 1
+	}
+	return o.slowed / float64(o.inFlight)
+}
+
 // wait predicts how long an attempt that is not yet queued would wait: one slot
 // comes free every service time over the limit, and those ahead take the first.
 // A class within its share waits for its own share at most.
 func (o *Owner) wait(t time.Duration, it *item) time.Duration {
 	limit := o.limit.effective(t)
 	all, own := o.queue.ahead(it)
-	mean := float64(o.speed.all.mean())
+	mean := float64(o.speed.all.mean()) * o.slowness()
 	wait := mean * float64(all+1) / float64(limit)
 	if g := it.class.guaranteed(limit); g > 0 {
 		wait = min(wait, float64(it.class.expected())*float64(own+1)/g)
--- a/internal/owner/shares.go
+++ b/internal/owner/shares.go
@@ -27,6 +27,9 @@
 	// slot; see under.
 	credit  float64
 	service estimate
+	// stretch is what was learned of the class's waits.
+	stretch stretch
+
 	// overall is the estimate over all classes.
 	overall *estimate
 }
--- a/internal/owner/sim_test.go
+++ b/internal/owner/sim_test.go
@@ -24,6 +24,12 @@
 	service  time.Duration
 	deadline time.Duration
 	tenant   model.TenantName
+	// objective is the time within which an answer has its full worth; zero for none.
+	objective time.Duration
+	priority  int
+	// spread is the service time's deviation as a share of its mean; zero for an
+	// exponential one.
+	spread float64
 }
 
 // mixed is work of a payout service: statements are slow, lookups have no worth.
@@ -56,6 +62,10 @@
 // score is what the callers got of one class.
 type score struct {
 	offered, answered, late, refused int
+	// inTime counts the answers within the objective, held the time from the offer to
+	// each refusal.
+	inTime int
+	held   []time.Duration
 	// took is the time of each answered request.
 	took []time.Duration
 }
@@ -107,6 +117,7 @@
 type simCall struct {
 	load     *load
 	deadline time.Duration
+	arrived  time.Duration
 }
 
 func (s *sim) after(d time.Duration, run func()) {
@@ -133,7 +144,8 @@
 	a := s.rig.attempt()
 	a.Class, a.Worth, a.Remaining, a.Tenant = l.class, l.worth, l.deadline, l.tenant
 	s.result.byClass[l.class].offered++
-	s.pending[a.ID] = simCall{l, s.now + l.deadline}
+	a.Objective = l.objective
+	s.pending[a.ID] = simCall{l, s.now + l.deadline, s.now}
 	switch got := s.rig.offer(a); got.Verdict {
 	case Start:
 		s.start(a.ID)
@@ -143,7 +155,10 @@
 }
 
 func (s *sim) refuse(id model.AttemptID) {
-	s.result.byClass[s.pending[id].load.class].refused++
+	call := s.pending[id]
+	sc := s.result.byClass[call.load.class]
+	sc.refused++
+	sc.held = append(sc.held, s.now-call.arrived)
 	delete(s.pending, id)
 }
 
@@ -166,7 +181,7 @@
 		return
 	}
 	s.atWork++
-	service := time.Duration(s.random.ExpFloat64() * float64(call.load.service))
+	service := s.serviceTime(call.load)
 	if s.worker.factor != nil {
 		service = time.Duration(float64(service) * s.worker.factor(s.now, s.atWork))
 	}
@@ -180,6 +195,13 @@
 	})
 }
 
+func (s *sim) serviceTime(l *load) time.Duration {
+	if l.spread == 0 {
+		return time.Duration(s.random.ExpFloat64() * float64(l.service))
+	}
+	return time.Duration(max(0.2, 1+l.spread*s.random.NormFloat64()) * float64(l.service))
+}
+
 func (s *sim) end(id model.AttemptID, f Finish) {
 	call := s.pending[id]
 	sc := s.result.byClass[call.load.class]
@@ -190,6 +212,9 @@
 		sc.late++
 	default:
 		sc.answered++
+		if s.now-call.arrived <= call.load.objective {
+			sc.inTime++
+		}
 		sc.took = append(sc.took, call.load.deadline-(call.deadline-s.now))
 	}
 	delete(s.pending, id)
@@ -211,7 +236,10 @@
 		pending: map[model.AttemptID]simCall{}, result: result{byClass: map[model.ClassName]*score{}},
 	}
 	for _, l := range sc.loads {
-		b.Classes = append(b.Classes, bundle.Class{Name: l.class, Worth: l.worth, Share: l.share, DeadlineMs: l.deadline.Milliseconds()})
+		b.Classes = append(b.Classes, bundle.Class{
+			Name: l.class, Worth: l.worth, Share: l.share, DeadlineMs: l.deadline.Milliseconds(),
+			Priority: l.priority, ObjectiveMs: l.objective.Milliseconds(),
+		})
 		s.result.byClass[l.class] = &score{}
 	}
 	s.rig.o.Configure(s.rig.now, b, svc, 1)
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -187,6 +187,7 @@
 		req.Tenant = h.Tenant
 	}
 	if h.Timeout > 0 {
+		req.Asked = h.Timeout
 		req.Timeout = min(h.Timeout, t.Class.MaxDeadline())
 	}
 	req.Timeout = c.Stop.within(time.Now(), req.Timeout)
