owner, entry: a worker that is another than the listed one gets nothing; its 421 is an arrival

Ruled out: retries (their bucket held), the worker's refusals for load (counted before).

Change: the worker's own word of who it is, in a 421 or on its health path, is held beside the directory's; while the two differ the owner refuses as not ready, and one line (513) says so. A 421 counts as an arrival. The new life is not used on its word alone: its address may belong to another service by now.

Left: a request whose every owner is not ready waits for their advice (1 s) before it is refused, as before.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -137,6 +137,9 @@
 // SelfChanged says that this node's own life stage changed.
 type SelfChanged struct{ State model.UpstreamState }
 
+// WorkerSaid says which worker this node's own one says it is, when that has changed.
+type WorkerSaid struct{ Worker model.WorkerID }
+
 // OwnerDoubted says that an attempt got no answer of its owner, for a reason that may
 // lie with the way there. Adapters send it at most once an owner and tick.
 type OwnerDoubted struct {
@@ -174,6 +177,7 @@
 func (DirectoryTold) isEvent()      {}
 func (DirectoryAskFailed) isEvent() {}
 func (SelfChanged) isEvent()        {}
+func (WorkerSaid) isEvent()         {}
 func (OwnerDoubted) isEvent()       {}
 func (OwnersSaidLost) isEvent()     {}
 func (ReachProbed) isEvent()        {}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,6 +16,7 @@
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/directory"
 	"gypsumstand/internal/entry"
+	"gypsumstand/internal/event"
 	"gypsumstand/internal/measure"
 	"gypsumstand/internal/member"
 	"gypsumstand/internal/model"
@@ -79,6 +80,8 @@
 	derived   derived
 	// life is the own worker's life that the fleet's view named last; zero before.
 	life model.WorkerLife
+	// said is the worker that the own one last said it is.
+	said model.WorkerID
 	// derivedAt is when the derived state was last made.
 	derivedAt time.Time
 }
@@ -184,6 +187,9 @@
 			out.Actions = append(out.Actions, n.handOver(now)...)
 		}
 		out.Decisions = append(out.Decisions, n.changeSelf(now, e.State)...)
+	case control.WorkerSaid:
+		n.said = e.Worker
+		out.Actions = append(out.Actions, n.followSaid(now)...)
 	case control.Paused:
 		out.Decisions = append(out.Decisions, n.Owner.Paused(now, e.For)...)
 	}
@@ -284,8 +290,7 @@
 	ds := n.followLife(now, self.Life())
 	n.Owner.Withdraw(now, self.State == model.StateLeaving)
 	if n.directory != nil {
-		listed, known := n.directory.Listed()
-		n.Owner.Unlist(now, known && !listed)
+		n.Owner.Unlist(now, n.unlisted())
 	}
 	n.Engine.SetEntries(n.member.FleetSize())
 	svc, b := set.Service(n.cfg.Self.Service)
@@ -296,6 +301,38 @@
 	return append(ds, n.Owner.Configure(now, b, withSlots(svc, self.Slots), liveUpstreams(fleet, n.cfg.Self.Service))...)
 }
 
+// unlisted tells whether the directory names no worker that this node may use: none
+// beside this node, or one that is not there any more. While the directory is away the
+// one that is there may be of another service, so that nothing is sent to it.
+func (n *Node) unlisted() bool {
+	listed, known := n.directory.Listed()
+	if !known {
+		return false
+	}
+	return !listed || n.replaced()
+}
+
+// replaced tells whether the own worker says that it is another than the listed one.
+func (n *Node) replaced() bool {
+	listed := n.Worker()
+	return listed != "" && n.said != "" && n.said != listed
+}
+
+// followSaid takes what the own worker says of itself to the owner: before the directory
+// tells of a new worker, attempts that name the old one would only be refused.
+func (n *Node) followSaid(now time.Time) []control.Action {
+	if n.directory == nil {
+		return nil
+	}
+	n.Owner.Unlist(now, n.unlisted())
+	if !n.replaced() {
+		return nil
+	}
+	return []control.Action{control.Record{
+		Event: event.WorkerReplaced, Subject: string(n.said), Detail: "listed: " + string(n.Worker()),
+	}}
+}
+
 // followLife tells the owner when another life of its worker is listed. A worker that is
 // not listed for a while may come back as the same life.
 func (n *Node) followLife(now time.Time, life model.WorkerLife) []owner.Decision {
@@ -304,6 +341,8 @@
 		return nil
 	}
 	n.life = life
+	// Its word was the one before's, or agrees.
+	n.said = ""
 	if before == (model.WorkerLife{}) {
 		return nil
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -234,3 +234,31 @@
 		t.Errorf("limits after each word (-want +got):\n%s", diff)
 	}
 }
+
+func TestAWorkerThatSaysItIsAnotherGetsNothingUntilItIsListed(t *testing.T) {
+	self := instances("ledger", 1)[0]
+	self.State, self.Incarnation = model.StateCold, 1
+	n := New(Config{Self: self, Started: epoch, FollowsDirectory: true})
+	b := &bundle.Bundle{Name: "operator", Version: 1, Services: []bundle.Service{{Name: "ledger", Slots: 20, QueueLimit: 10}}}
+	now := epoch
+	state := func(ev control.Event) model.UpstreamState {
+		now = now.Add(10 * time.Second)
+		n.Handle(now, ev)
+		return n.Owner.Report(now).State
+	}
+	state(control.SelfChanged{State: model.StateLive})
+	state(control.DirectoryRead{Revision: 1, Bundle: b})
+	got := []model.UpstreamState{
+		state(listedLife("w1", 0, 2, 2)),
+		state(control.WorkerSaid{Worker: "w1"}),
+		state(control.WorkerSaid{Worker: "w2"}),
+		state(control.Tick{}),
+		state(listedLife("w2", 0, 3, 3)),
+		// What it said before the directory's last word no longer counts.
+		state(listedLife("w3", 0, 4, 4)),
+	}
+	live, cold := model.StateLive, model.StateCold
+	if diff := cmp.Diff([]model.UpstreamState{live, live, cold, cold, live, live}, got); diff != "" {
+		t.Errorf("states (-want +got):\n%s", diff)
+	}
+}
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -78,6 +78,8 @@
 	// RetryAfter is the worker's advice to come back; zero means none.
 	RetryAfter time.Duration
 	Load       WorkerLoad
+	// Life is the worker that answers, where a refusal says; empty otherwise.
+	Life model.WorkerID
 }
 
 // WorkerHealth is what an answer of the health path says.
--- a/internal/entry/arrivals.go
+++ b/internal/entry/arrivals.go
@@ -115,8 +115,13 @@
 
 // noteArrival counts an attempt that a worker has, or may have, had.
 func (c *Call) noteArrival(r model.Refusal) {
-	if r.NotRun && r.Reason != model.ReasonWorkerShed {
+	if r.NotRun && !atWorker(r.Reason) {
 		return
 	}
 	c.arrived++
 }
+
+// atWorker tells whether a refusal that proves "not run" was a worker's own.
+func atWorker(r model.Reason) bool {
+	return r == model.ReasonWorkerShed || r == model.ReasonWorkerReplaced
+}
--- a/internal/event/worker.go
+++ b/internal/event/worker.go
@@ -12,4 +12,7 @@
 		"Look at the worker: its health path may say well all the while.")
 	WorkerAnswers = define(512, zerolog.InfoLevel, "worker answers again",
 		"An attempt was answered after the worker had broken several in a row; everything is admitted again.", "none")
+	WorkerReplaced = define(513, zerolog.WarnLevel, "worker is another than the listed one",
+		"This node's worker says that it is another than the directory lists, so the listed one is gone. Nothing is sent to it until the directory lists it. The subject is the worker's word, the detail the one listed.",
+		"When it lasts, look after the directory: it does not list the new worker.")
 )
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -129,6 +129,9 @@
 	ReasonOwnerAbsent
 	// ReasonBusy: the owner cannot start the attempt now; another may.
 	ReasonBusy
+	// ReasonWorkerReplaced: another worker answered in place of the one that was named,
+	// and did not run the request.
+	ReasonWorkerReplaced
 
 	reasonCount
 )
@@ -138,7 +141,7 @@
 	"incarnation", "stale", "tenant-limit", "delegated", "duplicate-running",
 	"duplicate-done", "barred", "worker-unreachable", "worker-shed",
 	"worker-broken", "cancelled", "no-upstream", "no-route", "body-too-large",
-	"paused", "link-broken", "bad-request", "owner-absent", "busy",
+	"paused", "link-broken", "bad-request", "owner-absent", "busy", "worker-replaced",
 }
 
 // String returns the header and label form of r.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -220,6 +220,7 @@
 		Requests: &n.cfg.Requests,
 		Refresh:  n.watch.refresh,
 		Mark:     n.mark,
+		Said:     n.watch.said,
 	})
 	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS, n.cfg.MaxIdleConnections)
 	n.forwarder.Lost = &server.LostOwners{Tell: n.tellLost, Heard: n.heardLost}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -35,7 +35,8 @@
 
 	mu    sync.Mutex
 	judge *health.Judge
-	// life is the worker's life as its health path last said.
+	// life is the worker as it last named itself, in answers of its health path and
+	// where it refused what was meant for another.
 	life model.WorkerID
 	// fresh is closed when the refreshing poll under way has ended; nil when there
 	// is none.
@@ -175,14 +176,23 @@
 	said := w.node.cfg.Workers.ReadHealth(resp, data)
 	w.node.executor.Deliver(w.node.core.Owner.ObserveLoad(time.Now(), said.Load))
 	if said.Worker != "" {
-		w.mu.Lock()
-		w.life = said.Worker
-		w.mu.Unlock()
+		w.said(said.Worker)
 	}
 	return health.Poll{Answered: true, OK: said.OK, Leaving: said.Leaving}
 }
 
-// worker returns the worker's life as its health path last said, or empty.
+// said takes the worker's own word of who it is. It does not block.
+func (w *workerWatch) said(id model.WorkerID) {
+	w.mu.Lock()
+	before := w.life
+	w.life = id
+	w.mu.Unlock()
+	if before != id {
+		w.node.sink(control.WorkerSaid{Worker: id})
+	}
+}
+
+// worker returns the worker as it last named itself, or empty.
 func (w *workerWatch) worker() model.WorkerID {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -302,7 +302,7 @@
 func placeable(r model.Reason) bool {
 	switch r {
 	case model.ReasonOverloaded, model.ReasonQueueFull, model.ReasonNotReady,
-		model.ReasonPaused, model.ReasonDelegated:
+		model.ReasonPaused, model.ReasonDelegated, model.ReasonWorkerReplaced:
 		return true
 	}
 	return false
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -81,6 +81,7 @@
 	requests *zerolog.Logger
 	refresh  func(ctx context.Context)
 	mark     func() model.DirectoryMark
+	said     func(model.WorkerID)
 	// transport is for idempotent requests, cautious for others; see cautiousIdle.
 	transport atomic.Pointer[http.Transport]
 	cautious  atomic.Pointer[http.Transport]
@@ -110,6 +111,9 @@
 	Refresh func(ctx context.Context)
 	// Mark tells what this node knows of the directory.
 	Mark func() model.DirectoryMark
+	// Said is told the worker that refused an attempt, where it says which it is; nil
+	// where workers are not told apart.
+	Said func(model.WorkerID)
 }
 
 // NewExecutor returns an executor for one worker.
@@ -123,6 +127,7 @@
 		requests: cfg.Requests,
 		refresh:  cfg.Refresh,
 		mark:     cfg.Mark,
+		said:     cfg.Said,
 		waiters:  map[model.AttemptID]chan owner.Decision{},
 	}
 	x.renewTransports(limits{slots: initialSlots, connections: initialConnections})
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -39,6 +39,9 @@
 		x.finish(w.Attempt.ID, owner.Finish{ServiceTime: time.Since(started), Failed: true})
 		return Result{Refusal: refusal}
 	}
+	if head.Life != "" && x.said != nil {
+		x.said(head.Life)
+	}
 	if head.NotRun {
 		defer cancel()
 		defer resp.Body.Close()
