--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -144,8 +145,8 @@
 	m.peerWire, errs[0] = newProxy(net.JoinHostPort(ip(networkPeer, i), f.peerPort), net.JoinHostPort(ip(networkNode, i), f.peerPort))
 	m.storeWire, errs[1] = newProxy(ip(networkStore, i)+":0", f.storeAt.Addr().String())
 	m.workerWire, errs[2] = newProxy(ip(networkWorker, i)+":0", m.worker.Address())
-	m.caller, errs[3] = freeAddress(ip(networkNode, i))
-	m.operator, errs[4] = freeAddress(ip(networkNode, i))
+	m.caller, errs[3] = freeAddress(ip(networkNode, i), f.peerPort)
+	m.operator, errs[4] = freeAddress(ip(networkNode, i), f.peerPort, portOf(m.caller))
 	if err := errors.Join(errs[:]...); err != nil {
 		return err
 	}
@@ -154,9 +155,20 @@
 	return m.writeSettings()
 }
 
-func freeAddress(host string) (string, error) {
-	port, err := freePort(host)
-	return net.JoinHostPort(host, port), err
+// freeAddress returns an address whose port is none of those that are taken but not yet
+// listened on.
+func freeAddress(host string, taken ...string) (string, error) {
+	for {
+		port, err := freePort(host)
+		if err != nil || !slices.Contains(taken, port) {
+			return net.JoinHostPort(host, port), err
+		}
+	}
+}
+
+func portOf(address string) string {
+	_, port, _ := net.SplitHostPort(address)
+	return port
 }
 
 func (m *machine) writeSettings() error {
