server, entry, reach: an attempt's body leaves when its owner asks for it; what is not taken up has not run

Cause: an attempt whose bytes had left was in doubt until its owner was heard again, though on a machine that is cut off, without power or stopped nobody had read it.

Change: the body (or the empty chunk in its place) is withheld until the owner has admitted the attempt and asks for it (100); an owner hands nothing to its worker before the whole body has come.

TestPayoutsAtANodeThatStandsStillAreAnsweredByAnother failed before (504 unknown) and passes.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -146,6 +146,8 @@
 	Owner model.Instance
 	// NoConnection: no connection could be had.
 	NoConnection bool
+	// NotTakenUp: the owner did not begin to answer in time.
+	NotTakenUp bool
 }
 
 // OwnersSaidLost names owners that a peer cannot connect to. Adapters send each at
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -61,8 +61,10 @@
 	to       model.Instance
 	believed route.Belief
 	sentAt   time.Time
-	hedgeAt  time.Time
-	hedged   bool
+	// takenUpBy is for the attempt that is out, see takeUpTime.
+	takenUpBy time.Time
+	hedgeAt   time.Time
+	hedged    bool
 	// open: the current attempt has neither ended nor is proved not to have run.
 	open bool
 	// doubt: an attempt before the current one may have run.
@@ -152,7 +154,7 @@
 			}
 			c.phase = c.after
 		case phaseSent:
-			return Step{Kind: StepSend, To: c.to, Attempt: c.current, Until: c.deadline, HedgeAt: c.hedgeAt, Believed: c.believed}
+			return Step{Kind: StepSend, To: c.to, Attempt: c.current, Until: c.deadline, TakenUpBy: c.takenUpBy, HedgeAt: c.hedgeAt, Believed: c.believed}
 		case phaseAsked:
 			return c.settleStep(now)
 		default:
@@ -208,6 +210,7 @@
 	}
 	c.to = to
 	c.sentAt = now
+	c.takenUpBy = c.takeUpTime(now)
 	c.hedgeAt = c.hedgeTime(now)
 	c.sends++
 	c.tried.add(to.ID)
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -14,7 +14,8 @@
 // The steps.
 const (
 	// StepSend: send Attempt to To, then report Answered, Refused or Broken;
-	// Broken at Until at the latest.
+	// Broken at Until at the latest. An owner that has not begun to answer at TakenUpBy
+	// is reported as Refused for ReasonNotTakenUp, once nothing can run there any more.
 	StepSend StepKind = iota
 	// StepSettle: ask To what became of Attempt, then report Settled or
 	// SettleFailed; SettleFailed at Until at the latest.
@@ -41,6 +42,9 @@
 	To      model.Instance
 	Attempt model.Attempt
 	Until   time.Time
+	// TakenUpBy, when set on StepSend, is when the attempt is withdrawn unless its owner
+	// has begun to answer.
+	TakenUpBy time.Time
 	// Believed is what the choice of To rested on, for logs; for StepSend.
 	Believed route.Belief
 	// HedgeAt, when set on StepSend, is when the adapter may call Call.Hedge.
--- a/internal/failure/lost_test.go
+++ b/internal/failure/lost_test.go
@@ -35,3 +35,34 @@
 	}
 	calling.Wait()
 }
+
+// Of requests that must not run twice the fate of an attempt decides: one that its owner
+// never took up is proved not to have run, and goes elsewhere.
+func TestPayoutsAtANodeThatStandsStillAreAnsweredByAnother(t *testing.T) {
+	t.Parallel()
+	d := startProcesses(t, 2)
+	entry, stopped := d.nodes[0], d.nodes[1]
+	c := newCallers(t)
+	for _, p := range d.nodes {
+		awaitAnswer(t, c, p.Caller, "/a")
+	}
+	if err := stopped.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	var calling sync.WaitGroup
+	for range 2 * slots {
+		calling.Go(func() {
+			r := payout("/payouts")
+			r.timeout = 15 * time.Second
+			if got := c.send(t.Context(), entry.Caller, r); !got.answered() {
+				t.Errorf("told %d %q", got.status, got.outcome)
+			}
+		})
+	}
+	calling.Wait()
+	if err := stopped.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	d.stop(t)
+	c.check(t, d.ledger)
+}
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -132,6 +132,9 @@
 	// ReasonWorkerReplaced: another worker answered in place of the one that was named,
 	// and did not run the request.
 	ReasonWorkerReplaced
+	// ReasonNotTakenUp: the owner did not begin to answer in time, and the attempt was
+	// withdrawn before anything of it could run.
+	ReasonNotTakenUp
 
 	reasonCount
 )
@@ -141,7 +144,7 @@
 	"incarnation", "stale", "tenant-limit", "delegated", "duplicate-running",
 	"duplicate-done", "barred", "worker-unreachable", "worker-shed",
 	"worker-broken", "cancelled", "no-upstream", "no-route", "body-too-large",
-	"paused", "link-broken", "bad-request", "owner-absent", "busy", "worker-replaced",
+	"paused", "link-broken", "bad-request", "owner-absent", "busy", "worker-replaced", "not-taken-up",
 }
 
 // String returns the header and label form of r.
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -7,10 +7,15 @@
 )
 
 // unanswered is told each owner that gave an attempt no answer.
-func (n *Node) unanswered(owner model.Instance, noConnection bool) {
-	if n.calls.firstUnanswered(owner.ID) {
-		n.sink(control.OwnerDoubted{Owner: owner, NoConnection: noConnection})
+func (n *Node) unanswered(owner model.Instance, reason model.Reason) {
+	if !n.calls.firstUnanswered(owner.ID) {
+		return
 	}
+	n.sink(control.OwnerDoubted{
+		Owner:        owner,
+		NoConnection: reason == model.ReasonWorkerUnreachable || reason == model.ReasonOwnerAbsent,
+		NotTakenUp:   reason == model.ReasonNotTakenUp,
+	})
 }
 
 // probeReach finds out whether an owner's node answers.
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -95,7 +95,10 @@
 	r := newRouter()
 	r.Path(link.Path).Handler(n.links.Handler())
 	r.Path(server.ReachPath).Methods(http.MethodGet).HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	r.PathPrefix("/v1/attempt/").Handler(&server.Peer{Executor: n.executor, Seen: n.seen, Heard: n.revisionHeard, Lost: n.forwarder.Lost})
+	attempts := &server.Peer{Executor: n.executor, Seen: n.seen, Heard: n.revisionHeard, Lost: n.forwarder.Lost}
+	for _, prefix := range server.AttemptPaths {
+		r.PathPrefix(prefix).Handler(attempts)
+	}
 	if n.cfg.Directory != nil {
 		r.Path(directoryPath).Methods(http.MethodGet).HandlerFunc(n.serveDirectory)
 	}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -111,15 +111,16 @@
 
 // unanswered doubts an owner that gave an attempt no answer.
 func (c *Controller) unanswered(now time.Time, e control.OwnerDoubted) []control.Action {
-	if !e.NoConnection {
-		if c.table.HeardWithin(now, e.Owner.ID, aliveAge) {
-			return nil
-		}
-		return c.doubt(e.Owner)
+	if !e.NoConnection && c.table.HeardWithin(now, e.Owner.ID, aliveAge) {
+		return nil
 	}
 	out := c.doubt(e.Owner)
-	if len(out) > 0 {
-		out = append(out, c.lose(now, c.doubted[e.Owner.ID])...)
+	switch {
+	case len(out) == 0:
+	case e.NoConnection:
+		out = append(out, c.lose(now, c.doubted[e.Owner.ID], "a request could not connect")...)
+	case e.NotTakenUp:
+		out = append(out, c.lose(now, c.doubted[e.Owner.ID], "an attempt was not taken up")...)
 	}
 	return out
 }
@@ -206,13 +207,13 @@
 }
 
 // lose leaves the owner out of choices until a probe gets through.
-func (c *Controller) lose(now time.Time, d *doubt) []control.Action {
+func (c *Controller) lose(now time.Time, d *doubt, why string) []control.Action {
 	if !c.table.Unreached(now, d.owner) {
 		return nil
 	}
 	d.lost = now
 	c.publish()
-	return record(event.OwnerUnreached, d, "a request could not connect", nil)
+	return record(event.OwnerUnreached, d, why, nil)
 }
 
 // publish names the owners out of reach, for peers.
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -225,3 +225,20 @@
 		t.Error("told once more")
 	}
 }
+
+func TestAnOwnerThatTakesNothingUpIsLeftOutUnlessItIsHeard(t *testing.T) {
+	c, f := start("w", "heard")
+	f.heard["heard"] = true
+	silent := func(id model.InstanceID) control.OwnerDoubted {
+		return control.OwnerDoubted{Owner: owner(id), NotTakenUp: true}
+	}
+	want(t, "heard", c.Handle(epoch, silent("heard")), nil, nil)
+	want(t, "silent", c.Handle(epoch, silent("w")), []model.InstanceID{"w"}, []event.ID{event.OwnerUnreached})
+	if f.out["heard"] || !f.out["w"] {
+		t.Errorf("left out: %v", f.out)
+	}
+	want(t, "through", c.Handle(epoch, control.ReachProbed{Owner: owner("w")}), nil, []event.ID{event.OwnerReached})
+	if f.out["w"] {
+		t.Error("left out although it answers")
+	}
+}
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -75,9 +75,9 @@
 	Heard func(from model.InstanceID, m model.DirectoryMark)
 	// Mark tells what this node knows of the directory.
 	Mark func() model.DirectoryMark
-	// Unanswered is told of each owner that gave an attempt no answer, and whether
-	// that was for want of a connection; it does not block.
-	Unanswered func(in model.Instance, noConnection bool)
+	// Unanswered is told of each owner that gave an attempt no answer, and why the
+	// attempt is proved not to have run, ReasonNone where it is not; it does not block.
+	Unanswered func(in model.Instance, reason model.Reason)
 	// LostSignal tells attempts that their owner is out of reach.
 	LostSignal *LostSignal
 	// Leaving tells whether callers are to be sent away (Connection: close).
--- a/internal/server/carrier.go
+++ b/internal/server/carrier.go
@@ -109,7 +109,7 @@
 		c.call.Report(now, result.Report)
 	}
 	if !heard && result.Answer == nil {
-		c.unanswered(ctx, step, err)
+		c.unanswered(ctx, step, result.Refusal.Reason)
 	}
 	if c.body.stream != nil {
 		c.call.SetReplayable(!c.body.touched.Load())
@@ -119,6 +119,7 @@
 		c.ended(ctx, now, step, err)
 	case result.Answer == nil:
 		c.call.Refused(now, result.Refusal)
+		c.noteCallerGone(ctx)
 	default:
 		c.take(ctx, now, step, result)
 	}
@@ -133,9 +134,9 @@
 
 // unanswered tells of an owner that gave no answer, unless the caller's leaving is
 // why. This node's own owner always answers.
-func (c *carrier) unanswered(ctx context.Context, step entry.Step, err error) {
+func (c *carrier) unanswered(ctx context.Context, step entry.Step, reason model.Reason) {
 	if !errors.Is(ctx.Err(), context.Canceled) {
-		c.caller.Unanswered(step.To, err == nil)
+		c.caller.Unanswered(step.To, reason)
 	}
 }
 
@@ -178,6 +179,7 @@
 		Header:        c.outgoingHeader(),
 		Body:          c.body.open(),
 		ContentLength: c.body.length,
+		TakenUpBy:     step.TakenUpBy,
 	}
 	if step.To.ID == c.caller.Self {
 		work.SameNode = true
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -33,6 +33,12 @@
 	ContentLength int64
 	// SameNode tells that the entry is this node.
 	SameNode bool
+	// TakenUpBy is when the entry withdraws an attempt that its owner has not begun to
+	// answer; zero for never.
+	TakenUpBy time.Time
+	// Claim gets the body that the entry withholds, once the attempt is admitted; an error
+	// means that there is none and that nothing may run. Nil where the body is here.
+	Claim func() error
 }
 
 // request makes the message of an attempt to its next hop at u. It is HTTP/1.1
@@ -198,22 +204,44 @@
 		return &model.Refusal{Reason: model.ReasonDuplicateRunning}
 	}
 	verdict, refusal := x.owner.Offer(now, &w.Attempt, w.SameNode)
+	if verdict == owner.Refuse {
+		x.unawait(id)
+		return &refusal
+	}
+	if w.Claim != nil && w.Claim() != nil {
+		return x.withdrawn(id, ch, verdict)
+	}
 	if verdict == owner.Wait {
 		return x.wait(ctx, id, ch)
 	}
 	x.unawait(id)
-	if verdict == owner.Refuse {
-		return &refusal
-	}
 	return nil
 }
 
+// withdrawn ends an admitted attempt whose body the entry did not let go.
+func (x *Executor) withdrawn(id model.AttemptID, ch chan owner.Decision, verdict owner.Verdict) *model.Refusal {
+	refusal := &model.Refusal{Reason: model.ReasonCancelled, NotRun: true}
+	if verdict == owner.Wait {
+		if earlier := x.cancel(id, ch); earlier != nil {
+			return earlier
+		}
+	}
+	x.unawait(id)
+	x.finish(id, owner.Finish{NotRun: true, Abandoned: true})
+	return refusal
+}
+
 func (x *Executor) wait(ctx context.Context, id model.AttemptID, ch chan owner.Decision) *model.Refusal {
 	select {
 	case d := <-ch:
 		return decided(d)
 	case <-ctx.Done():
+		return x.cancel(id, ch)
 	}
+}
+
+// cancel gives up an attempt that waits; nil means that it had been started before.
+func (x *Executor) cancel(id model.AttemptID, ch chan owner.Decision) *model.Refusal {
 	notRun, ds := x.owner.Cancel(time.Now(), id)
 	if notRun {
 		x.unawait(id)
--- a/internal/server/forwarder.go
+++ b/internal/server/forwarder.go
@@ -84,24 +84,43 @@
 var ErrBroken = errors.New("the way to the owner broke")
 
 // Do sends the attempt to the owner at address. An error means ErrBroken; no
-// connection is a refusal that proves "not run". heard tells whether Report is
-// the owner's.
+// connection, and an attempt that was withdrawn, are refusals that prove "not run".
+// heard tells whether Report is the owner's.
 func (f *Forwarder) Do(ctx context.Context, address string, w *Work) (result Result, heard bool, err error) {
 	offer, err := wire.EncodeOffer(&w.Attempt)
 	if err != nil {
 		return Result{Refusal: model.Refusal{Reason: model.ReasonBadRequest, NotRun: true}}, false, nil
 	}
+	if w.ContentLength > replayBytes {
+		return f.do(f.streamed(ctx, address, w, offer), w, nil)
+	}
+	body := withhold(w.Body)
+	ctx, end := withheldContext(ctx, body, w.TakenUpBy)
+	result, heard, err = f.do(f.withheld(ctx, address, w, offer, body), w, body)
+	if result.Answer == nil {
+		end()
+		return result, heard, err
+	}
+	// The answer's body is read under the attempt's context.
+	result.Answer.Body = closing{result.Answer.Body, end}
+	return result, heard, err
+}
+
+// do carries out an attempt whose body is withheld; nil means that it streams.
+func (f *Forwarder) do(req *http.Request, w *Work, body *withheldBody) (result Result, heard bool, err error) {
 	var proof upstream.Proof
-	req := proof.Attach(f.request(ctx, address, w, offer))
+	req = proof.Attach(req)
 	upstream.Seal(req)
 	resp, err := f.transport.RoundTrip(req)
-	if err != nil {
-		if proof.NotRun() {
-			return Result{Refusal: model.Refusal{Reason: unreached(err), NotRun: true}}, false, nil
-		}
-		return Result{}, false, errors.Join(ErrBroken, err)
+	switch {
+	case err == nil:
+		return f.read(w, resp, &proof)
+	case proof.NotRun():
+		return Result{Refusal: model.Refusal{Reason: unreached(err), NotRun: true}}, false, nil
+	case body != nil && body.bar():
+		return Result{Refusal: model.Refusal{Reason: model.ReasonNotTakenUp, NotRun: true}}, false, nil
 	}
-	return f.read(w, resp, &proof)
+	return Result{}, false, errors.Join(ErrBroken, err)
 }
 
 // ReachPath is where a node answers probes on its peer port.
@@ -152,17 +171,34 @@
 	return model.ReasonWorkerUnreachable
 }
 
-func (f *Forwarder) request(ctx context.Context, address string, w *Work, offer string) *http.Request {
-	u := &url.URL{Scheme: f.scheme, Host: address, Path: attemptPath + w.URL.Path, RawQuery: w.URL.RawQuery}
+// streamed makes the message of an attempt whose body goes on from the caller to the
+// worker as it comes, from the owner's start on.
+func (f *Forwarder) streamed(ctx context.Context, address string, w *Work, offer string) *http.Request {
+	req := f.request(ctx, address, streamedPath, w, offer)
+	req.Header.Set("Expect", "100-continue")
+	return req
+}
+
+// withheld makes the message of an attempt whose body leaves when the owner asks for it.
+// One without a body ends with an empty chunk, which is withheld in its place.
+func (f *Forwarder) withheld(ctx context.Context, address string, w *Work, offer string, body *withheldBody) *http.Request {
+	req := f.request(ctx, address, withheldPath, w, offer)
+	req.Body = body
+	if req.ContentLength <= 0 {
+		req.ContentLength = -1
+		req.TransferEncoding = []string{"chunked"}
+	}
+	return body.attach(req)
+}
+
+func (f *Forwarder) request(ctx context.Context, address, prefix string, w *Work, offer string) *http.Request {
+	u := &url.URL{Scheme: f.scheme, Host: address, Path: prefix + w.URL.Path, RawQuery: w.URL.RawQuery}
 	if w.URL.RawPath != "" {
-		u.RawPath = attemptPath + w.URL.RawPath
+		u.RawPath = prefix + w.URL.RawPath
 	}
 	req := w.request(ctx, u)
 	req.Header.Set(wire.HeaderOffer, offer)
 	f.Lost.write(req.Header)
-	if w.ContentLength > replayBytes {
-		req.Header.Set("Expect", "100-continue")
-	}
 	return req
 }
 
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -13,9 +13,16 @@
 	"gypsumstand/internal/wire"
 )
 
-// attemptPath is the prefix of attempts on the peer port; the request's own
-// path follows.
-const attemptPath = "/v1/attempt"
+// Prefixes of attempts on the peer port; the request's own path follows.
+const (
+	// withheldPath is for attempts whose body leaves when the owner asks for it.
+	withheldPath = "/v1/withheld"
+	// streamedPath is for those whose body follows at once, as the worker reads it.
+	streamedPath = "/v1/attempt"
+)
+
+// AttemptPaths are the prefixes of the paths that Peer serves.
+var AttemptPaths = []string{withheldPath + "/", streamedPath + "/"}
 
 // Peer serves attempts of other entry nodes.
 type Peer struct {
@@ -32,42 +39,62 @@
 func (p *Peer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// Nodes have no use for each other's date; a worker's own is passed on.
 	w.Header()["Date"] = nil
+	withheld := strings.HasPrefix(r.URL.Path, withheldPath)
+	if !withheld {
+		p.serve(w, r, streamedPath, nil)
+		return
+	}
+	// A refusal goes out before the body, which the entry then lets go. Only a writer
+	// without a connection, as in tests, refuses.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	if !p.serve(w, r, withheldPath, claim) {
+		finishReading(w, r)
+	}
+}
+
+// serve carries out the attempt that a message offers; false means that it was refused,
+// perhaps before its body was read.
+func (p *Peer) serve(w http.ResponseWriter, r *http.Request, prefix string, claim claimer) bool {
 	attempt, err := wire.DecodeOffer(r.Header.Get(wire.HeaderOffer))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+		return false
 	}
 	if !fitsHeaders(&attempt) {
 		http.Error(w, "bad offer: a field is no header value", http.StatusBadRequest)
-		return
+		return false
 	}
 	deadline := time.Now().Add(min(attempt.Remaining, maxPeerTime))
 	limitReading(w, r, deadline)
 	p.Seen(attempt.ID.Entry, attempt.Bundle)
 	p.Heard(attempt.ID.Entry, attempt.DirectoryRevision)
 	p.Lost.read(r.Header)
-	p.Lost.write(w.Header())
-	w.Header().Set(wire.HeaderAttempt, attempt.ID.String())
 	work := &Work{
 		Attempt:       attempt,
 		Method:        r.Method,
-		URL:           ownPath(r.URL),
+		URL:           ownPath(r.URL, prefix),
 		Host:          r.Host,
 		Header:        endToEnd(r.Header),
 		Body:          r.Body,
 		ContentLength: r.ContentLength,
 	}
+	if claim != nil {
+		work.Claim = func() error { return claim(w, r, work) }
+	}
 	result := p.Executor.Do(r.Context(), work)
+	p.Lost.write(w.Header())
+	w.Header().Set(wire.HeaderAttempt, attempt.ID.String())
 	if report, err := wire.EncodeReport(&result.Report); err == nil {
 		w.Header().Set(wire.HeaderReport, report)
 	}
 	if result.Answer == nil {
 		writeRefusal(w, result.Refusal)
-		return
+		return false
 	}
 	wire.SetTimes(w.Header(), result.Times)
 	limitWriting(w, deadline)
 	sendAnswer(w, result.Answer)
+	return true
 }
 
 // maxPeerTime bounds an attempt's time on the peer port.
@@ -85,11 +112,11 @@
 	return true
 }
 
-// ownPath takes the attempt prefix off.
-func ownPath(u *url.URL) *url.URL {
-	out := &url.URL{Path: strings.TrimPrefix(u.Path, attemptPath), RawQuery: u.RawQuery}
+// ownPath takes the attempt's prefix off.
+func ownPath(u *url.URL, prefix string) *url.URL {
+	out := &url.URL{Path: strings.TrimPrefix(u.Path, prefix), RawQuery: u.RawQuery}
 	if u.RawPath != "" {
-		out.RawPath = strings.TrimPrefix(u.RawPath, attemptPath)
+		out.RawPath = strings.TrimPrefix(u.RawPath, prefix)
 	}
 	return out
 }
@@ -100,6 +127,7 @@
 	if !r.NotRun {
 		status = http.StatusBadGateway
 	}
+	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 }
 
