entry: nobody waits for owners that are not ready or out of reach; node: reports of net/http are logged

Cause: where every owner refused as not ready, could not be reached or took nothing up, a request was held up to a second, twice, for an advice that no owner can give: when it will be ready nobody knows. The caller's 503 came after 1 to 3 s.

Change: what no owner refused for a reason that passes by itself (paused, another incarnation, stale) is refused at once with the advice to come back. Requests with a caller's own id wait as before: coming back proves nothing of them.

Reports of net/http's servers were thrown away, a handler's panic among them, which cuts a caller off without a word: event 107, bounded as lines about requests are. Found while an answer before its body brought such a panic about.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -88,8 +88,10 @@
 	asks    int
 	// loaded: an owner refused for load.
 	loaded bool
-	tried  triedOwners
-	home   homeState
+	// passing: an owner refused for a reason that passes within a moment.
+	passing bool
+	tried   triedOwners
+	home    homeState
 	// advice is the earliest time at which an owner that refused may be asked
 	// again; zero when none gave advice.
 	advice time.Time
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -88,8 +88,10 @@
 
 // exhausted goes on when every owner was asked in this round: it waits for the
 // earliest of them to be worth asking again, or gives up at once when that is
-// too late or over the budget. It gives up too when one refused for load: asking
-// again answers no more calls, and the caller is to come back later.
+// too late or over the budget. It gives up too when one refused for load, or none for a
+// reason that passes at a known time: asking again answers few more calls, and the caller
+// is told when to come back. A request with its caller's own id waits: to come back proves
+// nothing of this sending.
 func (c *Call) exhausted(now time.Time) {
 	if c.sends == 0 {
 		c.giveUp(model.ReasonNoUpstream)
@@ -100,6 +102,10 @@
 		return
 	}
 	until := c.nextRound(now)
+	if !c.passing && !c.keyed() {
+		c.giveUp(c.reason)
+		return
+	}
 	if c.loaded || c.rounds == c.engine.tuning.Rounds || c.sends >= maxSends || !until.Before(c.deadline) {
 		c.giveUp(c.reason)
 		return
@@ -114,6 +120,16 @@
 	c.wait(until, phasePlace)
 }
 
+// passes tells whether a refusal's reason ends by itself within a moment. When an owner
+// that is not ready will be, or one out of reach comes back, nobody knows.
+func passes(r model.Reason) bool {
+	switch r {
+	case model.ReasonPaused, model.ReasonIncarnation, model.ReasonStale, model.ReasonBarred:
+		return true
+	}
+	return false
+}
+
 // nextRound returns when the owners that refused may be asked again.
 func (c *Call) nextRound(now time.Time) time.Time {
 	wait := doubled(roundDelay, c.rounds)
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -85,6 +85,7 @@
 // refused goes on after a refusal that proves "not run".
 func (c *Call) refused(now time.Time, r model.Refusal) {
 	c.reason = r.Reason
+	c.passing = c.passing || passes(r.Reason)
 	c.advise(now, r.RetryAfter)
 	if c.replaceable() && c.passHome(now, r.Reason) {
 		return
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -18,4 +18,7 @@
 		"Look for a noisy neighbour or a frozen host when it repeats.")
 	Fatal = define(105, zerolog.ErrorLevel, "fatal error",
 		"The process cannot go on; it exits with code 1.", "Read the error field.")
+	ServerError = define(107, zerolog.ErrorLevel, "HTTP server reported",
+		"net/http's server said something of a connection, in the report's own words; a handler that panicked has cut its caller off.",
+		"For a panic: report the stack, with the version. Else look at the peer or the callers that it names.")
 )
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -1,14 +1,17 @@
 package node
 
 import (
+	"bytes"
 	"io"
 	"log"
 	"net/http"
 
 	"github.com/gorilla/mux"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rs/zerolog"
 
 	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/event"
 	"gypsumstand/internal/link"
 	"gypsumstand/internal/server"
 	"gypsumstand/internal/status"
@@ -33,10 +36,24 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       n.cfg.IdleTimeout,
 		MaxHeaderBytes:    n.cfg.MaxHeaderBytes,
-		ErrorLog:          log.New(io.Discard, "", 0),
+		ErrorLog:          log.New(serverErrors{&n.cfg.Requests}, "", 0),
 	}
 }
 
+// serverErrors logs what net/http's servers say, a panic of a handler among it: that cuts
+// its caller off, and nothing else tells why.
+type serverErrors struct{ log *zerolog.Logger }
+
+// maxServerError bounds one report, in bytes: a panic's has the whole stack.
+const maxServerError = 2 << 10
+
+// Write implements io.Writer for one report.
+func (s serverErrors) Write(report []byte) (int, error) {
+	text := report[:min(len(report), maxServerError)]
+	event.Log(s.log, event.ServerError).Str("report", string(bytes.TrimSpace(text))).Send()
+	return len(report), nil
+}
+
 // newRouter returns a router that leaves paths as they came.
 func newRouter() *mux.Router {
 	return mux.NewRouter().SkipClean(true).UseEncodedPath()
--- a/internal/simulation/calls/fleet.go
+++ b/internal/simulation/calls/fleet.go
@@ -58,7 +58,9 @@
 	pausedUntil time.Time
 	timeout     time.Duration
 	length      time.Duration
-	stats       fleetStats
+	// returns is how often a refused caller comes back.
+	returns int
+	stats   fleetStats
 }
 
 // fleetStats counts calls begun after the warm-up.
