--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -220,15 +220,14 @@
 
 // withdrawn ends an admitted attempt whose body the entry did not let go.
 func (x *Executor) withdrawn(id model.AttemptID, ch chan owner.Decision, verdict owner.Verdict) *model.Refusal {
-	refusal := &model.Refusal{Reason: model.ReasonCancelled, NotRun: true}
 	if verdict == owner.Wait {
-		if earlier := x.cancel(id, ch); earlier != nil {
-			return earlier
+		if refusal := x.cancel(id, ch); refusal != nil {
+			return refusal
 		}
 	}
 	x.unawait(id)
 	x.finish(id, owner.Finish{NotRun: true, Abandoned: true})
-	return refusal
+	return &model.Refusal{Reason: model.ReasonCancelled, NotRun: true}
 }
 
 func (x *Executor) wait(ctx context.Context, id model.AttemptID, ch chan owner.Decision) *model.Refusal {
