--- a/internal/failure/process_test.go
+++ b/internal/failure/process_test.go
@@ -33,6 +33,8 @@
 	Worker    string
 	Platform  string
 	SignerKey ed25519.PublicKey
+	// LeaveGrace is how long callers are still served after the sign to stop.
+	LeaveGrace time.Duration
 }
 
 // childAddresses is what it tells once its ports are open.
@@ -74,6 +76,7 @@
 		PlatformTimeout: time.Second,
 		Trusted:         []bundle.Signer{{Name: signerName, Key: c.SignerKey}},
 		StopTimeout:     10 * time.Second,
+		LeaveGrace:      c.LeaveGrace,
 		LocalDelay:      100 * time.Microsecond,
 		RemoteDelay:     time.Millisecond,
 		MaxHeaderBytes:  32 << 10,
@@ -114,6 +117,12 @@
 
 // startProcesses runs n nodes of the service "ledger" until the test ends.
 func startProcesses(t *testing.T, n int) *processes {
+	t.Helper()
+	return startProcessesThatLeave(t, n, 0)
+}
+
+// startProcessesThatLeave runs nodes that serve callers for a while after the sign to stop.
+func startProcessesThatLeave(t *testing.T, n int, grace time.Duration) *processes {
 	t.Helper()
 	public, private, err := ed25519.GenerateKey(nil)
 	if err != nil {
@@ -129,7 +138,7 @@
 	}
 	serve(t, d.platform.NewServer(), l)
 	for i := range n {
-		c := childConfig{Instance: model.InstanceID(fmt.Sprintf("ledger-%d", i+1)), Platform: l.Addr().String(), SignerKey: public}
+		c := childConfig{Instance: model.InstanceID(fmt.Sprintf("ledger-%d", i+1)), Platform: l.Addr().String(), SignerKey: public, LeaveGrace: grace}
 		d.nodes = append(d.nodes, d.start(t, c))
 	}
 	for _, p := range d.nodes {
