failure: one way to ask beside a node that stands still

The two tests shared their scaffold; both now also hold the told outcomes against the runs after the node woke, which the first one did not.

--- a/internal/failure/lost_test.go
+++ b/internal/failure/lost_test.go
@@ -9,10 +9,9 @@
 	"time"
 )
 
-// A stopped process keeps its connections: nothing but its silence tells of it. Without
-// a second attempt elsewhere the requests there end at their deadlines, unanswered.
-func TestRequestsAtANodeThatStandsStillAreAnsweredByAnother(t *testing.T) {
-	t.Parallel()
+// askBesideAStoppedNode asks one of two nodes while the other's process stands still, and
+// wants every request answered.
+func askBesideAStoppedNode(t *testing.T, next func() request) {
 	d := startProcesses(t, 2)
 	entry, stopped := d.nodes[0], d.nodes[1]
 	c := newCallers(t)
@@ -26,7 +25,7 @@
 	var calling sync.WaitGroup
 	for range 2 * slots {
 		calling.Go(func() {
-			r := view("/a")
+			r := next()
 			r.timeout = 15 * time.Second
 			if got := c.send(t.Context(), entry.Caller, r); !got.answered() {
 				t.Errorf("told %d %q", got.status, got.outcome)
@@ -34,35 +33,23 @@
 		})
 	}
 	calling.Wait()
+	if err := stopped.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	d.stop(t)
+	c.check(t, d.ledger)
+}
+
+// A stopped process keeps its connections: nothing but its silence tells of it. Without
+// a second attempt elsewhere the requests there end at their deadlines, unanswered.
+func TestRequestsAtANodeThatStandsStillAreAnsweredByAnother(t *testing.T) {
+	t.Parallel()
+	askBesideAStoppedNode(t, func() request { return view("/a") })
 }
 
 // Of requests that must not run twice the fate of an attempt decides: one that its owner
 // never took up is proved not to have run, and goes elsewhere.
 func TestPayoutsAtANodeThatStandsStillAreAnsweredByAnother(t *testing.T) {
 	t.Parallel()
-	d := startProcesses(t, 2)
-	entry, stopped := d.nodes[0], d.nodes[1]
-	c := newCallers(t)
-	for _, p := range d.nodes {
-		awaitAnswer(t, c, p.Caller, "/a")
-	}
-	if err := stopped.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
-		t.Fatal(err)
-	}
-	var calling sync.WaitGroup
-	for range 2 * slots {
-		calling.Go(func() {
-			r := payout("/payouts")
-			r.timeout = 15 * time.Second
-			if got := c.send(t.Context(), entry.Caller, r); !got.answered() {
-				t.Errorf("told %d %q", got.status, got.outcome)
-			}
-		})
-	}
-	calling.Wait()
-	if err := stopped.cmd.Process.Signal(syscall.SIGCONT); err != nil {
-		t.Fatal(err)
-	}
-	d.stop(t)
-	c.check(t, d.ledger)
+	askBesideAStoppedNode(t, func() request { return payout("/payouts") })
 }
