entry, server: the body leaves at once for an owner that was heard within half a second

Change: withheld only where the owner was not heard for half a second. A hedge's belief is its own owner's, as it decides this now. TestPayoutsAtANodeThatStandsStillAreAnsweredByAnother asks 0.6 s after the stop: what is sent to an owner heard just before is in doubt, as it was.

--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -57,6 +57,7 @@
 	h = &Call{}
 	*h = *c
 	h.budget = 0
+	h.believed = choice.Belief
 	h.send(now, choice.Instance, choice.OwnerClock)
 	return h, true
 }
--- a/internal/entry/step.go
+++ b/internal/entry/step.go
@@ -43,7 +43,7 @@
 	Attempt model.Attempt
 	Until   time.Time
 	// TakenUpBy, when set on StepSend, is when the attempt is withdrawn unless its owner
-	// has begun to answer.
+	// has begun to answer; zero lets the body leave at once.
 	TakenUpBy time.Time
 	// Believed is what the choice of To rested on, for logs; for StepSend.
 	Believed route.Belief
--- a/internal/entry/takeup.go
+++ b/internal/entry/takeup.go
@@ -15,12 +15,18 @@
 	// takeUpShare is the part of the class's objective that finding out may take, so that
 	// the next owner can still answer within it.
 	takeUpShare = 4
+	// heardAge is how recently an owner must have been heard for the body to leave at once.
+	// To withhold each body cost 0.04 of the worth of ten machines at 0.32 of a core with
+	// 380 requests a second, which hear every owner some times a second; with 195 machines a
+	// node hears most owners once in a minute, and there it gains 0.13 under a cut.
+	heardAge = 500 * time.Millisecond
 )
 
 // takeUpTime returns when an attempt that is sent now is withdrawn unless its owner has
-// begun to answer; zero for this node's own owner, which always does.
+// begun to answer; zero where the body leaves at once: this node's own owner always
+// answers, and one that was heard just now is in reach.
 func (c *Call) takeUpTime(now time.Time) time.Time {
-	if c.to.ID == c.engine.cfg.Self.ID {
+	if c.to.ID == c.engine.cfg.Self.ID || c.believed.Heard && c.believed.Age < heardAge {
 		return time.Time{}
 	}
 	patience := takeUpMost
--- a/internal/entry/takeup_test.go
+++ b/internal/entry/takeup_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/route"
 )
 
 func notTakenUp(s *script) {
@@ -67,3 +68,21 @@
 		t.Errorf("step %s, outcome %s, retry after %s", s.step.Kind, s.step.Outcome, s.step.RetryAfter)
 	}
 }
+
+func TestTheBodyLeavesAtOnceForAnOwnerThatWasHeardJustNow(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		believed route.Belief
+		withheld bool
+	}{
+		{"never heard", route.Belief{}, true},
+		{"heard just now", route.Belief{Heard: true, Age: heardAge / 2}, false},
+		{"heard a while ago", route.Belief{Heard: true, Age: heardAge}, true},
+	} {
+		s := start(t, 2)
+		s.call.believed = tt.believed
+		if got := !s.call.takeUpTime(epoch).IsZero(); got != tt.withheld {
+			t.Errorf("%s: withheld %v", tt.name, got)
+		}
+	}
+}
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -34,7 +34,7 @@
 	// SameNode tells that the entry is this node.
 	SameNode bool
 	// TakenUpBy is when the entry withdraws an attempt that its owner has not begun to
-	// answer; zero for never.
+	// answer; zero lets the body leave at once.
 	TakenUpBy time.Time
 	// Claim gets the body that the entry withholds, once the attempt is admitted; an error
 	// means that there is none and that nothing may run. Nil where the body is here.
--- a/internal/server/forwarder.go
+++ b/internal/server/forwarder.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return Result{Refusal: model.Refusal{Reason: model.ReasonBadRequest, NotRun: true}}, false, nil
 	}
-	if w.ContentLength > replayBytes {
+	if w.ContentLength > replayBytes || w.TakenUpBy.IsZero() {
 		return f.do(f.streamed(ctx, address, w, offer), w, nil)
 	}
 	body := withhold(w.Body)
@@ -171,11 +171,13 @@
 	return model.ReasonWorkerUnreachable
 }
 
-// streamed makes the message of an attempt whose body goes on from the caller to the
-// worker as it comes, from the owner's start on.
+// streamed makes the message of an attempt whose body is not withheld. A long one goes on
+// from the caller to the worker as it comes, from the owner's start on.
 func (f *Forwarder) streamed(ctx context.Context, address string, w *Work, offer string) *http.Request {
 	req := f.request(ctx, address, streamedPath, w, offer)
-	req.Header.Set("Expect", "100-continue")
+	if w.ContentLength > replayBytes {
+		req.Header.Set("Expect", "100-continue")
+	}
 	return req
 }
 
--- a/internal/server/withheld.go
+++ b/internal/server/withheld.go
@@ -18,8 +18,8 @@
 // begun to answer. An owner hands nothing to its worker before the whole body has come, so
 // an attempt whose body never left has not run and will not, whatever became of its way or
 // its owner. Of 1,064 requests that a cut of a third of 195 machines left in doubt, no
-// worker had seen one. The price is one more way there and back for each attempt. It is
-// safe for concurrent use.
+// worker had seen one. The price is one more way there and back, and its processor time.
+// It is safe for concurrent use.
 type withheldBody struct {
 	body io.ReadCloser
 
@@ -143,9 +143,6 @@
 // withheldContext is an attempt's context with what ends it early.
 func withheldContext(ctx context.Context, b *withheldBody, takenUpBy time.Time) (attempt context.Context, end func()) {
 	attempt, cancel := context.WithCancel(ctx)
-	if takenUpBy.IsZero() {
-		return attempt, cancel
-	}
 	timer := b.barAt(takenUpBy, cancel)
 	return attempt, func() {
 		timer.Stop()
