--- a/internal/node/callerconns.go
+++ b/internal/node/callerconns.go
@@ -5,9 +5,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/event"
 )
 
 // callerConns closes callers' connections that are idle, or slow with a request's
@@ -16,6 +20,8 @@
 type callerConns struct {
 	// bounds returns those in force; zero fields mean none.
 	bounds func() bundle.Callers
+	// log takes a line for each connection that a bound closes.
+	log *zerolog.Logger
 
 	mu    sync.Mutex
 	conns map[net.Conn]*callerConn
@@ -25,13 +31,21 @@
 type callerConn struct {
 	mu    sync.Mutex
 	timer *time.Timer
+	// inHand: a request has been read and is not answered yet.
+	inHand atomic.Bool
 }
 
+// Names of the bounds in log lines.
+const (
+	idleBound   = "idle"
+	headerBound = "header"
+)
+
 // connKey is the context key of a request's callerConn.
 type connKey struct{}
 
-func newCallerConns(bounds func() bundle.Callers) *callerConns {
-	return &callerConns{bounds: bounds, conns: map[net.Conn]*callerConn{}}
+func newCallerConns(bounds func() bundle.Callers, log *zerolog.Logger) *callerConns {
+	return &callerConns{bounds: bounds, log: log, conns: map[net.Conn]*callerConn{}}
 }
 
 // context is the server's ConnContext: it comes before every state of the connection.
@@ -43,9 +57,10 @@
 func (c *callerConns) state(conn net.Conn, s http.ConnState) {
 	switch s {
 	case http.StateNew, http.StateActive:
-		c.of(conn).arm(conn, c.headerTimeout())
+		c.arm(conn, headerBound, c.headerTimeout())
 	case http.StateIdle:
-		c.of(conn).arm(conn, c.idleTimeout())
+		c.of(conn).inHand.Store(false)
+		c.arm(conn, idleBound, c.idleTimeout())
 	case http.StateClosed, http.StateHijacked:
 		c.of(conn).disarm()
 		c.mu.Lock()
@@ -57,6 +72,7 @@
 // headerRead ends the bound of a request's header; the request has been read.
 func headerRead(ctx context.Context) {
 	if conn, ok := ctx.Value(connKey{}).(*callerConn); ok {
+		conn.inHand.Store(true)
 		conn.disarm()
 	}
 }
@@ -89,18 +105,27 @@
 }
 
 // arm closes conn after d unless it is armed or disarmed before.
-func (c *callerConn) arm(conn net.Conn, d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.timer != nil {
-		c.timer.Stop()
+func (c *callerConns) arm(conn net.Conn, bound string, d time.Duration) {
+	armed := c.of(conn)
+	began := time.Now()
+	armed.mu.Lock()
+	defer armed.mu.Unlock()
+	if armed.timer != nil {
+		armed.timer.Stop()
 	}
-	c.timer = time.AfterFunc(d, func() {
+	armed.timer = time.AfterFunc(d, func() {
+		c.logClose(conn, bound, d, time.Since(began), armed.inHand.Load())
 		// The other side may have closed it already.
 		_ = conn.Close()
 	})
 }
 
+func (c *callerConns) logClose(conn net.Conn, bound string, d, ran time.Duration, inHand bool) {
+	event.Log(c.log, event.CallerConnectionBounded).
+		Str("from", conn.RemoteAddr().String()).Str("bound", bound).Int("bound_ms", d.Milliseconds()).
+		Int("ran_ms", ran.Milliseconds()).Bool("in_hand", inHand).Send()
+}
+
 func (c *callerConn) disarm() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/callerconns_test.go
+++ b/internal/node/callerconns_test.go
@@ -8,13 +8,18 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"gypsumstand/internal/bundle"
 )
 
+// silent takes no lines.
+var silent = zerolog.Nop()
+
 // boundServer serves 200 to everybody under the given bounds.
 func boundServer(t *testing.T, b bundle.Callers) *httptest.Server {
 	t.Helper()
-	conns := newCallerConns(func() bundle.Callers { return b })
+	conns := newCallerConns(func() bundle.Callers { return b }, &silent)
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { headerRead(r.Context()) }))
 	s.Config.ConnContext, s.Config.ConnState = conns.context, conns.state
 	s.Start()
@@ -59,7 +64,7 @@
 }
 
 func TestARequestUnderWayIsNotBoundByItsHeadersTime(t *testing.T) {
-	conns := newCallerConns(func() bundle.Callers { return bundle.Callers{IdleTimeoutMs: 10_000, HeaderTimeoutMs: 100} })
+	conns := newCallerConns(func() bundle.Callers { return bundle.Callers{IdleTimeoutMs: 10_000, HeaderTimeoutMs: 100} }, &silent)
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		headerRead(r.Context())
 		time.Sleep(300 * time.Millisecond)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -19,7 +19,7 @@
 
 // makeServers wires the handlers of the three ports.
 func (n *Node) makeServers() {
-	conns := newCallerConns(n.callerBounds)
+	conns := newCallerConns(n.callerBounds, &n.cfg.Requests)
 	n.ports.callerHTTP = n.httpServer(n.callerRoutes())
 	n.ports.callerHTTP.ConnContext = conns.context
 	n.ports.callerHTTP.ConnState = conns.state
