node, failure: callers are cut off with a request in hand when their connection's bound ends

Cause: a bound's timer that has fired closes the connection, also where its request has been read meanwhile and is passed on; a process that gets no turn for some milliseconds goes on with both due. Not shown: that this is what was seen on the users' deployment, whose bound is 15 s.

--- a/internal/failure/process_test.go
+++ b/internal/failure/process_test.go
@@ -123,13 +123,26 @@
 
 // startProcessesThatLeave runs nodes that serve callers for a while after the sign to stop.
 func startProcessesThatLeave(t *testing.T, n int, grace time.Duration) *processes {
+	t.Helper()
+	return startProcessesOf(t, n, childConfig{LeaveGrace: grace}, bundleOf(1))
+}
+
+// startProcessesWithIdleBound runs nodes whose callers may be idle for so long.
+func startProcessesWithIdleBound(t *testing.T, n int, idle time.Duration) *processes {
+	t.Helper()
+	bound := fmt.Appendf(bundleOf(1), "[callers]\nidle_timeout_ms = %d\n", idle.Milliseconds())
+	return startProcessesOf(t, n, childConfig{}, bound)
+}
+
+// startProcessesOf runs n nodes that are told common, besides what each has of its own.
+func startProcessesOf(t *testing.T, n int, common childConfig, text []byte) *processes {
 	t.Helper()
 	public, private, err := ed25519.GenerateKey(nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	d := &processes{platform: platform.New(platform.Config{}), ledger: worker.NewLedger(0)}
-	if _, err := d.platform.PublishSigned(bundle.Sign(signerName, private, bundleOf(1))); err != nil {
+	if _, err := d.platform.PublishSigned(bundle.Sign(signerName, private, text)); err != nil {
 		t.Fatal(err)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -138,7 +151,9 @@
 	}
 	serve(t, d.platform.NewServer(), l)
 	for i := range n {
-		c := childConfig{Instance: model.InstanceID(fmt.Sprintf("ledger-%d", i+1)), Platform: l.Addr().String(), SignerKey: public, LeaveGrace: grace}
+		c := common
+		c.Instance = model.InstanceID(fmt.Sprintf("ledger-%d", i+1))
+		c.Platform, c.SignerKey = l.Addr().String(), public
 		d.nodes = append(d.nodes, d.start(t, c))
 	}
 	for _, p := range d.nodes {
--- a/internal/node/callerconns_test.go
+++ b/internal/node/callerconns_test.go
@@ -16,17 +16,34 @@
 // silent takes no lines.
 var silent = zerolog.Nop()
 
-// boundServer serves 200 to everybody under the given bounds.
-func boundServer(t *testing.T, b bundle.Callers) *httptest.Server {
-	t.Helper()
+// boundHTTP returns a server whose callers' connections are under the given bounds; its
+// listener must be boundListener's.
+func boundHTTP(b bundle.Callers, handle http.HandlerFunc) *http.Server {
 	conns := newCallerConns(func() bundle.Callers { return b }, &silent)
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { headerRead(r.Context()) }))
-	s.Config.ConnContext, s.Config.ConnState = conns.context, conns.state
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		headerRead(r.Context())
+		handle(w, r)
+	})
+	return &http.Server{Handler: handler, ConnContext: conns.context, ConnState: conns.state}
+}
+
+// boundListener returns the listener for boundHTTP's server.
+func boundListener(_ bundle.Callers, l net.Listener) net.Listener { return l }
+
+// boundServer serves 200 to everybody under the given bounds, on a port.
+func boundServer(t *testing.T, b bundle.Callers, handle http.HandlerFunc) *httptest.Server {
+	t.Helper()
+	s := httptest.NewUnstartedServer(nil)
+	s.Config = boundHTTP(b, handle)
+	s.Listener = boundListener(b, s.Listener)
 	s.Start()
 	t.Cleanup(s.Close)
 	return s
 }
 
+// ignore takes a request without a word.
+func ignore(http.ResponseWriter, *http.Request) {}
+
 // closedBy waits until the other side closes conn.
 func closedBy(t *testing.T, conn net.Conn) {
 	t.Helper()
@@ -49,7 +66,7 @@
 		"silent from the start": {bundle.Callers{IdleTimeoutMs: long, HeaderTimeoutMs: 100}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := boundServer(t, tt.bounds)
+			s := boundServer(t, tt.bounds, ignore)
 			conn, err := net.Dial("tcp", s.Listener.Addr().String())
 			if err != nil {
 				t.Fatal(err)
@@ -64,15 +81,10 @@
 }
 
 func TestARequestUnderWayIsNotBoundByItsHeadersTime(t *testing.T) {
-	conns := newCallerConns(func() bundle.Callers { return bundle.Callers{IdleTimeoutMs: 10_000, HeaderTimeoutMs: 100} }, &silent)
-	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		headerRead(r.Context())
+	s := boundServer(t, bundle.Callers{IdleTimeoutMs: 10_000, HeaderTimeoutMs: 100}, func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(300 * time.Millisecond)
 		_, _ = io.WriteString(w, "whole")
-	}))
-	s.Config.ConnContext, s.Config.ConnState = conns.context, conns.state
-	s.Start()
-	defer s.Close()
+	})
 	resp, err := http.Get(s.URL)
 	if err != nil {
 		t.Fatal(err)
