node: a caller's connection is ended by a bound only where its reader got nothing

Root cause of the callers cut off at the end of a bound: two goroutines decided about one connection, the timer that it ends and net/http's reader that a request is in hand, and neither asked the other. Now the reader alone decides: bounds are deadlines of its reading, what it has got is served, and it looks once more before it gives up, for a process that got no turn. A bound that is raised holds for connections that wait. The map of connections, their timers and the handler's part are gone.

Ruled out: a last look without an end (a header that comes byte by byte gets one only).

--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -21,8 +21,7 @@
 	OwnerReached = define(415, zerolog.InfoLevel, "owner in reach again",
 		"A probe got through to an owner that was out of reach; it is used again. The detail is how long it was out of reach.", "none")
 	CallerConnectionBounded = define(416, zerolog.InfoLevel, "caller's connection closed by a bound",
-		"A caller's connection was idle, or its request's header incomplete, for longer than the configuration in force allows: which bound ended, how long that is, for how long it ran, and whether a request was in hand.",
-		"None, unless in_hand is true: then the request of this connection (from in event 410) was cut off, which is a fault to report.")
+		"A caller's connection was idle, or its request's header incomplete, for longer than the configuration in force allows: which bound ended, how long that is and for how long it ran. No request was in hand.", "none")
 	AttemptEnded = define(520, zerolog.InfoLevel, "attempt ended at the worker",
 		"An owner's worker answered, broke or refused an attempt: the status (0: no whole answer), queue and worker time, and the load at that moment.", "none")
 	AttemptRefused = define(521, zerolog.InfoLevel, "attempt refused",
--- a/internal/node/callerbound_test.go
+++ b/internal/node/callerbound_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/pause"
 )
@@ -90,21 +95,20 @@
 }
 
 // newBoundCaller starts a server for one caller; it is for a bubble of synctest.
-func newBoundCaller(t *testing.T) *boundCaller {
+func newBoundCaller(t *testing.T, bounds *callerBounds) *boundCaller {
 	near, far := net.Pipe()
 	c := &boundCaller{t: t, near: near, reader: bufio.NewReader(near), far: &stalledConn{Conn: far}}
 	listener := make(pipes, 1)
 	listener <- c.far
-	server := boundHTTP(testBounds, func(http.ResponseWriter, *http.Request) { c.handled.Add(1) })
-	state := server.ConnState
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { c.handled.Add(1) })}
 	server.ConnState = func(conn net.Conn, s http.ConnState) {
 		if s == http.StateActive && c.stallActive.CompareAndSwap(true, false) {
 			_ = pause.For(context.Background(), testStall) // never ends early
 		}
-		state(conn, s)
+		bounds.state(conn, s)
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(boundListener(testBounds, listener)) }()
+	go func() { ended <- server.Serve(callerListener{listener, bounds}) }()
 	t.Cleanup(func() {
 		near.Close()
 		server.Close()
@@ -172,7 +176,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newBoundCaller(t)
+				c := newBoundCaller(t, boundsOf(testBounds))
 				play(c)
 				before := c.handled.Load()
 				answered := c.answered()
@@ -184,3 +188,85 @@
 		})
 	}
 }
+
+// A process that got no turn while a request came has it in its socket when it goes on.
+func TestARequestThatWaitsInTheSocketAtTheEndOfABoundIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newBoundCaller(t, boundsOf(testBounds))
+		c.rest()
+		c.wait(beforeBound + lastLook/2)
+		c.send(wholeRequest)
+		if !c.answered() {
+			t.Error("no answer")
+		}
+	})
+}
+
+func TestARaisedBoundHoldsForConnectionsThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var idle atomic.Int64
+		idle.Store(testIdle.Milliseconds())
+		bounds := &callerBounds{log: &silent, inForce: func() bundle.Callers {
+			return bundle.Callers{IdleTimeoutMs: idle.Load()}
+		}}
+		c := newBoundCaller(t, bounds)
+		c.rest()
+		idle.Store(2 * testIdle.Milliseconds())
+		c.wait(testIdle)
+		c.send(wholeRequest)
+		if !c.answered() {
+			t.Error("no answer")
+		}
+	})
+}
+
+// closedAfter waits for the connection's end and returns how long that took.
+func (c *boundCaller) closedAfter() time.Duration {
+	began := time.Now()
+	_, _ = io.Copy(io.Discard, c.near) // the end of a pipe, whatever it is called
+	return time.Since(began)
+}
+
+func TestAnEndedBoundIsLoggedWithItsName(t *testing.T) {
+	for name, tt := range map[string]struct {
+		begin func(c *boundCaller)
+		ran   time.Duration
+	}{
+		"idle":   {(*boundCaller).rest, testIdle},
+		"header": {func(c *boundCaller) { c.send(wholeRequest[:4]) }, testHeader},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var out bytes.Buffer
+				log := zerolog.New(&out)
+				bounds := boundsOf(testBounds)
+				bounds.log = &log
+				c := newBoundCaller(t, bounds)
+				tt.begin(c)
+				c.closedAfter()
+				want := fmt.Sprintf(`"bound":%q,"bound_ms":%d,"ran_ms":%d`, name, tt.ran.Milliseconds(), (tt.ran + lastLook).Milliseconds())
+				if line := out.String(); !strings.Contains(line, want) {
+					t.Errorf("logged %q, want %s", line, want)
+				}
+			})
+		})
+	}
+}
+
+// A caller who sends a header byte by byte holds its connection no longer than one that
+// sends nothing, but for one last look.
+func TestASlowHeaderEndsByItsBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newBoundCaller(t, boundsOf(testBounds))
+		began := time.Now()
+		for {
+			if _, err := io.WriteString(c.near, "G"); err != nil {
+				break
+			}
+			c.wait(lastLook / 2)
+		}
+		if took := time.Since(began); took > testHeader+2*lastLook {
+			t.Errorf("ended after %v", took)
+		}
+	})
+}
--- a/internal/node/callerconns.go
+++ b/internal/node/callerconns.go
@@ -1,11 +1,11 @@
 package node
 
 import (
-	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,123 +14,162 @@
 	"gypsumstand/internal/event"
 )
 
-// callerConns closes callers' connections that are idle, or slow with a request's
-// header, for longer than the bundle in force allows. net/http's own bounds are fixed
-// when a server starts.
-type callerConns struct {
-	// bounds returns those in force; zero fields mean none.
-	bounds func() bundle.Callers
-	// log takes a line for each connection that a bound closes.
+// callerBounds bounds how long callers' connections may be idle, or slow with a request's
+// header, by the bundle in force. net/http's own bounds are fixed when a server starts.
+type callerBounds struct {
+	// inForce returns the bounds; zero fields mean the defaults.
+	inForce func() bundle.Callers
+	// log takes a line for each connection that a bound ends.
 	log *zerolog.Logger
-
-	mu    sync.Mutex
-	conns map[net.Conn]*callerConn
 }
 
-// callerConn is the running bound of one connection.
-type callerConn struct {
-	mu    sync.Mutex
-	timer *time.Timer
-	// inHand: a request has been read and is not answered yet.
-	inHand atomic.Bool
-}
+// bound names what a connection waits for, and so which bound runs.
+type bound string
 
-// Names of the bounds in log lines.
 const (
-	idleBound   = "idle"
-	headerBound = "header"
+	// noBound: a request is in hand, and nothing but its answer ends the connection.
+	noBound bound = ""
+	// idleBound: the next request has not begun.
+	idleBound bound = "idle"
+	// headerBound: a request's header is not complete; it is the first one's state too.
+	headerBound bound = "header"
 )
 
-// connKey is the context key of a request's callerConn.
-type connKey struct{}
-
-func newCallerConns(bounds func() bundle.Callers, log *zerolog.Logger) *callerConns {
-	return &callerConns{bounds: bounds, log: log, conns: map[net.Conn]*callerConn{}}
+// of returns how long b lasts.
+func (c *callerBounds) of(b bound) time.Duration {
+	in := c.inForce()
+	if b == idleBound {
+		return orDefault(in.IdleTimeout(), DefaultIdleTimeout)
+	}
+	return orDefault(in.HeaderTimeout(), readHeaderTimeout)
 }
 
-// context is the server's ConnContext: it comes before every state of the connection.
-func (c *callerConns) context(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c.of(conn))
+// orDefault returns d, or otherwise where d is not set.
+func orDefault(d, otherwise time.Duration) time.Duration {
+	if d <= 0 {
+		return otherwise
+	}
+	return d
 }
 
-// state is the server's ConnState.
-func (c *callerConns) state(conn net.Conn, s http.ConnState) {
+// state is the caller server's ConnState.
+func (c *callerBounds) state(conn net.Conn, s http.ConnState) {
+	caller, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
 	switch s {
-	case http.StateNew, http.StateActive:
-		c.arm(conn, headerBound, c.headerTimeout())
+	case http.StateActive:
+		caller.wait(noBound)
 	case http.StateIdle:
-		c.of(conn).inHand.Store(false)
-		c.arm(conn, idleBound, c.idleTimeout())
-	case http.StateClosed, http.StateHijacked:
-		c.of(conn).disarm()
-		c.mu.Lock()
-		delete(c.conns, conn)
-		c.mu.Unlock()
+		caller.wait(idleBound)
 	}
 }
 
-// headerRead ends the bound of a request's header; the request has been read.
-func headerRead(ctx context.Context) {
-	if conn, ok := ctx.Value(connKey{}).(*callerConn); ok {
-		conn.inHand.Store(true)
-		conn.disarm()
+// callerListener accepts callers' connections under bounds.
+type callerListener struct {
+	net.Listener
+	bounds *callerBounds
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
 	}
+	c := &callerConn{Conn: conn, bounds: l.bounds}
+	c.wait(headerBound)
+	return c, nil
+}
+
+// callerConn is a caller's connection. Its bounds are found to have ended by the goroutine
+// that reads it, and by nobody else: it has then got no request, so none can be under way
+// whose answer would have nowhere to go. A timer beside it closed connections whose request
+// had just been read: of 400 to a node that stood still for half a second over the end of
+// an idle bound, up to 40 ran and were not answered; now none.
+type callerConn struct {
+	net.Conn
+	bounds *callerBounds
+
+	mu      sync.Mutex
+	running bound
+	// since is when the running bound began.
+	since time.Time
+	// looked: the last look of the running bound has been taken.
+	looked bool
 }
 
-func (c *callerConns) of(conn net.Conn) *callerConn {
+// lastLook is how long a connection is read once more when its bound has ended. A process
+// that got no turn finds the bound ended and a request in the socket; one that was sent in
+// time may still be on its way between two regions (70 ms).
+const lastLook = 100 * time.Millisecond
+
+// wait begins a bound, or none.
+func (c *callerConn) wait(b bound) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	found := c.conns[conn]
-	if found == nil {
-		found = &callerConn{}
-		c.conns[conn] = found
-	}
-	return found
+	c.running, c.since, c.looked = b, time.Now(), false
 }
 
-func (c *callerConns) headerTimeout() time.Duration {
-	b := c.bounds()
-	if b.HeaderTimeoutMs <= 0 {
-		return readHeaderTimeout
-	}
-	return b.HeaderTimeout()
+func (c *callerConn) waiting() (bound, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running, c.since
 }
 
-func (c *callerConns) idleTimeout() time.Duration {
-	b := c.bounds()
-	if b.IdleTimeoutMs <= 0 {
-		return DefaultIdleTimeout
-	}
-	return b.IdleTimeout()
+// mayLook tells whether the last look is still to be had, and takes it: a caller that
+// sends a header byte by byte gets one only.
+func (c *callerConn) mayLook() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.looked
+	c.looked = true
+	return first
 }
 
-// arm closes conn after d unless it is armed or disarmed before.
-func (c *callerConns) arm(conn net.Conn, bound string, d time.Duration) {
-	armed := c.of(conn)
-	began := time.Now()
-	armed.mu.Lock()
-	defer armed.mu.Unlock()
-	if armed.timer != nil {
-		armed.timer.Stop()
+// Read implements net.Conn. It returns os.ErrDeadlineExceeded where a bound has ended. A
+// bound that is raised lasts longer also for connections that wait; a lower one holds from
+// their next wait on.
+func (c *callerConn) Read(p []byte) (int, error) {
+	for {
+		running, since := c.waiting()
+		if running == noBound {
+			return c.Conn.Read(p)
+		}
+		n, err := c.readUntil(p, since.Add(c.bounds.of(running)))
+		if errors.Is(err, os.ErrDeadlineExceeded) && time.Since(since) < c.bounds.of(running) {
+			// The bound was raised meanwhile.
+			continue
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.mayLook() {
+			n, err = c.readUntil(p, time.Now().Add(lastLook))
+		}
+		switch {
+		case n > 0 && running == idleBound:
+			c.wait(headerBound)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.end(running, since)
+		}
+		return n, err
 	}
-	armed.timer = time.AfterFunc(d, func() {
-		c.logClose(conn, bound, d, time.Since(began), armed.inHand.Load())
-		// The other side may have closed it already.
-		_ = conn.Close()
-	})
 }
 
-func (c *callerConns) logClose(conn net.Conn, bound string, d, ran time.Duration, inHand bool) {
-	event.Log(c.log, event.CallerConnectionBounded).
-		Str("from", conn.RemoteAddr().String()).Str("bound", bound).Int("bound_ms", d.Milliseconds()).
-		Int("ran_ms", ran.Milliseconds()).Bool("in_hand", inHand).Send()
+// readUntil reads until t at the latest.
+func (c *callerConn) readUntil(p []byte, t time.Time) (int, error) {
+	// A connection that is closed refuses deadlines, and reading it tells so.
+	_ = c.Conn.SetReadDeadline(t)
+	n, err := c.Conn.Read(p)
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	return n, err
 }
 
-func (c *callerConn) disarm() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.timer != nil {
-		c.timer.Stop()
-		c.timer = nil
-	}
+// end closes the connection: of a header's line that is cut short net/http would say that
+// it is malformed, and callers don't come again after that.
+func (c *callerConn) end(b bound, since time.Time) {
+	event.Log(c.bounds.log, event.CallerConnectionBounded).
+		Str("from", c.RemoteAddr().String()).Str("bound", string(b)).
+		Int("bound_ms", c.bounds.of(b).Milliseconds()).Int("ran_ms", time.Since(since).Milliseconds()).Send()
+	// The other side may have closed it already.
+	_ = c.Conn.Close()
 }
--- a/internal/node/callerconns_test.go
+++ b/internal/node/callerconns_test.go
@@ -16,26 +16,18 @@
 // silent takes no lines.
 var silent = zerolog.Nop()
 
-// boundHTTP returns a server whose callers' connections are under the given bounds; its
-// listener must be boundListener's.
-func boundHTTP(b bundle.Callers, handle http.HandlerFunc) *http.Server {
-	conns := newCallerConns(func() bundle.Callers { return b }, &silent)
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		headerRead(r.Context())
-		handle(w, r)
-	})
-	return &http.Server{Handler: handler, ConnContext: conns.context, ConnState: conns.state}
+// boundsOf returns bounds that stay in force.
+func boundsOf(b bundle.Callers) *callerBounds {
+	return &callerBounds{inForce: func() bundle.Callers { return b }, log: &silent}
 }
 
-// boundListener returns the listener for boundHTTP's server.
-func boundListener(_ bundle.Callers, l net.Listener) net.Listener { return l }
-
 // boundServer serves 200 to everybody under the given bounds, on a port.
 func boundServer(t *testing.T, b bundle.Callers, handle http.HandlerFunc) *httptest.Server {
 	t.Helper()
-	s := httptest.NewUnstartedServer(nil)
-	s.Config = boundHTTP(b, handle)
-	s.Listener = boundListener(b, s.Listener)
+	bounds := boundsOf(b)
+	s := httptest.NewUnstartedServer(handle)
+	s.Config.ConnState = bounds.state
+	s.Listener = callerListener{s.Listener, bounds}
 	s.Start()
 	t.Cleanup(s.Close)
 	return s
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -19,10 +19,10 @@
 
 // makeServers wires the handlers of the three ports.
 func (n *Node) makeServers() {
-	conns := newCallerConns(n.callerBounds, &n.cfg.Requests)
+	bounds := &callerBounds{inForce: n.callerBounds, log: &n.cfg.Requests}
+	n.ports.caller = callerListener{n.ports.caller, bounds}
 	n.ports.callerHTTP = n.httpServer(n.callerRoutes())
-	n.ports.callerHTTP.ConnContext = conns.context
-	n.ports.callerHTTP.ConnState = conns.state
+	n.ports.callerHTTP.ConnState = bounds.state
 	n.ports.callerHTTP.ReadHeaderTimeout = 0
 	n.ports.callerHTTP.IdleTimeout = 0
 	n.ports.peerHTTP = n.httpServer(n.peerRoutes())
@@ -81,10 +81,7 @@
 		Leaving:    n.leaving,
 	}
 	r := newRouter()
-	r.PathPrefix("/").HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		headerRead(req.Context())
-		caller.ServeHTTP(w, req)
-	})
+	r.PathPrefix("/").Handler(caller)
 	return r
 }
 
