--- /dev/null
+++ b/internal/fetch/fetch_test.go
@@ -0,0 +1,57 @@
+package fetch
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+)
+
+var errRefused = errors.New("refused")
+
+func refusal(status int) error { return fmt.Errorf("%w: %d", errRefused, status) }
+
+func TestARefusedCallKeepsItsConnection(t *testing.T) {
+	var connections atomic.Int32
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, strings.Repeat("busy ", 200), http.StatusServiceUnavailable)
+	}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	s.Start()
+	defer s.Close()
+	for range 3 {
+		if _, err := Get(t.Context(), s.Client(), s.URL, 100, refusal); !errors.Is(err, errRefused) {
+			t.Errorf("got %v, want %v", err, errRefused)
+		}
+	}
+	if n := connections.Load(); n != 1 {
+		t.Errorf("%d connections for 3 calls", n)
+	}
+}
+
+func TestAnAnswerIsBounded(t *testing.T) {
+	const bound = 100
+	for _, declared := range []bool{true, false} {
+		for _, size := range []int{0, bound, bound + 1} {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if !declared {
+					w.(http.Flusher).Flush()
+				}
+				fmt.Fprint(w, strings.Repeat("a", size))
+			}))
+			data, err := Get(t.Context(), s.Client(), s.URL, bound, refusal)
+			s.Close()
+			if size > bound && !errors.Is(err, ErrTooLarge) || size <= bound && (err != nil || len(data) != size) {
+				t.Errorf("%d bytes, declared %v: got %d bytes, %v", size, declared, len(data), err)
+			}
+		}
+	}
+}
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -13,6 +12,7 @@
 	"time"
 
 	"gypsumstand/internal/control"
+	"gypsumstand/internal/fetch"
 	"gypsumstand/internal/finding"
 	"gypsumstand/internal/model"
 )
@@ -20,11 +20,10 @@
 // Defaults and bounds of the client's transport.
 const (
 	// DefaultTimeout bounds one call from connecting to the last byte.
-	DefaultTimeout  = 2 * time.Second
-	maxConnections  = 4
-	idleTimeout     = 30 * time.Second
-	maxHeaderBytes  = 16 << 10
-	maxDrainedBytes = 4 << 10
+	DefaultTimeout = 2 * time.Second
+	maxConnections = 4
+	idleTimeout    = 30 * time.Second
+	maxHeaderBytes = 16 << 10
 )
 
 // Errors of the client's calls, for errors.Is.
@@ -35,8 +34,6 @@
 	ErrNotFound = errors.New("the platform has no such value")
 	// ErrStatus: any other status than 200.
 	ErrStatus = errors.New("unexpected status")
-	// ErrTooLarge: the answer is over its bound.
-	ErrTooLarge = errors.New("answer is over its bound")
 )
 
 // ClientConfig is a client's fixed setting.
@@ -166,45 +163,16 @@
 func (c *Client) getFrom(ctx context.Context, address, pathAndQuery string, bound int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+pathAndQuery, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if err := checkStatus(resp); err != nil {
-		// A short rest is read so that the connection can be used again.
-		_, _ = io.CopyN(io.Discard, resp.Body, maxDrainedBytes)
-		return nil, err
-	}
-	return readBounded(resp, bound)
+	return fetch.Get(ctx, c.http, "http://"+address+pathAndQuery, bound, refusal)
 }
 
-func checkStatus(resp *http.Response) error {
-	switch resp.StatusCode {
-	case http.StatusOK:
-		return nil
+// refusal gives the error of an answer with another status than 200.
+func refusal(status int) error {
+	switch status {
 	case http.StatusTooManyRequests:
 		return ErrRateLimited
 	case http.StatusNotFound:
 		return ErrNotFound
 	}
-	return fmt.Errorf("%w %d", ErrStatus, resp.StatusCode)
-}
-
-func readBounded(resp *http.Response, bound int64) ([]byte, error) {
-	if resp.ContentLength > bound {
-		return nil, fmt.Errorf("%w of %d bytes", ErrTooLarge, bound)
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, bound+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(data)) > bound {
-		return nil, fmt.Errorf("%w of %d bytes", ErrTooLarge, bound)
-	}
-	return data, nil
+	return fmt.Errorf("%w %d", ErrStatus, status)
 }
--- a/internal/registry/client_test.go
+++ b/internal/registry/client_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 
 	"gypsumstand/internal/fake/listen"
+	"gypsumstand/internal/fetch"
 	"gypsumstand/internal/model"
 )
 
@@ -65,7 +66,7 @@
 			}
 			_, _ = w.Write(make([]byte, MaxValueBytes+1))
 		})
-		if _, err := client.Value(context.Background(), "a"); !errors.Is(err, ErrTooLarge) {
+		if _, err := client.Value(context.Background(), "a"); !errors.Is(err, fetch.ErrTooLarge) {
 			t.Errorf("declared size %v: %v, want ErrTooLarge", declared, err)
 		}
 	}
