model, core, directory: one way to find an instance in the fleet's view, by halving

The directory searched its sorted fleet from the first one on, for each answer of a peer and each question of readiness, where the core halved it. The bound's test now sorts its fleet, as the type asks.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,9 +6,7 @@
 package core
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"gypsumstand/internal/blackboard"
@@ -286,7 +284,7 @@
 	n.derived = seen
 	n.derivedAt = now
 	n.Table.Update(now, fleet, set)
-	self, _ := instanceOf(fleet, n.cfg.Self.ID)
+	self, _ := fleet.Instance(n.cfg.Self.ID)
 	ds := n.followLife(now, self.Life())
 	n.Owner.Withdraw(now, self.State == model.StateLeaving)
 	if n.directory != nil {
@@ -383,22 +381,10 @@
 	return &own
 }
 
-// instanceOf returns the fleet's view of an instance. What it says of this node's
-// own one counts also when nobody else says so: others may hold an older view.
-func instanceOf(fleet *model.Fleet, id model.InstanceID) (in model.Instance, ok bool) {
-	at, ok := slices.BinarySearchFunc(fleet.Instances, id, func(in model.Instance, id model.InstanceID) int {
-		return cmp.Compare(in.ID, id)
-	})
-	if !ok {
-		return model.Instance{}, false
-	}
-	return fleet.Instances[at], true
-}
-
 // Worker returns the present life of this node's own worker as the fleet's view
 // has it; empty when it names none.
 func (n *Node) Worker() model.WorkerID {
-	self, _ := instanceOf(n.Board.Fleet.Get(), n.cfg.Self.ID)
+	self, _ := n.Board.Fleet.Get().Instance(n.cfg.Self.ID)
 	return self.Worker
 }
 
--- a/internal/directory/bound_test.go
+++ b/internal/directory/bound_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"container/heap"
 	"errors"
 	"flag"
@@ -119,6 +120,7 @@
 	for i := range size {
 		view.Instances = append(view.Instances, model.Instance{ID: model.InstanceID(fmt.Sprintf("10.%d.%d.1", i/250, i%250)), DataCentre: "a"})
 	}
+	slices.SortFunc(view.Instances, func(a, b model.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	for i := range size {
 		board := &blackboard.Board{}
 		board.Bundles.Put(bundle.NewSet(nil))
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -190,12 +190,7 @@
 }
 
 func (c *Controller) instance(id model.InstanceID) (model.Instance, bool) {
-	fleet := c.board.Fleet.Get().Instances
-	at := slices.IndexFunc(fleet, func(in model.Instance) bool { return in.ID == id })
-	if at < 0 {
-		return model.Instance{}, false
-	}
-	return fleet[at], true
+	return c.board.Fleet.Get().Instance(id)
 }
 
 // publishForPeers writes what peers may ask for.
--- a/internal/model/load.go
+++ b/internal/model/load.go
@@ -1,6 +1,10 @@
 package model
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // UpstreamState is the life stage of an upstream, as its owner knows it.
 // Within an incarnation it only grows from Leaving on: leaving never turns back.
@@ -120,3 +124,15 @@
 	Revision  uint64
 	Instances []Instance
 }
+
+// Instance returns the view of one instance. What it says of a node's own one counts also
+// when nobody else says so: others may hold an older view.
+func (f *Fleet) Instance(id InstanceID) (in Instance, known bool) {
+	at, known := slices.BinarySearchFunc(f.Instances, id, func(in Instance, id InstanceID) int {
+		return cmp.Compare(in.ID, id)
+	})
+	if !known {
+		return Instance{}, false
+	}
+	return f.Instances[at], true
+}
