node, event: a planned stop tells of each step when it began, how long it took, what was in hand

Cause: events 101 to 103 say that a stop began and ended, or ended with requests in flight; whoever looks for a caller that was cut off cannot tell whether the telling, the grace or a drain took the time, nor how much was in hand. Change: event 108 for each step (telling, leave grace, refusing, caller drain, peer drain, clean-up), with callers' requests and other entries' attempts in hand at its end; 101 has the stop's bounds, 103 the counts. No logic is changed. The fields are named ..._in_hand because event 100 has a field "callers" that is text.

--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -7,17 +7,20 @@
 	Started = define(100, zerolog.InfoLevel, "started",
 		"The node opened its ports and began to serve.", "none")
 	Stopping = define(101, zerolog.InfoLevel, "stopping",
-		"A planned stop began: the node tells its peers and takes no new work.", "none")
+		"A planned stop began: the node tells its peers and takes no new work. The line has its bounds; event 108 follows for each step.", "none")
 	Stopped = define(102, zerolog.InfoLevel, "stopped",
 		"The planned stop ended.", "none")
 	DrainTimeout = define(103, zerolog.ErrorLevel, "drain time ended with requests in flight",
-		"The stop's stated bound ended before all requests did; the rest was cut off.",
+		"The stop's stated bound ended before all requests did; the rest was cut off: callers' requests and other entries' attempts, as counted.",
 		"Raise stop_timeout_ms above the longest deadline of the classes.")
 	Paused = define(104, zerolog.WarnLevel, "process was paused",
 		"A tick came late by more than the stated gap, so the process had been stopped or starved; views and leases are doubted until refreshed.",
 		"Look for a noisy neighbour or a frozen host when it repeats.")
 	Fatal = define(105, zerolog.ErrorLevel, "fatal error",
 		"The process cannot go on; it exits with code 1.", "Read the error field.")
+	StopStepEnded = define(108, zerolog.InfoLevel, "stop step ended",
+		"A step of a planned stop ended: when it began after the stop did and how long it took in milliseconds, and how many callers' requests and other entries' attempts were in hand at its end.",
+		"None, unless the steps before the caller drain take most of stop_timeout_ms: then look for peers that stand still.")
 	ServerError = define(107, zerolog.ErrorLevel, "HTTP server reported",
 		"net/http's server said something of a connection, in the report's own words; a handler that panicked has cut its caller off.",
 		"For a panic: report the stack, with the version. Else look at the peer or the callers that it names.")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,6 +127,8 @@
 	leavingTold atomic.Bool
 	// stopping: a planned stop has begun.
 	stopping atomic.Bool
+	// stopBegan is when it began, in Unix nanoseconds.
+	stopBegan atomic.Int64
 	// directs counts the direct messages that are under way.
 	directs atomic.Int64
 	// stopBound ends calls before a planned stop does.
@@ -352,7 +354,16 @@
 	})
 }
 
+// cleanUp ends whatever still runs; a planned stop logs it as its last step.
 func (n *Node) cleanUp() {
+	if !n.stopping.Load() {
+		n.closeAll()
+		return
+	}
+	n.step("clean-up", n.closeAll)
+}
+
+func (n *Node) closeAll() {
 	n.startMu.Lock()
 	n.cancel()
 	n.startMu.Unlock()
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -25,18 +25,21 @@
 // stop is the graceful stop: tell everyone, let their views catch up while
 // callers are still served elsewhere, then finish what is in flight.
 func (n *Node) stop() error {
-	event.Log(&n.log, event.Stopping).Send()
+	n.stopBegan.Store(time.Now().UnixNano())
+	event.Log(&n.log, event.Stopping).
+		Int("stop_timeout_ms", n.cfg.StopTimeout.Milliseconds()).Int("leave_grace_ms", n.cfg.LeaveGrace.Milliseconds()).Send()
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.StopTimeout)
 	defer cancel()
 	n.stopBound.Set(time.Now().Add(n.cfg.StopTimeout - answerTime))
 	n.stopping.Store(true)
 	n.sayLeaving(ctx)
-	err := n.ports.callerHTTP.Shutdown(ctx)
+	var err error
+	n.step("caller drain", func() { err = n.ports.callerHTTP.Shutdown(ctx) })
 	if err == nil {
-		err = n.ports.peerHTTP.Shutdown(ctx)
+		n.step("peer drain", func() { err = n.ports.peerHTTP.Shutdown(ctx) })
 	}
 	if err != nil {
-		event.Log(&n.log, event.DrainTimeout).Err(err).Send()
+		n.inHand(event.Log(&n.log, event.DrainTimeout)).Err(err).Send()
 		return fmt.Errorf("%w: %w", ErrCutOff, err)
 	}
 	return nil
@@ -49,13 +52,13 @@
 // to everybody.
 func (n *Node) sayLeaving(ctx context.Context) {
 	if n.cfg.Directory == nil {
-		n.tellLeaving(ctx)
-		pause.For(n.ctx, n.cfg.LeaveGrace)
+		n.step("telling", func() { n.tellLeaving(ctx) })
+		n.step("leave grace", func() { pause.For(n.ctx, n.cfg.LeaveGrace) })
 		return
 	}
-	pause.For(n.ctx, n.cfg.LeaveGrace)
-	n.tellLeaving(ctx)
-	pause.For(n.ctx, refusingTime)
+	n.step("leave grace", func() { pause.For(n.ctx, n.cfg.LeaveGrace) })
+	n.step("telling", func() { n.tellLeaving(ctx) })
+	n.step("refusing", func() { pause.For(n.ctx, refusingTime) })
 }
 
 // refusingTime is how long a leaving owner refuses before its port closes: entries
@@ -81,5 +84,21 @@
 	n.links.Flush(ctx)
 }
 
+// step carries out one step of a planned stop and logs it: whoever looks for a caller that
+// was cut off finds which step was under way, and what was in hand at its end.
+func (n *Node) step(name string, do func()) {
+	began := time.Now()
+	do()
+	ended := time.Now()
+	sinceStop := began.Sub(time.Unix(0, n.stopBegan.Load()))
+	n.inHand(event.Log(&n.log, event.StopStepEnded)).Str("step", name).
+		Int("began_ms", sinceStop.Milliseconds()).Int("milliseconds", ended.Sub(began).Milliseconds()).Send()
+}
+
+// inHand adds what a stop would cut off now.
+func (n *Node) inHand(line *event.Line) *event.Line {
+	return line.Int("callers_in_hand", n.stopBound.InHand()).Int("attempts_in_hand", n.executor.InHand())
+}
+
 // Kill ends the node at once, as a crash would; for tests.
 func (n *Node) Kill() { n.cleanUp() }
--- /dev/null
+++ b/internal/node/stop_test.go
@@ -0,0 +1,126 @@
+package node_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/local"
+	"gypsumstand/internal/pause"
+)
+
+// logged keeps log lines. It is safe for concurrent use.
+type logged struct {
+	mu    sync.Mutex
+	lines [][]byte
+}
+
+// Write implements io.Writer for one line.
+func (l *logged) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, bytes.Clone(line))
+	return len(line), nil
+}
+
+// stepLine is a line of event 108.
+type stepLine struct {
+	Event     event.ID `json:"event"`
+	Step      string   `json:"step"`
+	Began     *int64   `json:"began_ms"`
+	Took      *int64   `json:"milliseconds"`
+	Callers   *int64   `json:"callers_in_hand"`
+	Attempts  *int64   `json:"attempts_in_hand"`
+	StopBound int64    `json:"stop_timeout_ms"`
+}
+
+func (l *logged) of(t *testing.T, id event.ID) []stepLine {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []stepLine
+	for _, line := range l.lines {
+		var s stepLine
+		if err := json.Unmarshal(line, &s); err != nil {
+			t.Fatal(err)
+		}
+		if s.Event == id {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// A request that runs through the telling and the grace is in hand at their ends, and no
+// more at the drain's.
+func TestAPlannedStopTellsOfEachStepWhatWasInHandAtItsEnd(t *testing.T) {
+	entered, open := make(chan struct{}), make(chan struct{})
+	let := sync.OnceFunc(func() { close(open) })
+	worker := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Gypsum-Attempt", r.Header.Get("Gypsum-Attempt"))
+		if r.URL.Path == "/held" {
+			close(entered)
+			<-open
+		}
+	})
+	lines := &logged{}
+	f, err := local.Start(local.Config{
+		Bundle:      fmt.Appendf(nil, testBundle, 1),
+		Services:    []local.Service{{Name: "ledger", Workers: 1, Handler: worker}},
+		StopTimeout: 10 * time.Second,
+		LeaveGrace:  50 * time.Millisecond,
+		Log:         zerolog.New(lines),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	defer let()
+	if err := f.Await(t.Context(), local.Ready); err != nil {
+		t.Fatal(err)
+	}
+	answered := make(chan reply, 1)
+	go func() {
+		got, _, _ := do(t, f, http.MethodGet, "/held", "", nil)
+		answered <- got
+	}()
+	<-entered
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.Stop(f.Members()[0]) }()
+	for len(lines.of(t, event.StopStepEnded)) < 2 {
+		pause.For(t.Context(), time.Millisecond)
+	}
+	let()
+	if got := <-answered; got.Outcome != "answered" {
+		t.Errorf("the held request got %+v", got)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if begun := lines.of(t, event.Stopping); len(begun) != 1 || begun[0].StopBound != 10_000 {
+		t.Errorf("the stop's beginning told as %+v", begun)
+	}
+	type step struct {
+		Name    string
+		Callers int64
+	}
+	var got []step
+	for _, s := range lines.of(t, event.StopStepEnded) {
+		if s.Began == nil || s.Took == nil || s.Callers == nil || s.Attempts == nil {
+			t.Fatalf("step %q lacks a field", s.Step)
+		}
+		got = append(got, step{s.Step, *s.Callers})
+	}
+	want := []step{{"telling", 1}, {"leave grace", 1}, {"caller drain", 0}, {"peer drain", 0}, {"clean-up", 0}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("steps (-want +got):\n%s", diff)
+	}
+}
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -93,6 +93,7 @@
 // ServeHTTP implements http.Handler.
 func (c *Caller) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
+	defer c.Stop.hold()()
 	if c.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -93,6 +93,8 @@
 	cautious  atomic.Pointer[http.Transport]
 	echo      atomic.Bool
 	limits    limits
+	// peers counts the attempts of other entries that have not ended.
+	peers atomic.Int64
 
 	mu      sync.Mutex
 	waiters map[model.AttemptID]chan owner.Decision
@@ -140,6 +142,18 @@
 	return x
 }
 
+// InHand returns the number of other entries' attempts that have come and not ended.
+func (x *Executor) InHand() int64 { return x.peers.Load() }
+
+// hold counts an attempt of another entry until its end; a nil executor counts none.
+func (x *Executor) hold() (end func()) {
+	if x == nil {
+		return func() {}
+	}
+	x.peers.Add(1)
+	return func() { x.peers.Add(-1) }
+}
+
 // Deliver hands the owner's decisions to the attempts that wait for them.
 func (x *Executor) Deliver(ds []owner.Decision) {
 	for _, d := range ds {
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -37,6 +37,7 @@
 
 // ServeHTTP implements http.Handler.
 func (p *Peer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer p.Executor.hold()()
 	// Nodes have no use for each other's date; a worker's own is passed on.
 	w.Header()["Date"] = nil
 	if !strings.HasPrefix(r.URL.Path, withheldPath) {
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -14,6 +14,8 @@
 	// ending ends at the bound.
 	ending context.Context
 	end    context.CancelFunc
+	// inHand counts the calls that have not ended.
+	inHand atomic.Int64
 }
 
 // leastTimeout is what a call gets that comes at the very end of a stop: enough to be
@@ -33,6 +35,18 @@
 	time.AfterFunc(time.Until(at), b.end)
 }
 
+// InHand returns the number of callers' requests that have been read and not answered.
+func (b *StopBound) InHand() int64 { return b.inHand.Load() }
+
+// hold counts a call until its end.
+func (b *StopBound) hold() (end func()) {
+	if b == nil {
+		return func() {}
+	}
+	b.inHand.Add(1)
+	return func() { b.inHand.Add(-1) }
+}
+
 // within returns the part of timeout that is left before the bound.
 func (b *StopBound) within(now time.Time, timeout time.Duration) time.Duration {
 	if b == nil {
