node: telling the peers has a bound of its own; the drain keeps its part of a stop

Change: 1.5 s of the stop, or half of a shorter one, are the drain's; telling, grace and refusing end before, and the first of them leaves time for the next; queueing the word of leaving ends with them too.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -22,8 +22,13 @@
 // that their callers are told: some times what a slow machine needs for all of them.
 const answerTime = 300 * time.Millisecond
 
+// drainTime is what a stop keeps for finishing what is in flight, however long telling
+// the peers takes: most callers wait no longer for an answer. A short stop keeps a half.
+const drainTime = 1500 * time.Millisecond
+
 // stop is the graceful stop: tell everyone, let their views catch up while
-// callers are still served elsewhere, then finish what is in flight.
+// callers are still served elsewhere, then finish what is in flight. The telling has a
+// bound of its own, since a peer that stands still may hold it for as long as it likes.
 func (n *Node) stop() error {
 	n.stopBegan.Store(time.Now().UnixNano())
 	event.Log(&n.log, event.Stopping).
@@ -32,7 +37,10 @@
 	defer cancel()
 	n.stopBound.Set(time.Now().Add(n.cfg.StopTimeout - answerTime))
 	n.stopping.Store(true)
-	n.sayLeaving(ctx)
+	leaving, end := keeping(ctx, drainTime)
+	defer context.AfterFunc(n.ctx, end)()
+	n.sayLeaving(leaving)
+	end()
 	var err error
 	n.step("caller drain", func() { err = n.ports.callerHTTP.Shutdown(ctx) })
 	if err == nil {
@@ -45,20 +53,33 @@
 	return nil
 }
 
-// sayLeaving tells callers and peers that this node leaves, and waits out their views.
+// sayLeaving tells callers and peers that this node leaves, and waits out their views,
+// until ctx ends.
 // Peers are told first where they pass the word on. Where they learn it from refusals
 // only, the worker serves them as long as callers come, and refuses for a moment
 // before the port closes: the worker itself goes on, and without its node it is lost
-// to everybody.
+// to everybody. Whatever comes first leaves time for what follows.
 func (n *Node) sayLeaving(ctx context.Context) {
 	if n.cfg.Directory == nil {
-		n.step("telling", func() { n.tellLeaving(ctx) })
-		n.step("leave grace", func() { pause.For(n.ctx, n.cfg.LeaveGrace) })
+		first, end := keeping(ctx, n.cfg.LeaveGrace)
+		defer end()
+		n.step("telling", func() { n.tellLeaving(first) })
+		n.step("leave grace", func() { pause.For(ctx, n.cfg.LeaveGrace) })
 		return
 	}
-	n.step("leave grace", func() { pause.For(n.ctx, n.cfg.LeaveGrace) })
+	first, end := keeping(ctx, directTimeout)
+	defer end()
+	n.step("leave grace", func() { pause.For(first, n.cfg.LeaveGrace) })
 	n.step("telling", func() { n.tellLeaving(ctx) })
-	n.step("refusing", func() { pause.For(n.ctx, refusingTime) })
+	n.step("refusing", func() { pause.For(ctx, refusingTime) })
+}
+
+// keeping returns a context that ends before ctx by the time to keep, but has half of
+// what is left at least.
+func keeping(ctx context.Context, keep time.Duration) (context.Context, context.CancelFunc) {
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	return context.WithTimeout(ctx, max(left-keep, left/2))
 }
 
 // refusingTime is how long a leaving owner refuses before its port closes: entries
@@ -74,10 +95,13 @@
 // tellLeaving returns once the peers have been sent the word of leaving and the
 // next homes what this node remembers, or when ctx or the node ends.
 func (n *Node) tellLeaving(ctx context.Context) {
-	n.sink(control.SelfChanged{State: model.StateLeaving})
+	select {
+	case n.events <- control.SelfChanged{State: model.StateLeaving}:
+	case <-ctx.Done():
+		return
+	}
 	for !n.leavingTold.Load() || n.directs.Load() > 0 {
-		pause.For(ctx, tellPoll)
-		if ctx.Err() != nil || n.ctx.Err() != nil {
+		if pause.For(ctx, tellPoll) != nil {
 			return
 		}
 	}
