node: a drain that has come to its bound lets callers be told before it closes

A process that stood still over the end of its stop closed all connections in the moment in which it ended their calls. Change: after the bound the caller drain waits 0.25 s more for the calls, which have been ended, to be told; net/http still takes no new one. A drain with nothing in hand has cut nobody off, whatever connections without a request are left. The peer drain runs also when the caller drain came to its bound.

--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"gypsumstand/internal/control"
@@ -41,18 +42,38 @@
 	defer context.AfterFunc(n.ctx, end)()
 	n.sayLeaving(leaving)
 	end()
-	var err error
-	n.step("caller drain", func() { err = n.ports.callerHTTP.Shutdown(ctx) })
-	if err == nil {
-		n.step("peer drain", func() { err = n.ports.peerHTTP.Shutdown(ctx) })
-	}
-	if err != nil {
+	var callers, peers error
+	n.step("caller drain", func() { callers = drain(ctx, n.ports.callerHTTP, toldTime, n.stopBound.InHand) })
+	n.step("peer drain", func() { peers = drain(ctx, n.ports.peerHTTP, 0, n.executor.InHand) })
+	if err := errors.Join(callers, peers); err != nil {
 		n.inHand(event.Log(&n.log, event.DrainTimeout)).Err(err).Send()
 		return fmt.Errorf("%w: %w", ErrCutOff, err)
 	}
 	return nil
 }
 
+// toldTime is how long a drain that has come to its bound still waits for callers to be
+// told what became of their calls, which have been ended by then: a process that stood
+// still over the bound wakes with all of them in hand. It is half of the margin that
+// deploy/settings.toml leaves before the process is killed.
+const toldTime = 250 * time.Millisecond
+
+// drain closes a server's port and waits until what is in hand there has ended, by ctx's
+// end and the time after it. net/http also waits for connections that have carried no
+// request yet; closing those cuts nobody off.
+func drain(ctx context.Context, s *http.Server, after time.Duration, inHand func() int64) error {
+	err := s.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	last, cancel := context.WithTimeout(context.Background(), after)
+	defer cancel()
+	if s.Shutdown(last) == nil || inHand() == 0 {
+		return nil
+	}
+	return err
+}
+
 // sayLeaving tells callers and peers that this node leaves, and waits out their views,
 // until ctx ends.
 // Peers are told first where they pass the word on. Where they learn it from refusals
