--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -59,12 +59,17 @@
 	return max(min(timeout, time.Unix(0, at).Sub(now)), leastTimeout)
 }
 
-// bound returns a context that also ends at the bound, as if the caller had gone.
+// bound returns a context that also ends at the bound, as if the caller had gone. After the
+// bound it has ended at its return, so that the call is passed on to nobody.
 func (b *StopBound) bound(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	if b == nil {
 		return ctx, cancel
 	}
+	if b.ending.Err() != nil {
+		cancel()
+		return ctx, cancel
+	}
 	stop := context.AfterFunc(b.ending, cancel)
 	return ctx, func() {
 		stop()
