server: the end of a call bars a body that is withheld, so that the call ends

Change: a context that ends bars the body, unless it was released; the attempt then ends at once and is proved not to have run, as before.

--- a/internal/server/withheld.go
+++ b/internal/server/withheld.go
@@ -111,8 +111,10 @@
 	_, _ = io.CopyN(io.Discard, r.Body, replayBytes+1)
 }
 
-// withheldContext is the context of an attempt that is withdrawn at takenUpBy, unless its
-// body was released before; end is called once the attempt has ended.
+// withheldContext is the context of an attempt that is withdrawn at takenUpBy or when ctx
+// ends, unless its body was released before; end is called once the attempt has ended.
+// net/http waits for the reader of a body: one that nobody barred would hold the attempt,
+// and its caller, beyond ctx's end.
 func withheldContext(ctx context.Context, b *withheldBody, takenUpBy time.Time) (attempt context.Context, end func()) {
 	attempt, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(time.Until(takenUpBy), func() {
@@ -120,8 +122,10 @@
 			cancel()
 		}
 	})
+	stop := context.AfterFunc(ctx, func() { b.bar() })
 	return attempt, func() {
 		timer.Stop()
+		stop()
 		cancel()
 	}
 }
