--- a/internal/failure/process_test.go
+++ b/internal/failure/process_test.go
@@ -1,6 +1,7 @@
 package failure
 
 import (
+	"cmp"
 	"context"
 	"crypto/ed25519"
 	"encoding/json"
@@ -35,6 +36,8 @@
 	SignerKey ed25519.PublicKey
 	// LeaveGrace is how long callers are still served after the sign to stop.
 	LeaveGrace time.Duration
+	// StopTimeout bounds a planned stop; zero means 10 s.
+	StopTimeout time.Duration
 }
 
 // childAddresses is what it tells once its ports are open.
@@ -75,7 +78,7 @@
 		ConfigAddresses: []string{c.Platform},
 		PlatformTimeout: time.Second,
 		Trusted:         []bundle.Signer{{Name: signerName, Key: c.SignerKey}},
-		StopTimeout:     10 * time.Second,
+		StopTimeout:     cmp.Or(c.StopTimeout, 10*time.Second),
 		LeaveGrace:      c.LeaveGrace,
 		LocalDelay:      100 * time.Microsecond,
 		RemoteDelay:     time.Millisecond,
@@ -118,13 +121,19 @@
 // startProcesses runs n nodes of the service "ledger" until the test ends.
 func startProcesses(t *testing.T, n int) *processes {
 	t.Helper()
-	return startProcessesThatLeave(t, n, 0)
+	return startProcessesWith(t, n, childConfig{})
 }
 
 // startProcessesThatLeave runs nodes that serve callers for a while after the sign to stop.
 func startProcessesThatLeave(t *testing.T, n int, grace time.Duration) *processes {
 	t.Helper()
-	return startProcessesOf(t, n, childConfig{LeaveGrace: grace}, bundleOf(1))
+	return startProcessesWith(t, n, childConfig{LeaveGrace: grace})
+}
+
+// startProcessesWith runs nodes with the times of c.
+func startProcessesWith(t *testing.T, n int, c childConfig) *processes {
+	t.Helper()
+	return startProcessesOf(t, n, c, bundleOf(1))
 }
 
 // startProcessesWithIdleBound runs nodes whose callers may be idle for so long.
@@ -134,8 +143,8 @@
 	return startProcessesOf(t, n, childConfig{}, bound)
 }
 
-// startProcessesOf runs n nodes that are told common, besides what each has of its own.
-func startProcessesOf(t *testing.T, n int, common childConfig, text []byte) *processes {
+// startProcessesOf runs n nodes with the times of c, under the bundle of text.
+func startProcessesOf(t *testing.T, n int, c childConfig, text []byte) *processes {
 	t.Helper()
 	public, private, err := ed25519.GenerateKey(nil)
 	if err != nil {
@@ -151,7 +160,6 @@
 	}
 	serve(t, d.platform.NewServer(), l)
 	for i := range n {
-		c := common
 		c.Instance = model.InstanceID(fmt.Sprintf("ledger-%d", i+1))
 		c.Platform, c.SignerKey = l.Addr().String(), public
 		d.nodes = append(d.nodes, d.start(t, c))
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 
 	"gypsumstand/internal/control"
@@ -22,40 +23,84 @@
 // that their callers are told: some times what a slow machine needs for all of them.
 const answerTime = 300 * time.Millisecond
 
+// drainTime is what a stop keeps for finishing what is in flight, however long telling
+// the peers takes: most callers wait no longer for an answer. A short stop keeps a half.
+const drainTime = 1500 * time.Millisecond
+
 // stop is the graceful stop: tell everyone, let their views catch up while
-// callers are still served elsewhere, then finish what is in flight.
+// callers are still served elsewhere, then finish what is in flight. The telling has a
+// bound of its own, since a peer that stands still may hold it for as long as it likes.
 func (n *Node) stop() error {
-	event.Log(&n.log, event.Stopping).Send()
+	n.stopBegan.Store(time.Now().UnixNano())
+	event.Log(&n.log, event.Stopping).
+		Int("stop_timeout_ms", n.cfg.StopTimeout.Milliseconds()).Int("leave_grace_ms", n.cfg.LeaveGrace.Milliseconds()).Send()
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.StopTimeout)
 	defer cancel()
 	n.stopBound.Set(time.Now().Add(n.cfg.StopTimeout - answerTime))
 	n.stopping.Store(true)
-	n.sayLeaving(ctx)
-	err := n.ports.callerHTTP.Shutdown(ctx)
-	if err == nil {
-		err = n.ports.peerHTTP.Shutdown(ctx)
-	}
-	if err != nil {
-		event.Log(&n.log, event.DrainTimeout).Err(err).Send()
+	leaving, end := keeping(ctx, drainTime)
+	defer context.AfterFunc(n.ctx, end)()
+	n.sayLeaving(leaving)
+	end()
+	var callers, peers error
+	n.step("caller drain", func() { callers = drain(ctx, n.ports.callerHTTP, toldTime, n.stopBound.InHand) })
+	n.step("peer drain", func() { peers = drain(ctx, n.ports.peerHTTP, 0, n.executor.InHand) })
+	if err := errors.Join(callers, peers); err != nil {
+		n.inHand(event.Log(&n.log, event.DrainTimeout)).Err(err).Send()
 		return fmt.Errorf("%w: %w", ErrCutOff, err)
 	}
 	return nil
 }
 
-// sayLeaving tells callers and peers that this node leaves, and waits out their views.
+// toldTime is how long a drain that has come to its bound still waits for callers to be
+// told what became of their calls, which have been ended by then: a process that stood
+// still over the bound wakes with all of them in hand. It is half of the margin that
+// deploy/settings.toml leaves before the process is killed.
+const toldTime = 250 * time.Millisecond
+
+// drain closes a server's port and waits until what is in hand there has ended, by ctx's
+// end and the time after it. net/http also waits for connections that have carried no
+// request yet; closing those cuts nobody off.
+func drain(ctx context.Context, s *http.Server, after time.Duration, inHand func() int64) error {
+	err := s.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	last, cancel := context.WithTimeout(context.Background(), after)
+	defer cancel()
+	if s.Shutdown(last) == nil || inHand() == 0 {
+		return nil
+	}
+	return err
+}
+
+// sayLeaving tells callers and peers that this node leaves, and waits out their views,
+// until ctx ends.
 // Peers are told first where they pass the word on. Where they learn it from refusals
 // only, the worker serves them as long as callers come, and refuses for a moment
 // before the port closes: the worker itself goes on, and without its node it is lost
-// to everybody.
+// to everybody. Whatever comes first leaves time for what follows.
 func (n *Node) sayLeaving(ctx context.Context) {
 	if n.cfg.Directory == nil {
-		n.tellLeaving(ctx)
-		pause.For(n.ctx, n.cfg.LeaveGrace)
+		first, end := keeping(ctx, n.cfg.LeaveGrace)
+		defer end()
+		n.step("telling", func() { n.tellLeaving(first) })
+		n.step("leave grace", func() { pause.For(ctx, n.cfg.LeaveGrace) })
 		return
 	}
-	pause.For(n.ctx, n.cfg.LeaveGrace)
-	n.tellLeaving(ctx)
-	pause.For(n.ctx, refusingTime)
+	first, end := keeping(ctx, directTimeout)
+	defer end()
+	n.step("leave grace", func() { pause.For(first, n.cfg.LeaveGrace) })
+	n.step("telling", func() { n.tellLeaving(ctx) })
+	n.step("refusing", func() { pause.For(ctx, refusingTime) })
+}
+
+// keeping returns a context that ends before ctx by the time to keep, but has half of
+// what is left at least.
+func keeping(ctx context.Context, keep time.Duration) (context.Context, context.CancelFunc) {
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	return context.WithTimeout(ctx, max(left-keep, left/2))
 }
 
 // refusingTime is how long a leaving owner refuses before its port closes: entries
@@ -71,15 +116,34 @@
 // tellLeaving returns once the peers have been sent the word of leaving and the
 // next homes what this node remembers, or when ctx or the node ends.
 func (n *Node) tellLeaving(ctx context.Context) {
-	n.sink(control.SelfChanged{State: model.StateLeaving})
+	select {
+	case n.events <- control.SelfChanged{State: model.StateLeaving}:
+	case <-ctx.Done():
+		return
+	}
 	for !n.leavingTold.Load() || n.directs.Load() > 0 {
-		pause.For(ctx, tellPoll)
-		if ctx.Err() != nil || n.ctx.Err() != nil {
+		if pause.For(ctx, tellPoll) != nil {
 			return
 		}
 	}
 	n.links.Flush(ctx)
 }
 
+// step carries out one step of a planned stop and logs it: whoever looks for a caller that
+// was cut off finds which step was under way, and what was in hand at its end.
+func (n *Node) step(name string, do func()) {
+	began := time.Now()
+	do()
+	ended := time.Now()
+	sinceStop := began.Sub(time.Unix(0, n.stopBegan.Load()))
+	n.inHand(event.Log(&n.log, event.StopStepEnded)).Str("step", name).
+		Int("began_ms", sinceStop.Milliseconds()).Int("milliseconds", ended.Sub(began).Milliseconds()).Send()
+}
+
+// inHand adds what a stop would cut off now.
+func (n *Node) inHand(line *event.Line) *event.Line {
+	return line.Int("callers_in_hand", n.stopBound.InHand()).Int("attempts_in_hand", n.executor.InHand())
+}
+
 // Kill ends the node at once, as a crash would; for tests.
 func (n *Node) Kill() { n.cleanUp() }
--- a/internal/server/stop.go
+++ b/internal/server/stop.go
@@ -14,6 +14,8 @@
 	// ending ends at the bound.
 	ending context.Context
 	end    context.CancelFunc
+	// inHand counts the calls that have not ended.
+	inHand atomic.Int64
 }
 
 // leastTimeout is what a call gets that comes at the very end of a stop: enough to be
@@ -33,6 +35,18 @@
 	time.AfterFunc(time.Until(at), b.end)
 }
 
+// InHand returns the number of callers' requests that have been read and not answered.
+func (b *StopBound) InHand() int64 { return b.inHand.Load() }
+
+// hold counts a call until its end.
+func (b *StopBound) hold() (end func()) {
+	if b == nil {
+		return func() {}
+	}
+	b.inHand.Add(1)
+	return func() { b.inHand.Add(-1) }
+}
+
 // within returns the part of timeout that is left before the bound.
 func (b *StopBound) within(now time.Time, timeout time.Duration) time.Duration {
 	if b == nil {
@@ -45,12 +59,17 @@
 	return max(min(timeout, time.Unix(0, at).Sub(now)), leastTimeout)
 }
 
-// bound returns a context that also ends at the bound, as if the caller had gone.
+// bound returns a context that also ends at the bound, as if the caller had gone. After the
+// bound it has ended at its return, so that the call is passed on to nobody.
 func (b *StopBound) bound(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	if b == nil {
 		return ctx, cancel
 	}
+	if b.ending.Err() != nil {
+		cancel()
+		return ctx, cancel
+	}
 	stop := context.AfterFunc(b.ending, cancel)
 	return ctx, func() {
 		stop()
