node: tests that fail: a part of a node that fails cuts off what the others have in hand

Cause: Run goes from a port's error straight to cleanUp, which closes every connection; a panic in a goroutine that is no handler ends the process; cleanUp waits for every goroutine without a bound, so that one that is stuck keeps the process from ending.

Seen, two nodes with three requests in hand each, all at workers: with a caller, peer or operator port that fails, the three callers of the node are cut off (their connections close, and the port refuses the next), and one caller of the other node, whose attempt ran at that node's worker, is told "unknown" (502). With a panic, in a part or in the core's loop, the process ends. A stop whose bound is 10 s has not ended after 30 s.

Conclusion: the class stands.

--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -363,6 +363,14 @@
 	return err
 }
 
+// Failed waits for the end of a member whose node ends by itself, and returns why.
+func (f *Fleet) Failed(m *Member) error {
+	err := <-m.ended
+	f.end(m)
+	m.stop()
+	return err
+}
+
 // Kill ends a member's node and worker at once.
 func (f *Fleet) Kill(m *Member) {
 	m.Node.Kill()
--- /dev/null
+++ b/internal/node/export_test.go
@@ -0,0 +1,16 @@
+package node
+
+// Start runs f as the node runs its own parts.
+func (n *Node) Start(f func()) { n.start(f) }
+
+// FailPort makes a port's listener fail as it does when its socket is lost.
+func (n *Node) FailPort(name string) {
+	switch name {
+	case "caller":
+		n.ports.caller.Close()
+	case "peer":
+		n.ports.peer.Close()
+	case "operator":
+		n.ports.operator.Close()
+	}
+}
