node: a part that fails leads to the planned stop

Cause: Run took a port's error as a reason to close every connection, and a panic in a goroutine of the node or of its links ended the process where it stood. Callers on kept connections with requests at workers, and other entries whose attempts the node's worker ran, were cut off in one moment.

Change: a fault is logged at once (event 105, a panic with its stack, value and stack cut at 512 bytes and 4 KB, eight lines at most), and Run stops as it does when told to. The first fault is what Run returns, so the exit code stays 1. The node's loops (the core's, the owner's, the worker's watch) go on after a panic: without them peers are not told and nothing that waits at the owner begins. A stop that is stuck is left behind half a second after its bound, and a part that is stuck a second after the end (event 111): a lock that a panic left does not keep the process from ending. Package task holds the one copy of the care; Node.start and link.Manager go through it. Event 111 is new.

Ruled out: closing first and reopening the port, since its address may be another's by then; running on without the loop, since the word of leaving would never be taken and the whole bound be waited out.

A fatal error of the runtime, such as a concurrent access to a map, can't be caught and still ends the process.

--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -17,7 +17,11 @@
 		"A tick came late by more than the stated gap, so the process had been stopped or starved; views and leases are doubted until refreshed.",
 		"Look for a noisy neighbour or a frozen host when it repeats.")
 	Fatal = define(105, zerolog.ErrorLevel, "fatal error",
-		"The process cannot go on; it exits with code 1.", "Read the error field.")
+		"The node could not start, or a part of it failed: a port's listener, or a goroutine that panicked. A node that serves stops as planned (event 101), and the process exits with code 1.",
+		"Read the error field. For a panic: report the stack, with the version.")
+	PartFailed = define(111, zerolog.ErrorLevel, "part failed, the node goes on",
+		"What serves one request or no request panicked, or a part did not end with the node. The request is told that its outcome is unknown, where that has not been settled.",
+		"Report the stack, with the version.")
 	ServerError = define(107, zerolog.ErrorLevel, "HTTP server reported",
 		"net/http's server said something of a connection, in the report's own words; a handler that panicked has cut its caller off.",
 		"For a panic: report the stack, with the version. Else look at the peer or the callers that it names.")
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -19,6 +19,7 @@
 
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/task"
 	"gypsumstand/internal/wire"
 )
 
@@ -46,6 +47,8 @@
 	Self func() model.Instance
 	// Sink receives LinkUp, LinkDown and Received.
 	Sink Sink
+	// Failed is told a panic in a goroutine of the manager's.
+	Failed func(error)
 	// TLS, when set, secures links that this node opens.
 	TLS *tls.Config
 	// Dial opens connections; nil means TCP.
@@ -133,9 +136,16 @@
 		return
 	}
 	m.wg.Add(1)
+	m.run(f)
+}
+
+// run runs f in a goroutine that wg counts already.
+func (m *Manager) run(f func()) {
 	go func() {
 		defer m.wg.Done()
-		f()
+		if err := task.Do(f); err != nil {
+			m.cfg.Failed(err)
+		}
 	}()
 }
 
@@ -342,13 +352,12 @@
 	if !c.brief {
 		m.cfg.Sink(control.LinkUp{Peer: c.peer, Outgoing: c.outgoing})
 	}
-	go m.writePump(ctx, c)
-	go m.readPump(ctx, c)
+	m.run(func() { m.writePump(ctx, c) })
+	m.run(func() { m.readPump(ctx, c) })
 	return true
 }
 
 func (m *Manager) writePump(ctx context.Context, c *connection) {
-	defer m.wg.Done()
 	defer c.cancel()
 	idle := time.NewTicker(briefIdle)
 	defer idle.Stop()
@@ -382,7 +391,6 @@
 }
 
 func (m *Manager) readPump(ctx context.Context, c *connection) {
-	defer m.wg.Done()
 	defer m.remove(c)
 	for {
 		_, data, err := c.ws.Read(ctx)
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -1,5 +1,7 @@
 package node
 
+import "gypsumstand/internal/control"
+
 // Start runs f as the node runs its own parts.
 func (n *Node) Start(f func()) { n.start(f) }
 
@@ -14,3 +16,14 @@
 		n.ports.operator.Close()
 	}
 }
+
+// FillQueue fills the queue of the core's events.
+func (n *Node) FillQueue() {
+	for {
+		select {
+		case n.events <- control.Tick{}:
+		default:
+			return
+		}
+	}
+}
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -171,8 +171,10 @@
 }
 
 func TestAPortThatFailsCutsNobodyOff(t *testing.T) {
+	t.Parallel()
 	for _, port := range []string{"caller", "peer", "operator"} {
 		t.Run(port, func(t *testing.T) {
+			t.Parallel()
 			b := newBusyFleet(t)
 			b.Members()[0].Node.FailPort(port)
 			b.check(t)
@@ -182,6 +184,7 @@
 }
 
 func TestAPanicOfAPartCutsNobodyOff(t *testing.T) {
+	t.Parallel()
 	b := newBusyFleet(t)
 	b.Members()[0].Node.Start(func() { panic("the cause " + strings.Repeat("x", 64<<10)) })
 	b.check(t)
@@ -197,6 +200,7 @@
 // node leaves by that goroutine only, and without its clock nothing that waits at the
 // owner would begin.
 func TestAPanicOfTheCoresLoopCutsNobodyOff(t *testing.T) {
+	t.Parallel()
 	b := newBusyFleet(t)
 	b.log.on(`"event":220,`, func() { panic("the cause") })
 	if err := b.Publish(fmt.Appendf(nil, faultBundle, 2)); err != nil {
@@ -209,24 +213,70 @@
 // A goroutine that is stuck, as on a lock that another one left when it panicked, does not
 // keep a stop from ending.
 func TestAStopEndsBesideAPartThatIsStuck(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 1, http.NotFoundHandler())
 	stuck := make(chan struct{})
 	m := f.Members()[0]
 	m.Node.Start(func() { <-stuck })
+	if err := stopBeside(t, f, m, stuck); err != nil {
+		t.Error(err)
+	}
+}
+
+// The core's loop is stuck and its queue full: the stop waits there for good, and so do
+// requests that have something to tell the core.
+func TestAStopThatIsStuckItselfEnds(t *testing.T) {
+	t.Parallel()
+	log := &faultLog{seen: map[string]chan struct{}{}}
+	f, err := local.Start(local.Config{
+		Bundle:      fmt.Appendf(nil, faultBundle, 1),
+		Services:    []local.Service{{Name: "ledger", Workers: 1, Handler: http.NotFoundHandler()}},
+		DataCentres: 1,
+		StopTimeout: 2 * time.Second,
+		Log:         zerolog.New(log),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := f.Await(t.Context(), local.Ready); err != nil {
+		t.Fatal(err)
+	}
+	began, stuck := make(chan struct{}), make(chan struct{})
+	log.on(`"event":220,`, func() {
+		close(began)
+		<-stuck
+	})
+	if err := f.Publish(fmt.Appendf(nil, faultBundle, 2)); err != nil {
+		t.Fatal(err)
+	}
+	<-began
+	m := f.Members()[0]
+	m.Node.FillQueue()
+	if err := stopBeside(t, f, m, stuck); !errors.Is(err, node.ErrCutOff) {
+		t.Errorf("the stop ended with %v, want %v", err, node.ErrCutOff)
+	}
+}
+
+// stopBeside stops a member beside a goroutine that waits for stuck, and returns how the
+// stop ended.
+func stopBeside(t *testing.T, f *local.Fleet, m *local.Member, stuck chan struct{}) error {
+	t.Helper()
 	ended := make(chan error, 1)
 	go func() { ended <- f.Stop(m) }()
 	late := time.NewTimer(30 * time.Second)
 	defer late.Stop()
+	defer close(stuck)
 	select {
 	case err := <-ended:
-		close(stuck)
-		if err != nil {
-			t.Error(err)
-		}
+		return err
 	case <-late.C:
-		t.Error("a stop whose bound is 10 s has not ended after 30 s")
-		close(stuck)
-		<-ended
+		t.Fatal("a stop whose bound is 10 s at most has not ended after 30 s")
+		return nil
 	}
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -35,12 +35,18 @@
 			n.apply(n.core.Handle(now, control.Paused{For: gap}))
 		}
 		last = now
-		n.apply(n.core.Handle(now, ev))
-		if e, ok := ev.(control.SelfChanged); ok && e.State >= model.StateLeaving {
-			n.leavingTold.Store(true)
-		}
-		n.calls.reset(ev)
+		n.take(now, ev)
+	}
+}
+
+// take feeds one event to the core. A stop does not wait for the word of leaving once it
+// was taken, also when what came of it panicked.
+func (n *Node) take(now time.Time, ev control.Event) {
+	defer n.calls.reset(ev)
+	if e, ok := ev.(control.SelfChanged); ok && e.State >= model.StateLeaving {
+		defer n.leavingTold.Store(true)
 	}
+	n.apply(n.core.Handle(now, ev))
 }
 
 // ownerTicks drives the owner's own clockwork.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -144,6 +145,9 @@
 	wg     sync.WaitGroup
 	// startMu keeps start from racing with the final wait.
 	startMu sync.Mutex
+	// failed holds the first fault of a part until Run takes it; faults counts all.
+	failed chan error
+	faults atomic.Int64
 }
 
 // ports are the three listeners and their servers.
@@ -154,7 +158,11 @@
 
 // New opens the ports and makes a node. The caller must Run it.
 func New(cfg Config) (*Node, error) {
-	n := &Node{cfg: cfg, log: cfg.Log, events: make(chan control.Event, eventQueue), metrics: metrics.New()}
+	n := &Node{
+		cfg: cfg, log: cfg.Log, metrics: metrics.New(),
+		events: make(chan control.Event, eventQueue),
+		failed: make(chan error, 1),
+	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -224,7 +232,10 @@
 	})
 	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS, n.cfg.MaxIdleConnections)
 	n.forwarder.Lost = &server.LostOwners{Tell: n.tellLost, Heard: n.heardLost}
-	n.links = link.New(link.Config{Self: n.self, Sink: n.sink, TLS: n.cfg.PeerTLS, Dial: n.cfg.DialPeer, MaxAccepted: maxAcceptedLinks})
+	n.links = link.New(link.Config{
+		Self: n.self, Sink: n.sink, Failed: n.fail,
+		TLS: n.cfg.PeerTLS, Dial: n.cfg.DialPeer, MaxAccepted: maxAcceptedLinks,
+	})
 	n.settler = newSettler(n)
 	n.stopBound = server.NewStopBound()
 	n.makeServers()
@@ -304,52 +315,28 @@
 	}
 }
 
-// Run serves until ctx ends, then stops gracefully. The error tells why the
-// node could not serve or that the stop was not graceful.
+// Run serves until ctx ends or a part of the node fails, then stops gracefully. The error
+// tells which part failed, or that the stop was not graceful.
 func (n *Node) Run(ctx context.Context) error {
-	failed := make(chan error, 3)
-	n.serve(n.ports.operatorHTTP, n.ports.operator, failed)
-	n.serve(n.ports.peerHTTP, n.ports.peer, failed)
-	n.serve(n.ports.callerHTTP, n.ports.caller, failed)
-	n.start(n.loop)
-	n.start(n.ownerTicks)
-	n.start(n.watch.run)
+	n.serve("operator", n.ports.operatorHTTP, n.ports.operator)
+	n.serve("peer", n.ports.peerHTTP, n.ports.peer)
+	n.serve("caller", n.ports.callerHTTP, n.ports.caller)
+	n.startLoop(n.loop)
+	n.startLoop(n.ownerTicks)
+	n.startLoop(n.watch.run)
 	event.Log(&n.log, event.Started).Str("instance", string(n.cfg.Instance)).
 		Str("callers", n.CallerAddress()).Str("peers", n.PeerAddress()).Str("operators", n.OperatorAddress()).Send()
-	var err error
+	var fault error
 	select {
 	case <-ctx.Done():
-		err = n.stop()
-	case err = <-failed:
-		event.Log(&n.log, event.Fatal).Err(err).Send()
+	case fault = <-n.failed:
 	case <-n.ctx.Done():
 		return ErrKilled
 	}
-	n.cleanUp()
+	err := n.stopInTime()
+	n.cleanUpInTime()
 	event.Log(&n.log, event.Stopped).Send()
-	return err
-}
-
-// start runs f in a goroutine of the node, unless the node is being cleaned up.
-func (n *Node) start(f func()) {
-	n.startMu.Lock()
-	defer n.startMu.Unlock()
-	if n.ctx.Err() != nil {
-		return
-	}
-	n.wg.Add(1)
-	go func() {
-		defer n.wg.Done()
-		f()
-	}()
-}
-
-func (n *Node) serve(s *http.Server, l net.Listener, failed chan<- error) {
-	n.start(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
-		}
-	})
+	return cmp.Or(fault, n.firstFault(), err)
 }
 
 func (n *Node) cleanUp() {
