node: an error of one connection ends no port

Cause: accept(2) of Linux passes on errors of the connection that was to be had. net/http (Go 1.26) tries again only after errors that say Temporary: EINTR, EMFILE, ENFILE, EAGAIN and ETIMEDOUT. package net also means ECONNRESET and ECONNABORTED (OpError.Temporary), but looks for a bare Errno where its own accept wraps one in os.SyscallError, so that they end the server, too (its poller tries again after ECONNABORTED before that). Any other ended the port, and with it the node.

Change: those that say nothing of the listener, and a lack of memory, are told to net/http as temporary, which logs them (event 107) and tries again after 5 ms to 1 s.

--- a/internal/node/collector.go
+++ b/internal/node/collector.go
@@ -8,6 +8,7 @@
 	"gypsumstand/internal/blackboard"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/spread"
+	"gypsumstand/internal/task"
 )
 
 // collector shows the node's blackboard and counters to Prometheus, read anew at
@@ -42,8 +43,15 @@
 // Describe implements prometheus.Collector.
 func (c collector) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(c, ch) }
 
-// Collect implements prometheus.Collector.
+// Collect implements prometheus.Collector. The registry calls it in a goroutine of its own.
 func (c collector) Collect(ch chan<- prometheus.Metric) {
+	if err := task.Do(func() { c.collect(ch) }); err != nil {
+		c.node.partFailed(err)
+		ch <- prometheus.NewInvalidMetric(descReady, err)
+	}
+}
+
+func (c collector) collect(ch chan<- prometheus.Metric) {
 	c.board(ch)
 	c.owner(ch)
 	c.measuring(ch)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -182,7 +182,7 @@
 			errs = append(errs, fmt.Errorf("%s port: %w", name, err))
 			return nil
 		}
-		return netutil.LimitListener(l, connections)
+		return netutil.LimitListener(patientListener{l}, connections)
 	}
 	n.ports.caller = open("caller", n.cfg.CallerAddress, maxCallerConnections)
 	n.ports.peer = open("peer", n.cfg.PeerAddress, maxPeerConnections)
