server: a panic of an attempt or a hedge ends neither the process nor its caller's connection

Cause: an attempt that may be hedged, and the hedge, run in goroutines that are no handler's, so that a panic there ended the process with every request in hand. In an attempt without a hedge net/http caught it and cut the caller off.

Change: it is an attempt that broke, told as any other, and logged with its stack (event 111). A hedge that panics ends with an unknown outcome. What the panic left undone at the owner, a slot that it had taken among it, stays so.

Before: the test's process ended (panic: the cause). After: told, logged.

--- a/internal/server/carrier.go
+++ b/internal/server/carrier.go
@@ -10,6 +10,7 @@
 	"gypsumstand/internal/entry"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/task"
 	"gypsumstand/internal/wire"
 )
 
@@ -133,9 +134,9 @@
 }
 
 // unanswered tells of an owner that gave no answer, unless the caller's leaving is
-// why. This node's own owner always answers.
+// why. This node's own owner always answers, unless the attempt panicked.
 func (c *carrier) unanswered(ctx context.Context, step entry.Step, reason model.Reason) {
-	if !errors.Is(ctx.Err(), context.Canceled) {
+	if !errors.Is(ctx.Err(), context.Canceled) && step.To.ID != c.caller.Self {
 		c.caller.Unanswered(step.To, reason)
 	}
 }
@@ -169,7 +170,24 @@
 		Str("upstream", string(step.To.ID)).Err(err).Send()
 }
 
-func (c *carrier) attempt(ctx context.Context, step entry.Step) (Result, bool, error) {
+// attempt carries out one attempt, beside a hedge in a goroutine that is no handler's. A
+// panic is an attempt that broke: it would end the process there, and cut the caller off
+// here.
+func (c *carrier) attempt(ctx context.Context, step entry.Step) (result Result, heard bool, err error) {
+	if panicked := task.Do(func() { result, heard, err = c.offer(ctx, step) }); panicked != nil {
+		c.panicked(panicked)
+		return Result{}, false, panicked
+	}
+	return result, heard, err
+}
+
+// panicked logs a panic that the request goes on after.
+func (c *carrier) panicked(err error) {
+	event.Log(c.caller.Requests, event.PartFailed).Str("request", string(c.request.ID)).Err(err).Send()
+}
+
+// offer offers the attempt to its owner.
+func (c *carrier) offer(ctx context.Context, step entry.Step) (Result, bool, error) {
 	step.Attempt.DirectoryRevision = c.caller.Mark().Revision
 	work := &Work{
 		Attempt:       step.Attempt,
--- a/internal/server/carrier_test.go
+++ b/internal/server/carrier_test.go
@@ -1,8 +1,12 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +16,7 @@
 	"gypsumstand/internal/entry"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/route"
+	"gypsumstand/internal/task"
 	"gypsumstand/internal/wire"
 )
 
@@ -65,3 +70,61 @@
 		}
 	}
 }
+
+// A panic in an attempt with a hedge beside it, or in the hedge, ended the process and with
+// it every request in hand: both run in goroutines that are no handler's. One without a
+// hedge cut its caller off.
+func TestAPanicOfAnAttemptIsAnAttemptThatBroke(t *testing.T) {
+	now := time.Now()
+	for name, hedgeAt := range map[string]time.Time{"alone": {}, "to be hedged": now.Add(time.Hour)} {
+		t.Run(name, func(t *testing.T) {
+			var log bytes.Buffer
+			c, step := panickingCarrier(now, &log)
+			step.HedgeAt = hedgeAt
+			result, heard, err := c.attemptHedged(t.Context(), step)
+			var panicked *task.Panicked
+			if result.Answer != nil || heard || !errors.As(err, &panicked) || panicked.Value != "the cause" {
+				t.Errorf("%+v, heard %v, error %v", result, heard, err)
+			}
+			if line := log.String(); !strings.Contains(line, `"event":111,`) || !strings.Contains(line, "the cause") {
+				t.Errorf("log %q", line)
+			}
+		})
+	}
+}
+
+func TestAPanicOfAHedgeEndsItWithAnUnknownOutcome(t *testing.T) {
+	var log bytes.Buffer
+	c, _ := panickingCarrier(time.Now(), &log)
+	c.caller.Unanswered = func(model.Instance, model.Reason) { panic("another cause") }
+	if step := c.carryOut(t.Context()); step.Kind != entry.StepEnd || step.Outcome != model.OutcomeUnknown {
+		t.Errorf("ends with %+v", step)
+	}
+	if line := log.String(); !strings.Contains(line, "another cause") {
+		t.Errorf("log %q", line)
+	}
+}
+
+// panickingCarrier returns a carrier whose attempts panic, and the first step of its call.
+func panickingCarrier(now time.Time, out io.Writer) (*carrier, entry.Step) {
+	b := &bundle.Bundle{
+		Name: "b", Version: 1,
+		Classes:  []bundle.Class{{Name: "view", DeadlineMs: 60_000}},
+		Services: []bundle.Service{{Name: "shop", Slots: 2}},
+	}
+	target := bundle.Target{Bundle: b, Service: &b.Services[0], Class: &b.Classes[0], Idempotent: true}
+	table := route.NewTable(route.Config{Self: "e"})
+	up := model.Instance{ID: "w1", Service: "shop", State: model.StateLive}
+	table.Update(now, &model.Fleet{Instances: []model.Instance{up}}, bundle.NewSet([]*bundle.Bundle{b}))
+	engine := entry.NewEngine(entry.Config{Self: model.Instance{ID: "e", Incarnation: 1}}, table)
+	request := entry.Request{ID: "r", Target: target, Timeout: time.Minute, Idempotent: true, Replayable: true}
+	log := zerolog.New(out)
+	caller := &Caller{
+		Self: "e", Requests: &log, Table: table, LostSignal: &LostSignal{},
+		Mark: func() model.DirectoryMark { panic("the cause") },
+	}
+	x := &exchange{caller: caller, r: &http.Request{}, request: request, body: &requestBody{}, began: now}
+	call := engine.Begin(now, request)
+	step := entry.Step{Kind: entry.StepSend, To: up}
+	return &carrier{exchange: x, call: call}, step
+}
--- a/internal/server/hedge.go
+++ b/internal/server/hedge.go
@@ -6,6 +6,7 @@
 
 	"gypsumstand/internal/entry"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/task"
 )
 
 // hedge is a call that runs beside another one for the same request.
@@ -109,10 +110,20 @@
 	ctx, cancel := context.WithCancel(ctx)
 	h := &hedge{carrier: &carrier{exchange: c.exchange, call: call}, cancel: cancel, ended: make(chan entry.Step, 1)}
 	c.hedge = h
-	go func() { h.ended <- h.carrier.carry(ctx) }()
+	go func() { h.ended <- h.carrier.carryOut(ctx) }()
 	return true
 }
 
+// carryOut is carry for a goroutine that is no handler's, where a panic would end the
+// process: the call then ends with an unknown outcome.
+func (c *carrier) carryOut(ctx context.Context) (step entry.Step) {
+	if err := task.Do(func() { step = c.carry(ctx) }); err != nil {
+		c.panicked(err)
+		return entry.Step{Kind: entry.StepEnd, Outcome: model.OutcomeUnknown}
+	}
+	return step
+}
+
 // decide tells which of the two calls the caller's answer is from.
 func (c *carrier) decide(step entry.Step) (*carrier, entry.Step) {
 	h := c.hedge
