--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"gypsumstand/internal/logging"
 	"gypsumstand/internal/node"
 	"gypsumstand/internal/settings"
+	"gypsumstand/internal/task"
 )
 
 // Exit codes of gypsumd.
@@ -109,7 +110,9 @@
 		return ExitFailed
 	}
 	ended := make(chan struct{})
-	go watchHangUps(hangUps, ended, path, s, &log)
+	task.Go(func() { watchHangUps(hangUps, ended, path, s, &log) }, func(err error) {
+		event.Log(&log, event.PartFailed).Err(err).Send()
+	})
 	defer close(ended)
 	return code(n.Run(ctx))
 }
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog/diode"
 
 	"gypsumstand/internal/event"
+	"gypsumstand/internal/task"
 )
 
 const (
@@ -44,7 +45,7 @@
 	l.Main = zerolog.New(l.writer).Level(level).With().Timestamp().Logger()
 	l.sampler = &sampler{burst: int64(requestLines)}
 	l.Requests = l.Main.Sample(l.sampler)
-	go l.tell()
+	task.Go(l.tell, func(err error) { event.Log(&l.Main, event.PartFailed).Err(err).Send() })
 	return l
 }
 
