--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -187,3 +187,34 @@
 		t.Errorf("b was told %+v", <-b.events)
 	}
 }
+
+// A panic in a link's goroutine ended the process, and with it every request in hand.
+func TestAPanicInALinksGoroutineIsToldAndEndsTheLink(t *testing.T) {
+	failed := make(chan error, 1)
+	a, b := newEnd(t, "a", 4), newEnd(t, "b", 4)
+	broken := link.New(link.Config{
+		Self: func() model.Instance { return model.Instance{ID: "c", Incarnation: 1} },
+		Sink: func(ev control.Event) {
+			if _, ok := ev.(control.Received); ok {
+				panic("the cause")
+			}
+		},
+		Failed:      func(err error) { failed <- err },
+		MaxAccepted: 4,
+	})
+	s := httptest.NewServer(broken.Handler())
+	t.Cleanup(s.Close)
+	t.Cleanup(broken.Close)
+	a.manager.Open("c", strings.TrimPrefix(s.URL, "http://"))
+	next[control.LinkUp](t, a)
+	a.manager.Send("c", wire.LoadProbe{})
+	if err := <-failed; !strings.Contains(err.Error(), "the cause") {
+		t.Errorf("error %v", err)
+	}
+	if down := next[control.LinkDown](t, a); down.Peer != "c" {
+		t.Errorf("down: %+v", down)
+	}
+	// Another end goes on.
+	a.manager.Open("b", b.address)
+	next[control.LinkUp](t, a)
+}
