--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -363,6 +363,29 @@
 	return err
 }
 
+// Failed waits until a member's node has ended by itself, and returns why; or until ctx
+// ends.
+func (f *Fleet) Failed(ctx context.Context) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		for _, m := range f.Members() {
+			select {
+			case err := <-m.ended:
+				f.end(m)
+				m.stop()
+				return err
+			default:
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // Kill ends a member's node and worker at once.
 func (f *Fleet) Kill(m *Member) {
 	m.Node.Kill()
