server: a body that comes late after a refusal is read as the next request

With full duplex on, net/http leaves an unread body to the handler; ours gives up after half a second and returns, and the connection is used on. In memory of known length the whole body became a request; in chunks its end is answered as a malformed one.

--- a/internal/server/withheld_test.go
+++ b/internal/server/withheld_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"time"
 
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/pause"
 	"gypsumstand/internal/wire"
 )
 
@@ -214,3 +216,44 @@
 		t.Errorf("%d connections for %d attempts of %d callers", n, callers*each, callers)
 	}
 }
+
+// An owner refused an attempt and waited half a second for the body that its entry then let
+// go. A body that came later was read as the next request of that connection: what a caller
+// puts into a body could so become an attempt of its own. Evidence: the server behind the
+// connection gets a second request here, of a path that only the body names.
+func TestALateBodyIsNeverTakenForARequest(t *testing.T) {
+	const body = "GET /of-the-body HTTP/1.1\r\nHost: xyz\r\n\r\n"
+	for name, length := range map[string]string{
+		"of known length": "Content-Length: " + strconv.Itoa(len(body)),
+		"in chunks":       "Transfer-Encoding: chunked",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := &Peer{Seen: func(model.InstanceID, model.BundleVersion) {}, Heard: func(model.InstanceID, uint64) {}}
+			var paths sync.Map
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				paths.Store(r.URL.Path, true)
+				p.ServeHTTP(w, r)
+			}))
+			defer s.Close()
+			c, err := net.Dial("tcp", s.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			_, _ = io.WriteString(c, "POST "+withheldPath+"/x HTTP/1.1\r\nHost: x\r\n"+length+"\r\n\r\n")
+			read := bufio.NewReader(c)
+			if head, err := read.ReadString('\n'); err != nil || !strings.Contains(head, " 400 ") {
+				t.Fatalf("refused with %q, %v", head, err)
+			}
+			_ = pause.For(t.Context(), claimTimeout+claimTimeout/5)
+			// The owner may have closed the connection, as it should.
+			_, _ = io.WriteString(c, body)
+			_ = c.SetReadDeadline(time.Now().Add(2 * claimTimeout))
+			rest, _ := io.ReadAll(read)
+			if _, taken := paths.Load("/of-the-body"); taken || strings.Contains(string(rest), "HTTP/1.1") {
+				t.Errorf("the body was read as a request (%v); after the refusal came %q", taken, rest)
+			}
+		})
+	}
+}
