server: a connection whose refused attempt's body does not come is closed

Now it is closed then. One connection for each body that is over half a second late: the entry opens another.

--- a/internal/server/withheld.go
+++ b/internal/server/withheld.go
@@ -103,12 +103,16 @@
 
 // finishReading sends a refusal off and reads what the entry then lets go, so that the
 // connection can be used again. net/http reads it too, but after the handler's end, when
-// its own watch of the connection panics at the body's end.
+// its own watch of the connection panics at the body's end. A connection on which the body's
+// end has not come is closed: what comes later would be read as the next request there, and
+// a caller chooses what is in a body.
 func finishReading(w http.ResponseWriter, r *http.Request) {
 	// A connection that fails here ends by itself: net/http finds the body unread.
 	_ = http.NewResponseController(w).Flush()
 	limitReading(w, r, time.Now().Add(claimTimeout))
-	_, _ = io.CopyN(io.Discard, r.Body, replayBytes+1)
+	if _, err := io.CopyN(io.Discard, r.Body, replayBytes+1); err != io.EOF {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // withheldContext is the context of an attempt that is withdrawn at takenUpBy or when ctx
