--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -124,3 +125,43 @@
 		t.Errorf("steps (-want +got):\n%s", diff)
 	}
 }
+
+// unusedWait is how long net/http waits at a stop for a connection that has carried no
+// request.
+const unusedWait = 5 * time.Second
+
+// Stops ran to their bound, said that they had cut callers off, and held their process back
+// from its next start, although nothing was in hand: peers had opened connections to the
+// node that they had not used yet. Evidence: event 108, whose peer drain lasts until then.
+func TestAStopDoesNotWaitForConnectionsThatCarryNoRequest(t *testing.T) {
+	lines := &logged{}
+	f, err := local.Start(local.Config{
+		Bundle:      fmt.Appendf(nil, testBundle, 1),
+		Services:    []local.Service{{Name: "ledger", Workers: 1}},
+		StopTimeout: 4 * unusedWait,
+		Log:         zerolog.New(lines),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if err := f.Await(t.Context(), local.Ready); err != nil {
+		t.Fatal(err)
+	}
+	m := f.Members()[0]
+	for _, address := range []string{m.Node.CallerAddress(), m.Node.PeerAddress()} {
+		unused, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer unused.Close()
+	}
+	if err := f.Stop(m); err != nil {
+		t.Error(err)
+	}
+	for _, s := range lines.of(t, event.StopStepEnded) {
+		if s.Took == nil || *s.Took >= (unusedWait-time.Second).Milliseconds() {
+			t.Errorf("%s took as long as an unused connection lasts: %v ms", s.Step, *s.Took)
+		}
+	}
+}
