node: a stop closes connections that carry no request, in place of waiting for them

net/http serves nothing on them once it shuts down, so nobody is cut off. Beside such a connection at the callers' and the peers' port the caller drain took 5226 ms before, 1 ms after (the test's runs, busy machine); the peer drain 1 ms.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -28,6 +28,9 @@
 	n.ports.peerHTTP = n.httpServer(n.peerRoutes())
 	n.ports.peerHTTP.MaxHeaderBytes += server.PeerHeaderBytes
 	n.ports.operatorHTTP = n.httpServer(n.operatorRoutes())
+	for _, s := range []*http.Server{n.ports.callerHTTP, n.ports.peerHTTP, n.ports.operatorHTTP} {
+		watchUnused(s)
+	}
 }
 
 func (n *Node) httpServer(h http.Handler) *http.Server {
--- /dev/null
+++ b/internal/node/unused.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"sync"
+)
+
+// unusedConns closes a server's connections that have carried no request, once the server
+// shuts down: net/http serves nothing on them from then on, but waits until they are five
+// seconds old. Beside one of them a drain took 5.2 s, now 1 ms.
+// It is safe for concurrent use.
+type unusedConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+	// closing: the server shuts down.
+	closing bool
+}
+
+// watchUnused makes a server's unused connections end with it.
+func watchUnused(s *http.Server) {
+	u := &unusedConns{conns: map[net.Conn]struct{}{}}
+	then := s.ConnState
+	s.ConnState = func(conn net.Conn, state http.ConnState) {
+		u.state(conn, state)
+		if then != nil {
+			then(conn, state)
+		}
+	}
+	s.RegisterOnShutdown(u.close)
+}
+
+func (u *unusedConns) state(conn net.Conn, s http.ConnState) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case s != http.StateNew:
+		delete(u.conns, conn)
+	case u.closing:
+		// The other side may have closed it already.
+		_ = conn.Close()
+	default:
+		u.conns[conn] = struct{}{}
+	}
+}
+
+// close closes what is unused. net/http has begun to shut down before: a request that is
+// read at this moment is not handed on, so that none is cut off.
+func (u *unusedConns) close() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.closing = true
+	for conn := range u.conns {
+		_ = conn.Close()
+	}
+	clear(u.conns)
+}
