--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -235,7 +235,7 @@
 	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS, n.cfg.MaxIdleConnections)
 	n.forwarder.Lost = &server.LostOwners{Tell: n.tellLost, Heard: n.heardLost}
 	n.links = link.New(link.Config{
-		Self: n.self, Sink: n.sink, Failed: n.fail,
+		Self: n.self, Sink: n.sink, Failed: n.partFailed,
 		TLS: n.cfg.PeerTLS, Dial: n.cfg.DialPeer, MaxAccepted: maxAcceptedLinks,
 	})
 	n.settler = newSettler(n)
