--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,6 +73,9 @@
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
 	defer signal.Stop(hangUps)
+	// By default a write to a log whose reader has gone ends a process with all that it has
+	// in hand: the lines are lost instead.
+	signal.Ignore(syscall.SIGPIPE)
 	plain := zerolog.New(out).With().Timestamp().Logger()
 	s, err := settings.Load(path)
 	if err != nil {
