server: a refusal does not wait for good for a body that does not come

net/http reads a refused request's body before the refusal goes out; nothing bounded that, so one such caller held its connection, and a planned stop until it cut everybody off.

--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -234,8 +234,14 @@
 	w.WriteHeader(status)
 }
 
+// refusedBodyTime is how long the body of a refused request is waited for: net/http reads it
+// before the refusal goes out. A caller that sends one has it on its way; one that does not
+// would hold its connection, and a planned stop, for as long as it likes.
+const refusedBodyTime = 500 * time.Millisecond
+
 // refuseEarly ends a request that was never placed.
 func (c *Caller) refuseEarly(w http.ResponseWriter, r *http.Request, status int, e dialect.End) {
+	limitReading(w, r, time.Now().Add(refusedBodyTime))
 	c.endWith(w, r, status, e)
 	// What cannot be read names no request.
 	asked, _ := c.Dialect.ReadRequest(r.Header)
--- a/internal/server/unrouted_test.go
+++ b/internal/server/unrouted_test.go
@@ -1,9 +1,13 @@
 package server
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
@@ -48,3 +52,27 @@
 		})
 	}
 }
+
+// A refused request whose body never came held its connection for good, and with it a planned
+// stop of its node, which then cut off all others.
+func TestARefusalIsSentAlsoWhereTheBodyDoesNotCome(t *testing.T) {
+	board := &blackboard.Board{}
+	board.Bundles.Put(bundle.NewSet(nil))
+	board.Readiness.Put(&blackboard.Readiness{Ready: true})
+	log := zerolog.Nop()
+	s := httptest.NewServer(&Caller{Board: board, Requests: &log, Dialect: dialect.Product{}, Leaving: func() bool { return false }})
+	defer s.Close()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(20 * refusedBodyTime))
+	got, err := io.ReadAll(conn)
+	if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 404 ") {
+		t.Errorf("got %q, %v", got, err)
+	}
+}
