server, node: a panic of an attempt leaves neither a slot nor a lock behind

Since a panic no longer ends the process, each kept the slot that it had (1 of 1 in hand before, 0 after), and one in the judgement of the worker's health its lock (by reading).

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -220,20 +220,21 @@
 	if w.node.ctx.Err() != nil {
 		return
 	}
+	w.changed(w.judged(func() model.UpstreamState { return w.judge.Polled(time.Now(), p) }))
+}
+
+// judged returns the worker's state before and after a judgement; one that panics leaves no
+// lock behind.
+func (w *workerWatch) judged(judge func() model.UpstreamState) (before, after model.UpstreamState) {
 	w.mu.Lock()
-	before := w.judge.State()
-	after := w.judge.Polled(time.Now(), p)
-	w.mu.Unlock()
-	w.changed(before, after)
+	defer w.mu.Unlock()
+	before = w.judge.State()
+	return before, judge()
 }
 
 // traffic takes the evidence of real work; it is the executor's hook.
 func (w *workerWatch) traffic(refused bool) {
-	w.mu.Lock()
-	before := w.judge.State()
-	after := w.judge.Traffic(time.Now(), refused)
-	w.mu.Unlock()
-	w.changed(before, after)
+	w.changed(w.judged(func() model.UpstreamState { return w.judge.Traffic(time.Now(), refused) }))
 }
 
 func (w *workerWatch) changed(before, after model.UpstreamState) {
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -189,6 +189,25 @@
 // Do offers the attempt, waits for its start and sends it to the worker. ctx
 // ends when the entry gives up.
 func (x *Executor) Do(ctx context.Context, w *Work) Result {
+	ended := false
+	defer func() {
+		if !ended {
+			x.abandon(w.Attempt.ID)
+		}
+	}()
+	r := x.do(ctx, w)
+	ended = true
+	return r
+}
+
+// abandon lets go of an attempt that panicked: its slot would be lost for good, and it may
+// have run.
+func (x *Executor) abandon(id model.AttemptID) {
+	x.unawait(id)
+	x.finish(id, owner.Finish{Failed: true})
+}
+
+func (x *Executor) do(ctx context.Context, w *Work) Result {
 	if x.refresh != nil {
 		x.refresh(ctx)
 	}
--- a/internal/server/executor_test.go
+++ b/internal/server/executor_test.go
@@ -16,6 +16,7 @@
 	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
+	"gypsumstand/internal/task"
 )
 
 // await waits until the owner's report says what is asked for.
@@ -102,3 +103,19 @@
 		SameNode: true,
 	}
 }
+
+// Each attempt that panicked kept its slot, until the worker had none left.
+func TestAnAttemptThatPanicsKeepsNoSlot(t *testing.T) {
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {}))
+	defer worker.Close()
+	o, x := oneSlot(strings.TrimPrefix(worker.URL, "http://"))
+	sound := x.worker
+	x.worker = func() model.WorkerID { panic("the cause") }
+	if task.Do(func() { x.Do(t.Context(), testWork(1)) }) == nil {
+		t.Fatal("no panic")
+	}
+	x.worker = sound
+	if n := o.Report(time.Now()).InFlight; n != 0 {
+		t.Errorf("%d attempts hold slots", n)
+	}
+}
