--- a/internal/node/fault.go
+++ b/internal/node/fault.go
@@ -115,14 +115,17 @@
 // stopInTime is stop, which it leaves behind when it is stuck.
 func (n *Node) stopInTime() error {
 	result := make(chan error, 1)
-	n.within(n.cfg.StopTimeout+stopSlack, func() { result <- n.stop() })
+	if !n.within(n.cfg.StopTimeout+stopSlack, func() { result <- n.stop() }) {
+		event.Log(&n.log, event.DrainTimeout).Err(errStuck).Send()
+		return errStuck
+	}
 	select {
 	case err := <-result:
 		return err
 	default:
+		// It panicked, and that has been logged.
+		return ErrCutOff
 	}
-	event.Log(&n.log, event.DrainTimeout).Err(errStuck).Send()
-	return errStuck
 }
 
 // cleanUpInTime is cleanUp, which it leaves behind when a part is stuck: nothing is in hand
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -203,8 +203,19 @@
 	}
 }
 
-// The goroutine that feeds the core of either node panics, by what it logs. Peers can be told that the
-// node leaves by that goroutine only, and without its clock nothing that waits at the
+// A panic in the stop itself was taken for a stop that is stuck, and closed on everybody.
+func TestAPanicOfTheStopCutsNobodyOff(t *testing.T) {
+	t.Parallel()
+	b := newBusyFleet(t)
+	b.log.on(`"event":108,`, func() { panic("the cause of the stop") })
+	b.Members()[0].Node.FailPort("operator")
+	<-b.log.await(`"event":108,`)
+	b.check(t)
+	b.checkEnd(t, "operator port")
+}
+
+// The goroutine that feeds the core of either node panics, by what it logs. Peers can be
+// told that the node leaves by that goroutine only, and without its clock nothing that waits at the
 // owner would begin.
 func TestAPanicOfTheCoresLoopCutsNobodyOff(t *testing.T) {
 	t.Parallel()
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -11,6 +11,7 @@
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/pause"
+	"gypsumstand/internal/task"
 )
 
 // ErrKilled says that Kill ended the node.
@@ -40,7 +41,10 @@
 	n.stopping.Store(true)
 	leaving, end := keeping(ctx, drainTime)
 	defer context.AfterFunc(n.ctx, end)()
-	n.sayLeaving(leaving)
+	// Whatever panics in the telling, what is in hand is finished.
+	if err := task.Do(func() { n.sayLeaving(leaving) }); err != nil {
+		n.fail(err)
+	}
 	end()
 	var callers, peers error
 	n.step("caller drain", func() { callers = drain(ctx, n.ports.callerHTTP, toldTime, n.stopBound.InHand) })
@@ -134,10 +138,15 @@
 func (n *Node) step(name string, do func()) {
 	began := time.Now()
 	do()
-	ended := time.Now()
+	took := time.Since(began)
 	sinceStop := began.Sub(time.Unix(0, n.stopBegan.Load()))
-	n.inHand(event.Log(&n.log, event.StopStepEnded)).Str("step", name).
-		Int("began_ms", sinceStop.Milliseconds()).Int("milliseconds", ended.Sub(began).Milliseconds()).Send()
+	// A stop goes on beside a log that panics.
+	if err := task.Do(func() {
+		n.inHand(event.Log(&n.log, event.StopStepEnded)).Str("step", name).
+			Int("began_ms", sinceStop.Milliseconds()).Int("milliseconds", took.Milliseconds()).Send()
+	}); err != nil {
+		n.fail(err)
+	}
 }
 
 // inHand adds what a stop would cut off now.
