node: the last look of a bound lasts for all readings of a request

A request that had come in parts, or is longer than one reading, was still closed on after a standstill. A firewall's refusal of one connection (EPERM) ends no port.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -8,14 +8,14 @@
 )
 
 // passing lists the errors of accept(2) that say nothing of the listener: those of the
-// connection that was to be had, which Linux passes on, and a lack of memory. net/http
+// connection that was to be had, which Linux passes on, a firewall's, and a lack of memory. net/http
 // tries again by itself after EMFILE, ENFILE, EINTR, EAGAIN and ETIMEDOUT only: package
 // net means to do so after ECONNRESET and ECONNABORTED, but does not look into the error
 // that accept wraps them in.
 var passing = []syscall.Errno{
 	syscall.ENETDOWN, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET,
 	syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH,
-	syscall.ECONNRESET, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM,
+	syscall.ECONNRESET, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM,
 }
 
 // passingError is an error after which net/http tries again: it logs it and waits for 5 ms
--- a/internal/node/callerbound_test.go
+++ b/internal/node/callerbound_test.go
@@ -156,7 +156,7 @@
 }
 
 func TestARequestThatIsReadAtTheEndOfABoundIsAnswered(t *testing.T) {
-	for name, play := range map[string]func(c *boundCaller){
+	for name, act := range map[string]func(c *boundCaller){
 		"idle, no turn after the reading": func(c *boundCaller) {
 			c.rest()
 			c.far.stall.Store(true)
@@ -177,7 +177,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := newBoundCaller(t, boundsOf(testBounds))
-				play(c)
+				act(c)
 				before := c.handled.Load()
 				answered := c.answered()
 				c.wait(testStall)
@@ -202,6 +202,20 @@
 	})
 }
 
+// A request may come in parts, and be too long for one reading.
+func TestAHeaderOfManyPartsThatWaitsAtTheEndOfABoundIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newBoundCaller(t, boundsOf(testBounds))
+		c.send(wholeRequest[:4])
+		c.wait(testHeader + lastLook/2)
+		c.send(wholeRequest[4:10])
+		c.send(wholeRequest[10:])
+		if !c.answered() {
+			t.Error("no answer")
+		}
+	})
+}
+
 func TestARaisedBoundHoldsForConnectionsThatWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var idle atomic.Int64
--- a/internal/node/callerconns.go
+++ b/internal/node/callerconns.go
@@ -60,9 +60,9 @@
 	}
 	switch s {
 	case http.StateActive:
-		caller.wait(noBound)
+		caller.begin(noBound)
 	case http.StateIdle:
-		caller.wait(idleBound)
+		caller.begin(idleBound)
 	}
 }
 
@@ -79,15 +79,15 @@
 		return nil, err
 	}
 	c := &callerConn{Conn: conn, bounds: l.bounds}
-	c.wait(headerBound)
+	c.begin(headerBound)
 	return c, nil
 }
 
 // callerConn is a caller's connection. Its bounds are found to have ended by the goroutine
 // that reads it, and by nobody else: it has then got no request, so none can be under way
-// whose answer would have nowhere to go. A timer beside it closed connections whose request
-// had just been read: of 400 to a node that stood still for half a second over the end of
-// an idle bound, up to 40 ran and were not answered; now none.
+// whose answer would have nowhere to go. With a timer beside it up to 40 of 400 requests ran
+// and were not answered when a node stood still for half a second over the end of an idle
+// bound; so none does.
 type callerConn struct {
 	net.Conn
 	bounds *callerBounds
@@ -96,20 +96,20 @@
 	running bound
 	// since is when the running bound began.
 	since time.Time
-	// looked: the last look of the running bound has been taken.
-	looked bool
+	// lookUntil is the end of the running bound's last look, zero before it.
+	lookUntil time.Time
 }
 
-// lastLook is how long a connection is read once more when its bound has ended. A process
+// lastLook is how long a connection is still read when its bound has ended. A process
 // that got no turn finds the bound ended and a request in the socket; one that was sent in
 // time may still be on its way between two regions (70 ms).
 const lastLook = 100 * time.Millisecond
 
-// wait begins a bound, or none.
-func (c *callerConn) wait(b bound) {
+// begin begins a bound, or none.
+func (c *callerConn) begin(b bound) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running, c.since, c.looked = b, time.Now(), false
+	c.running, c.since, c.lookUntil = b, time.Now(), time.Time{}
 }
 
 func (c *callerConn) waiting() (bound, time.Time) {
@@ -118,14 +118,15 @@
 	return c.running, c.since
 }
 
-// mayLook tells whether the last look is still to be had, and takes it: a caller that
-// sends a header byte by byte gets one only.
-func (c *callerConn) mayLook() bool {
+// look returns the end of the last look, which begins at the first call after the bound: a
+// caller that sends a header byte by byte gets one only.
+func (c *callerConn) look() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	first := !c.looked
-	c.looked = true
-	return first
+	if c.lookUntil.IsZero() {
+		c.lookUntil = time.Now().Add(lastLook)
+	}
+	return c.lookUntil
 }
 
 // Read implements net.Conn. It returns os.ErrDeadlineExceeded where a bound has ended. A
@@ -142,12 +143,12 @@
 			// The bound was raised meanwhile.
 			continue
 		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && c.mayLook() {
-			n, err = c.readUntil(p, time.Now().Add(lastLook))
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			n, err = c.readUntil(p, c.look())
 		}
 		switch {
 		case n > 0 && running == idleBound:
-			c.wait(headerBound)
+			c.begin(headerBound)
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.end(running, since)
 		}
