--- a/internal/node/unused.go
+++ b/internal/node/unused.go
@@ -8,7 +8,7 @@
 
 // unusedConns closes a server's connections that have carried no request, once the server
 // shuts down: net/http serves nothing on them from then on, but waits until they are five
-// seconds old. Beside one of them a drain took 5.2 s, now 1 ms.
+// seconds old. A drain beside one of them takes 1 ms so, and 5.2 s without this.
 // It is safe for concurrent use.
 type unusedConns struct {
 	mu    sync.Mutex
