--- a/cmd/gypsumd/main.go
+++ b/cmd/gypsumd/main.go
@@ -18,8 +18,9 @@
 
   gypsumd -settings examples/inyange/node.toml
 
-Exit codes: 0 stopped gracefully, 1 could not serve or a part of it failed, 2 usage, 3 faults in the
-settings (all are logged), 4 stopped with requests cut off.
+Exit codes: 0 stopped gracefully, 1 could not serve or a part of it failed,
+2 usage, 3 faults in the settings (all are logged), 4 stopped with requests
+cut off.
 
 flags:
 `
--- a/cmd/gypsumside/main.go
+++ b/cmd/gypsumside/main.go
@@ -17,8 +17,9 @@
 SIGHUP checks the settings file anew and logs what it finds. Logs are JSON lines on
 standard output, catalogued in docs/EVENTS.md. docs/PLATFORM.md says how it is run.
 
-Exit codes: 0 stopped gracefully, 1 could not serve or a part of it failed, 2 usage, 3 faults in the
-settings (all are logged), 4 stopped with requests cut off.
+Exit codes: 0 stopped gracefully, 1 could not serve or a part of it failed,
+2 usage, 3 faults in the settings (all are logged), 4 stopped with requests
+cut off.
 
 flags:
 `
