--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -65,25 +65,7 @@
 		release: make(chan struct{}),
 		replies: make(chan error, 100),
 	}
-	var err error
-	b.Fleet, err = local.Start(local.Config{
-		Bundle:      fmt.Appendf(nil, faultBundle, 1),
-		Services:    []local.Service{{Name: "ledger", Workers: 2, Handler: http.HandlerFunc(b.work)}},
-		DataCentres: 1,
-		StopTimeout: 30 * time.Second,
-		Log:         zerolog.New(b.log),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := b.Close(); err != nil {
-			t.Error(err)
-		}
-	})
-	if err := b.Await(t.Context(), local.Ready); err != nil {
-		t.Fatal(err)
-	}
+	b.Fleet = startLogged(t, 2, b.work, 30*time.Second, b.log)
 	for i, address := range b.Callers() {
 		for k := range callersEach {
 			go func() { b.replies <- b.call(address, fmt.Sprintf("payout-%d-%d", i, k)) }()
@@ -99,6 +81,30 @@
 	return b
 }
 
+// startLogged runs a ready fleet of one data centre that logs to log.
+func startLogged(t *testing.T, workers int, work http.HandlerFunc, stop time.Duration, log *faultLog) *local.Fleet {
+	t.Helper()
+	f, err := local.Start(local.Config{
+		Bundle:      fmt.Appendf(nil, faultBundle, 1),
+		Services:    []local.Service{{Name: "ledger", Workers: workers, Handler: work}},
+		DataCentres: 1,
+		StopTimeout: stop,
+		Log:         zerolog.New(log),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := f.Await(t.Context(), local.Ready); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
 // work is the workers' handler: it answers warming requests at once.
 func (b *busyFleet) work(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Gypsum-Attempt", r.Header.Get("Gypsum-Attempt"))
@@ -245,24 +251,7 @@
 func stuckFleet(t *testing.T) (*local.Fleet, *faultLog) {
 	t.Helper()
 	log := &faultLog{seen: map[string]chan struct{}{}}
-	f, err := local.Start(local.Config{
-		Bundle:      fmt.Appendf(nil, faultBundle, 1),
-		Services:    []local.Service{{Name: "ledger", Workers: 1, Handler: http.NotFoundHandler()}},
-		DataCentres: 1,
-		StopTimeout: 2 * time.Second,
-		Log:         zerolog.New(log),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := f.Close(); err != nil {
-			t.Error(err)
-		}
-	})
-	if err := f.Await(t.Context(), local.Ready); err != nil {
-		t.Fatal(err)
-	}
+	f := startLogged(t, 1, http.NotFound, 2*time.Second, log)
 	return f, log
 }
 
