quarantine, server, node: a worker's end names the requests that were in hand

A run that breaks makes its owner ask the worker's port, within the measuring budget; a closed port, or another life of the worker, is an end, and one line (514) names what was in hand by fingerprint: method, host, path with query, tenant and body, hashed. A break alone shows nothing: resets, garbled answers and cut links look alike. Nothing is hashed unless a run breaks, but for the beginning of bodies over 64 KiB that stream; shorter ones are held by the owner, where they streamed before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 	"gypsumstand/internal/member"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
+	"gypsumstand/internal/quarantine"
 	"gypsumstand/internal/reach"
 	"gypsumstand/internal/route"
 	"gypsumstand/internal/spread"
@@ -68,6 +69,8 @@
 	Landing *measure.Landing
 	// Origin bounds the probes that this node sends.
 	Origin *measure.Origin
+	// Quarantine finds requests under which workers end.
+	Quarantine *quarantine.Quarantine
 
 	cfg    Config
 	reach  *reach.Controller
@@ -148,7 +151,10 @@
 		Landing: measure.NewLanding(cfg.Started, bundle.Measuring{}),
 		Origin:  measure.NewOrigin(cfg.Random),
 		cfg:     cfg,
-		reach:   reach.New(cfg.Self.ID, table, board, rng),
+
+		Quarantine: quarantine.New(cfg.Self.ID, cfg.Started),
+
+		reach: reach.New(cfg.Self.ID, table, board, rng),
 	}
 	if cfg.FollowsDirectory {
 		n.directory = directory.New(directory.Config{Self: cfg.Self}, board, rng)
@@ -186,6 +192,7 @@
 		}
 		out.Decisions = append(out.Decisions, n.changeSelf(now, e.State)...)
 	case control.WorkerSaid:
+		n.otherWorker(now, n.said != "" && n.said != e.Worker)
 		n.said = e.Worker
 		out.Actions = append(out.Actions, n.followSaid(now)...)
 	case control.Paused:
@@ -197,6 +204,9 @@
 		n.control(now, n.spread, ev, &out)
 	}
 	n.probe(now, ev, &out)
+	for _, note := range n.Quarantine.Notes() {
+		out.Actions = append(out.Actions, note)
+	}
 	out.Decisions = append(out.Decisions, n.derive(now)...)
 	n.show(ev)
 	return out
@@ -344,9 +354,18 @@
 	if before == (model.WorkerLife{}) {
 		return nil
 	}
+	n.otherWorker(now, true)
 	return n.Owner.Restarted(now)
 }
 
+// otherWorker takes the word whether the own worker is another than before. One that left
+// as planned did not end under its requests.
+func (n *Node) otherWorker(now time.Time, other bool) {
+	if other && !n.Owner.Departing() {
+		n.Quarantine.Ended(now)
+	}
+}
+
 // show publishes what the controllers tell about themselves: at each tick, as
 // readers need it no fresher.
 func (n *Node) show(ev control.Event) {
--- a/internal/event/worker.go
+++ b/internal/event/worker.go
@@ -15,4 +15,7 @@
 	WorkerReplaced = define(513, zerolog.WarnLevel, "worker is another than the listed one",
 		"This node's worker says that it is another than the directory lists, so the listed one is gone. Nothing is sent to it until the directory lists it. The subject is the worker's word, the detail the one listed.",
 		"When it lasts, look after the directory: it does not list the new worker.")
+	WorkerEnded = define(514, zerolog.WarnLevel, "worker ended with requests in hand",
+		"This node's worker ended, not as planned, and requests broke with it. The subject names the end, the detail the requests that were in hand: the fingerprint of each, which all sendings of the same request share, and what it asked for. One end may have several lines.",
+		"Look for a fingerprint that stands in the lines of several ends, also of other nodes: that request may be why.")
 )
--- /dev/null
+++ b/internal/model/fingerprint.go
@@ -0,0 +1,56 @@
+package model
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+	"io"
+	"net/url"
+)
+
+// Fingerprint tells requests apart by what a worker gets to see of them: method, host, path
+// with its query, tenant and body. The id, the key and the entry of a request are no part
+// of it, so that every sending of one request has the same. The zero value stands for a
+// request of which it is not known.
+type Fingerprint [16]byte
+
+// String returns f in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// IsZero reports whether f stands for an unknown request.
+func (f Fingerprint) IsZero() bool { return f == Fingerprint{} }
+
+// FingerprintHash makes a request's fingerprint. It is a cryptographic hash, so that no
+// caller can make a request that is taken for another one's. Every field is preceded by
+// its length, so that none can be moved into the next.
+type FingerprintHash struct{ sum hash.Hash }
+
+// NewFingerprintHash begins the fingerprint of a request with a body of that length, in
+// bytes; the body is then written to it.
+func NewFingerprintHash(method, host string, u *url.URL, tenant TenantName, length int64) FingerprintHash {
+	h := FingerprintHash{sha256.New()}
+	for _, field := range []string{method, host, u.EscapedPath(), u.RawQuery, string(tenant)} {
+		h.number(int64(len(field)))
+		// A hash takes every write.
+		_, _ = io.WriteString(h.sum, field)
+	}
+	h.number(max(length, 0))
+	return h
+}
+
+func (h FingerprintHash) number(n int64) {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], uint64(n))
+	_, _ = h.sum.Write(b[:])
+}
+
+// Write implements io.Writer for a part of the body.
+func (h FingerprintHash) Write(p []byte) (int, error) { return h.sum.Write(p) }
+
+// Sum returns the fingerprint of what was written so far.
+func (h FingerprintHash) Sum() Fingerprint {
+	var f Fingerprint
+	copy(f[:], h.sum.Sum(nil))
+	return f
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -231,6 +231,7 @@
 		Refresh:  n.watch.refresh,
 		Mark:     n.mark,
 		Said:     n.watch.said,
+		Broke:    n.broke,
 	})
 	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS, n.cfg.MaxIdleConnections)
 	n.forwarder.Lost = &server.LostOwners{Tell: n.tellLost, Heard: n.heardLost}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -41,6 +41,9 @@
 	// fresh is closed when the refreshing poll under way has ended; nil when there
 	// is none.
 	fresh chan struct{}
+	// answeredSince is when the last poll that was answered began, refusedAt when a
+	// connection was last refused, as by a port that nobody listens on.
+	answeredSince, refusedAt time.Time
 }
 
 func newWorkerWatch(n *Node) *workerWatch {
@@ -70,7 +73,7 @@
 			continue
 		}
 		if w.node.core.Landing.AllowPoll(time.Now()) {
-			w.polled(w.poll(svc.HealthPath))
+			w.ask(svc.HealthPath)
 		}
 		pause.For(w.node.ctx, w.pollPause(b))
 	}
@@ -113,13 +116,13 @@
 	}
 	done := make(chan struct{})
 	svc, _ := w.node.core.Board.Bundles.Get().Service(w.node.cfg.Service)
-	if svc == nil || svc.HealthPath == "" || !w.node.core.Landing.AllowPoll(time.Now()) {
+	if svc == nil || !w.node.core.Landing.AllowPoll(time.Now()) {
 		close(done)
 		return done
 	}
 	w.fresh = done
 	w.node.start(func() {
-		w.polled(w.poll(svc.HealthPath))
+		w.ask(svc.HealthPath)
 		w.mu.Lock()
 		w.fresh = nil
 		w.mu.Unlock()
@@ -162,6 +165,7 @@
 	}
 	resp, err := w.client.Do(req)
 	if err != nil {
+		w.noteRefused(err)
 		return health.Poll{Refused: isDialError(err)}
 	}
 	defer resp.Body.Close()
@@ -205,6 +209,7 @@
 	defer cancel()
 	conn, err := new(net.Dialer).DialContext(ctx, "tcp", w.node.cfg.WorkerAddress)
 	if err != nil {
+		w.noteRefused(err)
 		return health.Poll{Refused: true}
 	}
 	conn.Close()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -257,6 +257,14 @@
 	}
 }
 
+// Departing tells whether the worker is to get no new work, by its own or the platform's
+// word, so that its end is a planned one.
+func (o *Owner) Departing() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.leaving() || o.unlisted
+}
+
 // leaving tells whether no new attempt may be admitted any more.
 func (o *Owner) leaving() bool { return o.state >= model.StateLeaving || o.withdrawn }
 
--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,101 @@
+package quarantine
+
+import (
+	"sync"
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// Times of evidence.
+const (
+	// togetherFor is how far apart the breaks of runs may be noticed that one end broke:
+	// a process that is starved reads its sockets one after the other.
+	togetherFor = 300 * time.Millisecond
+	// unexplainedFor is how long a break may wait for the word that its worker ended: a
+	// directory tells of the next life after its start, some seconds later.
+	unexplainedFor = 10 * time.Second
+	// lateFor is how long after an end was noticed breaks of runs from before it may come.
+	lateFor = 2 * time.Second
+	// maxUnexplained bounds the breaks that wait: more than any worker has slots.
+	maxUnexplained = 512
+)
+
+// Run is one run of a request at the worker.
+type Run struct {
+	Content model.Fingerprint
+	Request model.RequestID
+	// Label is for people: what the request asked for.
+	Label string
+	// Began is when it was sent to the worker.
+	Began time.Time
+	// Doubted: when it began, a worker had ended under the same request already.
+	Doubted bool
+}
+
+// EndID names one end of a worker's life, in all nodes' words.
+type EndID uint64
+
+// Evidence finds which runs were in hand when the own worker's life ended. A run that
+// breaks shows no end by itself: workers reset connections, garble answers, and links are
+// cut. So breaks wait until the worker is known to have ended. It is safe for concurrent
+// use; the zero value is ready.
+type Evidence struct {
+	mu sync.Mutex
+	// unexplained are the breaks of which no end is known, oldest first.
+	unexplained []brokenRun
+	// last is the end that was noticed last, at the time noticed; zero before the first.
+	last    EndID
+	noticed time.Time
+}
+
+type brokenRun struct {
+	run Run
+	at  time.Time
+}
+
+// Broke takes a run that broke at time now. It returns the end that it belongs to when
+// that is known already, else zero.
+func (e *Evidence) Broke(now time.Time, r Run) EndID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.last != 0 && r.Began.Before(e.noticed) && now.Sub(e.noticed) < lateFor {
+		return e.last
+	}
+	if len(e.unexplained) == maxUnexplained {
+		e.unexplained = e.unexplained[1:]
+	}
+	e.unexplained = append(e.unexplained, brokenRun{r, now})
+	return 0
+}
+
+// Ended takes the word, at time now, that the worker's life has ended, and returns the runs
+// that broke with it. It may be told more than once of one end; next names a new one.
+func (e *Evidence) Ended(now time.Time, next EndID) []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	waiting := e.unexplained
+	e.unexplained = nil
+	if len(waiting) == 0 {
+		return nil
+	}
+	latest := waiting[len(waiting)-1].at
+	if now.Sub(latest) > unexplainedFor {
+		return nil
+	}
+	e.last, e.noticed = next, now
+	var runs []Run
+	for _, b := range waiting {
+		if latest.Sub(b.at) <= togetherFor {
+			runs = append(runs, b.run)
+		}
+	}
+	return runs
+}
+
+// Waits tells whether breaks wait for the word of an end.
+func (e *Evidence) Waits() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.unexplained) > 0
+}
--- a/internal/server/carrier.go
+++ b/internal/server/carrier.go
@@ -196,6 +196,7 @@
 		Host:          c.r.Host,
 		Header:        c.outgoingHeader(),
 		Body:          c.body.open(),
+		Held:          c.body.held,
 		ContentLength: c.body.length,
 		TakenUpBy:     step.TakenUpBy,
 	}
--- /dev/null
+++ b/internal/server/content.go
@@ -0,0 +1,99 @@
+package server
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/quarantine"
+)
+
+// content finds a request's fingerprint. Nothing is hashed of a body that is here until
+// somebody asks; of a long one that streams, its beginning is hashed as it passes.
+type content struct {
+	work *Work
+	// known is the fingerprint once it was asked for.
+	known model.Fingerprint
+	// passing is the hash of a body that streams; nil for others.
+	passing *passingBody
+}
+
+// contentOf watches the work's body where it streams. It must come before the body is read.
+func contentOf(w *Work) *content {
+	c := &content{work: w}
+	if w.Body != nil && w.ContentLength > replayBytes {
+		c.passing = &passingBody{ReadCloser: w.Body, hash: c.hash(), left: replayBytes}
+		w.Body = c.passing
+	}
+	return c
+}
+
+func (c *content) hash() model.FingerprintHash {
+	w := c.work
+	return model.NewFingerprintHash(w.Method, w.Host, w.URL, w.Attempt.Tenant, w.ContentLength)
+}
+
+// fingerprint returns the request's fingerprint. That of a body that streams is of its
+// length and its beginning, and zero before that has passed.
+func (c *content) fingerprint() model.Fingerprint {
+	if !c.known.IsZero() {
+		return c.known
+	}
+	if c.passing != nil {
+		c.known = c.passing.fingerprint()
+		return c.known
+	}
+	h := c.hash()
+	// A hash takes every write.
+	_, _ = h.Write(c.work.Held)
+	c.known = h.Sum()
+	return c.known
+}
+
+// maxLabel bounds what people are shown of a request, in bytes.
+const maxLabel = 160
+
+// label says what the request asks for; its query and body may hold what is nobody's
+// business.
+func (c *content) label() string {
+	text := c.work.Method + " " + c.work.Host + c.work.URL.EscapedPath()
+	return text[:min(len(text), maxLabel)]
+}
+
+// run tells of a run that began at that time.
+func (c *content) run(began time.Time) quarantine.Run {
+	return quarantine.Run{
+		Content: c.fingerprint(), Request: c.work.Attempt.Request, Label: c.label(), Began: began,
+	}
+}
+
+// passingBody hashes the beginning of a body as it is read, by one reader at a time.
+type passingBody struct {
+	io.ReadCloser
+
+	mu   sync.Mutex
+	hash model.FingerprintHash
+	// left is how many bytes the hash still takes.
+	left int
+}
+
+// Read implements io.Reader.
+func (b *passingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	part := min(n, b.left)
+	_, _ = b.hash.Write(p[:part])
+	b.left -= part
+	return n, err
+}
+
+func (b *passingBody) fingerprint() model.Fingerprint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left > 0 {
+		return model.Fingerprint{}
+	}
+	return b.hash.Sum()
+}
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -17,6 +17,7 @@
 	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
+	"gypsumstand/internal/quarantine"
 	"gypsumstand/internal/wire"
 )
 
@@ -31,6 +32,8 @@
 	// Body is read only once the worker's slot is had; nil means none.
 	Body          io.ReadCloser
 	ContentLength int64
+	// Held is the whole body where it is here; a long one streams.
+	Held []byte
 	// SameNode tells that the entry is this node.
 	SameNode bool
 	// TakenUpBy is when the entry withdraws an attempt that its owner has not begun to
@@ -57,6 +60,17 @@
 	}).WithContext(ctx)
 }
 
+// hold takes the body in unless it is a long one, so that what the request asks for is known
+// after its run.
+func (w *Work) hold(r *http.Request) error {
+	body, err := takeBody(r, max(r.ContentLength, 0))
+	if err != nil || body.stream != nil {
+		return err
+	}
+	w.Body, w.Held = body.open(), body.held
+	return nil
+}
+
 // Answer is a worker's answer; Body must be closed.
 type Answer struct {
 	Status int
@@ -74,6 +88,8 @@
 	Report  model.LoadReport
 	// Times is where an answered attempt's time went at the owner.
 	Times wire.Times
+	// workerEnded: the worker is known to have ended under the attempt.
+	workerEnded bool
 }
 
 // Executor runs admitted attempts on this node's worker. Safe for concurrent use.
@@ -88,6 +104,7 @@
 	refresh  func(ctx context.Context)
 	mark     func() model.DirectoryMark
 	said     func(model.WorkerID)
+	broke    func(quarantine.Run) (ended bool)
 	// transport is for idempotent requests, cautious for others; see cautiousIdle.
 	transport atomic.Pointer[http.Transport]
 	cautious  atomic.Pointer[http.Transport]
@@ -122,10 +139,16 @@
 	// Said is told the worker that refused an attempt, where it says which it is; nil
 	// where workers are not told apart.
 	Said func(model.WorkerID)
+	// Broke is told each run that broke at the worker, and tells whether the worker has
+	// ended. It may block for some milliseconds. Nil means that nobody wants to know.
+	Broke func(quarantine.Run) (ended bool)
 }
 
 // NewExecutor returns an executor for one worker.
 func NewExecutor(cfg ExecutorConfig) *Executor {
+	if cfg.Broke == nil {
+		cfg.Broke = func(quarantine.Run) bool { return false }
+	}
 	x := &Executor{
 		owner:    cfg.Owner,
 		address:  cfg.Address,
@@ -136,6 +159,7 @@
 		refresh:  cfg.Refresh,
 		mark:     cfg.Mark,
 		said:     cfg.Said,
+		broke:    cfg.Broke,
 		waiters:  map[model.AttemptID]chan owner.Decision{},
 	}
 	x.renewTransports(limits{slots: initialSlots, connections: initialConnections})
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -18,6 +18,7 @@
 // answer's body, or here when there is none.
 func (x *Executor) run(ctx context.Context, w *Work, started time.Time) Result {
 	deadline := started.Add(w.Attempt.Remaining)
+	asked := contentOf(w)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	// A process that is stopped here wakes late: what it then writes would run after
 	// its caller was told that the call has ended.
@@ -27,7 +28,7 @@
 	resp, err := x.transportFor(&w.Attempt).RoundTrip(req)
 	if err != nil {
 		defer cancel()
-		return x.failed(ctx, w, started, proof.NotRun())
+		return x.failed(ctx, asked, started, proof.NotRun())
 	}
 	x.traffic(false)
 	head := x.dialect.ReadAnswer(resp, &w.Attempt)
@@ -63,6 +64,9 @@
 		f.Expired = !whole && ctx.Err() != nil && !f.Abandoned
 		cancel()
 		x.finish(w.Attempt.ID, f)
+		if !whole && !f.Abandoned && !f.Expired {
+			x.broke(asked.run(started))
+		}
 	}}
 	answer := &Answer{Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: body}
 	return Result{Answer: answer}
@@ -86,7 +90,8 @@
 }
 
 // failed ends an attempt whose RoundTrip failed.
-func (x *Executor) failed(ctx context.Context, w *Work, started time.Time, notRun bool) Result {
+func (x *Executor) failed(ctx context.Context, asked *content, started time.Time, notRun bool) Result {
+	w := asked.work
 	gaveUp := givenUp(ctx)
 	x.finish(w.Attempt.ID, owner.Finish{
 		ServiceTime: time.Since(started),
@@ -100,6 +105,7 @@
 		x.traffic(true)
 	}
 	reason := model.ReasonWorkerBroken
+	ended := false
 	switch {
 	case gaveUp:
 		reason = model.ReasonCancelled
@@ -107,8 +113,10 @@
 		reason = delegated(&w.Attempt, model.ReasonWorkerUnreachable)
 	case ctx.Err() != nil:
 		reason = model.ReasonExpired
+	default:
+		ended = x.broke(asked.run(started))
 	}
-	return Result{Refusal: model.Refusal{Reason: reason, NotRun: notRun}}
+	return Result{Refusal: model.Refusal{Reason: reason, NotRun: notRun}, workerEnded: ended}
 }
 
 // givenUp tells an attempt that the entry gave up from one whose time ended. A
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -80,6 +80,9 @@
 	}
 	if prefix == withheldPath {
 		work.Claim = func() error { return claim(w, r, work) }
+	} else if err := work.hold(r); err != nil {
+		writeRefusal(w, model.Refusal{Reason: model.ReasonCancelled, NotRun: true})
+		return false
 	}
 	result := p.Executor.Do(r.Context(), work)
 	p.Lost.write(w.Header())
--- a/internal/server/withheld.go
+++ b/internal/server/withheld.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	work.Body, work.ContentLength = body.open(), body.length
+	work.Body, work.ContentLength, work.Held = body.open(), body.length, body.held
 	return nil
 }
 
