--- /dev/null
+++ b/internal/failure/deadly_test.go
@@ -0,0 +1,193 @@
+package failure
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gypsumstand/internal/answer"
+	"gypsumstand/internal/fake/worker"
+	"gypsumstand/internal/local"
+)
+
+// Callers of one service were refused for most of 20 s, three times in a day: one caller
+// came back every now and then with a request under which the worker that ran it ended, at
+// any entry. Each return was a new request to every node; its owner carried it to the
+// worker, which ended with all that was in hand there, and entries then took it on to the
+// next. Nobody remembered what a worker had ended under.
+//
+// Evidence: the same content was in hand at every end, under another id each time, and the
+// ends went on for as long as the caller came (event 514). Ends came also one by one, each
+// from a sending of its own, so that it was not one sending's retries alone; and workers
+// with slots to spare ended, so that it was not the load on those that came back.
+
+// Times of the tests of deadly requests.
+const (
+	// deadlyEvery is the time between two sendings of one deadly request.
+	deadlyEvery = 150 * time.Millisecond
+	deadlyFor   = 8 * time.Second
+	// mustKnowAfter is how long after the third end the fleet must have learned.
+	mustKnowAfter = 3 * time.Second
+	// mostAfter is how often a deadly request may still reach a worker from then on.
+	mostAfter = 3
+	// usualEvery is the time between two usual calls.
+	usualEvery = 20 * time.Millisecond
+)
+
+// deaths records when deadly requests began to run.
+type deaths struct {
+	mu   sync.Mutex
+	runs []time.Time
+}
+
+func (d *deaths) ran() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runs = append(d.runs, time.Now())
+}
+
+// after returns the runs in all, and those later than mustKnowAfter after the third.
+func (d *deaths) after() (all, late int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for i, at := range d.runs {
+		if i >= 3 && at.Sub(d.runs[2]) > mustKnowAfter {
+			late++
+		}
+	}
+	return len(d.runs), late
+}
+
+// deadlyFleet is a fleet of four workers that end under the requests that deadly picks.
+func deadlyFleet(t *testing.T, d *deaths, deadly func(answer.Request) bool) *local.Fleet {
+	t.Helper()
+	cfg := config(4)
+	s := &cfg.Services[0]
+	s.Deadly = func(r answer.Request) bool {
+		if !deadly(r) {
+			return false
+		}
+		d.ran()
+		return true
+	}
+	s.EndsAfter, s.BackAfter = 30*time.Millisecond, 700*time.Millisecond
+	return startFleet(t, cfg)
+}
+
+// sendEvery sends requests to the nodes in turn until ctx ends, and waits for all answers.
+func (c *callers) sendEvery(ctx context.Context, f *local.Fleet, every time.Duration, next func() request) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		address := f.Callers()[i%len(f.Callers())]
+		wg.Go(func() { c.send(context.WithoutCancel(ctx), address, next()) })
+	}
+}
+
+// playDeadly sends a deadly request again and again beside usual ones. It fails the test
+// unless the deadly one is kept from the workers in time, and returns the callers of the
+// usual ones once it should have been.
+func playDeadly(t *testing.T, f *local.Fleet, d *deaths, deadly, usual func() request) *callers {
+	t.Helper()
+	before, after, bad := newCallers(t), newCallers(t), newCallers(t)
+	ctx, cancel := context.WithTimeout(t.Context(), deadlyFor)
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { bad.sendEvery(ctx, f, deadlyEvery, deadly) })
+	settled, stop := context.WithTimeout(ctx, mustKnowAfter+time.Second)
+	defer stop()
+	before.sendEvery(settled, f, usualEvery, usual)
+	after.sendEvery(ctx, f, usualEvery, usual)
+	wg.Wait()
+	all, late := d.after()
+	if all < 3 {
+		t.Fatalf("%d deadly runs: the fault was not brought about", all)
+	}
+	if late > mostAfter {
+		t.Errorf("a deadly request reached workers %d times, %d of them later than %s after the third; want %d at most",
+			all, late, mustKnowAfter, mostAfter)
+	}
+	for _, c := range []*callers{before, after, bad} {
+		c.check(t, f.Ledger)
+	}
+	t.Logf("%d deadly runs, %d late; usual calls answered: %d of %d before, %d of %d after",
+		all, late, before.count(answered), len(before.sendings()), after.count(answered), len(after.sendings()))
+	return after
+}
+
+// wantAllAnswered fails the test unless all were answered.
+func wantAllAnswered(t *testing.T, c *callers) {
+	t.Helper()
+	for _, s := range c.sendings() {
+		if !s.answered() {
+			t.Errorf("%s %s: told %d %s %s, %v; want answered", s.method, s.path, s.told.status, s.outcome, s.reason, s.err)
+		}
+	}
+}
+
+func TestALookupThatEndsItsWorkersIsKeptFromThem(t *testing.T) {
+	t.Parallel()
+	const path = "/deadly?of=7"
+	var d deaths
+	f := deadlyFleet(t, &d, func(r answer.Request) bool { return r.Target == path })
+	n := 0
+	usual := func() request {
+		n++
+		// One in two is of one popular path, the others are all different; one path differs
+		// from the deadly one in its query only.
+		return view([]string{"/popular", fmt.Sprintf("/deadly?of=%d", 1000+n)}[n%2])
+	}
+	wantAllAnswered(t, playDeadly(t, f, &d, func() request { return view(path) }, usual))
+}
+
+func TestAPayoutThatEndsItsWorkersIsKeptFromThem(t *testing.T) {
+	t.Parallel()
+	const body = "pay the one that ends workers"
+	var d deaths
+	f := deadlyFleet(t, &d, func(r answer.Request) bool { return r.BodyHash == answer.Hash([]byte(body)) })
+	deadly := func() request {
+		// The path and the caller are those of all payouts, the key is a new one.
+		r := payout("/payouts")
+		r.body = body
+		return r
+	}
+	wantAllAnswered(t, playDeadly(t, f, &d, deadly, func() request { return payout("/payouts") }))
+}
+
+// A popular request is in hand at each end of workers that end by themselves: it must be
+// served as if nothing had happened.
+func TestAPopularRequestIsServedBesideWorkersThatEndByThemselves(t *testing.T) {
+	t.Parallel()
+	var d deaths
+	f := deadlyFleet(t, &d, func(answer.Request) bool { return false })
+	ctx, cancel := context.WithCancel(t.Context())
+	c := newCallers(t)
+	var wg sync.WaitGroup
+	// Six are in hand at once, where three workers have twelve slots.
+	wg.Go(func() { c.sendEvery(ctx, f, 50*time.Millisecond, func() request { return view("/slow/popular") }) })
+	for i := range 11 {
+		m := f.Members()[i%4]
+		if err := m.Worker.ChangeFaults(func(f *worker.Faults) { f.Cold = worker.ColdRefuse }); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(400 * time.Millisecond)
+		if err := m.Worker.ChangeFaults(func(f *worker.Faults) { f.Cold = worker.ColdNone }); err != nil {
+			t.Fatal(err)
+		}
+		awaitMembers(t, f, "live again", local.Ready)
+		time.Sleep(400 * time.Millisecond)
+	}
+	cancel()
+	wg.Wait()
+	wantAllAnswered(t, c)
+	c.check(t, f.Ledger)
+}
--- a/internal/fake/worker/serve.go
+++ b/internal/fake/worker/serve.go
@@ -191,6 +191,22 @@
 	w.counters.PeakRunning = max(w.counters.PeakRunning, running)
 }
 
+// end ends the worker's process, which is back after a while; a worker that is down ends
+// no second time.
+func (w *Worker) end() {
+	if w.Faults().Cold == ColdRefuse {
+		return
+	}
+	w.setCold(ColdRefuse)
+	time.AfterFunc(w.cfg.BackAfter, func() { w.setCold(ColdNone) })
+}
+
+// setCold changes one fault that passes all checks.
+func (w *Worker) setCold(c Cold) {
+	// The listener's error comes only once the worker is closed for good.
+	_ = w.ChangeFaults(func(f *Faults) { f.Cold = c })
+}
+
 // closeFault plays the faults that lose a whole answer.
 func (w *Worker) closeFault(reused bool) {
 	closes := w.drawn(func(f *Faults) float64 { return f.CloseShare })
@@ -217,6 +233,11 @@
 		ctx, cancel = context.WithDeadline(ctx, job.deadline)
 		defer cancel()
 	}
+	if w.cfg.Deadly != nil && w.cfg.Deadly(job.request) {
+		pause.For(context.Background(), w.cfg.EndsAfter)
+		w.end()
+		panic(http.ErrAbortHandler)
+	}
 	err := pause.For(ctx, w.serviceTime(&job.profile))
 	if err == nil {
 		err = w.callNext(ctx, job)
--- a/internal/fake/worker/worker.go
+++ b/internal/fake/worker/worker.go
@@ -13,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 
+	"gypsumstand/internal/answer"
 	"gypsumstand/internal/fake/listen"
 	"gypsumstand/internal/finding"
 )
@@ -53,6 +54,13 @@
 	Node string
 	// Transport makes the calls to Node; nil means one for plain TCP.
 	Transport http.RoundTripper
+	// Deadly, when not nil, picks requests that end the worker's process some time after
+	// it began to run one: its port closes with all connections, until it is back. The
+	// worker needs the server of NewServer for it.
+	Deadly func(answer.Request) bool
+	// EndsAfter is the time from a deadly run's start to the end, BackAfter the time from
+	// then until the worker is back.
+	EndsAfter, BackAfter time.Duration
 }
 
 // Worker is the stand-in. Its methods are safe for concurrent use.
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"gypsumstand/internal/answer"
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/fake/delay"
 	"gypsumstand/internal/fake/listen"
@@ -45,6 +46,9 @@
 	Profiles []worker.Profile
 	// Handler, when not nil, takes the place of the stand-in worker.
 	Handler http.Handler
+	// Deadly, EndsAfter and BackAfter are the stand-in worker's.
+	Deadly               func(answer.Request) bool
+	EndsAfter, BackAfter time.Duration
 }
 
 // Config describes a fleet.
@@ -225,6 +229,8 @@
 		Seed:     f.cfg.Seed + uint64(len(f.Members())),
 		Ledger:   f.Ledger,
 		Node:     m.Node.CallerAddress(),
+
+		Deadly: s.Deadly, EndsAfter: s.EndsAfter, BackAfter: s.BackAfter,
 	})
 	if err != nil {
 		return err
