quarantine: a request under which workers end is put aside by the whole fleet

Callers of one service were refused for most of three bouts of 15 to 20 s. Root cause: no node remembered what was in hand when its worker's life ended, so that each return of a deadly request was a new one, to be carried to the next sound worker. A query of death.

Why it holds: the verdict comes from the requests' content and ends alone, it is known to all owners some ms after the third end, and a fresh or cut-off node compares within a second.

--- a/internal/bundle/set.go
+++ b/internal/bundle/set.go
@@ -130,6 +130,16 @@
 	return Target{}, false
 }
 
+// RouteHost returns the host of a request where its route is for that host only, else empty:
+// callers reach a route for any host by the address of any node.
+func (s *Set) RouteHost(host, method, path string) string {
+	host = hostName(host)
+	if n := s.hosts[host]; n != nil && n.match(method, path) != nil {
+		return host
+	}
+	return ""
+}
+
 // hostName returns a Host header's name in lower case, without a port.
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -160,6 +160,11 @@
 	Err   error
 }
 
+// SuspectsChanged says that quarantine.Quarantine has something to tell peers.
+type SuspectsChanged struct{}
+
+func (SuspectsChanged) isEvent() {}
+
 func (Tick) isEvent()            {}
 func (Paused) isEvent()          {}
 func (LinkUp) isEvent()          {}
@@ -238,6 +243,13 @@
 // SettleAnswered hands an owner's settlement to the call that asked for it.
 type SettleAnswered struct{ Reply wire.SettleReply }
 
+// TellSuspects tells a peer of requests under which workers end. Its answer goes to
+// quarantine.Quarantine.Told, and what that returns to the same peer.
+type TellSuspects struct {
+	To   model.Instance
+	News wire.SuspectNews
+}
+
 // Record logs a numbered event.
 type Record struct {
 	Event event.ID
@@ -266,6 +278,7 @@
 func (AskDirectory) isAction()     {}
 func (ProbeReach) isAction()       {}
 func (OwnerLost) isAction()        {}
+func (TellSuspects) isAction()     {}
 
 // Controller is one writer of blackboard sections.
 type Controller interface {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -152,7 +152,7 @@
 		Origin:  measure.NewOrigin(cfg.Random),
 		cfg:     cfg,
 
-		Quarantine: quarantine.New(cfg.Self.ID, cfg.Started),
+		Quarantine: quarantine.New(quarantine.Config{Self: cfg.Self, Started: cfg.Started, Fleet: board.Fleet.Get}),
 
 		reach: reach.New(cfg.Self.ID, table, board, rng),
 	}
@@ -204,9 +204,7 @@
 		n.control(now, n.spread, ev, &out)
 	}
 	n.probe(now, ev, &out)
-	for _, note := range n.Quarantine.Notes() {
-		out.Actions = append(out.Actions, note)
-	}
+	n.control(now, n.Quarantine, ev, &out)
 	out.Decisions = append(out.Decisions, n.derive(now)...)
 	n.show(ev)
 	return out
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -84,8 +84,10 @@
 	staying bool
 	sends   int
 	retries int
-	rounds  int
-	asks    int
+	// ends counts the workers that ended under this call's attempts.
+	ends   int
+	rounds int
+	asks   int
 	// loaded: an owner refused for load.
 	loaded bool
 	// passing: an owner refused for a reason that passes within a moment.
@@ -241,6 +243,7 @@
 		Caller:           c.req.Caller,
 		MayMove:          c.mayMove(),
 		Objective:        c.objectiveLeft(now),
+		Ends:             uint8(c.ends),
 	}
 	c.engine.table.Sent(now, to.ID)
 }
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -105,7 +105,7 @@
 	case model.ReasonBusy:
 		c.moveOn(now)
 		return
-	case model.ReasonTenantLimit, model.ReasonNoRoute, model.ReasonBodyTooLarge, model.ReasonBadRequest, model.ReasonCancelled:
+	case model.ReasonTenantLimit, model.ReasonPutAside, model.ReasonNoRoute, model.ReasonBodyTooLarge, model.ReasonBadRequest, model.ReasonCancelled:
 		c.giveUp(r.Reason)
 		return
 	}
@@ -146,6 +146,9 @@
 // so that a settlement would prove nothing more.
 func (c *Call) unproved(now time.Time, reason model.Reason) {
 	c.reason = reason
+	if reason == model.ReasonWorkerEnded {
+		c.ends++
+	}
 	switch {
 	case c.req.Idempotent:
 		if !c.hasOther(now) {
@@ -154,7 +157,7 @@
 		if !c.retry(now) {
 			c.giveUp(reason)
 		}
-	case reason == model.ReasonWorkerBroken:
+	case reason == model.ReasonWorkerBroken, reason == model.ReasonWorkerEnded:
 		c.giveUp(reason)
 	default:
 		c.phase = phaseSettle
--- a/internal/event/worker.go
+++ b/internal/event/worker.go
@@ -18,4 +18,15 @@
 	WorkerEnded = define(514, zerolog.WarnLevel, "worker ended with requests in hand",
 		"This node's worker ended, not as planned, and requests broke with it. The subject names the end, the detail the requests that were in hand: the fingerprint of each, which all sendings of the same request share, and what it asked for. One end may have several lines.",
 		"Look for a fingerprint that stands in the lines of several ends, also of other nodes: that request may be why.")
+	PutAside = define(515, zerolog.ErrorLevel, "request put aside",
+		"Workers ended under one and the same request, three times at least, and one of them after the request was suspect already. It reaches no worker any more: every sending is refused as not run, with the reason put-aside. The subject is the request's fingerprint; the detail tells how this node learned, whose workers ended, and what the request asked for where this node has seen it. Every node of the fleet logs it once.",
+		"Find the caller by event 410 or 411 with that reason, and mend the workers' fault. gypsumctl aside lists what is put aside and when it is tried.")
+	SuspectsMalformed = define(518, zerolog.WarnLevel, "peer's word of suspect requests not understood",
+		"What a peer told of requests under which workers end could not be read. The subject is its address.",
+		"Compare the versions of the two nodes.")
+	Released = define(516, zerolog.InfoLevel, "request no longer put aside",
+		"A run of a request that was put aside came to its end, here or at another node, so it is served again. The subject is its fingerprint.", "none")
+	PutAsideTried = define(517, zerolog.WarnLevel, "request put aside is tried",
+		"A request that is put aside runs once at this node's worker, while nothing else suspect does: 30 s, 10 min and 24 h after the last end, three times in all. The subject is its fingerprint.",
+		"When the worker ends under it: the fault is still there.")
 )
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -48,6 +48,8 @@
 	// every change, where it follows one. It says nothing of its age: an attempt may
 	// have waited on its way for as long as a link was cut.
 	DirectoryRevision uint64 `cbor:"20,keyasint,omitempty"`
+	// Ends counts the workers that ended under earlier attempts of this sending.
+	Ends uint8 `cbor:"21,keyasint,omitempty"`
 }
 
 // Outcome is what the caller is told of its request.
@@ -135,6 +137,10 @@
 	// ReasonNotTakenUp: the owner did not begin to answer in time, and the attempt was
 	// withdrawn before anything of it could run.
 	ReasonNotTakenUp
+	// ReasonWorkerEnded: the worker's process ended while it had the attempt.
+	ReasonWorkerEnded
+	// ReasonPutAside: workers ended under the same request time and again.
+	ReasonPutAside
 
 	reasonCount
 )
@@ -145,6 +151,7 @@
 	"duplicate-done", "barred", "worker-unreachable", "worker-shed",
 	"worker-broken", "cancelled", "no-upstream", "no-route", "body-too-large",
 	"paused", "link-broken", "bad-request", "owner-absent", "busy", "worker-replaced", "not-taken-up",
+	"worker-ended", "put-aside",
 }
 
 // String returns the header and label form of r.
--- a/internal/model/fingerprint.go
+++ b/internal/model/fingerprint.go
@@ -9,10 +9,10 @@
 	"net/url"
 )
 
-// Fingerprint tells requests apart by what a worker gets to see of them: method, host, path
-// with its query, tenant and body. The id, the key and the entry of a request are no part
-// of it, so that every sending of one request has the same. The zero value stands for a
-// request of which it is not known.
+// Fingerprint tells requests apart by what their callers ask for: method, path with its
+// query, tenant and body, and the host where the route is for that host only. The id, the
+// key and the entry of a request are no part of it, so that every sending of one request has
+// the same. The zero value stands for a request of which it is not known.
 type Fingerprint [16]byte
 
 // String returns f in hexadecimal.
@@ -27,7 +27,7 @@
 type FingerprintHash struct{ sum hash.Hash }
 
 // NewFingerprintHash begins the fingerprint of a request with a body of that length, in
-// bytes; the body is then written to it.
+// bytes; the body is then written to it. host is empty for a route for any host.
 func NewFingerprintHash(method, host string, u *url.URL, tenant TenantName, length int64) FingerprintHash {
 	h := FingerprintHash{sha256.New()}
 	for _, field := range []string{method, host, u.EscapedPath(), u.RawQuery, string(tenant)} {
--- a/internal/node/ended.go
+++ b/internal/node/ended.go
@@ -30,7 +30,6 @@
 	if !n.watch.gone(now) {
 		return false
 	}
-	n.core.Quarantine.Ended(time.Now())
 	return true
 }
 
@@ -44,6 +43,17 @@
 		w.mu.Unlock()
 	}
 	w.polled(p)
+	if p.Refused {
+		w.node.portClosed(began)
+	}
+}
+
+// portClosed takes that a poll that began then found no listener at the worker's port.
+func (n *Node) portClosed(began time.Time) {
+	ended, known := n.watch.lastWord(began)
+	if known && ended && !n.core.Owner.Departing() {
+		n.core.Quarantine.Ended(time.Now())
+	}
 }
 
 // noteRefused notes that nobody listens on the worker's port, if err says so.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -26,6 +26,8 @@
 			return
 		case <-ticker.C:
 			ev = control.Tick{}
+		case <-n.core.Quarantine.Changed():
+			ev = control.SuspectsChanged{}
 		case ev = <-n.events:
 		}
 		now := time.Now()
@@ -100,6 +102,8 @@
 		n.start(func() { n.probeReach(a.Owner) })
 	case control.OwnerLost:
 		n.lostSignal.Lost(a.Owner)
+	case control.TellSuspects:
+		n.start(func() { n.tellSuspects(a) })
 	case control.SettleAnswered:
 		n.settler.answered(a.Reply)
 	case control.Record:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,6 +137,8 @@
 	watch      *workerWatch
 	events     chan control.Event
 	lostSignal server.LostSignal
+	// tellsFailed counts what peers were not told of suspect requests.
+	tellsFailed atomic.Uint64
 	// lostTold counts the owners out of reach that were named to peers.
 	lostTold atomic.Uint64
 	calls    callFilter
@@ -232,6 +234,11 @@
 		Mark:     n.mark,
 		Said:     n.watch.said,
 		Broke:    n.broke,
+
+		Quarantine: n.core.Quarantine,
+		RouteHost: func(host, method, path string) string {
+			return n.core.Board.Bundles.Get().RouteHost(host, method, path)
+		},
 	})
 	n.forwarder = server.NewForwarder(n.cfg.DialPeer, n.cfg.PeerTLS, n.cfg.MaxIdleConnections)
 	n.forwarder.Lost = &server.LostOwners{Tell: n.tellLost, Heard: n.heardLost}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -78,6 +78,7 @@
 		Mark:       n.mark,
 		Unanswered: n.unanswered,
 		LostSignal: &n.lostSignal,
+		Quarantine: n.core.Quarantine,
 		Stop:       n.stopBound,
 		Dialect:    n.cfg.Callers,
 		Service:    n.cfg.Service,
@@ -116,6 +117,7 @@
 	for _, prefix := range server.AttemptPaths {
 		r.PathPrefix(prefix).Handler(attempts)
 	}
+	r.Path(suspectsPath).Methods(http.MethodPost).HandlerFunc(n.serveSuspects)
 	if n.cfg.Directory != nil {
 		r.Path(directoryPath).Methods(http.MethodGet).HandlerFunc(n.serveDirectory)
 	}
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -47,6 +47,8 @@
 	pauses uint64
 	// life is the number of the worker's life at the start.
 	life uint64
+	// doubt is how suspect the request is.
+	doubt doubt
 }
 
 // free returns the number of attempts that may start now.
@@ -93,6 +95,7 @@
 	it.life = o.life
 	it.class.inFlight++
 	it.tenant.inFlight++
+	o.doubted[it.doubt]++
 	o.inFlight++
 }
 
@@ -102,6 +105,7 @@
 	o.slowed -= it.slowness
 	it.class.inFlight--
 	it.tenant.inFlight--
+	o.doubted[it.doubt]--
 	o.inFlight--
 }
 
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -38,6 +38,11 @@
 // An attempt may displace another that waits; the decision on that one comes with
 // the next call that returns decisions, at the latest with Tick.
 func (o *Owner) Offer(now time.Time, a *model.Attempt, sameNode bool) (Verdict, model.Refusal) {
+	return o.OfferSuspect(now, a, sameNode, Caution{})
+}
+
+// OfferSuspect is Offer for an attempt of a request that may end workers.
+func (o *Owner) OfferSuspect(now time.Time, a *model.Attempt, sameNode bool, c Caution) (Verdict, model.Refusal) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.clock(now)
@@ -52,9 +57,13 @@
 	}
 	it := o.newItem(t, a)
 	it.stamp = stampOf(t, a, sameNode)
+	it.doubt = c.doubt()
 	if r := o.refuseKey(t, it); r.Reason != model.ReasonNone {
 		return Refuse, r
 	}
+	if c.PutAside {
+		return Refuse, o.refuseNew(t, it, c.refusal())
+	}
 	if r := o.refuseState(t, a); r.Reason != model.ReasonNone {
 		return Refuse, o.refuseNew(t, it, r)
 	}
@@ -169,7 +178,7 @@
 
 // place starts, queues or refuses an attempt that nothing else forbids.
 func (o *Owner) place(t time.Duration, now time.Time, it *item) (Verdict, model.Refusal) {
-	if it.mayMove && o.movesOn(t, it) {
+	if it.mayMove && (o.movesOn(t, it) || o.doubted.holds(it, o.limit.effective(t))) {
 		return Refuse, o.refuseNew(t, it, o.busy(t, it))
 	}
 	if o.free(t) > 0 {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -95,6 +95,8 @@
 	queueLimit int
 
 	inFlight int
+	// doubted counts what is in flight by its doubt.
+	doubted doubtCounts
 	// slowed is the sum of the slowness of what is in flight.
 	slowed   float64
 	nextSeq  uint64
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -24,13 +24,14 @@
 // Run is one run of a request at the worker.
 type Run struct {
 	Content model.Fingerprint
-	Request model.RequestID
 	// Label is for people: what the request asked for.
 	Label string
 	// Began is when it was sent to the worker.
 	Began time.Time
 	// Doubted: when it began, a worker had ended under the same request already.
 	Doubted bool
+	// Trial: it was a trial of a request that is put aside.
+	Trial bool
 }
 
 // EndID names one end of a worker's life, in all nodes' words.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,11 +1,18 @@
-// Package quarantine finds requests under which workers end. It does no I/O.
+// Package quarantine finds requests under which workers end, and keeps them from workers.
+// It decides and does no I/O: it is told which runs broke and when the own worker ended,
+// asked before a run starts, and fed with the clock and with what peers tell.
 // Design: docs/DESIGN.md, "Requests that end their workers".
+//
+// evidence.go finds what was in hand when the own worker ended, record.go and table.go hold
+// what is known of each request and judge it, news.go joins it with what peers know, and
+// rounds.go says whom to tell and when.
 package quarantine
 
 import (
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,32 +22,139 @@
 	"gypsumstand/internal/model"
 )
 
+// Config is a quarantine's fixed setting.
+type Config struct {
+	Self    model.Instance
+	Started time.Time
+	// Fleet returns the fleet's present view; it does not block.
+	Fleet func() *model.Fleet
+}
+
 // Quarantine is one node's part. Its methods are safe for concurrent use.
 type Quarantine struct {
-	self     model.InstanceID
+	self     model.Instance
 	life     uint64
+	fleet    func() *model.Fleet
 	evidence Evidence
+	// size is the number of records: with none, nobody need ask for a fingerprint.
+	size    atomic.Int64
+	changed chan struct{}
 
-	mu sync.Mutex
-	// ends counts the own worker's ends.
-	ends uint64
-	// notes are log lines that Notes has not taken.
+	mu    sync.Mutex
+	table table
+	// named counts the names given to ends of the own worker, noticed those that were ends
+	// with requests in hand.
+	named, noticed uint64
+	rounds         rounds
+	// shown is where the last part of the records that some returned began.
+	shown int
+	// notes are log lines that Handle has not taken.
 	notes []control.Record
 }
 
-// New returns the quarantine of the node self, whose process started then.
-func New(self model.InstanceID, started time.Time) *Quarantine {
-	return &Quarantine{self: self, life: uint64(started.UnixNano())}
+// New returns a quarantine that knows of nothing.
+func New(cfg Config) *Quarantine {
+	return &Quarantine{
+		self: cfg.Self, life: uint64(cfg.Started.UnixNano()), fleet: cfg.Fleet,
+		changed: make(chan struct{}, 1), table: newTable(), rounds: rounds{fresh: freshRounds},
+	}
+}
+
+// Changed has an element when there is something to tell peers: the node then hands
+// control.SuspectsChanged to the core.
+func (q *Quarantine) Changed() <-chan struct{} { return q.changed }
+
+func (q *Quarantine) wake() {
+	select {
+	case q.changed <- struct{}{}:
+	default:
+		// The node has not taken the last one yet.
+	}
+}
+
+// count publishes the number of records.
+func (q *Quarantine) count() { q.size.Store(int64(len(q.table.records))) }
+
+// Empty tells whether no request is suspect. It takes no lock.
+func (q *Quarantine) Empty() bool { return q.size.Load() == 0 }
+
+// Verdict says how a request is to be treated.
+type Verdict struct {
+	// Ends counts the ends of workers under the request that nothing has explained or
+	// cleared.
+	Ends int
+	// PutAside: the request does not reach a worker. RetryAfter is when it may.
+	PutAside   bool
+	RetryAfter time.Duration
+	// Trial: it is put aside, and this once it may run, alone.
+	Trial bool
+}
+
+// RunsAlone tells whether the request is to run where no other one as suspect runs.
+func (v Verdict) RunsAlone() bool { return v.Trial || v.Ends >= endsToRunAlone }
+
+// Bounds of the advice to come back.
+const (
+	minRetry = time.Second
+	maxRetry = time.Hour
+)
+
+// Judge says how an owner treats a request that is offered to it. label is what the
+// request asks for.
+func (q *Quarantine) Judge(now time.Time, content model.Fingerprint, label string) Verdict {
+	if q.Empty() {
+		return Verdict{}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.table.records[content]
+	if r == nil {
+		return Verdict{}
+	}
+	r.label = label
+	v := Verdict{Ends: len(r.ends)}
+	if !r.aside() {
+		return v
+	}
+	if r.trialDue(now) && trialHome(content, q.findNeighbours().owners) == q.self.ID {
+		r.trialAt = now
+		v.Trial = true
+		q.note(event.PutAsideTried, content, r.label)
+		return v
+	}
+	v.PutAside = true
+	v.RetryAfter = r.retryAfter(now)
+	return v
+}
+
+// Barred tells whether an entry need not offer a request to any owner: it is put aside, and
+// no trial is due.
+func (q *Quarantine) Barred(now time.Time, content model.Fingerprint) (retryAfter time.Duration, barred bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	r := q.table.records[content]
+	if r == nil || !r.aside() || r.trialDue(now) {
+		return 0, false
+	}
+	return r.retryAfter(now), true
+}
+
+func (r *record) retryAfter(now time.Time) time.Duration {
+	at, ok := r.nextTrial()
+	if !ok {
+		return maxRetry
+	}
+	return min(max(at.Sub(now), minRetry), maxRetry)
 }
 
 // Broke takes a run that broke at the own worker; known tells that the worker is known to
 // have ended under it. Otherwise Ended may say so later.
 func (q *Quarantine) Broke(now time.Time, r Run) (known bool) {
-	end := q.evidence.Broke(now, r)
-	if end == 0 {
+	id := q.evidence.Broke(now, r)
+	if id == 0 {
 		return false
 	}
-	q.inHand(end, []Run{r})
+	q.inHand(now, id, []Run{r})
 	return true
 }
 
@@ -51,44 +165,89 @@
 	next := q.nextEnd()
 	q.mu.Unlock()
 	if runs := q.evidence.Ended(now, next); len(runs) > 0 {
-		q.inHand(next, runs)
+		q.inHand(now, next, runs)
+		q.mu.Lock()
+		q.noticed++
+		q.mu.Unlock()
 	}
 }
 
 // nextEnd names the next end of the own worker; no other node's has the same name.
 func (q *Quarantine) nextEnd() EndID {
-	q.ends++
-	return EndID(max(xxhash.Sum64String(fmt.Sprintf("%s/%d/%d", q.self, q.life, q.ends)), 1))
+	q.named++
+	return EndID(max(xxhash.Sum64String(fmt.Sprintf("%s/%d/%d", q.self.ID, q.life, q.named)), 1))
 }
 
-// maxNamed bounds the runs that one log line names.
-const maxNamed = 32
+// inHand takes the runs under which the worker ended.
+func (q *Quarantine) inHand(now time.Time, id EndID, runs []Run) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.noteEnd(id, runs)
+	for _, run := range runs {
+		if run.Content.IsZero() {
+			continue
+		}
+		putAside := q.table.ended(now, run.Content, end{id, q.self.ID, now, run.Doubted, run.Trial})
+		if r := q.table.records[run.Content]; r != nil {
+			r.label = run.Label
+		}
+		q.noteChange(run.Content, putAside, false, "ended here")
+	}
+	q.count()
+	q.wake()
+}
 
-// inHand notes the runs under which the worker ended.
-func (q *Quarantine) inHand(end EndID, runs []Run) {
+// Completed takes a whole answer of the own worker to a request.
+func (q *Quarantine) Completed(now time.Time, content model.Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	cleared, released := q.table.completed(now, content)
+	q.noteChange(content, false, released, "ran to its end here")
+	if cleared {
+		q.wake()
+	}
+}
+
+// maxNamed bounds the runs that one log line names.
+const maxNamed = 32
+
+func (q *Quarantine) noteEnd(id EndID, runs []Run) {
 	var names []string
 	for _, r := range runs[:min(len(runs), maxNamed)] {
 		names = append(names, r.Content.String()+" "+r.Label)
 	}
-	q.note(event.WorkerEnded, fmt.Sprintf("%016x", uint64(end)), fmt.Sprintf("%d in hand: %s", len(runs), strings.Join(names, ", ")))
+	q.record(event.WorkerEnded, fmt.Sprintf("%016x", uint64(id)), fmt.Sprintf("%d in hand: %s", len(runs), strings.Join(names, ", ")))
+}
+
+// noteChange logs that a request was put aside or released.
+func (q *Quarantine) noteChange(content model.Fingerprint, putAside, released bool, how string) {
+	switch {
+	case putAside:
+		r := q.table.records[content]
+		q.note(event.PutAside, content, fmt.Sprintf("%s; ends of %s; %s", how, owners(r), r.label))
+	case released:
+		q.note(event.Released, content, how)
+	}
+}
+
+// owners names the instances whose workers ended under a request.
+func owners(r *record) string {
+	names := make([]string, len(r.ends))
+	for i, e := range r.ends {
+		names[i] = string(e.owner)
+	}
+	return strings.Join(names, ", ")
+}
+
+func (q *Quarantine) note(id event.ID, content model.Fingerprint, detail string) {
+	q.record(id, content.String(), detail)
 }
 
 // maxNotes bounds the log lines that wait.
 const maxNotes = 64
 
-func (q *Quarantine) note(id event.ID, subject, detail string) {
+func (q *Quarantine) record(id event.ID, subject, detail string) {
 	if len(q.notes) < maxNotes {
 		q.notes = append(q.notes, control.Record{Event: id, Subject: subject, Detail: detail})
 	}
 }
-
-// Notes returns the log lines since the last call.
-func (q *Quarantine) Notes() []control.Record {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	notes := q.notes
-	q.notes = nil
-	return notes
-}
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,192 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"gypsumstand/internal/model"
+)
+
+// Bounds of what is remembered. Callers can make up requests that end workers without end,
+// and each end names all that was in hand.
+const (
+	// maxRecords bounds the records; about 250 bytes each.
+	maxRecords = 1024
+	// suspectMemory is how long a request that is not put aside is suspect after its last
+	// change. A day has eleven ends by themselves on ten thousand workers, so that the same
+	// innocent request is hardly in hand at three within an hour.
+	suspectMemory = time.Hour
+	// asideMemory is how long one that was put aside is remembered after its last change,
+	// beyond its last trial.
+	asideMemory = 7 * 24 * time.Hour
+)
+
+// trialPauses are the times from the last end to each trial of a request that is put
+// aside. The first is soon, for the sake of a request that workers which ended by
+// themselves had in hand; three is all that a request gets, since each may end a worker.
+var trialPauses = [...]time.Duration{30 * time.Second, 10 * time.Minute, 24 * time.Hour}
+
+// table holds the records of one node. It is not safe for concurrent use.
+type table struct {
+	records map[model.Fingerprint]*record
+	// explained are the ends that requests which are put aside explain: nobody else who
+	// was in hand then is suspect for them.
+	explained map[EndID]bool
+}
+
+func newTable() table {
+	return table{records: map[model.Fingerprint]*record{}, explained: map[EndID]bool{}}
+}
+
+// get returns the record of a request, a new one when there is none.
+func (t *table) get(now time.Time, content model.Fingerprint) *record {
+	r := t.records[content]
+	if r == nil {
+		t.makeRoom()
+		r = &record{content: content, changed: now}
+		t.records[content] = r
+	}
+	return r
+}
+
+// makeRoom forgets the least severe record when there are too many, the oldest of these.
+func (t *table) makeRoom() {
+	if len(t.records) < maxRecords {
+		return
+	}
+	var least *record
+	for _, r := range t.records {
+		if least == nil || r.severity() < least.severity() ||
+			r.severity() == least.severity() && r.changed.Before(least.changed) {
+			least = r
+		}
+	}
+	t.forget(least)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (t *table) forget(r *record) {
+	delete(t.records, r.content)
+	if r.aside() {
+		t.explain()
+	}
+}
+
+// ended adds an end under a request and reports whether that put it aside.
+func (t *table) ended(now time.Time, content model.Fingerprint, e end) (putAside bool) {
+	if t.explained[e.id] {
+		return false
+	}
+	r := t.get(now, content)
+	was := r.aside()
+	if !r.add(e) {
+		return false
+	}
+	r.changed = later(r.changed, e.at)
+	r.untold = true
+	return t.judge(now, r, was)
+}
+
+// judge takes that a record's ends have changed; was tells whether it was put aside before.
+func (t *table) judge(now time.Time, r *record, was bool) (putAside bool) {
+	if !r.aside() {
+		r.since = time.Time{}
+		if was {
+			t.explain()
+		}
+		return false
+	}
+	t.explain()
+	if was {
+		return false
+	}
+	r.wide = true
+	r.since = now
+	return true
+}
+
+// explain finds anew which ends are explained, and exonerates who else was in hand then.
+func (t *table) explain() {
+	clear(t.explained)
+	for _, r := range t.records {
+		if r.aside() {
+			for _, e := range r.ends {
+				t.explained[e.id] = true
+			}
+		}
+	}
+	for _, r := range t.records {
+		if r.aside() || !r.without(t.explained) {
+			continue
+		}
+		if len(r.ends) == 0 && r.cleared == 0 {
+			delete(t.records, r.content)
+		}
+	}
+}
+
+// completed takes that a run of a request came to its end: it ends no workers. It reports
+// whether there was anything to clear, and whether the request had been put aside.
+func (t *table) completed(now time.Time, content model.Fingerprint) (cleared, released bool) {
+	r := t.records[content]
+	if r == nil || len(r.ends) == 0 {
+		return false, false
+	}
+	was := r.aside()
+	r.cleared++
+	r.ends = nil
+	r.changed = now
+	r.untold = true
+	t.judge(now, r, was)
+	return true, was
+}
+
+// expire forgets what is too old.
+func (t *table) expire(now time.Time) {
+	for _, r := range t.records {
+		memory := suspectMemory
+		if r.wide {
+			memory = asideMemory
+		}
+		if now.Sub(r.changed) > memory {
+			t.forget(r)
+		}
+	}
+}
+
+// nextTrial returns when a request that is put aside may be tried again; ok is false when
+// it has had all its trials.
+func (r *record) nextTrial() (at time.Time, ok bool) {
+	failed := r.trials()
+	if failed >= len(trialPauses) {
+		return time.Time{}, false
+	}
+	return r.lastEnd().Add(trialPauses[failed]), true
+}
+
+// trialDue tells whether a trial may begin now. One that was let through and of which
+// nothing is known counts for the first pause.
+func (r *record) trialDue(now time.Time) bool {
+	at, ok := r.nextTrial()
+	return ok && !now.Before(at) && now.Sub(r.trialAt) >= trialPauses[0]
+}
+
+// trialHome returns the instance that tries a request: the same one in all views that are
+// equal, so that one trial is made and not one by each owner.
+func trialHome(content model.Fingerprint, owners []model.InstanceID) model.InstanceID {
+	var home model.InstanceID
+	var most uint64
+	for _, id := range owners {
+		if rank := xxhash.Sum64String(string(content[:]) + string(id)); home == "" || rank > most {
+			home, most = id, rank
+		}
+	}
+	return home
+}
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -17,6 +17,7 @@
 	"gypsumstand/internal/entry"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/quarantine"
 	"gypsumstand/internal/route"
 	"gypsumstand/internal/wire"
 )
@@ -82,6 +83,8 @@
 	LostSignal *LostSignal
 	// Leaving tells whether callers are to be sent away (Connection: close).
 	Leaving func() bool
+	// Quarantine tells which requests reach no worker.
+	Quarantine *quarantine.Quarantine
 	// Stop bounds calls by a planned stop.
 	Stop *StopBound
 	// Dialect is how callers speak.
--- a/internal/server/content.go
+++ b/internal/server/content.go
@@ -1,11 +1,13 @@
 package server
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
 
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/owner"
 	"gypsumstand/internal/quarantine"
 )
 
@@ -13,15 +15,20 @@
 // somebody asks; of a long one that streams, its beginning is hashed as it passes.
 type content struct {
 	work *Work
+	// host is the route's, empty for a route for any host.
+	host func(host, method, path string) string
 	// known is the fingerprint once it was asked for.
 	known model.Fingerprint
+	// judged tells that the quarantine was asked, and verdict what it said.
+	judged  bool
+	verdict quarantine.Verdict
 	// passing is the hash of a body that streams; nil for others.
 	passing *passingBody
 }
 
 // contentOf watches the work's body where it streams. It must come before the body is read.
-func contentOf(w *Work) *content {
-	c := &content{work: w}
+func (x *Executor) contentOf(w *Work) *content {
+	c := &content{work: w, host: x.routeHost}
 	if w.Body != nil && w.ContentLength > replayBytes {
 		c.passing = &passingBody{ReadCloser: w.Body, hash: c.hash(), left: replayBytes}
 		w.Body = c.passing
@@ -31,7 +38,8 @@
 
 func (c *content) hash() model.FingerprintHash {
 	w := c.work
-	return model.NewFingerprintHash(w.Method, w.Host, w.URL, w.Attempt.Tenant, w.ContentLength)
+	host := c.host(w.Host, w.Method, w.URL.Path)
+	return model.NewFingerprintHash(w.Method, host, w.URL, w.Attempt.Tenant, w.ContentLength)
 }
 
 // fingerprint returns the request's fingerprint. That of a body that streams is of its
@@ -64,7 +72,78 @@
 // run tells of a run that began at that time.
 func (c *content) run(began time.Time) quarantine.Run {
 	return quarantine.Run{
-		Content: c.fingerprint(), Request: c.work.Attempt.Request, Label: c.label(), Began: began,
+		Content: c.fingerprint(), Label: c.label(), Began: began,
+		Doubted: c.work.Attempt.Ends > 0 || c.verdict.Ends > 0, Trial: c.verdict.Trial,
+	}
+}
+
+// here tells whether all is here that the fingerprint is made of.
+func (c *content) here() bool { return c.work.Claim == nil && c.passing == nil }
+
+// readAhead takes in the part of a body that streams which the fingerprint is made of.
+func (c *content) readAhead() error {
+	if c.passing == nil {
+		return nil
+	}
+	head := make([]byte, replayBytes)
+	if _, err := io.ReadFull(c.passing, head); err != nil {
+		return err
+	}
+	c.work.Body = joined{io.MultiReader(bytes.NewReader(head), c.passing), c.passing}
+	return nil
+}
+
+// joined reads from one and closes the other.
+type joined struct {
+	io.Reader
+	io.Closer
+}
+
+// judge asks the quarantine about the request.
+func (x *Executor) judge(now time.Time, c *content) quarantine.Verdict {
+	if !c.judged {
+		c.judged = true
+		c.verdict = x.suspects.Judge(now, c.fingerprint(), c.label())
+	}
+	return c.verdict
+}
+
+// caution tells the owner how to treat an attempt. A request of which not all is here yet
+// is judged once it is: see lateRefusal.
+func (x *Executor) caution(now time.Time, c *content) owner.Caution {
+	caution := owner.Caution{Ends: int(c.work.Attempt.Ends)}
+	if x.suspects.Empty() || !c.here() {
+		return caution
+	}
+	v := x.judge(now, c)
+	caution.Alone = v.RunsAlone()
+	caution.PutAside, caution.RetryAfter = v.PutAside, v.RetryAfter
+	return caution
+}
+
+// lateRefusal judges an admitted attempt of which not all was here before, so that nothing
+// of it reaches the worker when it is put aside; nil lets it run.
+func (x *Executor) lateRefusal(c *content) *model.Refusal {
+	if x.suspects.Empty() || c.judged {
+		return nil
+	}
+	id := c.work.Attempt.ID
+	if c.readAhead() != nil {
+		x.finish(id, owner.Finish{NotRun: true, Abandoned: true})
+		return &model.Refusal{Reason: model.ReasonCancelled, NotRun: true}
+	}
+	v := x.judge(time.Now(), c)
+	if !v.PutAside {
+		return nil
+	}
+	x.finish(id, owner.Finish{NotRun: true, Abandoned: true})
+	return &model.Refusal{Reason: model.ReasonPutAside, NotRun: true, RetryAfter: v.RetryAfter}
+}
+
+// completed takes a whole answer: the request ends no workers.
+func (x *Executor) completed(c *content) {
+	if !x.suspects.Empty() {
+		x.suspects.Completed(time.Now(), c.fingerprint())
 	}
 }
 
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -27,6 +27,9 @@
 
 // serve carries the call out and answers the caller.
 func (x *exchange) serve() {
+	if x.barred() {
+		return
+	}
 	call := x.caller.Engine.Begin(x.began, x.request)
 	ctx, release := x.caller.Stop.bound(x.r.Context())
 	defer release()
@@ -38,6 +41,29 @@
 	x.end(winner, step, first.sent())
 }
 
+// barred refuses a request that is put aside without the way to an owner. What its caller
+// keyed goes to the home of its id, which alone knows of earlier sendings, and what streams
+// is known only in part here.
+func (x *exchange) barred() bool {
+	q := x.caller.Quarantine
+	keyed := x.request.CallerKey && !x.request.Idempotent
+	if q == nil || q.Empty() || keyed || x.body.stream != nil {
+		return false
+	}
+	host := x.caller.Board.Bundles.Get().RouteHost(x.r.Host, x.r.Method, x.r.URL.Path)
+	h := model.NewFingerprintHash(x.r.Method, host, x.r.URL, x.request.Tenant, x.body.length)
+	// A hash takes every write.
+	_, _ = h.Write(x.body.held)
+	after, barred := q.Barred(x.began, h.Sum())
+	if !barred {
+		return false
+	}
+	x.end(&carrier{exchange: x}, entry.Step{
+		Kind: entry.StepEnd, Outcome: model.OutcomeNotRun, Reason: model.ReasonPutAside, RetryAfter: after,
+	}, 0)
+	return true
+}
+
 // end tells the caller and measures. The request's home is told first, so that a
 // caller who comes back at once finds the id free.
 func (x *exchange) end(c *carrier, step entry.Step, attempts int) {
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -63,6 +63,9 @@
 // hold takes the body in unless it is a long one, so that what the request asks for is known
 // after its run.
 func (w *Work) hold(r *http.Request) error {
+	if r.ContentLength == 0 {
+		return nil
+	}
 	body, err := takeBody(r, max(r.ContentLength, 0))
 	if err != nil || body.stream != nil {
 		return err
@@ -88,8 +91,6 @@
 	Report  model.LoadReport
 	// Times is where an answered attempt's time went at the owner.
 	Times wire.Times
-	// workerEnded: the worker is known to have ended under the attempt.
-	workerEnded bool
 }
 
 // Executor runs admitted attempts on this node's worker. Safe for concurrent use.
@@ -105,6 +106,9 @@
 	mark     func() model.DirectoryMark
 	said     func(model.WorkerID)
 	broke    func(quarantine.Run) (ended bool)
+	suspects *quarantine.Quarantine
+	// routeHost is ExecutorConfig.RouteHost.
+	routeHost func(host, method, path string) string
 	// transport is for idempotent requests, cautious for others; see cautiousIdle.
 	transport atomic.Pointer[http.Transport]
 	cautious  atomic.Pointer[http.Transport]
@@ -139,13 +143,24 @@
 	// Said is told the worker that refused an attempt, where it says which it is; nil
 	// where workers are not told apart.
 	Said func(model.WorkerID)
+	// RouteHost returns a request's host where its route is for that host only, else empty.
+	// Nil stands for routes for any host.
+	RouteHost func(host, method, path string) string
+	// Quarantine is asked about each request before its run, where it holds any.
+	Quarantine *quarantine.Quarantine
 	// Broke is told each run that broke at the worker, and tells whether the worker has
-	// ended. It may block for some milliseconds. Nil means that nobody wants to know.
+	// ended. It may block for some milliseconds. Nil means that nobody wants to know, here and for Quarantine.
 	Broke func(quarantine.Run) (ended bool)
 }
 
 // NewExecutor returns an executor for one worker.
 func NewExecutor(cfg ExecutorConfig) *Executor {
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = quarantine.New(quarantine.Config{})
+	}
+	if cfg.RouteHost == nil {
+		cfg.RouteHost = func(_, _, _ string) string { return "" }
+	}
 	if cfg.Broke == nil {
 		cfg.Broke = func(quarantine.Run) bool { return false }
 	}
@@ -160,7 +175,10 @@
 		mark:     cfg.Mark,
 		said:     cfg.Said,
 		broke:    cfg.Broke,
-		waiters:  map[model.AttemptID]chan owner.Decision{},
+		suspects: cfg.Quarantine,
+
+		routeHost: cfg.RouteHost,
+		waiters:   map[model.AttemptID]chan owner.Decision{},
 	}
 	x.renewTransports(limits{slots: initialSlots, connections: initialConnections})
 	return x
@@ -236,7 +254,8 @@
 		x.refresh(ctx)
 	}
 	offered := time.Now()
-	refusal := x.admit(ctx, w, offered)
+	asked := x.contentOf(w)
+	refusal := x.admit(ctx, asked, offered)
 	if refusal != nil {
 		return x.refused(w, *refusal, offered)
 	}
@@ -246,7 +265,7 @@
 		return x.refused(w, model.Refusal{Reason: model.ReasonExpired, NotRun: true}, offered)
 	}
 	w.Attempt.Remaining -= started.Sub(offered)
-	r := x.run(ctx, w, started)
+	r := x.run(ctx, asked, started)
 	r.Times = wire.Times{Queued: started.Sub(offered), Worker: time.Since(started)}
 	r.Report = x.report(time.Now())
 	x.logEnd(w, &r)
@@ -254,13 +273,14 @@
 }
 
 // admit returns nil once the attempt may start.
-func (x *Executor) admit(ctx context.Context, w *Work, now time.Time) *model.Refusal {
+func (x *Executor) admit(ctx context.Context, asked *content, now time.Time) *model.Refusal {
+	w := asked.work
 	id := w.Attempt.ID
 	ch := x.await(id)
 	if ch == nil {
 		return &model.Refusal{Reason: model.ReasonDuplicateRunning}
 	}
-	verdict, refusal := x.owner.Offer(now, &w.Attempt, w.SameNode)
+	verdict, refusal := x.owner.OfferSuspect(now, &w.Attempt, w.SameNode, x.caution(now, asked))
 	if verdict == owner.Refuse {
 		x.unawait(id)
 		return &refusal
@@ -269,10 +289,13 @@
 		return x.withdrawn(id, ch, verdict)
 	}
 	if verdict == owner.Wait {
-		return x.wait(ctx, id, ch)
+		refusal := x.wait(ctx, id, ch)
+		if refusal != nil {
+			return refusal
+		}
 	}
 	x.unawait(id)
-	return nil
+	return x.lateRefusal(asked)
 }
 
 // withdrawn ends an admitted attempt whose body the entry did not let go.
--- a/internal/server/executorlog.go
+++ b/internal/server/executorlog.go
@@ -35,7 +35,7 @@
 	}
 	event.Log(x.requests, event.AttemptEnded).
 		Str("request", string(w.Attempt.Request)).Str("attempt", w.Attempt.ID.String()).
-		Str("class", string(w.Attempt.Class)).Str("reason", r.Refusal.Reason.String()).Bool("not_run", r.Refusal.NotRun).Bool("worker_ended", r.workerEnded).
+		Str("class", string(w.Attempt.Class)).Str("reason", r.Refusal.Reason.String()).Bool("not_run", r.Refusal.NotRun).
 		Int("status", int64(status)).Int("queued_ms", r.Times.Queued.Milliseconds()).
 		Int("worker_ms", r.Times.Worker.Milliseconds()).Str("worker", string(x.worker())).
 		Int("running", int64(r.Report.InFlight)).Int("queued", int64(r.Report.Queued)).
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -16,9 +16,9 @@
 
 // run sends the started attempt to the worker. Finish comes with the end of the
 // answer's body, or here when there is none.
-func (x *Executor) run(ctx context.Context, w *Work, started time.Time) Result {
+func (x *Executor) run(ctx context.Context, asked *content, started time.Time) Result {
+	w := asked.work
 	deadline := started.Add(w.Attempt.Remaining)
-	asked := contentOf(w)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	// A process that is stopped here wakes late: what it then writes would run after
 	// its caller was told that the call has ended.
@@ -64,7 +64,10 @@
 		f.Expired = !whole && ctx.Err() != nil && !f.Abandoned
 		cancel()
 		x.finish(w.Attempt.ID, f)
-		if !whole && !f.Abandoned && !f.Expired {
+		switch {
+		case whole:
+			x.completed(asked)
+		case !f.Abandoned && !f.Expired:
 			x.broke(asked.run(started))
 		}
 	}}
@@ -105,7 +108,6 @@
 		x.traffic(true)
 	}
 	reason := model.ReasonWorkerBroken
-	ended := false
 	switch {
 	case gaveUp:
 		reason = model.ReasonCancelled
@@ -113,10 +115,10 @@
 		reason = delegated(&w.Attempt, model.ReasonWorkerUnreachable)
 	case ctx.Err() != nil:
 		reason = model.ReasonExpired
-	default:
-		ended = x.broke(asked.run(started))
+	case x.broke(asked.run(started)):
+		reason = model.ReasonWorkerEnded
 	}
-	return Result{Refusal: model.Refusal{Reason: reason, NotRun: notRun}, workerEnded: ended}
+	return Result{Refusal: model.Refusal{Reason: reason, NotRun: notRun}}
 }
 
 // givenUp tells an attempt that the entry gave up from one whose time ended. A
--- a/internal/server/forwarder.go
+++ b/internal/server/forwarder.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -148,7 +149,16 @@
 
 // Get asks another node for what it tells on its peer port; most bounds the answer.
 func (f *Forwarder) Get(ctx context.Context, address, path string, most int64) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.scheme+"://"+address+path, nil)
+	return f.ask(ctx, http.MethodGet, address, path, nil, most)
+}
+
+// Post tells another node something on its peer port; most bounds the answer.
+func (f *Forwarder) Post(ctx context.Context, address, path string, data []byte, most int64) ([]byte, error) {
+	return f.ask(ctx, http.MethodPost, address, path, data, most)
+}
+
+func (f *Forwarder) ask(ctx context.Context, method, address, path string, data []byte, most int64) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, f.scheme+"://"+address+path, bytes.NewReader(data))
 	if err != nil {
 		return nil, err
 	}
