soak, proof: callers send requests that end workers, and both check that these are kept from them

A soak's plan draws callers that come back every 0.4 s, at all machines in turn, with a lookup or an order under which the worker that runs it ends; its port closes with it and it is back as another life 1.5 s later. From 4 s after the third end on a deadly request may reach workers three times, where the machines that sent it were in touch and some node lived on.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -64,7 +64,7 @@
 func commands() []command {
 	return []command{
 		keygenCommand, checkCommand, signCommand, verifyCommand,
-		diffCommand, statusCommand, explainCommand,
+		diffCommand, statusCommand, explainCommand, asideCommand,
 	}
 }
 
--- /dev/null
+++ b/internal/entry/ended_test.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+func workerEnded(s *script) {
+	s.call.Refused(s.now, model.Refusal{Reason: model.ReasonWorkerEnded})
+}
+
+// What was in hand at a worker's end is tried again as before, and its next owner is told.
+func TestALookupUnderWhichAWorkerEndsGoesOnAndSaysSo(t *testing.T) {
+	s := start(t, 3, idempotent)
+	for ends := range uint8(2) {
+		if got := s.step.Attempt.Ends; s.step.Kind != StepSend || got != ends {
+			t.Fatalf("step %s, %d ends told; want a sending with %d", s.step.Kind, got, ends)
+		}
+		s.do(workerEnded)
+	}
+}
+
+func TestAPayoutUnderWhichAWorkerEndsIsToldUnknown(t *testing.T) {
+	s := start(t, 3)
+	s.do(workerEnded)
+	if s.step.Kind != StepEnd || s.step.Outcome != model.OutcomeUnknown || s.step.Reason != model.ReasonWorkerEnded {
+		t.Errorf("step %s, %s %s; want unknown", s.step.Kind, s.step.Outcome, s.step.Reason)
+	}
+}
+
+// No other owner would take it, and the caller is told when to come back.
+func TestARequestThatIsPutAsideIsOfferedToNobodyElse(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		s := start(t, 3, func(r *Request) { r.Idempotent = idempotent })
+		s.do(func(s *script) {
+			s.call.Refused(s.now, model.Refusal{Reason: model.ReasonPutAside, NotRun: true, RetryAfter: 20 * time.Second})
+		})
+		if s.step.Kind != StepEnd || s.step.Outcome != model.OutcomeNotRun || s.step.RetryAfter != 20*time.Second {
+			t.Errorf("idempotent %v: step %s, %s, come back after %s", idempotent, s.step.Kind, s.step.Outcome, s.step.RetryAfter)
+		}
+	}
+}
+
+// An attempt was in hand at an end: "not run" would not be true of the sending.
+func TestASendingThatRanIsNotToldNotRunWhenPutAside(t *testing.T) {
+	s := start(t, 3, idempotent)
+	s.do(workerEnded)
+	s.do(func(s *script) { s.call.Refused(s.now, model.Refusal{Reason: model.ReasonPutAside, NotRun: true}) })
+	if s.step.Kind != StepEnd || s.step.Outcome != model.OutcomeUnknown {
+		t.Errorf("step %s, %s; want unknown", s.step.Kind, s.step.Outcome)
+	}
+}
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -22,6 +22,9 @@
 		"A probe got through to an owner that was out of reach; it is used again. The detail is how long it was out of reach.", "none")
 	CallerConnectionBounded = define(416, zerolog.InfoLevel, "caller's connection closed by a bound",
 		"A caller's connection was idle, or its request's header incomplete, for longer than the configuration in force allows: which bound ended, how long that is and for how long it ran. No request was in hand.", "none")
+	PutAsideRefused = define(417, zerolog.WarnLevel, "request is put aside",
+		"An entry node, or the owner that was asked, refused a sending of a request that is put aside: its id, the request's fingerprint, which all its sendings share, and the advice to come back in milliseconds. Nothing of it ran.",
+		"Look up the fingerprint in gypsumctl aside, and events 514 and 515 for the workers that ended under it.")
 	AttemptEnded = define(520, zerolog.InfoLevel, "attempt ended at the worker",
 		"An owner's worker answered, broke or refused an attempt: the status (0: no whole answer), queue and worker time, and the load at that moment.", "none")
 	AttemptRefused = define(521, zerolog.InfoLevel, "attempt refused",
--- a/internal/node/collector.go
+++ b/internal/node/collector.go
@@ -37,6 +37,9 @@
 	descLinks      = describe("links", "Open peer links.")
 	descLinkEvents = describe("link_messages_total", "Messages on control links.", "kind")
 	descLinkBytes  = describe("link_bytes_total", "Bytes on control links.", "direction")
+	descSuspects   = describe("suspect_requests", "Requests under which workers ended, by state: suspect, or put aside.", "state")
+	descEnds       = describe("worker_ends_total", "Ends of this node's own worker, not as planned, with requests in hand.")
+	descUntold     = describe("suspect_tells_failed_total", "Messages about such requests that did not reach a peer.")
 	descRefused    = describe("bundles_refused_total", "Bundles refused, by reason.", "reason")
 )
 
@@ -57,6 +60,15 @@
 	c.measuring(ch)
 	c.links(ch)
 	c.bundles(ch)
+	c.suspects(ch)
+}
+
+func (c collector) suspects(ch chan<- prometheus.Metric) {
+	counts := c.node.core.Quarantine.Counts()
+	gauge(ch, descSuspects, float64(counts.Suspects-counts.PutAside), "suspect")
+	gauge(ch, descSuspects, float64(counts.PutAside), "put-aside")
+	counter(ch, descEnds, counts.Ends)
+	counter(ch, descUntold, c.node.tellsFailed.Load())
 }
 
 func gauge(ch chan<- prometheus.Metric, d *prometheus.Desc, v float64, labels ...string) {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -8,6 +8,7 @@
 
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/quarantine"
 	"gypsumstand/internal/route"
 	"gypsumstand/internal/status"
 )
@@ -103,6 +104,31 @@
 	}
 }
 
+// serveAside answers with the requests under which workers ended.
+func (n *Node) serveAside(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	out := status.Aside{Requests: []status.SuspectRequest{}, Ends: n.core.Quarantine.Counts().Ends}
+	for _, s := range n.core.Quarantine.Suspects() {
+		out.Requests = append(out.Requests, suspectStatus(now, &s))
+	}
+	writeJSON(w, out)
+}
+
+func suspectStatus(now time.Time, s *quarantine.Suspect) status.SuspectRequest {
+	out := status.SuspectRequest{
+		Fingerprint: s.Content.String(), Asked: s.Label, PutAside: s.PutAside,
+		SinceAge: status.Age(now, s.Since), Ends: []status.SuspectEnd{},
+	}
+	if !s.NextTrial.IsZero() {
+		in := status.Ms(max(s.NextTrial.Sub(now), 0))
+		out.NextTrial = &in
+	}
+	for _, e := range s.Ends {
+		out.Ends = append(out.Ends, status.SuspectEnd{Instance: e.Owner, Age: status.Ms(now.Sub(e.At))})
+	}
+	return out
+}
+
 // find returns the instance of that id, or nil.
 func find(f *model.Fleet, id model.InstanceID) *model.Instance {
 	i := sort.Search(len(f.Instances), func(i int) bool { return f.Instances[i].ID >= id })
--- /dev/null
+++ b/internal/owner/doubt_test.go
@@ -0,0 +1,101 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// suspect offers a fresh attempt under a caution.
+func (r *rig) suspect(c Caution) (Verdict, model.AttemptID, model.Refusal) {
+	a := r.attempt()
+	v, refusal := r.o.OfferSuspect(r.now, a, false, c)
+	return v, a.ID, refusal
+}
+
+// doubtRig has eight slots.
+func doubtRig(t *testing.T) *rig {
+	svc := testService()
+	svc.Slots, svc.QueueLimit, svc.Connections = 8, 20, 40
+	return newRig(t, svc)
+}
+
+// All that a worker ran when it ended comes to this one at once: half of the slots take it,
+// and what is not suspect has the rest.
+func TestWhatWasInHandAtAnEndTakesHalfOfTheSlots(t *testing.T) {
+	r := doubtRig(t)
+	started := 0
+	for range 8 {
+		if v, _, _ := r.suspect(Caution{Ends: 1}); v == Start {
+			started++
+		}
+	}
+	if started != 4 {
+		t.Errorf("%d of 8 suspect attempts started; want 4", started)
+	}
+	if v, _, _ := r.suspect(Caution{}); v != Start {
+		t.Errorf("an attempt that is not suspect: verdict %d, though slots are free", v)
+	}
+}
+
+func TestRequestsUnderWhichTwoWorkersEndedRunOneByOne(t *testing.T) {
+	r := doubtRig(t)
+	v, first, _ := r.suspect(Caution{Alone: true})
+	if v != Start {
+		t.Fatalf("the first: verdict %d", v)
+	}
+	v, second, _ := r.suspect(Caution{Ends: 2})
+	if v != Wait {
+		t.Fatalf("the second: verdict %d; want it to wait", v)
+	}
+	if v, _, _ := r.suspect(Caution{}); v != Start {
+		t.Errorf("an attempt that is not suspect waits behind one that does: verdict %d", v)
+	}
+	r.pass(10 * time.Millisecond)
+	ds := r.keep(r.o.Finish(r.now, first, Finish{Status: 200, ServiceTime: 10 * time.Millisecond}))
+	if len(ds) != 1 || ds[0].Attempt != second || ds[0].Verdict != Start {
+		t.Errorf("after the first's end: %+v; want the second to start", ds)
+	}
+}
+
+// An entry that can place a suspect attempt elsewhere need not wait for another's end.
+func TestASuspectAttemptMovesOnRatherThanWait(t *testing.T) {
+	r := doubtRig(t)
+	r.suspect(Caution{Alone: true})
+	a := r.attempt()
+	a.MayMove = true
+	v, refusal := r.o.OfferSuspect(r.now, a, false, Caution{Alone: true})
+	if v != Refuse || refusal.Reason != model.ReasonBusy || !refusal.NotRun {
+		t.Errorf("verdict %d, %+v; want busy", v, refusal)
+	}
+}
+
+func TestARequestThatIsPutAsideIsRefusedForGood(t *testing.T) {
+	r := doubtRig(t)
+	a := r.attempt()
+	v, refusal := r.o.OfferSuspect(r.now, a, false, Caution{PutAside: true, RetryAfter: time.Minute})
+	if v != Refuse || refusal.Reason != model.ReasonPutAside || !refusal.NotRun || refusal.RetryAfter != time.Minute {
+		t.Errorf("verdict %d, %+v", v, refusal)
+	}
+	if v, refusal := r.o.Offer(r.now, a, false); v != Refuse || refusal.Reason != model.ReasonBarred {
+		t.Errorf("the same attempt again: verdict %d, %+v; its refusal said that it never runs", v, refusal)
+	}
+}
+
+// A caller's key that has run is told so, also when its request is put aside meanwhile: "not
+// run" would not be true of the key.
+func TestAKeyThatRanIsNotToldNotRunWhenPutAside(t *testing.T) {
+	r := doubtRig(t)
+	a := r.keyed("k")
+	if v, _ := r.o.Offer(r.now, a, false); v != Start {
+		t.Fatalf("verdict %d", v)
+	}
+	r.o.Confirm(r.now, a.ID)
+	r.o.Finish(r.now, a.ID, Finish{Failed: true})
+	again := r.keyed("k")
+	v, refusal := r.o.OfferSuspect(r.now, again, false, Caution{PutAside: true})
+	if v != Refuse || refusal.NotRun || refusal.Reason != model.ReasonDuplicateDone {
+		t.Errorf("verdict %d, %+v; want that it has run", v, refusal)
+	}
+}
--- a/internal/proof/faults.go
+++ b/internal/proof/faults.go
@@ -30,6 +30,9 @@
 	{"fault ends", (*world).faultEnds},
 }
 
+// deadlyAction is a step of plans that ask for it.
+var deadlyAction = action{"deadly request", (*world).sendDeadly}
+
 // faults are the steps that bring faults and changes about.
 var faults = []action{
 	{"pause node", (*world).pauseNode},
--- a/internal/proof/ledger.go
+++ b/internal/proof/ledger.go
@@ -22,6 +22,7 @@
 	promiseOnce    promise = "a non-idempotent request runs at most once"
 	promiseLeaving promise = "a leaving upstream receives no new work"
 	promiseStop    promise = "a planned stop cuts off no request"
+	promiseDeadly  promise = "a request that ends its workers is kept from them"
 	promiseBundle  promise = "a bundle in force spreads and never reverts"
 	// recovery is no promise of its own: once faults stop, service is full.
 	recovery promise = "service returns once faults stop"
@@ -64,11 +65,13 @@
 
 // sending is one time that a caller sent a request.
 type sending struct {
-	number   int
-	request  model.RequestID
-	keyed    bool
-	route    callerRoute
-	tenant   model.TenantName
+	number  int
+	request model.RequestID
+	keyed   bool
+	route   callerRoute
+	tenant  model.TenantName
+	// deadly is set where the request ends its workers.
+	deadly   *deadlyRequest
 	begun    time.Time
 	exchange *exchange
 	// homes are the processes that were asked as the home of the sending's id;
@@ -244,6 +247,9 @@
 	run := workerRun{attempt: j.attempt.ID, record: rec, sending: s, worker: wk.n.id, at: g.w.now}
 	g.w.trace.add(g.w, "ran", s.number, j.attempt.ID, wk.n.id)
 	g.count("runs")
+	if s.deadly != nil {
+		g.ranDeadly(wk, j, s.deadly)
+	}
 	g.checkOnce(r, run)
 	r.runs = append(r.runs, run)
 	for _, other := range r.sendings {
--- a/internal/proof/life.go
+++ b/internal/proof/life.go
@@ -282,6 +282,8 @@
 		l.w.platform.readValue(l, a.Name)
 	case control.SettleAnswered:
 		l.answered(a.Reply)
+	case control.TellSuspects:
+		l.tellSuspects(a)
 	case control.Record:
 		l.w.trace.add(l.w, "record", l.node.id, a.Event, a.Subject)
 	}
--- a/internal/proof/recover.go
+++ b/internal/proof/recover.go
@@ -32,6 +32,7 @@
 // endFaults ends what is under way; processes that are leaving or gone, and
 // workers that drain, are replaced.
 func (w *world) endFaults() {
+	w.quiet = true
 	w.net.calm()
 	w.platform.calm()
 	for range replaceRounds {
--- a/internal/proof/run.go
+++ b/internal/proof/run.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 	Seed uint64
 	// Steps is the number of requests, faults and the like.
 	Steps int
+	// Deadly: callers send requests under which workers end, too.
+	Deadly bool
 	// Trace is told what happens, a line each; nil means none.
 	Trace io.Writer
 }
@@ -37,12 +40,16 @@
 func Run(p Plan) Report {
 	c := seededChooser{rand.New(rand.NewPCG(p.Seed, 1))}
 	w := newWorld(p.Seed, switches{trace: p.Trace})
-	w.play(c, p.Steps)
+	steps := actions
+	if p.Deadly {
+		steps = append(slices.Clone(actions), deadlyAction)
+	}
+	w.play(c, p.Steps, steps)
 	return w.report(p)
 }
 
 // play takes a plan's steps, then ends all faults and checks recovery.
-func (w *world) play(c chooser, steps int) {
+func (w *world) play(c chooser, steps int, actions []action) {
 	w.start(c)
 	for range steps {
 		w.step(c, actions[c.pick("action", len(actions))])
--- a/internal/proof/switches.go
+++ b/internal/proof/switches.go
@@ -34,6 +34,8 @@
 	olderBundle bool
 	// deaf lets one process hear of no bundle after its first.
 	deaf bool
+	// noEvidence lets nodes not notice that their workers end.
+	noEvidence bool
 	// trace, when not nil, is told what happens.
 	trace io.Writer
 }
--- a/internal/proof/teeth_test.go
+++ b/internal/proof/teeth_test.go
@@ -44,6 +44,7 @@
 	"an owner starts work though it leaves": {switches{ignoreLeaving: true}, promiseLeaving, viewsLag},
 	"a stop does not wait":                  {switches{cutOff: true}, promiseStop, nil},
 	"an older bundle is put in force":       {switches{olderBundle: true}, promiseBundle, versionsReturn},
+	"a worker's end goes unnoticed":         {switches{noEvidence: true}, promiseDeadly, deadlyCaller},
 	"a process hears of no new bundle":      {switches{deaf: true}, promiseBundle, versionsReturn},
 }
 
@@ -68,6 +69,9 @@
 	w.nodes[1].life.leave()
 }
 
+// deadlyCaller lets a caller send a deadly request for a while.
+func deadlyCaller(w *world) { w.sendDeadly(burstChooser{w}) }
+
 // versionsReturn shows a new version, then the one before it.
 func versionsReturn(w *world) {
 	w.platform.signOff()
--- a/internal/proof/watch.go
+++ b/internal/proof/watch.go
@@ -48,6 +48,10 @@
 	wk := l.node.worker
 	if wk.refusesConnections() {
 		l.polled(health.Poll{Refused: true})
+		if !l.core.Owner.Departing() && !l.w.switches.noEvidence {
+			l.core.Quarantine.Ended(l.w.now)
+			l.suspectsChanged()
+		}
 		done()
 		return
 	}
--- a/internal/proof/worker.go
+++ b/internal/proof/worker.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"slices"
 	"time"
 
 	"gypsumstand/internal/health"
@@ -26,6 +27,8 @@
 	paused                      bool
 	waiting                     []func()
 	running                     int
+	// inHand are the runs that are not over.
+	inHand []*run
 	// reported is what the health endpoint says; it lags.
 	reported health.Poll
 	lag      time.Duration
@@ -123,7 +126,12 @@
 		return
 	}
 	wk.running++
+	wk.inHand = append(slices.DeleteFunc(wk.inHand, func(o *run) bool { return o.over }), r)
 	w.ledger.ran(wk, r.j)
+	if r.j.sending().deadly != nil {
+		// Its worker's end is its own.
+		return
+	}
 	took := time.Duration(float64(w.between(shortestService, longestService)) * wk.slow)
 	fails := w.chance(wk.fail)
 	if fails {
--- a/internal/proof/world.go
+++ b/internal/proof/world.go
@@ -27,6 +27,8 @@
 	platform *platform
 	nodes    []*node
 	ledger   *ledger
+	// quiet: callers of deadly requests do not come back any more.
+	quiet bool
 	// events counts those of the second.
 	events int
 	second int64
--- a/internal/server/content.go
+++ b/internal/server/content.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
 	"gypsumstand/internal/quarantine"
@@ -118,9 +121,18 @@
 	v := x.judge(now, c)
 	caution.Alone = v.RunsAlone()
 	caution.PutAside, caution.RetryAfter = v.PutAside, v.RetryAfter
+	if v.PutAside {
+		notePutAside(x.requests, c.work.Attempt.Request, c.known, v.RetryAfter)
+	}
 	return caution
 }
 
+// notePutAside logs that a sending of a request that is put aside is refused.
+func notePutAside(log *zerolog.Logger, id model.RequestID, content model.Fingerprint, retryAfter time.Duration) {
+	event.Log(log, event.PutAsideRefused).Str("request", string(id)).Str("fingerprint", content.String()).
+		Int("retry_after_ms", retryAfter.Milliseconds()).Send()
+}
+
 // lateRefusal judges an admitted attempt of which not all was here before, so that nothing
 // of it reaches the worker when it is put aside; nil lets it run.
 func (x *Executor) lateRefusal(c *content) *model.Refusal {
@@ -136,6 +148,7 @@
 	if !v.PutAside {
 		return nil
 	}
+	notePutAside(x.requests, c.work.Attempt.Request, c.known, v.RetryAfter)
 	x.finish(id, owner.Finish{NotRun: true, Abandoned: true})
 	return &model.Refusal{Reason: model.ReasonPutAside, NotRun: true, RetryAfter: v.RetryAfter}
 }
--- /dev/null
+++ b/internal/server/content_test.go
@@ -0,0 +1,193 @@
+package server
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/quarantine"
+)
+
+// suspects is an executor with a quarantine, whose worker counts its runs and breaks off
+// those whose path holds "breaks".
+func suspects(t *testing.T) (x *Executor, q *quarantine.Quarantine, runs *atomic.Int64) {
+	t.Helper()
+	runs = new(atomic.Int64)
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		if strings.Contains(r.URL.Path, "breaks") {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "done")
+	}))
+	t.Cleanup(worker.Close)
+	_, x = oneSlot(strings.TrimPrefix(worker.URL, "http://"))
+	q = quarantine.New(quarantine.Config{
+		Self: model.Instance{ID: "n0", Service: "ledger"}, Started: time.Now(),
+		Fleet: func() *model.Fleet { return &model.Fleet{} },
+	})
+	x.suspects = q
+	x.broke = func(r quarantine.Run) bool {
+		q.Broke(time.Now(), r)
+		q.Ended(time.Now())
+		return true
+	}
+	return x, q, runs
+}
+
+// workOf is an attempt with a path and a body, in one of the ways in which it may come.
+func workOf(sequence uint64, path, body string, way func(*Work, string)) *Work {
+	w := testWork(sequence)
+	w.URL = &url.URL{Path: path}
+	way(w, body)
+	return w
+}
+
+// The ways of a body.
+func heldBody(w *Work, body string) {
+	w.Held, w.Body, w.ContentLength = []byte(body), io.NopCloser(strings.NewReader(body)), int64(len(body))
+}
+
+func claimedBody(w *Work, body string) {
+	w.ContentLength = -1
+	w.Claim = func() error {
+		heldBody(w, body)
+		return nil
+	}
+}
+
+func streamedBody(w *Work, body string) {
+	w.Body, w.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+}
+
+// do carries an attempt out and reads its answer.
+func do(t *testing.T, x *Executor, w *Work) Result {
+	t.Helper()
+	r := x.Do(t.Context(), w)
+	if r.Answer != nil {
+		if _, err := io.ReadAll(r.Answer.Body); err != nil {
+			t.Error(err)
+		}
+		r.Answer.Body.Close()
+	}
+	return r
+}
+
+func TestARequestIsPutAsideHoweverItsBodyComes(t *testing.T) {
+	long := strings.Repeat("x", 3*replayBytes)
+	for _, tt := range []struct {
+		name string
+		body string
+		way  func(*Work, string)
+	}{
+		{"none", "", heldBody},
+		{"held", "pay", heldBody},
+		{"claimed", "pay", claimedBody},
+		{"streamed", long, streamedBody},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			x, _, runs := suspects(t)
+			for i := range uint64(3) {
+				if r := do(t, x, workOf(i+1, "/breaks", tt.body, tt.way)); r.Refusal.Reason != model.ReasonWorkerEnded || r.Refusal.NotRun {
+					t.Fatalf("run %d: %+v", i, r.Refusal)
+				}
+			}
+			r := do(t, x, workOf(4, "/breaks", tt.body, tt.way))
+			if r.Refusal.Reason != model.ReasonPutAside || !r.Refusal.NotRun || r.Refusal.RetryAfter <= 0 {
+				t.Errorf("after three ends: %+v; want put aside", r.Refusal)
+			}
+			if got := runs.Load(); got != 3 {
+				t.Errorf("%d runs; want 3", got)
+			}
+			// Another body of the same length is another request.
+			if tt.body == "" {
+				return
+			}
+			if r := do(t, x, workOf(5, "/breaks", "X"+tt.body[1:], tt.way)); r.Refusal.Reason != model.ReasonWorkerEnded {
+				t.Errorf("another body: %+v; want it to run", r.Refusal)
+			}
+		})
+	}
+}
+
+// The same payout is known again by whichever way it comes.
+func TestTheWayOfABodyIsNoPartOfTheRequest(t *testing.T) {
+	x, _, _ := suspects(t)
+	for i, way := range []func(*Work, string){heldBody, claimedBody, heldBody} {
+		do(t, x, workOf(uint64(i+1), "/breaks", "pay", way))
+	}
+	if r := do(t, x, workOf(4, "/breaks", "pay", claimedBody)); r.Refusal.Reason != model.ReasonPutAside {
+		t.Errorf("%+v; want put aside", r.Refusal)
+	}
+}
+
+func TestAWholeAnswerClearsARequest(t *testing.T) {
+	x, q, _ := suspects(t)
+	w := workOf(1, "/sound", "pay", heldBody)
+	content := x.contentOf(w).fingerprint()
+	q.Broke(time.Now(), quarantine.Run{Content: content, Began: time.Now()})
+	q.Ended(time.Now())
+	if v := q.Judge(time.Now(), content, ""); v.Ends != 1 {
+		t.Fatalf("%+v before", v)
+	}
+	do(t, x, w)
+	if v := q.Judge(time.Now(), content, ""); v.Ends != 0 {
+		t.Errorf("%+v after a whole answer", v)
+	}
+}
+
+// A run that is under way when the node learns of an end clears its request too.
+func TestARunFromBeforeAnEndClearsItsRequest(t *testing.T) {
+	x, q, _ := suspects(t)
+	w := workOf(1, "/sound", "pay", heldBody)
+	content := x.contentOf(w).fingerprint()
+	r := x.Do(t.Context(), w)
+	q.Broke(time.Now(), quarantine.Run{Content: content, Began: time.Now()})
+	q.Ended(time.Now())
+	if _, err := io.ReadAll(r.Answer.Body); err != nil {
+		t.Fatal(err)
+	}
+	r.Answer.Body.Close()
+	if v := q.Judge(time.Now(), content, ""); v.Ends != 0 {
+		t.Errorf("%+v after a whole answer", v)
+	}
+}
+
+// BenchmarkExecutor is an attempt from its offer to the end of its answer, beside no suspect
+// request and beside one.
+func BenchmarkExecutor(b *testing.B) {
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, "done")
+	}))
+	defer worker.Close()
+	for _, suspect := range []bool{false, true} {
+		b.Run(map[bool]string{false: "none suspect", true: "one suspect"}[suspect], func(b *testing.B) {
+			_, x := oneSlot(strings.TrimPrefix(worker.URL, "http://"))
+			if suspect {
+				x.suspects.Broke(time.Now(), quarantine.Run{Content: model.Fingerprint{1}, Began: time.Now()})
+				x.suspects.Ended(time.Now())
+			}
+			log := zerolog.Nop()
+			x.requests = &log
+			b.ReportAllocs()
+			for i := uint64(1); b.Loop(); i++ {
+				r := x.Do(b.Context(), workOf(i, "/payouts", "pay", heldBody))
+				if r.Answer == nil {
+					b.Fatalf("refused: %+v", r.Refusal)
+				}
+				_, _ = io.Copy(io.Discard, r.Answer.Body)
+				r.Answer.Body.Close()
+			}
+		})
+	}
+}
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -54,10 +54,12 @@
 	h := model.NewFingerprintHash(x.r.Method, host, x.r.URL, x.request.Tenant, x.body.length)
 	// A hash takes every write.
 	_, _ = h.Write(x.body.held)
-	after, barred := q.Barred(x.began, h.Sum())
+	content := h.Sum()
+	after, barred := q.Barred(x.began, content)
 	if !barred {
 		return false
 	}
+	notePutAside(x.caller.Requests, x.request.ID, content, after)
 	x.end(&carrier{exchange: x}, entry.Step{
 		Kind: entry.StepEnd, Outcome: model.OutcomeNotRun, Reason: model.ReasonPutAside, RetryAfter: after,
 	}, 0)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -46,6 +46,9 @@
 	storeAt  net.Listener
 	machines []*machine
 
+	// deadly counts the callers of deadly requests.
+	deadly sync.WaitGroup
+
 	mu sync.Mutex
 	// version is that of the newest configuration.
 	version int
@@ -69,6 +72,8 @@
 	lives   int
 	// born tells the worker's lives under one id apart.
 	born int
+	// ended: the worker's process is down.
+	ended bool
 	// spoil is how the worker spoils a part of its answers; empty for not.
 	spoil string
 	count int
@@ -140,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	m.worker = standin.NewWorker(standin.WorkerConfig{Service: m.service, OnRun: f.ledger.ran, Fault: m.fault}, m.lifeID(), l)
+	m.worker = standin.NewWorker(standin.WorkerConfig{Service: m.service, OnRun: m.ran, Fault: m.fault}, m.lifeID(), l)
 	var errs [5]error
 	m.peerWire, errs[0] = newProxy(net.JoinHostPort(ip(networkPeer, i), f.peerPort), net.JoinHostPort(ip(networkNode, i), f.peerPort))
 	m.storeWire, errs[1] = newProxy(ip(networkStore, i)+":0", f.storeAt.Addr().String())
@@ -224,6 +229,7 @@
 	}
 	p := &process{cmd: cmd, ended: make(chan struct{})}
 	m.process = p
+	m.fleet.ledger.started(m.index)
 	go m.await(p)
 	return nil
 }
@@ -237,6 +243,7 @@
 	}
 	if m.process == p {
 		m.process = nil
+		m.fleet.ledger.stopped(m.index)
 	}
 	m.mu.Unlock()
 	close(p.ended)
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -61,6 +61,8 @@
 	versions   map[int]time.Time
 	violations []string
 	lastEnd    time.Time
+	// lives are the spans in which nodes' processes ran, by machine.
+	lives map[int][]span
 }
 
 // span is a time of trouble; an open one has no end yet.
@@ -69,7 +71,7 @@
 func newLedger() *ledger {
 	return &ledger{
 		requests: map[string]*request{}, machineTrouble: map[int][]span{}, planned: map[int][]span{},
-		drained: map[string]time.Time{}, versions: map[int]time.Time{},
+		drained: map[string]time.Time{}, versions: map[int]time.Time{}, lives: map[int][]span{},
 	}
 }
 
@@ -217,6 +219,7 @@
 	for _, service := range []string{serviceOrders, serviceCatalogue} {
 		l.checkBudget(service)
 	}
+	l.checkDeadly()
 	l.checkRecovery()
 	return l.violations
 }
@@ -306,7 +309,7 @@
 	from := l.lastEnd.Add(recoveryTime)
 	asked, served := 0, 0
 	for _, r := range l.order {
-		if r.sent.Before(from) || strings.HasPrefix(r.class, "gen-") {
+		if r.sent.Before(from) || strings.HasPrefix(r.class, "gen-") || r.deadly() {
 			continue
 		}
 		asked++
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -96,6 +97,7 @@
 			l.add(&request{id: "x", class: "order", service: serviceOrders})
 			l.ran(standin.Run{ID: "x", Service: serviceOrders, Worker: "w1-0", At: at(drainTime + time.Second)})
 		},
+		"deadly": func(l *ledger) { l.addDeadly() },
 		"mixed": func(l *ledger) {
 			r := served("x", "order", serviceOrders, time.Second)
 			l.add(r)
@@ -125,6 +127,27 @@
 	}
 }
 
+// addDeadly adds a deadly request that goes on reaching workers of a machine.
+func (l *ledger) addDeadly() {
+	l.lives[1] = []span{{from: began.Add(-time.Minute)}}
+	for i := range 10 {
+		sent := time.Duration(i) * 1500 * time.Millisecond
+		r := served(fmt.Sprint("deadly", i), deadlyClass+"1", serviceCatalogue, sent)
+		r.status = http.StatusBadGateway
+		l.add(r)
+	}
+}
+
+// When every node has begun anew since, nobody can know.
+func TestADeadlyRequestThatNobodyCanKnowIsExcused(t *testing.T) {
+	l := calmLedger()
+	l.addDeadly()
+	l.lives[1] = []span{{from: began.Add(-time.Minute), to: at(6 * time.Second)}, {from: at(7 * time.Second)}}
+	if got := l.check(); len(got) != 0 {
+		t.Errorf("broken: %q", got)
+	}
+}
+
 func TestASeedRepeatsThePlan(t *testing.T) {
 	first, again := makePlan(7, 6, 20*time.Second, newestKinds), makePlan(7, 6, 20*time.Second, newestKinds)
 	if first.String() != again.String() {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,7 @@
 	kindReborn    kind = "reborn"      // a worker starts again under its id
 	kindForeign   kind = "foreign"     // another writer replaces a worker's entry
 	kindCutConfig kind = "cut-config"  // silence, and a configuration right after it
+	kindDeadly    kind = "deadly"      // from then on a caller sends a request that ends workers
 )
 
 // firstKinds is what plans of PlanFirst are drawn from.
@@ -44,8 +45,11 @@
 	kindAnswers, kindShed, kindPace, kindKillMany,
 }
 
+// secondKinds is what plans of PlanSecond are drawn from.
+var secondKinds = append(slices.Clone(firstKinds), kindReborn, kindForeign, kindForeign, kindCutConfig, kindCutConfig)
+
 // newestKinds is what plans of PlanNewest are drawn from.
-var newestKinds = append(slices.Clone(firstKinds), kindReborn, kindForeign, kindForeign, kindCutConfig, kindCutConfig)
+var newestKinds = append(slices.Clone(secondKinds), kindDeadly, kindDeadly)
 
 // PlanVersion is a list of kinds that plans are drawn from. A seed repeats its plan
 // under the version that it was played with.
@@ -55,11 +59,15 @@
 const (
 	PlanNewest PlanVersion = iota
 	PlanFirst
+	PlanSecond
 )
 
 func (v PlanVersion) kinds() []kind {
-	if v == PlanFirst {
+	switch v {
+	case PlanFirst:
 		return firstKinds
+	case PlanSecond:
+		return secondKinds
 	}
 	return newestKinds
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -18,14 +18,16 @@
 
 // proxy passes TCP connections on to a far address and harms them on demand.
 type proxy struct {
-	listener net.Listener
-	far      string
+	// near is the address that it listens at.
+	near, far string
 
-	mu    sync.Mutex
-	wire  wire
-	calm  *sync.Cond
-	conns map[net.Conn]bool
-	over  bool
+	mu sync.Mutex
+	// listener is nil while the port is closed.
+	listener net.Listener
+	wire     wire
+	calm     *sync.Cond
+	conns    map[net.Conn]bool
+	over     bool
 }
 
 // newProxy listens at address and passes on to far.
@@ -34,13 +36,40 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, far: far, conns: map[net.Conn]bool{}}
+	p := &proxy{near: l.Addr().String(), listener: l, far: far, conns: map[net.Conn]bool{}}
 	p.calm = sync.NewCond(&p.mu)
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.near }
+
+// shut closes the port with all connections, as when the process behind it ends.
+func (p *proxy) shut() {
+	p.mu.Lock()
+	if p.listener != nil {
+		p.listener.Close()
+		p.listener = nil
+	}
+	p.mu.Unlock()
+	p.reset()
+}
+
+// open opens the port after shut.
+func (p *proxy) open() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over || p.listener != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", p.near)
+	if err != nil {
+		return err
+	}
+	p.listener = l
+	go p.accept(l)
+	return nil
+}
 
 // set changes how bytes are treated from now on; bytes that a cut held back go on once
 // it ends.
@@ -65,17 +94,16 @@
 }
 
 func (p *proxy) close() {
-	p.listener.Close()
 	p.mu.Lock()
 	p.over = true
 	p.calm.Broadcast()
 	p.mu.Unlock()
-	p.reset()
+	p.shut()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		near, err := p.listener.Accept()
+		near, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,6 +66,7 @@
 		}()
 	}
 	f.play(clientsCtx, p)
+	defer f.deadly.Wait()
 	l.lastEnd = time.Now()
 	sleep(ctx, calmEnd)
 	stopClients()
@@ -148,6 +149,9 @@
 	case kindConfig:
 		f.configure()
 		return
+	case kindDeadly:
+		f.startDeadly(ctx, t)
+		return
 	case kindForget:
 		f.store.Compact()
 		return
@@ -342,15 +346,19 @@
 	c.sent++
 	class, service := c.draw()
 	r := &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), class: class, service: service, machine: c.machine.index}
-	uri := fmt.Sprintf("/%s/%d?ms=%d", class, c.sent, 2+c.rng.IntN(40))
+	c.exchange(ctx, r, fmt.Sprintf("/%s/%d?ms=%d", class, c.sent, 2+c.rng.IntN(40)), r.id)
+}
+
+// exchange sends a request with a body and notes its end.
+func (c *client) exchange(ctx context.Context, r *request, uri, text string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*routeTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.machine.caller+uri, io.NopCloser(strings.NewReader(r.id)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.machine.caller+uri, io.NopCloser(strings.NewReader(text)))
 	if err != nil {
 		c.fleet.ledger.violate("soak", "%v", err)
 		return
 	}
-	req.ContentLength = int64(len(r.id))
+	req.ContentLength = int64(len(text))
 	req.Host = "shop.example"
 	req.Header.Set(names.RequestID, r.id)
 	req.Header.Set(names.Deadline, fmt.Sprint(2*routeTimeout.Milliseconds()))
@@ -368,5 +376,5 @@
 	} else if body == nil {
 		body = []byte{}
 	}
-	c.fleet.ledger.answered(r, resp, body, standin.Body(service, http.MethodPost, uri, r.id))
+	c.fleet.ledger.answered(r, resp, body, standin.Body(r.service, http.MethodPost, uri, text))
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -14,6 +14,7 @@
 const (
 	NodePath    = "/status"
 	ExplainPath = "/explain"
+	AsidePath   = "/aside"
 
 	ParamMethod = "method"
 	ParamPath   = "path"
@@ -142,6 +143,35 @@
 	Refused uint64 `json:"refused"`
 }
 
+// Aside lists the requests under which workers ended, as a node knows of them: those that
+// are put aside first.
+type Aside struct {
+	Requests []SuspectRequest `json:"requests"`
+	// Ends counts the ends of this node's own worker with requests in hand.
+	Ends uint64 `json:"ends"`
+}
+
+// SuspectRequest is one request under which workers ended.
+type SuspectRequest struct {
+	// Fingerprint is the same for every sending of the request; events 514 to 517 name it.
+	Fingerprint string `json:"fingerprint"`
+	// Asked is method, host and path; empty where this node has never seen the request.
+	Asked string `json:"asked"`
+	// PutAside: it reaches no worker. SinceAge is for how long at this node, NextTrial the
+	// time until it may run once; nil when it may not any more.
+	PutAside  bool          `json:"put_aside"`
+	SinceAge  *Milliseconds `json:"since_age_ms"`
+	NextTrial *Milliseconds `json:"next_trial_ms"`
+	// Ends are the ends of workers under it.
+	Ends []SuspectEnd `json:"ends"`
+}
+
+// SuspectEnd is one end of a worker under a request.
+type SuspectEnd struct {
+	Instance model.InstanceID `json:"instance"`
+	Age      Milliseconds     `json:"age_ms"`
+}
+
 // Explanation tells why a request would go where at this moment.
 type Explanation struct {
 	// Method, Path, Tenant and Class are what was asked for.
--- a/internal/wire/decode_fuzz_test.go
+++ b/internal/wire/decode_fuzz_test.go
@@ -50,3 +50,62 @@
 	second, errB := Encode(b)
 	return errA == nil && errB == nil && string(first) == string(second)
 }
+
+// FuzzDecodeSuspects: whatever a peer sends, every reference of what is accepted names an
+// end, and the bounds hold.
+func FuzzDecodeSuspects(f *testing.F) {
+	news := SuspectNews{
+		From: "n1", Service: "ledger", Compare: true, Digests: make([]uint64, SuspectParts),
+		Ends:    []SuspectEnd{{ID: 7, Owner: "n1", AgeMs: 5}},
+		Records: []Suspect{{Content: model.Fingerprint{1}, Cleared: 1, Ends: []EndRef{NewEndRef(0, true, false)}}},
+	}
+	data, err := EncodeSuspects(&news)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		news, err := DecodeSuspects(data)
+		if err != nil {
+			return
+		}
+		if len(news.Records) > MaxSuspects {
+			t.Fatalf("%d records", len(news.Records))
+		}
+		for _, r := range news.Records {
+			for _, ref := range r.Ends {
+				_ = news.Ends[ref.Index()]
+			}
+		}
+	})
+}
+
+func TestAReferenceToAnEndKeepsWhatItSays(t *testing.T) {
+	for _, doubted := range []bool{false, true} {
+		for _, trial := range []bool{false, true} {
+			if r := NewEndRef(511, doubted, trial); r.Index() != 511 || r.Doubted() != doubted || r.Trial() != trial {
+				t.Errorf("%v, %v became %d, %v, %v", doubted, trial, r.Index(), r.Doubted(), r.Trial())
+			}
+		}
+	}
+}
+
+// A message of the greatest size that is sent is within the bound that receivers set.
+func TestTheLargestNewsOfSuspectsFits(t *testing.T) {
+	news := SuspectNews{From: model.InstanceID(make([]byte, 64)), Digests: make([]uint64, SuspectParts)}
+	for i := range MaxSuspects {
+		s := Suspect{Content: model.Fingerprint{byte(i)}, AgeMs: 1 << 31}
+		for k := range MaxSuspectEnds {
+			s.Ends = append(s.Ends, NewEndRef(i*MaxSuspectEnds+k, true, true))
+			news.Ends = append(news.Ends, SuspectEnd{ID: 1 << 63, Owner: model.InstanceID(make([]byte, 64)), AgeMs: 1 << 31})
+		}
+		news.Records = append(news.Records, s)
+	}
+	data, err := EncodeSuspects(&news)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := DecodeSuspects(data); err != nil {
+		t.Errorf("%d bytes: %v", len(data), err)
+	}
+}
