--- a/internal/failure/deadly_test.go
+++ b/internal/failure/deadly_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +12,8 @@
 	"gypsumstand/internal/answer"
 	"gypsumstand/internal/fake/worker"
 	"gypsumstand/internal/local"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/status"
 )
 
 // Callers of one service were refused for most of 20 s, three times in a day: one caller
@@ -119,11 +123,48 @@
 	for _, c := range []*callers{before, after, bad} {
 		c.check(t, f.Ledger)
 	}
+	wantToldPutAside(t, f, bad)
 	t.Logf("%d deadly runs, %d late; usual calls answered: %d of %d before, %d of %d after",
 		all, late, before.count(answered), len(before.sendings()), after.count(answered), len(after.sendings()))
 	return after
 }
 
+// wantToldPutAside fails the test unless the last sending of a deadly request was told that
+// it has not run, and every node shows operators why.
+func wantToldPutAside(t *testing.T, f *local.Fleet, c *callers) {
+	t.Helper()
+	sent := c.sendings()
+	last := sent[len(sent)-1]
+	if last.outcome != notRun || last.reason != model.ReasonPutAside.String() || last.told.status != http.StatusServiceUnavailable {
+		t.Errorf("the last sending of the deadly request: told %d %s %s", last.told.status, last.outcome, last.reason)
+	}
+	for _, m := range f.Members() {
+		aside := asideAt(t, m)
+		if len(aside.Requests) == 0 {
+			t.Errorf("%s shows nothing that is put aside", m.ID)
+			continue
+		}
+		if first := aside.Requests[0]; !first.PutAside || len(first.Ends) < 3 || first.NextTrial == nil {
+			t.Errorf("%s shows %+v first; want the deadly request", m.ID, first)
+		}
+	}
+}
+
+// asideAt reads what a node shows operators.
+func asideAt(t *testing.T, m *local.Member) status.Aside {
+	t.Helper()
+	resp, err := http.Get("http://" + m.Node.OperatorAddress() + status.AsidePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var out status.Aside
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
 // wantAllAnswered fails the test unless all were answered.
 func wantAllAnswered(t *testing.T, c *callers) {
 	t.Helper()
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -52,11 +52,7 @@
 // do not matter. passOn tells that other peers are to be told.
 func (t *table) merge(now time.Time, s *wire.Suspect, ends []end, wide, passOn bool) {
 	changed := before(now, s.AgeMs)
-	memory := suspectMemory
-	if wide {
-		memory = asideMemory
-	}
-	if now.Sub(changed) > memory {
+	if now.Sub(changed) > memory(wide, len(ends)) {
 		return
 	}
 	r := t.records[s.Content]
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -15,13 +15,13 @@
 // Bounds of what is remembered. Callers can make up requests that end workers without end,
 // and each end names all that was in hand.
 const (
-	// maxRecords bounds the records; about 250 bytes each.
+	// maxRecords bounds the records; about 460 bytes each.
 	maxRecords = 1024
 	// suspectMemory is how long a request that is not put aside is suspect after its last
 	// change. A day has eleven ends by themselves on ten thousand workers, so that the same
 	// innocent request is hardly in hand at three within an hour.
 	suspectMemory = time.Hour
-	// asideMemory is how long one that was put aside is remembered after its last change,
+	// asideMemory is how long one that is put aside is remembered after its last change,
 	// beyond its last trial.
 	asideMemory = 7 * 24 * time.Hour
 )
@@ -154,14 +154,18 @@
 	return true
 }
 
+// memory returns how long a record is kept. Of one that was released only that is left.
+func memory(wide bool, ends int) time.Duration {
+	if wide && ends > 0 {
+		return asideMemory
+	}
+	return suspectMemory
+}
+
 // expire forgets what is too old.
 func (t *table) expire(now time.Time) {
 	for _, r := range t.records {
-		memory := suspectMemory
-		if r.wide {
-			memory = asideMemory
-		}
-		if now.Sub(r.changed) > memory {
+		if now.Sub(r.changed) > memory(r.wide, len(r.ends)) {
 			t.forget(r)
 		}
 	}
