--- a/internal/event/worker.go
+++ b/internal/event/worker.go
@@ -27,6 +27,6 @@
 	Released = define(516, zerolog.InfoLevel, "request no longer put aside",
 		"A run of a request that was put aside came to its end, here or at another node, so it is served again. The subject is its fingerprint.", "none")
 	PutAsideTried = define(517, zerolog.WarnLevel, "request put aside is tried",
-		"A request that is put aside runs once at this node's worker, while nothing else suspect does: 30 s, 10 min and 24 h after the last end, three times in all. The subject is its fingerprint.",
+		"A request that is put aside runs once at this node's worker, while nothing else suspect does: 2 min, 30 min and 24 h after the last end, three times in all. The subject is its fingerprint.",
 		"When the worker ends under it: the fault is still there.")
 )
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -27,9 +27,10 @@
 )
 
 // trialPauses are the times from the last end to each trial of a request that is put
-// aside. The first is soon, for the sake of a request that workers which ended by
-// themselves had in hand; three is all that a request gets, since each may end a worker.
-var trialPauses = [...]time.Duration{30 * time.Second, 10 * time.Minute, 24 * time.Hour}
+// aside. The first is for the sake of a request that workers which ended by themselves had
+// in hand; three is all that a request gets, since each may end a worker, and hardly one
+// that is put aside is innocent.
+var trialPauses = [...]time.Duration{2 * time.Minute, 30 * time.Minute, 24 * time.Hour}
 
 // table holds the records of one node. It is not safe for concurrent use.
 type table struct {
