--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -137,7 +137,8 @@
 	// ReasonNotTakenUp: the owner did not begin to answer in time, and the attempt was
 	// withdrawn before anything of it could run.
 	ReasonNotTakenUp
-	// ReasonWorkerEnded: the worker's process ended while it had the attempt.
+	// ReasonWorkerEnded: the worker's process seems to have ended while it had the attempt:
+	// its port is closed, or it broke several attempts off at one moment.
 	ReasonWorkerEnded
 	// ReasonPutAside: workers ended under the same request time and again.
 	ReasonPutAside
--- a/internal/node/ended.go
+++ b/internal/node/ended.go
@@ -5,20 +5,26 @@
 	"syscall"
 	"time"
 
+	"gypsumstand/internal/pause"
 	"gypsumstand/internal/quarantine"
 )
 
 const (
-	// endedTimeout bounds the wait for the word whether the worker has ended, for which
-	// the caller of a broken attempt waits too. The worker is on this machine and answers
-	// in 1 ms; a node that is starved takes longer to ask.
+	// othersTimeout is how long a run that broke waits for the others that its worker had
+	// in hand: when it ended, all of them break at one moment, and a starved node reads that
+	// one after the other.
+	othersTimeout = 5 * time.Millisecond
+	// endedTimeout bounds the wait for the word whether the worker has ended, by a run that
+	// was alone. The measuring budget lets a poll pass every tenth of a second or so.
 	endedTimeout = 100 * time.Millisecond
-	// askAgainPause is the pause where the measuring budget lets nobody ask.
+	// lookInterval is the time between two looks, askAgainPause the pause where the budget
+	// lets nobody ask.
+	lookInterval  = time.Millisecond
 	askAgainPause = 5 * time.Millisecond
 )
 
-// broke takes a run that broke at the own worker and tells whether the worker has ended.
-// It implements server.ExecutorConfig.Broke.
+// broke takes a run that broke at the own worker and tells whether the worker seems to have
+// ended. It implements server.ExecutorConfig.Broke.
 func (n *Node) broke(r quarantine.Run) (ended bool) {
 	if n.core.Owner.Departing() {
 		return false
@@ -27,10 +33,41 @@
 	if n.core.Quarantine.Broke(now, r) {
 		return true
 	}
-	if !n.watch.gone(now) {
-		return false
+	n.start(func() { n.watch.askWhetherGone(now) })
+	return n.seemsEnded(now)
+}
+
+// seemsEnded tells whether the worker seems to have ended at the break of a run: its port is
+// closed, or another run broke at the same moment. While others go on it has not. The evidence
+// does not rest on this guess, which comes in time for the next attempt of the request.
+func (n *Node) seemsEnded(since time.Time) bool {
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		if ended, known := n.watch.lastWord(since); known {
+			return ended
+		}
+		if n.core.Quarantine.BrokeTogether(since) {
+			return true
+		}
+		age := time.Since(since)
+		if age > endedTimeout || age > othersTimeout && n.core.Owner.Running() > 0 {
+			return false
+		}
+		select {
+		case <-ticker.C:
+		case <-n.ctx.Done():
+			return false
+		}
 	}
-	return true
+}
+
+// workerRefused takes that a connection for an attempt found no listener at the worker's
+// port. It implements server.ExecutorConfig.PortClosed.
+func (n *Node) workerRefused() {
+	now := time.Now()
+	n.watch.noteRefused(syscall.ECONNREFUSED)
+	n.portClosed(now)
 }
 
 // ask polls the worker once and takes what came of it.
@@ -66,30 +103,20 @@
 	w.refusedAt = time.Now()
 }
 
-// gone tells whether the worker's port is found closed after since. It asks within the
-// measuring budget and blocks for endedTimeout at most; a worker that is back by then is
-// told by its next life.
-func (w *workerWatch) gone(since time.Time) bool {
-	timer := time.NewTimer(endedTimeout)
-	defer timer.Stop()
-	for {
-		ended, known := w.lastWord(since)
-		if known {
-			return ended
+// askWhetherGone polls, within the measuring budget, until the worker's port is found closed
+// or the worker has answered since a moment, for endedTimeout at most. A worker that is back
+// by then is told by its next life.
+func (w *workerWatch) askWhetherGone(since time.Time) {
+	for time.Since(since) < endedTimeout {
+		if _, known := w.lastWord(since); known {
+			return
 		}
 		select {
 		case <-w.refreshing():
-			if ended, known = w.lastWord(since); known {
-				return ended
-			}
-		case <-timer.C:
-			return false
-		}
-		select {
-		case <-time.After(askAgainPause):
-		case <-timer.C:
-			return false
+		case <-w.node.ctx.Done():
+			return
 		}
+		pause.For(w.node.ctx, askAgainPause)
 	}
 }
 
@@ -98,7 +125,7 @@
 func (w *workerWatch) lastWord(since time.Time) (ended, known bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.refusedAt.After(since) {
+	if !w.refusedAt.Before(since) {
 		return true, true
 	}
 	return false, w.answeredSince.After(since)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -235,6 +235,8 @@
 		Said:     n.watch.said,
 		Broke:    n.broke,
 
+		PortClosed: n.workerRefused,
+
 		Quarantine: n.core.Quarantine,
 		RouteHost: func(host, method, path string) string {
 			return n.core.Board.Bundles.Get().RouteHost(host, method, path)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -368,6 +368,13 @@
 	return len(o.live)
 }
 
+// Running returns the number of attempts at the worker.
+func (o *Owner) Running() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.inFlight
+}
+
 // take returns the decisions made since the last call and empties the buffer.
 func (o *Owner) take() []Decision {
 	ds := o.out
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -94,9 +94,18 @@
 	return runs
 }
 
-// Waits tells whether breaks wait for the word of an end.
-func (e *Evidence) Waits() bool {
+// sameMoment is how far apart runs break that one end broke, on a node that is not starved.
+const sameMoment = 20 * time.Millisecond
+
+// together tells whether at least two runs broke about that time.
+func (e *Evidence) together(at time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.unexplained) > 0
+	near := 0
+	for _, b := range e.unexplained {
+		if b.at.Sub(at).Abs() <= sameMoment {
+			near++
+		}
+	}
+	return near > 1
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -158,6 +158,10 @@
 	return true
 }
 
+// BrokeTogether tells whether at least two runs broke about that time, as when the worker has
+// ended and nobody has found its port closed yet.
+func (q *Quarantine) BrokeTogether(at time.Time) bool { return q.evidence.together(at) }
+
 // Ended takes the word that the own worker's life has ended, not as planned. It may come
 // more than once for one end.
 func (q *Quarantine) Ended(now time.Time) {
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -107,6 +107,8 @@
 	said     func(model.WorkerID)
 	broke    func(quarantine.Run) (ended bool)
 	suspects *quarantine.Quarantine
+	// portClosed is ExecutorConfig.PortClosed.
+	portClosed func()
 	// routeHost is ExecutorConfig.RouteHost.
 	routeHost func(host, method, path string) string
 	// transport is for idempotent requests, cautious for others; see cautiousIdle.
@@ -148,8 +150,10 @@
 	RouteHost func(host, method, path string) string
 	// Quarantine is asked about each request before its run, where it holds any.
 	Quarantine *quarantine.Quarantine
-	// Broke is told each run that broke at the worker, and tells whether the worker has
-	// ended. It may block for some milliseconds. Nil means that nobody wants to know, here and for Quarantine.
+	// PortClosed is told that nobody listens on the worker's port; nil means nobody.
+	PortClosed func()
+	// Broke is told each run that broke at the worker, and tells whether the worker seems to
+	// have ended. It may block for some milliseconds. Nil means that nobody wants to know, here and for Quarantine.
 	Broke func(quarantine.Run) (ended bool)
 }
 
@@ -161,6 +165,9 @@
 	if cfg.RouteHost == nil {
 		cfg.RouteHost = func(_, _, _ string) string { return "" }
 	}
+	if cfg.PortClosed == nil {
+		cfg.PortClosed = func() {}
+	}
 	if cfg.Broke == nil {
 		cfg.Broke = func(quarantine.Run) bool { return false }
 	}
@@ -177,8 +184,9 @@
 		broke:    cfg.Broke,
 		suspects: cfg.Quarantine,
 
-		routeHost: cfg.RouteHost,
-		waiters:   map[model.AttemptID]chan owner.Decision{},
+		portClosed: cfg.PortClosed,
+		routeHost:  cfg.RouteHost,
+		waiters:    map[model.AttemptID]chan owner.Decision{},
 	}
 	x.renewTransports(limits{slots: initialSlots, connections: initialConnections})
 	return x
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"gypsumstand/internal/dialect"
@@ -28,6 +29,9 @@
 	resp, err := x.transportFor(&w.Attempt).RoundTrip(req)
 	if err != nil {
 		defer cancel()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			x.portClosed()
+		}
 		return x.failed(ctx, asked, started, proof.NotRun())
 	}
 	x.traffic(false)
