--- a/internal/entry/ended_test.go
+++ b/internal/entry/ended_test.go
@@ -32,13 +32,13 @@
 
 // No other owner would take it, and the caller is told when to come back.
 func TestARequestThatIsPutAsideIsOfferedToNobodyElse(t *testing.T) {
-	for _, idempotent := range []bool{false, true} {
-		s := start(t, 3, func(r *Request) { r.Idempotent = idempotent })
+	for _, trait := range []func(*Request){func(*Request) {}, idempotent, keyed} {
+		s := start(t, 3, trait)
 		s.do(func(s *script) {
 			s.call.Refused(s.now, model.Refusal{Reason: model.ReasonPutAside, NotRun: true, RetryAfter: 20 * time.Second})
 		})
 		if s.step.Kind != StepEnd || s.step.Outcome != model.OutcomeNotRun || s.step.RetryAfter != 20*time.Second {
-			t.Errorf("idempotent %v: step %s, %s, come back after %s", idempotent, s.step.Kind, s.step.Outcome, s.step.RetryAfter)
+			t.Errorf("%+v: step %s, %s, come back after %s", s.call.req, s.step.Kind, s.step.Outcome, s.step.RetryAfter)
 		}
 	}
 }
