--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -47,8 +47,8 @@
 	pauses uint64
 	// life is the number of the worker's life at the start.
 	life uint64
-	// doubt is how suspect the request is.
-	doubt doubt
+	// alone: workers ended under the request, so that it runs where no other such one does.
+	alone bool
 }
 
 // free returns the number of attempts that may start now.
@@ -95,7 +95,9 @@
 	it.life = o.life
 	it.class.inFlight++
 	it.tenant.inFlight++
-	o.doubted[it.doubt]++
+	if it.alone {
+		o.alones++
+	}
 	o.inFlight++
 }
 
@@ -105,7 +107,9 @@
 	o.slowed -= it.slowness
 	it.class.inFlight--
 	it.tenant.inFlight--
-	o.doubted[it.doubt]--
+	if it.alone {
+		o.alones--
+	}
 	o.inFlight--
 }
 
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -57,7 +57,7 @@
 	}
 	it := o.newItem(t, a)
 	it.stamp = stampOf(t, a, sameNode)
-	it.doubt = c.doubt()
+	it.alone = c.alone()
 	if r := o.refuseKey(t, it); r.Reason != model.ReasonNone {
 		return Refuse, r
 	}
@@ -178,7 +178,7 @@
 
 // place starts, queues or refuses an attempt that nothing else forbids.
 func (o *Owner) place(t time.Duration, now time.Time, it *item) (Verdict, model.Refusal) {
-	if it.mayMove && (o.movesOn(t, it) || o.doubted.holds(it, o.limit.effective(t))) {
+	if it.mayMove && (o.movesOn(t, it) || o.mustWait(it)) {
 		return Refuse, o.refuseNew(t, it, o.busy(t, it))
 	}
 	if o.free(t) > 0 {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -95,8 +95,8 @@
 	queueLimit int
 
 	inFlight int
-	// doubted counts what is in flight by its doubt.
-	doubted doubtCounts
+	// alones counts what is in flight that is to run alone.
+	alones int
 	// slowed is the sum of the slowness of what is in flight.
 	slowed   float64
 	nextSeq  uint64
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -92,11 +92,11 @@
 	class  *class
 	tenant *tenant
 	late   bool
-	doubt  doubt
+	alone  bool
 }
 
-// keyOf parts what is suspect from the rest: it may have to wait while the rest starts.
-func keyOf(it *item) laneKey { return laneKey{it.class, it.tenant, it.late, it.doubt} }
+// keyOf parts what runs alone from the rest: it may have to wait while the rest starts.
+func keyOf(it *item) laneKey { return laneKey{it.class, it.tenant, it.late, it.alone} }
 
 // queue holds the waiting attempts. Only lanes that hold any are listed, so the
 // cost of a choice grows with the classes and tenants that wait.
--- a/internal/owner/shares.go
+++ b/internal/owner/shares.go
@@ -158,7 +158,7 @@
 	var bestBounded, bestUnder bool
 	for _, l := range o.queue.lanes {
 		it := l.best()
-		if o.held(t, it) || o.doubted.holds(it, limit) {
+		if o.held(t, it) || o.mustWait(it) {
 			continue
 		}
 		bounded := l.tenant.atBound(limit)
