failure: a deadly request whose caller does not wait reaches workers for as long as it comes

Found by asking which ends leave no broken run: the caller's time, 15 ms, is over before its worker ends at 30 ms, so that the run has been given up and its connection closed. Nobody is found to have been in hand.

--- a/internal/failure/deadly_test.go
+++ b/internal/failure/deadly_test.go
@@ -204,6 +204,26 @@
 	wantAllAnswered(t, playDeadly(t, f, &d, deadly, func() request { return payout("/payouts") }))
 }
 
+// The worker ends 30 ms after the run began, when the caller has been told that its time is
+// over and the run's connection is closed: no run breaks. Workers ended for as long as it came.
+func TestADeadlyRequestIsKeptFromWorkersAlsoWhenItsCallerDoesNotWait(t *testing.T) {
+	t.Parallel()
+	const path = "/deadly?of=8"
+	var d deaths
+	f := deadlyFleet(t, &d, func(r answer.Request) bool { return r.Target == path })
+	deadly := func() request {
+		r := view(path)
+		r.timeout = 15 * time.Millisecond
+		return r
+	}
+	n := 0
+	usual := func() request {
+		n++
+		return view(fmt.Sprintf("/usual?of=%d", n))
+	}
+	wantAllAnswered(t, playDeadly(t, f, &d, deadly, usual))
+}
+
 // A popular request is in hand at each end of workers that end by themselves: it must be
 // served as if nothing had happened.
 func TestAPopularRequestIsServedBesideWorkersThatEndByThemselves(t *testing.T) {
