quarantine: a run that was given up shortly before its worker's end was in hand

A caller with 15 ms for a deadly request ended 37 workers in 8 s, 21 of them later than 3 s after the third, and 108 of 199 usual calls were answered beside it: its runs had been given up when their worker ended, so that nothing broke and nobody was in hand.

The last 32 runs that were given up within 2 s before an end are its suspects too. Whole runs clear the innocent among them as before.

--- a/internal/proof/deadly.go
+++ b/internal/proof/deadly.go
@@ -140,10 +140,7 @@
 	if l.core.Owner.Departing() || l.w.switches.noEvidence {
 		return false
 	}
-	known := l.core.Quarantine.Broke(l.w.now, quarantine.Run{
-		Content: j.sending().fingerprint(), Began: j.started,
-		Doubted: j.attempt.Ends > 0 || j.verdict.Ends > 0, Trial: j.verdict.Trial,
-	})
+	known := l.core.Quarantine.Broke(l.w.now, j.quarantined())
 	if !known && l.node.worker.refusesConnections() {
 		l.core.Quarantine.Ended(l.w.now)
 		known = true
@@ -152,6 +149,14 @@
 	return known
 }
 
+// quarantined tells of the job's run (content.run).
+func (j *job) quarantined() quarantine.Run {
+	return quarantine.Run{
+		Content: j.sending().fingerprint(), Began: j.started,
+		Doubted: j.attempt.Ends > 0 || j.verdict.Ends > 0, Trial: j.verdict.Trial,
+	}
+}
+
 // completed tells the quarantine of a whole answer.
 func (j *job) completed() {
 	if q := j.l.core.Quarantine; !q.Empty() {
--- a/internal/proof/executor.go
+++ b/internal/proof/executor.go
@@ -186,6 +186,9 @@
 		Delegate: notRun && !j.gaveUp, Failed: !j.gaveUp, Expired: j.expired,
 	})
 	reason := model.ReasonWorkerBroken
+	if !notRun && (j.gaveUp || j.expired) {
+		j.l.core.Quarantine.Left(j.l.w.now, j.quarantined())
+	}
 	switch {
 	case notRun:
 		reason = delegated(&j.attempt, model.ReasonWorkerUnreachable)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -19,6 +19,12 @@
 	lateFor = 2 * time.Second
 	// maxUnexplained bounds the breaks that wait: more than any worker has slots.
 	maxUnexplained = 512
+	// leftFor is how long before an end a run may have been given up and still be its cause: a
+	// worker may work on for a while after its caller has left.
+	leftFor = 2 * time.Second
+	// maxLeft bounds the runs that were given up and are remembered. Where many callers leave
+	// each of them is hardly suspect.
+	maxLeft = 32
 )
 
 // Run is one run of a request at the worker.
@@ -45,11 +51,14 @@
 	mu sync.Mutex
 	// unexplained are the breaks of which no end is known, oldest first.
 	unexplained []brokenRun
+	// left are the runs that were given up before they ended, oldest first.
+	left []brokenRun
 	// last is the end that was noticed last, at the time noticed; zero before the first.
 	last    EndID
 	noticed time.Time
 }
 
+// brokenRun is a run that did not come to its end, with the time at which that was noticed.
 type brokenRun struct {
 	run Run
 	at  time.Time
@@ -70,24 +79,40 @@
 	return 0
 }
 
+// Left takes a run that was given up at time now, before it came to its end.
+func (e *Evidence) Left(now time.Time, r Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.left) == maxLeft {
+		e.left = e.left[1:]
+	}
+	e.left = append(e.left, brokenRun{r, now})
+}
+
 // Ended takes the word, at time now, that the worker's life has ended, and returns the runs
-// that broke with it. It may be told more than once of one end; next names a new one.
+// that were in hand: those that broke with it, and those that had been given up shortly
+// before. It may be told more than once of one end; next names a new one.
 func (e *Evidence) Ended(now time.Time, next EndID) []Run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	waiting := e.unexplained
-	e.unexplained = nil
-	if len(waiting) == 0 {
-		return nil
+	broken, left := e.unexplained, e.left
+	e.unexplained, e.left = nil, nil
+	at := now
+	if n := len(broken); n > 0 && now.Sub(broken[n-1].at) <= unexplainedFor {
+		at = broken[n-1].at
 	}
-	latest := waiting[len(waiting)-1].at
-	if now.Sub(latest) > unexplainedFor {
-		return nil
+	runs := since(nil, broken, at.Add(-togetherFor))
+	runs = since(runs, left, at.Add(-leftFor))
+	if len(runs) > 0 {
+		e.last, e.noticed = next, now
 	}
-	e.last, e.noticed = next, now
-	var runs []Run
-	for _, b := range waiting {
-		if latest.Sub(b.at) <= togetherFor {
+	return runs
+}
+
+// since adds the runs that ended at a time or later.
+func since(runs []Run, ended []brokenRun, at time.Time) []Run {
+	for _, b := range ended {
+		if !b.at.Before(at) {
 			runs = append(runs, b.run)
 		}
 	}
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -62,3 +62,23 @@
 		t.Errorf("breaks from long before an end were in hand: %v", got)
 	}
 }
+
+// A worker may work on after its caller has left, and end then.
+func TestARunThatWasGivenUpShortlyBeforeAnEndWasInHand(t *testing.T) {
+	var e Evidence
+	e.Left(at(-3000), runOf(1, -3100))
+	e.Left(at(0), runOf(2, -15))
+	if got := e.Ended(at(400), 7); len(got) != 1 || got[0].Content != content(2) {
+		t.Errorf("in hand: %v; want the one that was given up 0.4 s before", got)
+	}
+	if got := e.Ended(at(800), 8); got != nil {
+		t.Errorf("told twice of one end: %v were in hand", got)
+	}
+	for i := range 3 * maxLeft {
+		e.Left(at(1000+i), runOf(10+i, 1000))
+	}
+	e.Broke(at(1300), runOf(3, 1200))
+	if got := len(e.Ended(at(1310), 9)); got != maxLeft+1 {
+		t.Errorf("%d in hand; want the one that broke and the last %d that were given up", got, maxLeft)
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -158,6 +158,10 @@
 	return true
 }
 
+// Left takes a run at the own worker that was given up before its end: the worker may still
+// have been at work when it ended.
+func (q *Quarantine) Left(now time.Time, r Run) { q.evidence.Left(now, r) }
+
 // BrokeTogether tells whether at least two runs broke about that time, as when the worker has
 // ended and nobody has found its port closed yet.
 func (q *Quarantine) BrokeTogether(at time.Time) bool { return q.evidence.together(at) }
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -71,7 +71,9 @@
 		switch {
 		case whole:
 			x.completed(asked)
-		case !f.Abandoned && !f.Expired:
+		case f.Abandoned || f.Expired:
+			x.suspects.Left(time.Now(), asked.run(started))
+		default:
 			x.broke(asked.run(started))
 		}
 	}}
@@ -112,6 +114,9 @@
 		x.traffic(true)
 	}
 	reason := model.ReasonWorkerBroken
+	if !notRun && ctx.Err() != nil {
+		x.suspects.Left(time.Now(), asked.run(started))
+	}
 	switch {
 	case gaveUp:
 		reason = model.ReasonCancelled
