quarantine: suspects are compared every third round

News of them is told at once; comparing is for nodes that were away, who must know within 3 s what is put aside, not what is suspect.

--- a/internal/quarantine/rounds.go
+++ b/internal/quarantine/rounds.go
@@ -17,6 +17,9 @@
 	// perRound is the number of neighbours in a round, in turn. In a fleet of ten a node
 	// has four, so that it talks to each within two rounds, and four others to it.
 	perRound = 2
+	// suspectsEvery is the number of rounds after which suspects are compared too. News of them
+	// is told at once, and a request that is put aside is not among them.
+	suspectsEvery = 3
 	// freshRounds is the number of rounds of a node that knows of no suspect, after its
 	// start or a pause: it asks, since others may know of some.
 	freshRounds = 5
@@ -43,8 +46,8 @@
 	next time.Time
 	// fresh counts the rounds left in which a node that knows of nothing asks.
 	fresh int
-	// turn counts the neighbours that rounds went to.
-	turn       int
+	// count counts the rounds.
+	count      int
 	expire     time.Time
 	tokens     float64
 	tokensAt   time.Time
@@ -164,18 +167,22 @@
 	r.next = now.Add(roundInterval)
 	asks := r.fresh > 0
 	r.fresh = max(r.fresh-1, 0)
-	for i := range perRound {
-		for _, of := range []struct {
-			wide bool
-			ring []model.Instance
-		}{{true, n.fleet}, {false, n.service}} {
-			if i < len(of.ring) && (asks || q.table.holds(of.wide)) {
-				to := of.ring[(r.turn+i)%len(of.ring)]
-				out = append(out, control.TellSuspects{To: to, News: q.comparison(of.wide)})
-			}
-		}
+	r.count++
+	if asks || q.table.holds(true) {
+		out = q.compare(out, true, n.fleet, r.count)
+	}
+	if asks || r.count%suspectsEvery == 0 && q.table.holds(false) {
+		out = q.compare(out, false, n.service, r.count/suspectsEvery)
+	}
+	return out
+}
+
+// compare compares the records of one kind with some of the peers, others in each turn.
+func (q *Quarantine) compare(out []control.Action, wide bool, peers []model.Instance, turn int) []control.Action {
+	for i := range min(perRound, len(peers)) {
+		to := peers[(turn*perRound+i)%len(peers)]
+		out = append(out, control.TellSuspects{To: to, News: q.comparison(wide)})
 	}
-	r.turn += perRound
 	return out
 }
 
