server: a request that is put aside while a sending of it waits does not run after all

A sending that had been judged as it came, and then waited for a slot, ran although its request had been put aside meanwhile: found by reading, shown by the test. It is judged once more right before its run, which also tells whether that run is a doubted one.

--- a/internal/ctl/aside.go
+++ b/internal/ctl/aside.go
@@ -1,8 +1,6 @@
 package ctl
 
 import (
-	"context"
-	"flag"
 	"fmt"
 	"io"
 	"strings"
@@ -20,17 +18,7 @@
 asked for is shown where this node has seen it. All nodes know what is put aside, and
 those of a service what is suspect there.`,
 	examples: []string{"127.0.0.1:7003", "-json 127.0.0.1:7003"},
-	setup: func(flags *flag.FlagSet) runner {
-		q := newQuestion(flags)
-		return func(ctx context.Context, s *streams, args []string) error {
-			address, err := operatorAddress(args)
-			if err != nil {
-				return err
-			}
-			var aside status.Aside
-			return q.put(ctx, s, address, status.AsidePath, nil, &aside, func() error { return writeAside(s.out, &aside) })
-		}
-	},
+	setup:    shows(status.AsidePath, writeAside),
 }
 
 func writeAside(w io.Writer, a *status.Aside) error {
--- a/internal/ctl/remote.go
+++ b/internal/ctl/remote.go
@@ -46,6 +46,21 @@
 	}
 }
 
+// shows is the setup of a command that asks a node for one thing and writes it.
+func shows[T any](path string, write func(io.Writer, *T) error) func(*flag.FlagSet) runner {
+	return func(flags *flag.FlagSet) runner {
+		q := newQuestion(flags)
+		return func(ctx context.Context, s *streams, args []string) error {
+			address, err := operatorAddress(args)
+			if err != nil {
+				return err
+			}
+			var answer T
+			return q.put(ctx, s, address, path, nil, &answer, func() error { return write(s.out, &answer) })
+		}
+	}
+}
+
 // put asks the node and prints its answer: as it is, or read into answer and
 // written by write.
 func (q question) put(ctx context.Context, s *streams, address, path string, query url.Values, answer any, write func() error) error {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -1,8 +1,6 @@
 package ctl
 
 import (
-	"context"
-	"flag"
 	"fmt"
 	"io"
 	"strings"
@@ -19,17 +17,7 @@
 the bundles in force, the fleet, how old its sources are, its own worker's load, its
 links and its measuring.`,
 	examples: []string{"127.0.0.1:7003", "-json 127.0.0.1:7003"},
-	setup: func(flags *flag.FlagSet) runner {
-		q := newQuestion(flags)
-		return func(ctx context.Context, s *streams, args []string) error {
-			address, err := operatorAddress(args)
-			if err != nil {
-				return err
-			}
-			var node status.Node
-			return q.put(ctx, s, address, status.NodePath, nil, &node, func() error { return writeNode(s.out, &node) })
-		}
-	},
+	setup:    shows(status.NodePath, writeNode),
 }
 
 // Layout of tables.
--- a/internal/server/content.go
+++ b/internal/server/content.go
@@ -6,11 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
-	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
-	"gypsumstand/internal/owner"
 	"gypsumstand/internal/quarantine"
 )
 
@@ -22,8 +18,7 @@
 	host func(host, method, path string) string
 	// known is the fingerprint once it was asked for.
 	known model.Fingerprint
-	// judged tells that the quarantine was asked, and verdict what it said.
-	judged  bool
+	// verdict is what the quarantine said last.
 	verdict quarantine.Verdict
 	// passing is the hash of a body that streams; nil for others.
 	passing *passingBody
@@ -102,64 +97,6 @@
 	io.Closer
 }
 
-// judge asks the quarantine about the request.
-func (x *Executor) judge(now time.Time, c *content) quarantine.Verdict {
-	if !c.judged {
-		c.judged = true
-		c.verdict = x.suspects.Judge(now, c.fingerprint(), c.label())
-	}
-	return c.verdict
-}
-
-// caution tells the owner how to treat an attempt. A request of which not all is here yet
-// is judged once it is: see lateRefusal.
-func (x *Executor) caution(now time.Time, c *content) owner.Caution {
-	caution := owner.Caution{Ends: int(c.work.Attempt.Ends)}
-	if x.suspects.Empty() || !c.here() {
-		return caution
-	}
-	v := x.judge(now, c)
-	caution.Alone = v.RunsAlone()
-	caution.PutAside, caution.RetryAfter = v.PutAside, v.RetryAfter
-	if v.PutAside {
-		notePutAside(x.requests, c.work.Attempt.Request, c.known, v.RetryAfter)
-	}
-	return caution
-}
-
-// notePutAside logs that a sending of a request that is put aside is refused.
-func notePutAside(log *zerolog.Logger, id model.RequestID, content model.Fingerprint, retryAfter time.Duration) {
-	event.Log(log, event.PutAsideRefused).Str("request", string(id)).Str("fingerprint", content.String()).
-		Int("retry_after_ms", retryAfter.Milliseconds()).Send()
-}
-
-// lateRefusal judges an admitted attempt of which not all was here before, so that nothing
-// of it reaches the worker when it is put aside; nil lets it run.
-func (x *Executor) lateRefusal(c *content) *model.Refusal {
-	if x.suspects.Empty() || c.judged {
-		return nil
-	}
-	id := c.work.Attempt.ID
-	if c.readAhead() != nil {
-		x.finish(id, owner.Finish{NotRun: true, Abandoned: true})
-		return &model.Refusal{Reason: model.ReasonCancelled, NotRun: true}
-	}
-	v := x.judge(time.Now(), c)
-	if !v.PutAside {
-		return nil
-	}
-	notePutAside(x.requests, c.work.Attempt.Request, c.known, v.RetryAfter)
-	x.finish(id, owner.Finish{NotRun: true, Abandoned: true})
-	return &model.Refusal{Reason: model.ReasonPutAside, NotRun: true, RetryAfter: v.RetryAfter}
-}
-
-// completed takes a whole answer: the request ends no workers.
-func (x *Executor) completed(c *content) {
-	if !x.suspects.Empty() {
-		x.suspects.Completed(time.Now(), c.fingerprint())
-	}
-}
-
 // passingBody hashes the beginning of a body as it is read, by one reader at a time.
 type passingBody struct {
 	io.ReadCloser
--- a/internal/server/content_test.go
+++ b/internal/server/content_test.go
@@ -162,6 +162,37 @@
 	}
 }
 
+// A sending that waits for a slot when its request is put aside does not run after all.
+func TestARequestThatIsPutAsideWhileItWaitsDoesNotRun(t *testing.T) {
+	release := make(chan struct{})
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "done")
+	}))
+	defer worker.Close()
+	x, q, _ := suspects(t)
+	x.address = strings.TrimPrefix(worker.URL, "http://")
+	// Something is suspect already, so that the sending is judged as it comes.
+	q.Broke(time.Now(), quarantine.Run{Content: model.Fingerprint{1}, Began: time.Now()})
+	q.Ended(time.Now())
+	results := make(chan Result, 2)
+	go func() { results <- do(t, x, workOf(1, "/sound", "", heldBody)) }()
+	await(t, x.owner, func(r model.LoadReport) bool { return r.InFlight == 1 })
+	waiting := workOf(2, "/deadly", "pay", heldBody)
+	content := x.contentOf(waiting).fingerprint()
+	go func() { results <- do(t, x, waiting) }()
+	await(t, x.owner, func(r model.LoadReport) bool { return r.Queued == 1 })
+	for range 3 {
+		q.Broke(time.Now(), quarantine.Run{Content: content, Began: time.Now(), Doubted: true})
+		q.Ended(time.Now())
+	}
+	close(release)
+	<-results
+	if r := <-results; r.Refusal.Reason != model.ReasonPutAside || !r.Refusal.NotRun {
+		t.Errorf("%+v, %+v; want put aside", r.Answer, r.Refusal)
+	}
+}
+
 // BenchmarkExecutor is an attempt from its offer to the end of its answer, beside no suspect
 // request and beside one.
 func BenchmarkExecutor(b *testing.B) {
