--- a/internal/proof/deadly.go
+++ b/internal/proof/deadly.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// judge asks the quarantine about a job (Executor.caution).
+// judge asks the quarantine about a job (Executor.judge).
 func (j *job) judge() quarantine.Verdict {
 	q := j.l.core.Quarantine
 	if q.Empty() {
--- a/internal/proof/executor.go
+++ b/internal/proof/executor.go
@@ -113,6 +113,11 @@
 
 func (j *job) confirm() {
 	l := j.l
+	if !j.verdict.Trial && j.judge().PutAside {
+		j.finish(owner.Finish{NotRun: true, Abandoned: true})
+		j.refuse(model.Refusal{Reason: model.ReasonPutAside, NotRun: true})
+		return
+	}
 	j.started = l.w.now
 	if !j.forced && !l.core.Owner.Confirm(l.w.now, j.attempt.ID) {
 		j.finish(owner.Finish{NotRun: true})
