--- a/internal/quarantine/innocent_test.go
+++ b/internal/quarantine/innocent_test.go
@@ -25,7 +25,6 @@
 }
 
 type worker struct {
-	life int
 	down bool
 	// inHand are the runs of the present life.
 	inHand map[*request]bool
