--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -84,7 +84,7 @@
 	staying bool
 	sends   int
 	retries int
-	// ends counts the workers that ended under this call's attempts.
+	// ends counts the workers that seem to have ended under this call's attempts.
 	ends   int
 	rounds int
 	asks   int
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -48,7 +48,7 @@
 	// every change, where it follows one. It says nothing of its age: an attempt may
 	// have waited on its way for as long as a link was cut.
 	DirectoryRevision uint64 `cbor:"20,keyasint,omitempty"`
-	// Ends counts the workers that ended under earlier attempts of this sending.
+	// Ends counts the workers that seem to have ended under earlier attempts of this sending.
 	Ends uint8 `cbor:"21,keyasint,omitempty"`
 }
 
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -148,12 +148,13 @@
 	// RouteHost returns a request's host where its route is for that host only, else empty.
 	// Nil stands for routes for any host.
 	RouteHost func(host, method, path string) string
-	// Quarantine is asked about each request before its run, where it holds any.
+	// Quarantine is asked about each request before its run, where it holds any; nil means
+	// that nothing is ever suspect.
 	Quarantine *quarantine.Quarantine
 	// PortClosed is told that nobody listens on the worker's port; nil means nobody.
 	PortClosed func()
 	// Broke is told each run that broke at the worker, and tells whether the worker seems to
-	// have ended. It may block for some milliseconds. Nil means that nobody wants to know, here and for Quarantine.
+	// have ended. It may block for a tenth of a second. Nil means that nobody wants to know.
 	Broke func(quarantine.Run) (ended bool)
 }
 
@@ -183,10 +184,10 @@
 		said:     cfg.Said,
 		broke:    cfg.Broke,
 		suspects: cfg.Quarantine,
+		waiters:  map[model.AttemptID]chan owner.Decision{},
 
 		portClosed: cfg.PortClosed,
 		routeHost:  cfg.RouteHost,
-		waiters:    map[model.AttemptID]chan owner.Decision{},
 	}
 	x.renewTransports(limits{slots: initialSlots, connections: initialConnections})
 	return x
