quarantine: all that was in hand at an end is remembered beside a full table

Of 18 requests in hand only the last was remembered when callers had filled the table with others that one end is known of: a record that had not been judged yet counted as the least suspect, and made room for the next. Found by reading; the test failed for 17 of 18.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -87,8 +87,11 @@
 	}
 }
 
-// touch notes that a record changed at that time, and that peers have not been told.
+// touch notes that a record changed at that time, and that peers have not been told. Until it
+// is judged it counts as suspect, or the next one of the same end would take its place in a
+// full table.
 func (t *table) touch(r *record, at time.Time) {
+	r.left = max(r.left, min(len(r.ends), 1))
 	r.changed = later(r.changed, at)
 	r.untold = true
 	t.changed = true
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -271,6 +271,25 @@
 	}
 }
 
+// What was in hand at one end stays together beside a full table: one by one each pushed the
+// one before it out.
+func TestAnEndBesideAFullTableIsRememberedWhole(t *testing.T) {
+	tb := newTable()
+	for i := range 2 * maxRecords {
+		tb.endAt(at(i), i, false, i)
+	}
+	var inHand []int
+	for i := range 18 {
+		inHand = append(inHand, 10_000+i)
+	}
+	tb.endAt(at(3*maxRecords), 3*maxRecords, false, inHand...)
+	for _, c := range inHand {
+		if tb.records[content(c)] == nil {
+			t.Errorf("request %d is forgotten", c)
+		}
+	}
+}
+
 func TestTrialsAreSpreadOverTheOwners(t *testing.T) {
 	names := []model.InstanceID{"a", "b", "c", "d"}
 	homes := map[model.InstanceID]int{}
