--- a/internal/failure/deadly_test.go
+++ b/internal/failure/deadly_test.go
@@ -93,7 +93,8 @@
 		case <-ticker.C:
 		}
 		address := f.Callers()[i%len(f.Callers())]
-		wg.Go(func() { c.send(context.WithoutCancel(ctx), address, next()) })
+		r := next()
+		wg.Go(func() { c.send(context.WithoutCancel(ctx), address, r) })
 	}
 }
 
