--- a/internal/proof/run_test.go
+++ b/internal/proof/run_test.go
@@ -20,3 +20,14 @@
 		t.Error(breach)
 	}
 }
+
+// Plans that once showed a fault, by their seeds.
+//
+//	6334: two nodes asked for a version and declined it without end
+func TestPlansThatOnceFailedHold(t *testing.T) {
+	for _, seed := range []uint64{6334} {
+		for _, breach := range Run(Plan{Seed: seed, Steps: 60, Deadly: true}).Breaches {
+			t.Errorf("seed %d: %s", seed, breach)
+		}
+	}
+}
