quarantine, server: one copy of what the change had written twice

A re-reading of the change; behaviour stays as it was.

- Each judgement counted the unexplained ends of every record twice, once for the count and once for the verdict: record.judge counts them once.
- Breaks and runs that were left had a bounded append each: appendNewest.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -150,10 +150,10 @@
 		Engine:  entry.NewEngine(entry.Config{Self: cfg.Self, Random: cfg.Random}, table),
 		Landing: measure.NewLanding(cfg.Started, bundle.Measuring{}),
 		Origin:  measure.NewOrigin(cfg.Random),
-		cfg:     cfg,
-
-		Quarantine: quarantine.New(quarantine.Config{Self: cfg.Self, Started: cfg.Started, Fleet: board.Fleet.Get}),
-
+		Quarantine: quarantine.New(quarantine.Config{
+			Self: cfg.Self, Started: cfg.Started, Fleet: board.Fleet.Get,
+		}),
+		cfg:   cfg,
 		reach: reach.New(cfg.Self.ID, table, board, rng),
 	}
 	if cfg.FollowsDirectory {
--- a/internal/model/fingerprint.go
+++ b/internal/model/fingerprint.go
@@ -40,6 +40,15 @@
 	return h
 }
 
+// NewFingerprint returns the fingerprint of a request whose body is here. length is what the
+// caller says of the body, negative where it does not say.
+func NewFingerprint(method, host string, u *url.URL, tenant TenantName, length int64, body []byte) Fingerprint {
+	h := NewFingerprintHash(method, host, u, tenant, length)
+	// A hash takes every write.
+	_, _ = h.Write(body)
+	return h.Sum()
+}
+
 // usualHead is room for the fields of most requests, in bytes.
 const usualHead = 256
 
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -65,7 +65,7 @@
 		release: make(chan struct{}),
 		replies: make(chan error, 100),
 	}
-	b.Fleet = startLogged(t, 2, b.work, 30*time.Second, b.log)
+	b.Fleet = startLogged(t, fmt.Sprintf(faultBundle, 1), 2, b.work, 30*time.Second, b.log)
 	for i, address := range b.Callers() {
 		for k := range callersEach {
 			go func() { b.replies <- b.call(address, fmt.Sprintf("payout-%d-%d", i, k)) }()
@@ -82,10 +82,10 @@
 }
 
 // startLogged runs a ready fleet of one data centre that logs to log.
-func startLogged(t *testing.T, workers int, work http.HandlerFunc, stop time.Duration, log *faultLog) *local.Fleet {
+func startLogged(t *testing.T, bundle string, workers int, work http.HandlerFunc, stop time.Duration, log io.Writer) *local.Fleet {
 	t.Helper()
 	f, err := local.Start(local.Config{
-		Bundle:      fmt.Appendf(nil, faultBundle, 1),
+		Bundle:      []byte(bundle),
 		Services:    []local.Service{{Name: "ledger", Workers: workers, Handler: work}},
 		DataCentres: 1,
 		StopTimeout: stop,
@@ -251,7 +251,7 @@
 func stuckFleet(t *testing.T) (*local.Fleet, *faultLog) {
 	t.Helper()
 	log := &faultLog{seen: map[string]chan struct{}{}}
-	f := startLogged(t, 1, http.NotFound, 2*time.Second, log)
+	f := startLogged(t, fmt.Sprintf(faultBundle, 1), 1, http.NotFound, 2*time.Second, log)
 	return f, log
 }
 
--- a/internal/node/hedge_test.go
+++ b/internal/node/hedge_test.go
@@ -6,10 +6,6 @@
 	"sync/atomic"
 	"testing"
 	"time"
-
-	"github.com/rs/zerolog"
-
-	"gypsumstand/internal/local"
 )
 
 // hedgeBundle hedges whatever is slower than the median.
@@ -38,32 +34,15 @@
 	var hanging atomic.Bool
 	var hung atomic.Int64
 	given := make(chan struct{}, 1)
-	worker := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	worker := func(w http.ResponseWriter, r *http.Request) {
 		if hanging.Load() && hung.Add(1) == 1 {
 			<-r.Context().Done()
 			given <- struct{}{}
 			return
 		}
 		_, _ = io.WriteString(w, "for "+r.Header.Get("Idempotency-Key"))
-	})
-	f, err := local.Start(local.Config{
-		Bundle:      []byte(hedgeBundle),
-		Services:    []local.Service{{Name: "ledger", Workers: 2, Handler: worker}},
-		DataCentres: 1,
-		StopTimeout: 10 * time.Second,
-		Log:         zerolog.Nop(),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := f.Close(); err != nil {
-			t.Error(err)
-		}
-	})
-	if err := f.Await(t.Context(), local.Ready); err != nil {
-		t.Fatal(err)
 	}
+	f := startLogged(t, hedgeBundle, 2, worker, 10*time.Second, io.Discard)
 	// The pace of a class is known after a thousand answers.
 	for i := range 1100 {
 		if got, _, err := do(t, f, http.MethodGet, "/", "", nil); err != nil || got.Outcome != "answered" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -236,7 +236,6 @@
 		Broke:    n.broke,
 
 		PortClosed: n.workerRefused,
-
 		Quarantine: n.core.Quarantine,
 		RouteHost: func(host, method, path string) string {
 			return n.core.Board.Bundles.Get().RouteHost(host, method, path)
--- a/internal/proof/deadly.go
+++ b/internal/proof/deadly.go
@@ -66,10 +66,7 @@
 	if s.deadly != nil {
 		body = s.deadly.name
 	}
-	h := model.NewFingerprintHash(s.route.method, "", &url.URL{Path: s.route.path}, s.tenant, int64(len(body)))
-	// A hash takes every write.
-	_, _ = h.Write([]byte(body))
-	return h.Sum()
+	return model.NewFingerprint(s.route.method, "", &url.URL{Path: s.route.path}, s.tenant, int64(len(body)), []byte(body))
 }
 
 // ranDeadly notes a run of a deadly request and ends its worker.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -72,10 +72,7 @@
 	if e.last != 0 && r.Began.Before(e.noticed) && now.Sub(e.noticed) < lateFor {
 		return e.last
 	}
-	if len(e.unexplained) == maxUnexplained {
-		e.unexplained = e.unexplained[1:]
-	}
-	e.unexplained = append(e.unexplained, brokenRun{r, now})
+	e.unexplained = appendNewest(e.unexplained, brokenRun{r, now}, maxUnexplained)
 	return 0
 }
 
@@ -83,10 +80,15 @@
 func (e *Evidence) Left(now time.Time, r Run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.left) == maxLeft {
-		e.left = e.left[1:]
+	e.left = appendNewest(e.left, brokenRun{r, now}, maxLeft)
+}
+
+// appendNewest appends a run and drops the oldest where there are most already.
+func appendNewest(runs []brokenRun, r brokenRun, most int) []brokenRun {
+	if len(runs) == most {
+		runs = runs[1:]
 	}
-	e.left = append(e.left, brokenRun{r, now})
+	return append(runs, r)
 }
 
 // Ended takes the word, at time now, that the worker's life has ended, and returns the runs
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -167,6 +167,20 @@
 	return count
 }
 
+// untilAllKnow plays until no node would let a request run, and returns how long that took;
+// it fails the test after knownWithin.
+func (f *fleet) untilAllKnow(t *testing.T, c model.Fingerprint) time.Duration {
+	t.Helper()
+	began := f.now
+	for f.ignorant(c) > 0 {
+		if f.now.Sub(began) > knownWithin {
+			t.Fatalf("%d of %d nodes do not know after %s", f.ignorant(c), len(f.nodes), knownWithin)
+		}
+		f.play(10 * time.Millisecond)
+	}
+	return f.now.Sub(began)
+}
+
 func sizes() []int {
 	if *large {
 		return []int{3, 10, 73, 195, 1000, 10_000}
@@ -200,14 +214,7 @@
 				}
 			}
 			f.putAside(services, content(1))
-			began := f.now
-			for f.ignorant(content(1)) > 0 {
-				if f.now.Sub(began) > knownWithin {
-					t.Fatalf("%d of %d nodes do not know after %s", f.ignorant(content(1)), n, knownWithin)
-				}
-				f.play(10 * time.Millisecond)
-			}
-			t.Logf("known by all after %s; at most %d bytes in a second", f.now.Sub(began), f.peak)
+			t.Logf("known by all after %s; at most %d bytes in a second", f.untilAllKnow(t, content(1)), f.peak)
 		})
 	}
 }
@@ -232,14 +239,7 @@
 				}
 				nd.cut = false
 			}
-			began := f.now
-			for f.ignorant(content(1)) > 0 {
-				if f.now.Sub(began) > knownWithin {
-					t.Fatalf("%d of %d nodes do not know %s after they are back", f.ignorant(content(1)), n, knownWithin)
-				}
-				f.play(10 * time.Millisecond)
-			}
-			t.Logf("%d killed; known by all %s after they were back", killed, f.now.Sub(began))
+			t.Logf("%d killed; known by all %s after they were back", killed, f.untilAllKnow(t, content(1)))
 		})
 	}
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -70,13 +70,14 @@
 	untold bool
 }
 
-// guilty tells whether the ends that nothing else explains put the request aside: enough of
-// them, of which one came after another. A rack that is lost ends many workers at once under
-// a request that many ask for; only one whose next run ends its worker again is told apart
-// from that.
-func (r *record) guilty(explained map[EndID]bool) bool {
+// judge judges the request by its ends that nothing else explains. It is put aside for enough
+// of them, of which one came after another: a rack that is lost ends many workers at once
+// under a request that many ask for, and only one whose next run ends its worker again is
+// told apart from that.
+func (r *record) judge(explained map[EndID]bool) {
 	left, doubted := r.unexplained(explained)
-	return left >= endsToPutAside && doubted
+	r.left = left
+	r.aside = left >= endsToPutAside && doubted
 }
 
 // unexplained counts the ends that are not explained, and tells whether one of them is of a
--- a/internal/quarantine/rounds.go
+++ b/internal/quarantine/rounds.go
@@ -99,7 +99,7 @@
 
 // tell tells the neighbours what they have not been told yet.
 func (q *Quarantine) tell(now time.Time, out []control.Action) []control.Action {
-	if q.size.Load() == 0 {
+	if q.Empty() {
 		return out
 	}
 	n := q.findNeighbours()
@@ -157,7 +157,7 @@
 // round compares what is known with some neighbours.
 func (q *Quarantine) round(now time.Time, out []control.Action) []control.Action {
 	r := &q.rounds
-	if now.Before(r.next) || q.size.Load() == 0 && r.fresh == 0 {
+	if now.Before(r.next) || q.Empty() && r.fresh == 0 {
 		return out
 	}
 	n := q.findNeighbours()
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -67,13 +67,6 @@
 	t.forget(least)
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func (t *table) forget(r *record) {
 	delete(t.records, r.content)
 	t.changed = true
@@ -92,7 +85,9 @@
 // full table.
 func (t *table) touch(r *record, at time.Time) {
 	r.left = max(r.left, min(len(r.ends), 1))
-	r.changed = later(r.changed, at)
+	if at.After(r.changed) {
+		r.changed = at
+	}
 	r.untold = true
 	t.changed = true
 }
@@ -115,8 +110,7 @@
 	var out []judged
 	for _, r := range t.byEnds() {
 		was := r.aside
-		r.left, _ = r.unexplained(explained)
-		r.aside = r.guilty(explained)
+		r.judge(explained)
 		if r.aside {
 			for _, e := range r.ends {
 				explained[e.id] = true
--- a/internal/server/content.go
+++ b/internal/server/content.go
@@ -28,16 +28,15 @@
 func (x *Executor) contentOf(w *Work) *content {
 	c := &content{work: w, host: x.routeHost}
 	if w.Body != nil && w.ContentLength > replayBytes {
-		c.passing = &passingBody{ReadCloser: w.Body, hash: c.hash(), left: replayBytes}
+		hash := model.NewFingerprintHash(w.Method, c.routeHost(), w.URL, w.Attempt.Tenant, w.ContentLength)
+		c.passing = &passingBody{ReadCloser: w.Body, hash: hash, left: replayBytes}
 		w.Body = c.passing
 	}
 	return c
 }
 
-func (c *content) hash() model.FingerprintHash {
-	w := c.work
-	host := c.host(w.Host, w.Method, w.URL.Path)
-	return model.NewFingerprintHash(w.Method, host, w.URL, w.Attempt.Tenant, w.ContentLength)
+func (c *content) routeHost() string {
+	return c.host(c.work.Host, c.work.Method, c.work.URL.Path)
 }
 
 // fingerprint returns the request's fingerprint. That of a body that streams is of its
@@ -50,10 +49,8 @@
 		c.known = c.passing.fingerprint()
 		return c.known
 	}
-	h := c.hash()
-	// A hash takes every write.
-	_, _ = h.Write(c.work.Held)
-	c.known = h.Sum()
+	w := c.work
+	c.known = model.NewFingerprint(w.Method, c.routeHost(), w.URL, w.Attempt.Tenant, w.ContentLength, w.Held)
 	return c.known
 }
 
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -51,10 +51,7 @@
 		return false
 	}
 	host := x.caller.Board.Bundles.Get().RouteHost(x.r.Host, x.r.Method, x.r.URL.Path)
-	h := model.NewFingerprintHash(x.r.Method, host, x.r.URL, x.request.Tenant, x.body.length)
-	// A hash takes every write.
-	_, _ = h.Write(x.body.held)
-	content := h.Sum()
+	content := model.NewFingerprint(x.r.Method, host, x.r.URL, x.request.Tenant, x.body.length, x.body.held)
 	after, barred := q.Barred(x.began, content)
 	if !barred {
 		return false
