soak: machines that are left alone, and every promise of a configuration

What the soak checked of configurations was one added route a change, by a 404 more than 3 s after it, and its store told everything on one page.

- Each request is held to the versions that may be in force: added, moved, split and removed routes, a part of weight 0, never back to older within a process, and the share served of added routes.
Each version is also watched at each node; the bound is the users' 2 s, and only what this machine itself stood still comes on top.
- New troubles: all machines but one stopped, killed, silenced or stalling while changes come; workers listed whose nodes never answer; open connections that go silent for good; changes and standstills in series.
The store has pages of four items.
`-spare` spares one machine and the store.

TestTroubleExcusesWhatHasATimeBound asked for a route of the only version, which every version allows; it asks for one of a version written amid the trouble now.

Each check finds its fault (TestEachCheckFindsItsFault).

--- a/cmd/gypsumsoak/main.go
+++ b/cmd/gypsumsoak/main.go
@@ -36,6 +36,7 @@
 	seeds := flag.Int("seeds", 1, "number of seeds, one after the other")
 	machines := flag.Int("machines", 6, "number of nodes, up to 100")
 	length := flag.Duration("for", 24*time.Second, "length of one soak, at least 15s")
+	spare := flag.Bool("spare", false, "spare one machine and the store, and leave that machine without peers")
 	keep := flag.String("keep", "", "folder for plans and logs of soaks that found something; by default a temporary one")
 	flag.Usage = func() {
 		fmt.Fprint(flag.CommandLine.Output(), usage)
@@ -49,6 +50,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	cfg := soak.Config{Program: *node, Machines: *machines, Length: *length}
+	if *spare {
+		cfg.Plan = soak.PlanSpared
+	}
 	os.Exit(play(ctx, cfg, *seed, *seeds, *keep))
 }
 
@@ -85,7 +89,8 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %d requests, %d served, %d promises broken\n", cfg.Seed, report.Requests, report.Served, len(report.Violations))
+	fmt.Printf("seed %d: %d requests, %d served, %d promises broken; %s\n",
+		cfg.Seed, report.Requests, report.Served, len(report.Violations), report.Applied())
 	if len(report.Violations) == 0 {
 		return false, os.RemoveAll(cfg.Dir)
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -17,10 +18,12 @@
 	"gypsumstand/platform/standin"
 )
 
-// The two services: orders run at most once, the catalogue may run again.
+// The services: orders run at most once, the catalogue may run again. No route leads to
+// the archive.
 const (
 	serviceOrders    = "orders"
 	serviceCatalogue = "catalogue"
+	serviceArchive   = "archive"
 )
 
 // Bounds that nodes are given, and that the checks hold them to.
@@ -46,8 +49,10 @@
 	storeAt  net.Listener
 	machines []*machine
 
-	// deadly counts the callers of deadly requests.
-	deadly sync.WaitGroup
+	// deadly counts the callers of deadly requests, watching the watches of versions.
+	deadly, watching sync.WaitGroup
+	// silent are the addresses of listed workers whose nodes never answer.
+	silent []net.Listener
 
 	mu sync.Mutex
 	// version is that of the newest configuration.
@@ -95,11 +100,16 @@
 	networkPeer
 	networkStore
 	networkWorker
+	networkSilent
 )
 
+// pageItems is how many items the store puts on a page, so that a whole list has several.
+const pageItems = 4
+
 // newFleet starts a deployment of n machines; its nodes write their logs to dir.
-func newFleet(dir, program string, n int, l *ledger) (*fleet, error) {
+func newFleet(ctx context.Context, dir, program string, n int, l *ledger) (*fleet, error) {
 	f := &fleet{dir: dir, program: program, ledger: l, store: standin.NewStore()}
+	f.store.PageItems = pageItems
 	at, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -117,7 +127,7 @@
 			return nil, errors.Join(err, f.close())
 		}
 	}
-	f.configure()
+	f.configure(ctx)
 	for _, m := range f.machines {
 		if err := m.start(); err != nil {
 			return nil, errors.Join(err, f.close())
@@ -337,32 +347,18 @@
 	m.list(names.Ready)
 }
 
-// keptVersions is how many configurations a route of generations stays in.
-const keptVersions = 3
-
-// configure writes the next configuration. Version v has the routes /gen-k/ for the
-// last keptVersions values of k up to v.
-func (f *fleet) configure() {
+// configure writes the next configuration.
+func (f *fleet) configure(ctx context.Context) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
-	route := func(name, kind, service string) string {
-		return fmt.Sprintf(`{"name":%q,"host":"shop.example","prefix":"/%s/","kind":%q,"timeout_ms":%d,"target_latency_ms":400,"priority":1,"service":%q,"max_attempts":3}`,
-			name, name, kind, routeTimeout.Milliseconds(), service)
-	}
-	routes := route("order", names.KindNotIdempotent, serviceOrders) + "," + route("browse", names.KindIdempotent, serviceCatalogue)
-	for k := max(1, f.version-keptVersions+1); k <= f.version; k++ {
-		routes += "," + route(generation(k), names.KindIdempotent, serviceCatalogue)
-	}
-	f.store.Put(names.Config, fmt.Sprintf(
-		`{"version":%d,"routes":[%s],"services":[{"name":%q,"health_path":"/health","max_connections":200},{"name":%q,"health_path":"/health","max_connections":200}],`+
-			`"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":5000}}`,
-		f.version, routes, serviceOrders, serviceCatalogue))
+	f.store.Put(names.Config, configuration(f.version))
 	f.ledger.configured(f.version)
+	if ctx.Err() == nil {
+		f.watchVersion(ctx, f.version)
+	}
 }
 
-func generation(k int) string { return fmt.Sprintf("gen-%d", k) }
-
 func (f *fleet) newest() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -371,6 +367,9 @@
 
 // close ends everything that the fleet started, by the processes it started.
 func (f *fleet) close() error {
+	for _, l := range f.silent {
+		l.Close()
+	}
 	for _, m := range f.machines {
 		if p := m.signal(syscall.SIGKILL, true); p != nil {
 			<-p.ended
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -18,9 +19,8 @@
 	// touchTime is how long a machine and the store must have been without trouble for
 	// a rule with a time bound to hold there.
 	touchTime = 4 * time.Second
-	// applyTime and drainTime bound configuration and new work at a worker that drains
-	// (2 s), with a second for this machine, which runs everything.
-	applyTime = 3 * time.Second
+	// drainTime bounds new work at a worker that drains (2 s), with a second for this
+	// machine, which runs everything.
 	drainTime = 3 * time.Second
 	// budgetWindow is the window of the retry budget.
 	budgetWindow = 10 * time.Second
@@ -34,8 +34,9 @@
 
 // request is one sending of a client.
 type request struct {
-	id      string
-	class   string
+	id    string
+	class string
+	// service is the one that runs it; empty where that depends on the configuration.
 	service string
 	machine int
 	sent    time.Time
@@ -63,6 +64,15 @@
 	lastEnd    time.Time
 	// lives are the spans in which nodes' processes ran, by machine.
 	lives map[int][]span
+	// inForce is when machines had versions in force, seen what processes showed of it.
+	inForce []inForce
+	seen    map[life][]seen
+	// stalls are the spans in which this machine stood still.
+	stalls []span
+	// delays are those of the versions that machines in touch took, in order.
+	delays []time.Duration
+	// over is the end of the watches.
+	over time.Time
 }
 
 // span is a time of trouble; an open one has no end yet.
@@ -71,7 +81,7 @@
 func newLedger() *ledger {
 	return &ledger{
 		requests: map[string]*request{}, machineTrouble: map[int][]span{}, planned: map[int][]span{},
-		drained: map[string]time.Time{}, versions: map[int]time.Time{}, lives: map[int][]span{},
+		drained: map[string]time.Time{}, versions: map[int]time.Time{}, lives: map[int][]span{}, seen: map[life][]seen{},
 	}
 }
 
@@ -108,7 +118,7 @@
 		return
 	}
 	r.runs = append(r.runs, run)
-	if run.Service != r.service {
+	if r.service != "" && run.Service != r.service {
 		l.note("route", "%s (%s) is run by %s", r.id, r.class, run.Service)
 	}
 	if at, ok := l.drained[run.Worker]; ok && run.At.Sub(at) > drainTime && l.inTouch(workerMachine(run.Worker), at, run.At) {
@@ -125,8 +135,9 @@
 	return machine
 }
 
-// answered notes an answer; body is nil when it was not whole.
-func (l *ledger) answered(r *request, resp *http.Response, body []byte, want string) {
+// answered notes an answer; body is nil when it was not whole. want returns the one that
+// a service gives.
+func (l *ledger) answered(r *request, resp *http.Response, body []byte, want func(service string) string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r.ended = time.Now()
@@ -134,8 +145,12 @@
 		return
 	}
 	r.status = resp.StatusCode
-	if r.status >= 200 && r.status < 300 && (string(body) != want || resp.Header.Get(names.Signature) != standin.Signature) {
-		l.note("mixed", "%s got %d with %.60q, want %.60q", r.id, r.status, body, want)
+	if r.status < 200 || r.status >= 300 {
+		return
+	}
+	ownAnswer := slices.ContainsFunc(r.runs, func(run standin.Run) bool { return string(body) == want(run.Service) })
+	if !ownAnswer || resp.Header.Get(names.Signature) != standin.Signature {
+		l.note("mixed", "%s got %d with %.60q, not the answer of a worker that ran it", r.id, r.status, body)
 	}
 }
 
@@ -215,7 +230,9 @@
 	for _, r := range l.order {
 		l.checkRequest(r)
 	}
-	l.checkGenerations()
+	l.delays = l.checkInForce()
+	l.checkVersions()
+	l.checkAdded()
 	for _, service := range []string{serviceOrders, serviceCatalogue} {
 		l.checkBudget(service)
 	}
@@ -252,25 +269,6 @@
 	return strings.Join(out, ", ")
 }
 
-// checkGenerations holds machines in touch to the configuration in force, and every
-// process to never going back.
-func (l *ledger) checkGenerations() {
-	for _, r := range l.order {
-		var k int
-		if _, err := fmt.Sscanf(r.class, "gen-%d", &k); err != nil || r.status != http.StatusNotFound {
-			continue
-		}
-		written := l.versions[k]
-		dropped, wasDropped := l.versions[k+keptVersions]
-		if wasDropped && r.ended.After(dropped) {
-			continue
-		}
-		if r.sent.Sub(written) > applyTime && l.inTouch(r.machine, written, r.ended) {
-			l.note("config", "%s: machine %d does not know version %d %s after it was written", r.id, r.machine, k, r.sent.Sub(written))
-		}
-	}
-}
-
 // checkBudget compares extra arrivals with requests in sliding windows.
 func (l *ledger) checkBudget(service string) {
 	var first, extra []time.Time
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -68,8 +68,9 @@
 			r.ended = r.sent.Add(routeTimeout + 2*time.Second)
 			l.add(r)
 		},
-		"config": func(l *ledger) {
-			r := served("x", generation(1), serviceCatalogue, 9*time.Second)
+		"config: x": func(l *ledger) {
+			l.versions[2] = began
+			r := served("x", generation(2), serviceCatalogue, 9*time.Second)
 			r.status, r.runs = http.StatusNotFound, nil
 			l.add(r)
 		},
@@ -98,10 +99,45 @@
 			l.ran(standin.Run{ID: "x", Service: serviceOrders, Worker: "w1-0", At: at(drainTime + time.Second)})
 		},
 		"deadly": func(l *ledger) { l.addDeadly() },
+		"config: machine 1 has": func(l *ledger) {
+			l.tookForce(inForce{machine: 1, version: 1, at: at(applyTime + time.Millisecond)})
+		},
+		"config: old": func(l *ledger) {
+			l.versions[2] = at(time.Second)
+			r := served("old", classMoved, "", 5*time.Second)
+			r.runs[0].Service = serviceCatalogue
+			l.add(r)
+		},
+		"config: zero": func(l *ledger) {
+			l.versions[2] = at(time.Second)
+			r := served("zero", classSplit, "", 5*time.Second)
+			r.runs[0].Service = serviceCatalogue
+			l.add(r)
+		},
+		"config: dropped": func(l *ledger) {
+			l.versions[1+keptVersions] = at(time.Second)
+			l.add(served("dropped", generation(1), serviceCatalogue, 5*time.Second))
+		},
+		"config: back": func(l *ledger) {
+			l.lives[0] = []span{{from: began.Add(-time.Minute)}}
+			l.versions[2] = at(3 * time.Second)
+			l.add(served("new", generation(2), serviceCatalogue, 4*time.Second))
+			r := served("back", generation(2), serviceCatalogue, 4*time.Second+2*regressSlack)
+			r.status, r.runs = http.StatusNotFound, nil
+			l.add(r)
+		},
+		"config: of 30 requests on added": func(l *ledger) {
+			l.versions[2] = began
+			for i := range 30 {
+				r := served(fmt.Sprint("added", i), generation(2), serviceCatalogue, 5*time.Second)
+				r.status, r.runs = http.StatusServiceUnavailable, nil
+				l.add(r)
+			}
+		},
 		"mixed": func(l *ledger) {
 			r := served("x", "order", serviceOrders, time.Second)
 			l.add(r)
-			l.answered(r, &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}, []byte("another's"), "own")
+			l.answered(r, &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}, []byte("another's"), func(string) string { return "own" })
 			r.ended = r.sent.Add(time.Millisecond)
 		},
 	} {
@@ -109,7 +145,7 @@
 			l := calmLedger()
 			spoil(l)
 			got := l.check()
-			if !slices.ContainsFunc(got, func(v string) bool { return strings.HasPrefix(v, rule+": ") }) {
+			if !slices.ContainsFunc(got, func(v string) bool { return strings.HasPrefix(v, rule) }) {
 				t.Errorf("not found; found %q", got)
 			}
 		})
@@ -118,8 +154,10 @@
 
 func TestTroubleExcusesWhatHasATimeBound(t *testing.T) {
 	l := calmLedger()
+	l.versions[2] = at(6 * time.Second)
+	l.tookForce(inForce{machine: 0, version: 2, at: at(9 * time.Second)})
 	l.machineTrouble[0] = []span{{from: at(5 * time.Second), to: at(8 * time.Second)}}
-	r := served("x", generation(1), serviceCatalogue, 9*time.Second)
+	r := served("x", generation(2), serviceCatalogue, 9*time.Second)
 	r.status, r.runs = http.StatusNotFound, nil
 	l.add(r)
 	if got := l.check(); len(got) != 0 {
@@ -149,11 +187,11 @@
 }
 
 func TestASeedRepeatsThePlan(t *testing.T) {
-	first, again := makePlan(7, 6, 20*time.Second, newestKinds), makePlan(7, 6, 20*time.Second, newestKinds)
+	first, again := makePlan(7, 6, 20*time.Second, PlanNewest), makePlan(7, 6, 20*time.Second, PlanNewest)
 	if first.String() != again.String() {
 		t.Error("two plans of one seed differ")
 	}
-	if other := makePlan(8, 6, 20*time.Second, newestKinds); other.String() == first.String() {
+	if other := makePlan(8, 6, 20*time.Second, PlanNewest); other.String() == first.String() {
 		t.Error("two seeds give one plan")
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -36,6 +36,11 @@
 	kindForeign   kind = "foreign"     // another writer replaces a worker's entry
 	kindCutConfig kind = "cut-config"  // silence, and a configuration right after it
 	kindDeadly    kind = "deadly"      // from then on a caller sends a request that ends workers
+	kindAlone     kind = "alone"       // all other machines are of no use to one, and changes come
+	kindListed    kind = "listed"      // workers are listed whose nodes never answer
+	kindMute      kind = "mute"        // its open connections are silent for good, new ones work
+	kindChanges   kind = "changes"     // configurations in series
+	kindStalls    kind = "stalls"      // SIGSTOP and SIGCONT in series
 )
 
 // firstKinds is what plans of PlanFirst are drawn from.
@@ -48,8 +53,18 @@
 // secondKinds is what plans of PlanSecond are drawn from.
 var secondKinds = append(slices.Clone(firstKinds), kindReborn, kindForeign, kindForeign, kindCutConfig, kindCutConfig)
 
+// thirdKinds is what plans of PlanThird are drawn from.
+var thirdKinds = append(slices.Clone(secondKinds), kindDeadly, kindDeadly)
+
 // newestKinds is what plans of PlanNewest are drawn from.
-var newestKinds = append(slices.Clone(secondKinds), kindDeadly, kindDeadly)
+var newestKinds = append(slices.Clone(thirdKinds), kindAlone, kindAlone, kindListed, kindMute, kindChanges, kindChanges, kindStalls)
+
+// sparedKinds is what plans of PlanSpared are drawn from: the store is sound, and one
+// machine has no trouble of its own.
+var sparedKinds = []kind{
+	kindAlone, kindAlone, kindAlone, kindListed, kindChanges, kindChanges, kindForget, kindMute, kindStalls,
+	kindTerm, kindKill, kindPause, kindReset, kindSilence, kindStoreCut, kindDrain, kindCutConfig, kindForeign, kindReborn,
+}
 
 // PlanVersion is a list of kinds that plans are drawn from. A seed repeats its plan
 // under the version that it was played with.
@@ -60,6 +75,8 @@
 	PlanNewest PlanVersion = iota
 	PlanFirst
 	PlanSecond
+	PlanThird
+	PlanSpared
 )
 
 func (v PlanVersion) kinds() []kind {
@@ -68,6 +85,10 @@
 		return firstKinds
 	case PlanSecond:
 		return secondKinds
+	case PlanThird:
+		return thirdKinds
+	case PlanSpared:
+		return sparedKinds
 	}
 	return newestKinds
 }
@@ -104,7 +125,8 @@
 )
 
 // makePlan draws a plan for machines over a length.
-func makePlan(seed uint64, machines int, length time.Duration, kinds []kind) plan {
+func makePlan(seed uint64, machines int, length time.Duration, v PlanVersion) plan {
+	kinds := v.kinds()
 	rng := rand.New(rand.NewPCG(seed, 0))
 	var p plan
 	for at := calmStart; at < length-calmEnd; {
@@ -123,10 +145,26 @@
 		}
 		at += time.Duration(rng.ExpFloat64() * float64(meanGap))
 	}
+	if v == PlanSpared {
+		p.spare(int(seed)%machines, machines)
+	}
 	sort.SliceStable(p, func(i, j int) bool { return p[i].at < p[j].at })
 	return p
 }
 
+// spare keeps the troubles of single machines from one; it is the one that is left alone.
+func (p plan) spare(spared, machines int) {
+	for i := range p {
+		t := &p[i]
+		switch {
+		case t.kind == kindAlone:
+			t.machine = spared
+		case t.machine == spared:
+			t.machine = (spared + 1) % machines
+		}
+	}
+}
+
 // String lists the plan, a trouble a line.
 func (p plan) String() string {
 	lines := make([]string, len(p))
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -27,7 +27,9 @@
 	wire     wire
 	calm     *sync.Cond
 	conns    map[net.Conn]bool
-	over     bool
+	// joined counts the connections so far. Those up to muted pass nothing on any more.
+	joined, muted int
+	over          bool
 }
 
 // newProxy listens at address and passes on to far.
@@ -93,6 +95,13 @@
 	}
 }
 
+// mute makes all open connections silent for good; new ones work.
+func (p *proxy) mute() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.muted = p.joined
+}
+
 func (p *proxy) close() {
 	p.mu.Lock()
 	p.over = true
@@ -122,28 +131,35 @@
 		near.Close()
 		return
 	}
-	if !p.keep(near, far) {
+	serial := p.keep(near, far)
+	if serial == 0 {
 		return
 	}
 	var wg sync.WaitGroup
 	wg.Add(2)
-	go p.copy(&wg, far, near, func(w wire) bool { return w.cutTo })
-	go p.copy(&wg, near, far, func(w wire) bool { return w.cutFrom })
+	go p.copy(&wg, far, near, func() bool { return p.wire.cutTo || serial <= p.muted })
+	go p.copy(&wg, near, far, func() bool { return p.wire.cutFrom || serial <= p.muted })
 	wg.Wait()
 	p.drop(near, far)
 }
 
-func (p *proxy) keep(conns ...net.Conn) bool {
+// keep notes a connection by its two sides and returns its number, zero when the proxy
+// is over.
+func (p *proxy) keep(sides ...net.Conn) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range conns {
+	for _, c := range sides {
 		if p.over {
 			c.Close()
 			continue
 		}
 		p.conns[c] = true
 	}
-	return !p.over
+	if p.over {
+		return 0
+	}
+	p.joined++
+	return p.joined
 }
 
 func (p *proxy) drop(conns ...net.Conn) {
@@ -158,13 +174,13 @@
 // pieceBytes is the size of the pieces that are delayed and held back.
 const pieceBytes = 16 << 10
 
-func (p *proxy) copy(wg *sync.WaitGroup, to, from net.Conn, cut func(wire) bool) {
+func (p *proxy) copy(wg *sync.WaitGroup, to, from net.Conn, held func() bool) {
 	defer wg.Done()
 	buf := make([]byte, pieceBytes)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
-			p.hold(cut)
+			p.hold(held)
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				from.Close()
 				return
@@ -194,10 +210,10 @@
 	tcp.Close()
 }
 
-// hold waits as long as the wire asks for.
-func (p *proxy) hold(cut func(wire) bool) {
+// hold waits as long as the wire asks for; held is called with mu held.
+func (p *proxy) hold(held func() bool) {
 	p.mu.Lock()
-	for cut(p.wire) && !p.over {
+	for held() && !p.over {
 		p.calm.Wait()
 	}
 	delay := p.wire.delay
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -40,6 +40,19 @@
 	Violations []string
 	Requests   int
 	Served     int
+	// Delays are the times that versions took to be in force at machines in touch, in
+	// order.
+	Delays []time.Duration
+}
+
+// Applied words how long configurations took to be in force.
+func (r Report) Applied() string {
+	n := len(r.Delays)
+	if n == 0 {
+		return "no configuration at a machine in touch"
+	}
+	return fmt.Sprintf("configurations at machines in touch: %d, median %s, longest %s",
+		n, r.Delays[n/2].Round(time.Millisecond), r.Delays[n-1].Round(time.Millisecond))
 }
 
 // clientsPerMachine send one request after the other.
@@ -48,15 +61,16 @@
 // Run plays one soak. The error tells why it could not be played.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	l := newLedger()
-	f, err := newFleet(cfg.Dir, cfg.Program, cfg.Machines, l)
+	f, err := newFleet(ctx, cfg.Dir, cfg.Program, cfg.Machines, l)
 	if err != nil {
 		return Report{}, err
 	}
 	if err := f.awaitReady(ctx); err != nil {
 		return Report{}, fmt.Errorf("%w; %v", err, f.close())
 	}
-	p := makePlan(cfg.Seed, cfg.Machines, cfg.Length, cfg.Plan.kinds())
+	p := makePlan(cfg.Seed, cfg.Machines, cfg.Length, cfg.Plan)
 	clientsCtx, stopClients := context.WithCancel(ctx)
+	go l.watchStalls(clientsCtx)
 	var clients sync.WaitGroup
 	for i := range cfg.Machines * clientsPerMachine {
 		clients.Add(1)
@@ -69,9 +83,11 @@
 	defer f.deadly.Wait()
 	l.lastEnd = time.Now()
 	sleep(ctx, calmEnd)
+	l.endWatches()
 	stopClients()
 	clients.Wait()
-	report := Report{Plan: p.String(), Violations: l.check(), Requests: len(l.order)}
+	f.watching.Wait()
+	report := Report{Plan: p.String(), Violations: l.check(), Requests: len(l.order), Delays: l.delays}
 	for _, r := range l.order {
 		if r.status == http.StatusOK {
 			report.Served++
@@ -147,7 +163,7 @@
 	m := f.machines[t.machine]
 	switch t.kind {
 	case kindConfig:
-		f.configure()
+		f.configure(ctx)
 		return
 	case kindDeadly:
 		f.startDeadly(ctx, t)
@@ -155,6 +171,17 @@
 	case kindForget:
 		f.store.Compact()
 		return
+	case kindAlone:
+		f.leaveAlone(ctx, t)
+		return
+	case kindListed:
+		if err := f.listSilent(ctx, t); err != nil {
+			f.ledger.violate("soak", "silent nodes: %v", err)
+		}
+		return
+	case kindChanges:
+		f.changeAgainAndAgain(ctx, t)
+		return
 	case kindStoreDown, kindStoreSlow:
 		defer f.ledger.begin(-1, false)()
 		faults := standin.StoreFaults{Status: http.StatusServiceUnavailable}
@@ -185,10 +212,10 @@
 		return
 	case kindCutConfig:
 		// It begins when the machine is in reach again.
-		defer f.configure()
+		defer f.configure(ctx)
 	}
 	defer f.ledger.begin(t.machine, false)()
-	m.harm(t)
+	m.harm(ctx, t)
 	sleep(ctx, t.lasts)
 	m.mend(t)
 }
@@ -248,7 +275,7 @@
 }
 
 // harm begins a trouble of one machine.
-func (m *machine) harm(t trouble) {
+func (m *machine) harm(ctx context.Context, t trouble) {
 	wires := []*proxy{m.peerWire, m.storeWire, m.workerWire}
 	each := func(w wire) {
 		for _, p := range wires {
@@ -266,6 +293,12 @@
 		for _, p := range wires {
 			p.reset()
 		}
+	case kindMute:
+		for _, p := range wires {
+			p.mute()
+		}
+	case kindStalls:
+		m.stall(ctx, t.lasts)
 	case kindReborn:
 		m.crash()
 	case kindCutOneWay:
@@ -331,13 +364,20 @@
 
 // draw chooses what is asked for: class and service.
 func (c *client) draw() (class, service string) {
-	switch n := c.rng.IntN(10); {
-	case n < 4:
+	newest := c.fleet.newest()
+	switch n := c.rng.IntN(20); {
+	case n < 7:
 		return "order", serviceOrders
-	case n < 9:
+	case n < 13:
 		return "browse", serviceCatalogue
+	case n < 15:
+		return classMoved, ""
+	case n < 17:
+		return classSplit, ""
+	case n < 18:
+		return generation(max(1, newest-c.rng.IntN(2*keptVersions))), serviceCatalogue
 	}
-	return generation(c.fleet.newest()), serviceCatalogue
+	return generation(newest), serviceCatalogue
 }
 
 // ask sends one request and notes its end. Requests under way when the clients stop
@@ -366,7 +406,7 @@
 	c.fleet.ledger.send(r)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		c.fleet.ledger.answered(r, nil, nil, "")
+		c.fleet.ledger.answered(r, nil, nil, nil)
 		return
 	}
 	defer resp.Body.Close()
@@ -376,5 +416,5 @@
 	} else if body == nil {
 		body = []byte{}
 	}
-	c.fleet.ledger.answered(r, resp, body, standin.Body(r.service, http.MethodPost, uri, text))
+	c.fleet.ledger.answered(r, resp, body, func(service string) string { return standin.Body(service, http.MethodPost, uri, text) })
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -42,7 +42,7 @@
 func TestADeadlyRequestAmongOtherTroublesIsKeptFromWorkers(t *testing.T) {
 	const seed = 11
 	program := buildNode(t)
-	report, err := Run(t.Context(), Config{Program: program, Dir: t.TempDir(), Seed: seed, Machines: 6, Length: 24 * time.Second})
+	report, err := Run(t.Context(), Config{Program: program, Dir: t.TempDir(), Seed: seed, Machines: 6, Length: 24 * time.Second, Plan: PlanThird})
 	if err != nil {
 		t.Fatal(err)
 	}
