directory: a node tells how far behind its view is, and why

Nothing in logs or metrics told a node that waits for its peers from one whose readings fail or hang, or from a configuration that nobody told: 625 said when, not from whom, nor how old the view was before.

- 628 and 629 frame a view that is later than a change may take, with the reason and what it rests on (listed instances, questions asked and answered, failed readings); 630 is each own reading with its cause; 625 says who told it.

No decision changes. Tests: each reason is brought about; one line each way.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -109,6 +109,8 @@
 type Stats struct {
 	Links  []member.Link
 	Spread spread.Counters
+	// Directory is nil where the node follows none.
+	Directory *directory.View
 }
 
 // derived remembers which snapshots the derived state was made from.
@@ -206,7 +208,7 @@
 	n.probe(now, ev, &out)
 	n.control(now, n.Quarantine, ev, &out)
 	out.Decisions = append(out.Decisions, n.derive(now)...)
-	n.show(ev)
+	n.show(now, ev)
 	return out
 }
 
@@ -366,7 +368,7 @@
 
 // show publishes what the controllers tell about themselves: at each tick, as
 // readers need it no fresher.
-func (n *Node) show(ev control.Event) {
+func (n *Node) show(now time.Time, ev control.Event) {
 	if _, tick := ev.(control.Tick); !tick {
 		return
 	}
@@ -377,7 +379,12 @@
 		ListReads:       n.member.ListReads(),
 	})
 	n.Board.Readiness.Put(n.readiness())
-	n.Stats.Put(&Stats{Links: n.member.Links(), Spread: n.spread.Counters()})
+	stats := &Stats{Links: n.member.Links(), Spread: n.spread.Counters()}
+	if n.directory != nil {
+		view := n.directory.View(now)
+		stats.Directory = &view
+	}
+	n.Stats.Put(stats)
 }
 
 func (n *Node) readiness() *blackboard.Readiness {
--- a/internal/ctl/remote_test.go
+++ b/internal/ctl/remote_test.go
@@ -70,6 +70,18 @@
 	}
 }
 
+func TestStatusSaysHowFarBehindANodeIsAndWhy(t *testing.T) {
+	age := status.Ms(1700 * time.Millisecond)
+	n := status.Node{Directory: &status.Directory{
+		Revision: 41, Heard: 43, Age: &age, Late: true, Lag: "waits-for-peers", Listed: 10, Asked: 5, Failures: 2,
+	}}
+	const want = "\ndirectory      late: others are expected to read; revision 41 of 43 heard of, confirmed 1.7 s ago; 10 listed, 0 of 5 questions answered, 2 readings failed\n"
+	address, _ := serve(t, http.StatusOK, mustJSON(t, n))
+	if r := run("status", address); !strings.Contains(r.out, want) {
+		t.Errorf("output:\n%s", r.out)
+	}
+}
+
 func TestExplainShowsCandidates(t *testing.T) {
 	age := status.Milliseconds(15)
 	address, asked := serve(t, http.StatusOK, mustJSON(t, status.Explanation{
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -39,6 +39,9 @@
 	row(t, "bundles", bundleList(n.Bundles))
 	row(t, "configuration", sourceWords(n.Sources.ConfigAge, n.Sources.ConfigReads))
 	row(t, "list", sourceWords(n.Sources.ListAge, n.Sources.ListReads))
+	if n.Directory != nil {
+		row(t, "directory", directoryWords(n.Directory))
+	}
 	row(t, "own worker", fmt.Sprintf("%d of %d in flight, %d queued, %s a request, %.1f%% failed",
 		n.Owner.InFlight, n.Owner.Limit, n.Owner.Queued, millis(n.Owner.ServiceTime), n.Owner.FailureRate*100))
 	row(t, "measuring", fmt.Sprintf("budget %g/s; %d polls, %d probes sent, %d received, %d refused",
@@ -135,3 +138,25 @@
 	}
 	return fmt.Sprintf("%.2f ms", float64(m))
 }
+
+// lagWords say why a view of the directory is late.
+var lagWords = map[string]string{
+	"in-time":         "in time",
+	"never-read":      "never read",
+	"reading-fails":   "late: this node's readings fail, and no peer knows better",
+	"reading-slow":    "late: a reading is under way",
+	"waits-for-peers": "late: others are expected to read",
+}
+
+func directoryWords(d *status.Directory) string {
+	words, known := lagWords[d.Lag]
+	if !known {
+		words = "late: " + text(d.Lag)
+	}
+	age := "never confirmed"
+	if d.Age != nil {
+		age = "confirmed " + ago(d.Age)
+	}
+	return fmt.Sprintf("%s; revision %d of %d heard of, %s; %d listed, %d of %d questions answered, %d readings failed",
+		words, d.Revision, d.Heard, age, d.Listed, d.Answered, d.Asked, d.Failures)
+}
--- a/internal/directory/bound_test.go
+++ b/internal/directory/bound_test.go
@@ -16,9 +16,8 @@
 	"gypsumstand/internal/model"
 )
 
-// inForceBound is the longest time from a change's acknowledgement until it is in force
-// on every node that the directory serves; docs/PROMISES.md states it.
-const inForceBound = 1500 * time.Millisecond
+// inForceBound is what docs/PROMISES.md states.
+const inForceBound = Bound
 
 var (
 	boundSeeds = flag.Int("bound.seeds", 1, "how many times the usual seeds the bound of a change is tried on")
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -79,8 +79,16 @@
 	confirmed time.Time
 	// published is the time confirmed that peers are told.
 	published time.Time
-	// lost says that the last read of this node's own failed.
-	lost bool
+	// lost says that the last read of this node's own failed, failures how many did in
+	// a row.
+	lost     bool
+	failures int
+	// readingSince is when the own read under way began that was begun last; zero for
+	// none.
+	readingSince time.Time
+	readings     map[Cause]uint64
+	// lateSince is when the view was last confirmed that is late; zero while in time.
+	lateSince time.Time
 	// doubtUntil is until when a removal that the directory tells may be the lapse of
 	// a lease, not a worker's leaving.
 	doubtUntil time.Time
@@ -105,7 +113,7 @@
 
 // New returns a controller that knows nothing.
 func New(cfg Config, board *blackboard.Board, rng *rand.Rand) *Controller {
-	c := &Controller{cfg: cfg, board: board, rng: rng, timer: suppress.NewPaced(rng, pace), workers: map[model.WorkerID]*worker{}}
+	c := &Controller{cfg: cfg, board: board, rng: rng, timer: suppress.NewPaced(rng, pace), workers: map[model.WorkerID]*worker{}, readings: map[Cause]uint64{}}
 	c.publishFleet()
 	return c
 }
@@ -140,11 +148,25 @@
 	c.expire(now)
 	// The first read waits for nobody: without it the node serves no request.
 	due := c.timer.Due(now, c.FleetSize())
-	if due || !c.started || c.asks.overdue(now) {
+	switch {
+	case !c.started:
 		c.started = true
-		c.do(control.ReadDirectory{After: c.revision})
+		c.readNow(now, CauseStart)
+	case due:
+		c.readNow(now, CauseTurn)
+	case c.asks.overdue(now):
+		c.readNow(now, CauseBehind)
 	}
 	c.gossip(now)
+	c.noteLag(now)
+}
+
+// readNow reads the directory.
+func (c *Controller) readNow(now time.Time, why Cause) {
+	c.readingSince = now
+	c.readings[why]++
+	c.record(event.DirectoryReading, string(why), c.viewWords(now), nil)
+	c.do(control.ReadDirectory{After: c.revision})
 }
 
 // read takes an own reading of the directory.
@@ -153,14 +175,15 @@
 		c.record(event.DirectoryAnswers, "", since(now, c.confirmed), nil)
 	}
 	c.noteReturn(now)
-	c.lost = false
+	c.lost, c.failures = false, 0
+	c.readingSince = time.Time{}
 	begun := now.Add(-r.Took)
 	c.timer.OwnSince(now, begun)
 	if r.Whole && len(r.Listed) == 0 {
 		// Nothing runs yet that could be served by.
 		c.timer.HoldBack(now, emptyWait)
 	}
-	c.take(now, &r)
+	c.take(now, &r, "its own reading")
 	c.asks.answered(c.revision)
 	c.confirm(begun)
 }
@@ -170,6 +193,8 @@
 		c.record(event.DirectoryLost, "", since(now, c.confirmed), err)
 	}
 	c.lost = true
+	c.failures++
+	c.readingSince = time.Time{}
 	c.timer.Own(now, false)
 }
 
@@ -205,8 +230,8 @@
 	}
 }
 
-// take applies what a reading or a peer told.
-func (c *Controller) take(now time.Time, r *control.DirectoryRead) {
+// take applies what a reading or a peer told; by words which.
+func (c *Controller) take(now time.Time, r *control.DirectoryRead, by string) {
 	before := c.revision
 	defer func() {
 		if c.revision == before {
@@ -214,11 +239,11 @@
 		}
 		c.publishForPeers()
 		if before != 0 {
-			c.tellNews()
+			c.tellNews(now)
 		}
 	}()
 	if r.Bundle != nil {
-		c.takeBundle(r)
+		c.takeBundle(now, r, by)
 	}
 	for _, l := range r.Listed {
 		c.list(l)
@@ -237,7 +262,7 @@
 }
 
 // takeBundle puts a newer configuration in force; an older one never is.
-func (c *Controller) takeBundle(r *control.DirectoryRead) {
+func (c *Controller) takeBundle(now time.Time, r *control.DirectoryRead, by string) {
 	b := r.Bundle
 	held := c.board.Bundles.Get().Bundle(b.Name)
 	switch {
@@ -251,7 +276,8 @@
 	c.board.Bundles.Put(bundle.NewSet([]*bundle.Bundle{b}))
 	// Entries of services that it names may be used from now on.
 	c.dirty = true
-	c.record(event.ConfigInForce, b.VersionID().String(), fmt.Sprintf("%d services, %d classes", len(b.Services), len(b.Classes)), nil)
+	c.record(event.ConfigInForce, b.VersionID().String(), fmt.Sprintf("%d services, %d classes; by %s; before it the view was confirmed %s ago",
+		len(b.Services), len(b.Classes), by, since(now, c.confirmed)), nil)
 }
 
 // list takes a worker's entry, unless a newer change of it is known.
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -50,6 +50,7 @@
 	// heard of one that it lacks; zero while it lacks none.
 	newest      uint64
 	behindSince time.Time
+	questions   questions
 }
 
 // open tells whether a peer may be asked now.
@@ -122,12 +123,13 @@
 // told takes a peer's answer; its age holds what it may have waited on its way.
 func (c *Controller) told(now time.Time, e control.DirectoryTold) {
 	c.asks.end(e.From)
+	c.asks.questions.answered(e.From)
 	c.asks.heard = now
 	if e.Revision < c.revision {
 		return
 	}
 	c.noteReturn(now)
-	c.take(now, &e.DirectoryRead)
+	c.take(now, &e.DirectoryRead, "peer "+string(e.From))
 	c.hearFresh(now, e.Age)
 }
 
@@ -155,16 +157,21 @@
 
 // tellNews tells some random peers of a newer revision: each question carries the
 // asker's, and whoever lacks it asks back.
-func (c *Controller) tellNews() {
+func (c *Controller) tellNews(now time.Time) {
 	for range newsFanOut {
 		if peer, ok := c.randomPeer(); ok {
-			c.do(control.AskDirectory{Peer: peer, After: c.revision})
+			c.question(now, peer)
 		}
 	}
 }
 
 func (c *Controller) ask(now time.Time, peer model.Instance) {
 	c.asks.begin(now, peer.ID)
+	c.question(now, peer)
+}
+
+func (c *Controller) question(now time.Time, peer model.Instance) {
+	c.asks.questions.asked(now, peer.ID)
 	c.do(control.AskDirectory{Peer: peer, After: c.revision})
 }
 
--- /dev/null
+++ b/internal/directory/view_test.go
@@ -0,0 +1,93 @@
+package directory
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/event"
+	"gypsumstand/internal/model"
+)
+
+// recorded returns the subjects of the records of an event.
+func recorded(actions []control.Action, id event.ID) (subjects []string) {
+	for _, a := range actions {
+		if rec, ok := a.(control.Record); ok && rec.Event == id {
+			subjects = append(subjects, rec.Subject)
+		}
+	}
+	return subjects
+}
+
+func TestAViewSaysWhyItIsLate(t *testing.T) {
+	for _, tt := range []struct {
+		want  Lag
+		bring func(*rig)
+	}{
+		{NeverRead, func(*rig) {}},
+		{InTime, func(r *rig) { r.handle(two()) }},
+		{WaitsForPeers, func(r *rig) {
+			r.handle(two())
+			r.now = r.now.Add(Bound + time.Millisecond)
+		}},
+		{ReadingSlow, func(r *rig) {
+			r.handle(two())
+			r.ticks(Bound + 4*time.Second)
+		}},
+		{ReadingFails, func(r *rig) {
+			r.handle(two())
+			r.now = r.now.Add(Bound + time.Millisecond)
+			r.handle(control.DirectoryFailed{Err: errors.New("turned away")})
+		}},
+	} {
+		r := newRig()
+		tt.bring(r)
+		if got := r.View(r.now).Lag; got != tt.want {
+			t.Errorf("%s, want %s", got, tt.want)
+		}
+	}
+}
+
+func TestALateViewIsRecordedOnceAndAgainWhenItIsInTime(t *testing.T) {
+	r := newRig()
+	r.handle(control.Tick{})
+	r.handle(two())
+	var late, back []string
+	for range 40 {
+		r.now = r.now.Add(control.TickInterval)
+		out := r.handle(control.Tick{})
+		late = append(late, recorded(out, event.ViewLate)...)
+	}
+	r.handle(two())
+	back = append(back, recorded(r.handle(control.Tick{}), event.ViewInTime)...)
+	if len(late) != 1 || len(back) != 1 {
+		t.Errorf("late %q, in time again %q; want one each", late, back)
+	}
+}
+
+func TestQuestionsCountOnceTheyHadTheirTime(t *testing.T) {
+	var q questions
+	q.asked(epoch, "10.0.0.2")
+	q.asked(epoch, "10.0.0.3")
+	q.answered("10.0.0.2")
+	for _, tt := range []struct {
+		after           time.Duration
+		asked, answered int
+	}{
+		{answerPatience - time.Millisecond, 1, 1},
+		{answerPatience, 2, 1},
+		{questionMemory, 2, 1},
+		{questionMemory + time.Millisecond, 0, 0},
+	} {
+		if asked, answered := q.count(epoch.Add(tt.after)); asked != tt.asked || answered != tt.answered {
+			t.Errorf("after %s: %d of %d, want %d of %d", tt.after, answered, asked, tt.answered, tt.asked)
+		}
+	}
+	for i := range 10_000 {
+		q.asked(epoch, model.InstanceID(rune('a'+i%26)))
+	}
+	if len(q.list) > maxQuestions {
+		t.Errorf("%d questions are remembered", len(q.list))
+	}
+}
--- a/internal/event/directory.go
+++ b/internal/event/directory.go
@@ -16,11 +16,18 @@
 	WorkerMissing = define(624, zerolog.WarnLevel, "worker missing after an outage",
 		"The directory lacks a worker that it listed before it was away. The worker is used until the time in which living workers list themselves again has passed.", "none")
 	ConfigInForce = define(625, zerolog.InfoLevel, "configuration in force",
-		"A newer configuration of the directory replaced the one before. The subject is its version.", "none")
+		"A newer configuration of the directory replaced the one before. The subject is its version, the detail who told it and how old the view was.", "none")
 	ConfigOlder = define(626, zerolog.WarnLevel, "older configuration ignored",
 		"The directory told an older configuration than the one in force. The subject is its version, the detail the one in force.",
 		"Find out whether an old copy of the directory was restored.")
 	DirectoryItemRefused = define(627, zerolog.ErrorLevel, "directory's item refused",
 		"An item of the directory could not be decoded: it has fields missing or of another type, an unknown state, or unreadable bytes. A worker's entry of that kind names no worker to use, also where it replaces a sound one; an older configuration stays in force. Logged once for each change. The subject is its key.",
 		"Find out who wrote the item and in which version of the format.")
+	ViewLate = define(628, zerolog.WarnLevel, "view of the directory is late",
+		"What this node knows of the directory was confirmed, by its own reading or a peer's, longer ago than a change may take to be in force. The subject says why: reading-fails, reading-slow or waits-for-peers.",
+		"reading-fails: look after the directory, or this instance's way to it. Otherwise: compare the detail with other nodes' 628 and 630.")
+	ViewInTime = define(629, zerolog.InfoLevel, "view of the directory is in time again",
+		"After event 628. The detail is for how long nothing had confirmed it.", "none")
+	DirectoryReading = define(630, zerolog.InfoLevel, "directory is read",
+		"This node reads the directory itself. The subject says why: start (nothing is known yet), turn (nothing fresh was heard and its turn has come), behind (a newer revision was heard of and no peer tells it). The detail is what that rests on.", "none")
 )
--- a/internal/node/collector.go
+++ b/internal/node/collector.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"gypsumstand/internal/blackboard"
+	"gypsumstand/internal/directory"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/spread"
 	"gypsumstand/internal/task"
@@ -27,6 +28,9 @@
 	descInstances  = describe("instances", "Known instances by service and state.", "service", "state")
 	descSourceAge  = describe("source_age_seconds", "Time since the source was last confirmed, by this node or a peer; absent when never.", "source")
 	descReads      = describe("platform_reads_total", "This node's own reads of the platform.", "source")
+	descLag        = describe("directory_lag", "1 for the reason why the view of the directory is late, or in-time.", "reason")
+	descBehind     = describe("directory_revisions_behind", "Revisions of the directory that were heard of and are not known.")
+	descReadings   = describe("directory_readings_total", "This node's own readings of the directory, by cause.", "cause")
 	descLimit      = describe("owner_limit", "Requests that the owner runs at once now.")
 	descInFlight   = describe("owner_in_flight", "Requests at the worker.")
 	descQueued     = describe("owner_queued", "Requests that wait at the owner.")
@@ -56,6 +60,7 @@
 
 func (c collector) collect(ch chan<- prometheus.Metric) {
 	c.board(ch)
+	c.directory(ch)
 	c.owner(ch)
 	c.measuring(ch)
 	c.links(ch)
@@ -124,6 +129,25 @@
 	counter(ch, descReads, s.ListReads, "list")
 }
 
+func (c collector) directory(ch chan<- prometheus.Metric) {
+	s := c.node.core.Stats.Get()
+	if s == nil || s.Directory == nil {
+		return
+	}
+	v := s.Directory
+	for _, lag := range directory.Lags {
+		is := 0.0
+		if v.Lag == lag {
+			is = 1
+		}
+		gauge(ch, descLag, is, string(lag))
+	}
+	gauge(ch, descBehind, float64(v.Heard-v.Revision))
+	for _, cause := range directory.Causes {
+		counter(ch, descReadings, v.Readings[cause], string(cause))
+	}
+}
+
 func (c collector) owner(ch chan<- prometheus.Metric) {
 	r := c.node.core.Owner.Report(time.Now())
 	gauge(ch, descLimit, float64(r.Limit))
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/directory"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/quarantine"
 	"gypsumstand/internal/route"
@@ -47,6 +48,7 @@
 	fleet := n.core.Board.Fleet.Get()
 	out.Fleet = fleetStatus(fleet)
 	n.sourcesStatus(now, &out.Sources)
+	out.Directory = n.directoryStatus(now)
 	n.linksStatus(now, fleet, &out)
 	n.measuringStatus(&out.Measuring)
 	return out
@@ -90,6 +92,24 @@
 	out.ListReads = s.ListReads
 }
 
+func (n *Node) directoryStatus(now time.Time) *status.Directory {
+	s := n.core.Stats.Get()
+	if s == nil || s.Directory == nil {
+		return nil
+	}
+	v := s.Directory
+	out := &status.Directory{
+		Revision: v.Revision, Heard: v.Heard, Age: status.Age(now, v.Confirmed),
+		Late: v.Lag != directory.InTime, Lag: string(v.Lag),
+		Listed: v.Listed, Asked: v.Asked, Answered: v.Answered, Failures: v.Failures,
+		Readings: map[string]uint64{},
+	}
+	for cause, count := range v.Readings {
+		out.Readings[string(cause)] = count
+	}
+	return out
+}
+
 func (n *Node) linksStatus(now time.Time, fleet *model.Fleet, out *status.Node) {
 	s := n.core.Stats.Get()
 	if s == nil {
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -53,14 +53,16 @@
 	State       string            `json:"state"`
 	Incarnation model.Incarnation `json:"incarnation"`
 	// Ready tells whether callers are served; Missing what is still waited for.
-	Ready     bool      `json:"ready"`
-	Missing   []string  `json:"missing"`
-	Bundles   []Bundle  `json:"bundles"`
-	Fleet     Fleet     `json:"fleet"`
-	Sources   Sources   `json:"sources"`
-	Owner     Load      `json:"owner"`
-	Links     []Link    `json:"links"`
-	Measuring Measuring `json:"measuring"`
+	Ready   bool     `json:"ready"`
+	Missing []string `json:"missing"`
+	Bundles []Bundle `json:"bundles"`
+	Fleet   Fleet    `json:"fleet"`
+	Sources Sources  `json:"sources"`
+	// Directory is nil at a node that follows none.
+	Directory *Directory `json:"directory,omitempty"`
+	Owner     Load       `json:"owner"`
+	Links     []Link     `json:"links"`
+	Measuring Measuring  `json:"measuring"`
 }
 
 // Bundle is a bundle in force.
@@ -100,6 +102,27 @@
 	ListReads   uint64 `json:"list_reads"`
 }
 
+// Directory tells how far behind a node's view of its directory is, and why.
+type Directory struct {
+	// Revision is the directory's that is known, Heard the greatest heard of.
+	Revision uint64 `json:"revision"`
+	Heard    uint64 `json:"heard"`
+	// Age counts from when the revision was last known to be the newest; nil for never.
+	Age *Milliseconds `json:"age_ms"`
+	// Late: a change may already have taken longer than it should. Lag says why.
+	Late bool   `json:"late"`
+	Lag  string `json:"lag"`
+	// Listed is the number of instances that the directory names. Of the latest Asked
+	// questions to them Answered were answered.
+	Listed   int `json:"listed"`
+	Asked    int `json:"asked"`
+	Answered int `json:"answered"`
+	// Failures counts the node's own failed readings since its last good one.
+	Failures int `json:"failures"`
+	// Readings counts the node's own readings by cause.
+	Readings map[string]uint64 `json:"readings"`
+}
+
 // Load is the owner's load.
 type Load struct {
 	Limit       int          `json:"limit"`
