directory: a configuration that cannot be decoded leaves a trace, and loses nothing else

Callers would go on under the configuration before it, at every node and until the next change, and nobody would know: the answer's revision was taken and the configuration dropped, so that no later reading of changes told it again. On the code as it was a valid one with 15000.0 for a time-out told revision 2 and no bundle, then nothing. A peer's answer with one was lost whole, with the workers that it listed.

- What cannot be decoded is kept and passed on as it is, beside the one in force: peers that can decode it (of another version) take it from there.

--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -79,6 +79,8 @@
 	Gone   []model.Unlisted
 	Floor  uint64
 	Config *model.RawConfig
+	// Refused is a configuration after Config that this node cannot decode.
+	Refused *model.RawConfig
 	// FailedAt is when this node's own last reading failed; zero when it succeeded.
 	FailedAt time.Time
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -98,6 +98,10 @@
 	// changed.
 	Config *model.RawConfig
 	Bundle *bundle.Bundle
+	// Refused is the newest configuration where that cannot be decoded, for the reason
+	// RefusedErr; Config is then an older one, or nil.
+	Refused    *model.RawConfig
+	RefusedErr error
 	// Took is how long the reading took: it tells what held at its start, not what
 	// has changed since.
 	Took time.Duration
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -141,11 +141,12 @@
 
 // lagWords say why a view of the directory is late.
 var lagWords = map[string]string{
-	"in-time":         "in time",
-	"never-read":      "never read",
-	"reading-fails":   "late: this node's readings fail, and no peer knows better",
-	"reading-slow":    "late: a reading is under way",
-	"waits-for-peers": "late: others are expected to read",
+	"in-time":               "in time",
+	"never-read":            "never read",
+	"reading-fails":         "late: this node's readings fail, and no peer knows better",
+	"reading-slow":          "late: a reading is under way",
+	"configuration-refused": "late: the newest configuration cannot be decoded here (event 631)",
+	"waits-for-peers":       "late: others are expected to read",
 }
 
 func directoryWords(d *status.Directory) string {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -79,6 +79,8 @@
 	workers  map[model.WorkerID]*worker
 	removed  removals
 	config   *model.RawConfig
+	// refused is the newest configuration where this node cannot decode it; nil otherwise.
+	refused *model.RawConfig
 	// confirmed is when the directory, by whatever way, was last known to hold what
 	// this node knows; zero for never.
 	confirmed time.Time
@@ -253,6 +255,9 @@
 	if r.Bundle != nil {
 		c.takeBundle(now, r, by)
 	}
+	if r.Refused != nil {
+		c.takeRefused(r, by)
+	}
 	for _, l := range r.Listed {
 		c.list(l)
 	}
@@ -281,6 +286,9 @@
 		return
 	}
 	c.config = r.Config
+	if c.refused != nil && c.refused.Revision < revisionOf(c.config) {
+		c.refused = nil
+	}
 	c.board.Bundles.Put(bundle.NewSet([]*bundle.Bundle{b}))
 	// Entries of services that it names may be used from now on.
 	c.dirty = true
@@ -288,6 +296,24 @@
 		len(b.Services), len(b.Classes), by, since(now, c.confirmed)), nil)
 }
 
+// takeRefused notes a newer configuration that cannot be decoded: the one in force stays,
+// and peers that can decode it are told what it says.
+func (c *Controller) takeRefused(r *control.DirectoryRead, by string) {
+	revision := r.Refused.Revision
+	if revision <= revisionOf(c.config) || revision <= revisionOf(c.refused) {
+		return
+	}
+	c.refused = r.Refused
+	c.record(event.ConfigRefused, fmt.Sprint("revision ", revision), "told by "+by, r.RefusedErr)
+}
+
+func revisionOf(raw *model.RawConfig) uint64 {
+	if raw == nil {
+		return 0
+	}
+	return raw.Revision
+}
+
 // list takes a worker's entry, unless a newer change of it is known.
 func (c *Controller) list(l model.Listing) {
 	id := l.Instance.Worker
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -212,7 +212,7 @@
 			d.Listed = append(d.Listed, w.listing)
 		}
 	}
-	d.FailedAt = c.failedAt
+	d.FailedAt, d.Refused = c.failedAt, c.refused
 	c.published = c.confirmed
 	c.board.Directory.Put(d)
 }
@@ -271,5 +271,8 @@
 	if d.Config != nil && (out.Whole || d.Config.Revision > after) {
 		out.Config = d.Config
 	}
+	if d.Refused != nil && (out.Whole || d.Refused.Revision > after) {
+		out.Refused = d.Refused
+	}
 	return out
 }
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -23,12 +23,14 @@
 	ReadingFails Lag = "reading-fails"
 	// ReadingSlow: a reading is under way.
 	ReadingSlow Lag = "reading-slow"
+	// ConfigRefused: the newest configuration cannot be decoded here.
+	ConfigRefused Lag = "configuration-refused"
 	// WaitsForPeers: this node does not read yet, as others are expected to.
 	WaitsForPeers Lag = "waits-for-peers"
 )
 
 // Lags lists all reasons.
-var Lags = []Lag{InTime, NeverRead, ReadingFails, ReadingSlow, WaitsForPeers}
+var Lags = []Lag{InTime, NeverRead, ReadingFails, ReadingSlow, ConfigRefused, WaitsForPeers}
 
 // View says how old what a node knows of the directory is, and why.
 type View struct {
@@ -86,6 +88,8 @@
 	switch {
 	case c.confirmed.IsZero():
 		return NeverRead
+	case c.refused != nil:
+		return ConfigRefused
 	case now.Sub(c.confirmed) <= Bound:
 		return InTime
 	case c.failures > 0:
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
@@ -114,3 +115,29 @@
 		}
 	}
 }
+
+func TestAConfigurationThatCannotBeDecodedIsNeverPassedOverInSilence(t *testing.T) {
+	r := newRig()
+	r.handle(control.Tick{})
+	sound := two()
+	sound.Config, sound.Bundle = &model.RawConfig{Revision: 2}, &bundle.Bundle{Name: "operator", Version: 1}
+	r.handle(sound)
+	refused := control.DirectoryRead{Revision: 3, Refused: &model.RawConfig{Revision: 3}, RefusedErr: errors.New("cut short")}
+	if got := recorded(r.handle(refused), event.ConfigRefused); len(got) != 1 {
+		t.Errorf("%d records of a refused configuration, want 1", len(got))
+	}
+	if got := recorded(r.handle(refused), event.ConfigRefused); len(got) != 0 {
+		t.Errorf("%d records of one that was recorded", len(got))
+	}
+	if got := r.View(r.now).Lag; got != ConfigRefused {
+		t.Errorf("lag %s", got)
+	}
+	told := Changes(r.board.Directory.Get(), 2)
+	if told.Refused == nil || told.Refused.Revision != 3 {
+		t.Errorf("peers are told %+v", told)
+	}
+	r.handle(control.DirectoryRead{Revision: 4, Config: &model.RawConfig{Revision: 4}, Bundle: &bundle.Bundle{Name: "operator", Version: 2}})
+	if got := r.View(r.now).Lag; got != InTime {
+		t.Errorf("lag %s after a sound configuration", got)
+	}
+}
--- a/internal/event/directory.go
+++ b/internal/event/directory.go
@@ -23,8 +23,11 @@
 	DirectoryItemRefused = define(627, zerolog.ErrorLevel, "directory's item refused",
 		"An item of the directory could not be decoded: it has fields missing or of another type, an unknown state, or unreadable bytes. A worker's entry of that kind names no worker to use, also where it replaces a sound one; an older configuration stays in force. Logged once for each change. The subject is its key.",
 		"Find out who wrote the item and in which version of the format.")
+	ConfigRefused = define(631, zerolog.ErrorLevel, "configuration refused",
+		"The directory's newest configuration cannot be decoded by this node; the one before it stays in force. The subject is its revision, the detail who told it.",
+		"Find out what the error names, and write a configuration without it. Where other nodes have it in force (625), this one runs an older program.")
 	ViewLate = define(628, zerolog.WarnLevel, "view of the directory is late",
-		"What this node knows of the directory was confirmed, by its own reading or a peer's, longer ago than a change may take to be in force. The subject says why: reading-fails, reading-slow or waits-for-peers.",
+		"What this node knows of the directory was confirmed, by its own reading or a peer's, longer ago than a change may take to be in force. The subject says why: reading-fails, reading-slow, waits-for-peers, or configuration-refused (631).",
 		"reading-fails: look after the directory, or this instance's way to it. Otherwise: compare the detail with other nodes' 628 and 630.")
 	ViewInTime = define(629, zerolog.InfoLevel, "view of the directory is in time again",
 		"After event 628. The detail is for how long nothing had confirmed it.", "none")
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/directory"
 	"gypsumstand/internal/model"
@@ -74,16 +75,31 @@
 			Revision: c.Revision, Whole: c.Whole, Listed: c.Listed, Gone: c.Gone,
 		},
 	}
-	if c.Config == nil {
-		return told, nil
+	n.takeConfig(&told.DirectoryRead, c.Config)
+	n.takeConfig(&told.DirectoryRead, c.Refused)
+	return told, nil
+}
+
+// takeConfig decodes a configuration that a peer told, nil for none. One that cannot be
+// decoded here keeps nothing else of the answer from being taken.
+func (n *Node) takeConfig(told *control.DirectoryRead, raw *model.RawConfig) {
+	if raw == nil {
+		return
+	}
+	b, err := n.decodeConfig(raw)
+	if err != nil {
+		told.Refused, told.RefusedErr = raw, err
+		return
 	}
-	raw, err := packed.Unpack(c.Config.Packed)
+	told.Config, told.Bundle = raw, b
+}
+
+func (n *Node) decodeConfig(raw *model.RawConfig) (*bundle.Bundle, error) {
+	text, err := packed.Unpack(raw.Packed)
 	if err != nil {
-		return control.DirectoryTold{}, fmt.Errorf("the directory's configuration: %w", err)
+		return nil, fmt.Errorf("the directory's configuration: %w", err)
 	}
-	told.Config = c.Config
-	told.Bundle, err = n.cfg.Directory.Configuration(raw)
-	return told, err
+	return n.cfg.Directory.Configuration(text)
 }
 
 // serveDirectory answers a peer's question.
@@ -103,7 +119,7 @@
 	now := time.Now()
 	data, err := wire.EncodeDirectory(&wire.DirectoryChanges{
 		Revision: changes.Revision, AgeMs: known.Mark(now).AgeMs, Failing: known.Failing(now),
-		Whole: changes.Whole, Listed: changes.Listed, Gone: changes.Gone, Config: changes.Config,
+		Whole: changes.Whole, Listed: changes.Listed, Gone: changes.Gone, Config: changes.Config, Refused: changes.Refused,
 	})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- /dev/null
+++ b/internal/node/directory_test.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gypsumstand/internal/bundle"
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/model"
+	"gypsumstand/internal/packed"
+	"gypsumstand/internal/wire"
+)
+
+var errUndecodable = errors.New("cannot be decoded")
+
+// oneDecodable is a directory whose configurations can be decoded if they are "sound".
+type oneDecodable struct{}
+
+func (oneDecodable) Read(context.Context, uint64) (control.DirectoryRead, error) {
+	return control.DirectoryRead{}, errUndecodable
+}
+
+func (oneDecodable) Configuration(data []byte) (*bundle.Bundle, error) {
+	if string(data) != "sound" {
+		return nil, errUndecodable
+	}
+	return &bundle.Bundle{Name: "operator", Version: 1}, nil
+}
+
+func (oneDecodable) Close() {}
+
+func TestAConfigurationThatCannotBeDecodedLosesNothingElseOfAPeersAnswer(t *testing.T) {
+	n := &Node{cfg: Config{Directory: oneDecodable{}}}
+	raw := func(revision uint64, text string) *model.RawConfig {
+		out, err := packed.Pack([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &model.RawConfig{Revision: revision, Packed: out}
+	}
+	listed := []model.Listing{{Instance: model.Instance{ID: "10.0.0.2", Worker: "w2"}, Revision: 9}}
+	for _, tt := range []struct {
+		name              string
+		config, refused   *model.RawConfig
+		inForce, recorded uint64
+	}{
+		{"none", nil, nil, 0, 0},
+		{"not decodable here", raw(8, "strange"), nil, 0, 8},
+		{"not decodable, nor to the teller", raw(7, "sound"), raw(8, "strange"), 7, 8},
+		{"not decodable to the teller only", nil, raw(8, "sound"), 8, 0},
+		{"no packed text", &model.RawConfig{Revision: 8, Packed: []byte{0xff}}, nil, 0, 8},
+	} {
+		data, err := wire.EncodeDirectory(&wire.DirectoryChanges{Revision: 9, Listed: listed, Config: tt.config, Refused: tt.refused})
+		if err != nil {
+			t.Fatal(err)
+		}
+		told, err := n.decodeDirectory(data)
+		if err != nil {
+			t.Errorf("%s: %v", tt.name, err)
+			continue
+		}
+		if len(told.Listed) != 1 || told.Revision != 9 || (told.Bundle != nil) != (tt.inForce > 0) {
+			t.Errorf("%s: %+v", tt.name, told)
+		}
+		if got := revision(told.Config); got != tt.inForce {
+			t.Errorf("%s: configuration of revision %d, want %d", tt.name, got, tt.inForce)
+		}
+		if got := revision(told.Refused); got != tt.recorded || (told.RefusedErr != nil) != (got > 0) {
+			t.Errorf("%s: refused revision %d (%v), want %d", tt.name, got, told.RefusedErr, tt.recorded)
+		}
+	}
+}
+
+func revision(raw *model.RawConfig) uint64 {
+	if raw == nil {
+		return 0
+	}
+	return raw.Revision
+}
--- a/internal/wire/directory.go
+++ b/internal/wire/directory.go
@@ -22,6 +22,8 @@
 	Config *model.RawConfig `cbor:"6,keyasint"`
 	// Failing: the teller's own readings fail.
 	Failing bool `cbor:"7,keyasint,omitempty"`
+	// Refused is a configuration after Config that the teller cannot decode.
+	Refused *model.RawConfig `cbor:"8,keyasint,omitempty"`
 }
 
 // EncodeDirectory returns the CBOR form of c.
