soak: plans by their names

-plan names what a plan is drawn from, so that seeds of every earlier version can be repeated by hand: newest, spared, first, second, third.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -68,31 +68,25 @@
 
 // PlanVersion is a list of kinds that plans are drawn from. A seed repeats its plan
 // under the version that it was played with.
-type PlanVersion int
+type PlanVersion string
 
 // The versions.
 const (
-	PlanNewest PlanVersion = iota
-	PlanFirst
-	PlanSecond
-	PlanThird
-	PlanSpared
+	PlanNewest PlanVersion = "newest"
+	PlanSpared PlanVersion = "spared"
+	PlanFirst  PlanVersion = "first"
+	PlanSecond PlanVersion = "second"
+	PlanThird  PlanVersion = "third"
 )
 
-func (v PlanVersion) kinds() []kind {
-	switch v {
-	case PlanFirst:
-		return firstKinds
-	case PlanSecond:
-		return secondKinds
-	case PlanThird:
-		return thirdKinds
-	case PlanSpared:
-		return sparedKinds
-	}
-	return newestKinds
+// kindsOf are the kinds of each version.
+var kindsOf = map[PlanVersion][]kind{
+	PlanNewest: newestKinds, PlanSpared: sparedKinds, PlanFirst: firstKinds, PlanSecond: secondKinds, PlanThird: thirdKinds,
 }
 
+// Known tells whether there is such a version.
+func (v PlanVersion) Known() bool { return kindsOf[v] != nil }
+
 // trouble is one thing that goes wrong.
 type trouble struct {
 	at      time.Duration
@@ -126,7 +120,7 @@
 
 // makePlan draws a plan for machines over a length.
 func makePlan(seed uint64, machines int, length time.Duration, v PlanVersion) plan {
-	kinds := v.kinds()
+	kinds := kindsOf[v]
 	rng := rand.New(rand.NewPCG(seed, 0))
 	var p plan
 	for at := calmStart; at < length-calmEnd; {
