quarantine: a request that was put aside is released by a whole run only

Cause: the verdict followed from the present ends alone and forgot that a request had been convicted by them. Being put aside is part of the record now, until a whole run clears it; it joins like the ends (any of equal clearings), so that nodes agree. One whose ends another explains may be innocent: it is tried at once, which counts as its first trial, so that each request still has three.

Old nodes ignore the new field and judge as before.

--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -13,7 +13,7 @@
 func put(now time.Time, records []*record, news *wire.SuspectNews) {
 	index := map[EndID]int{}
 	for _, r := range records {
-		s := wire.Suspect{Content: r.content, Cleared: r.cleared, AgeMs: age(now, r.changed)}
+		s := wire.Suspect{Content: r.content, Cleared: r.cleared, Barred: r.barred, AgeMs: age(now, r.changed)}
 		for _, e := range r.ends {
 			at, known := index[e.id]
 			if !known {
@@ -67,9 +67,12 @@
 	r.wide = r.wide || wide
 	if s.Cleared > r.cleared {
 		r.cleared = s.Cleared
-		r.ends = nil
+		r.ends, r.barred = nil, false
 		news = true
 	}
+	if s.Barred && !r.barred {
+		r.barred, news = true, true
+	}
 	for _, e := range ends {
 		news = r.add(e) || news
 	}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -52,6 +52,9 @@
 	cleared uint32
 	// ends since the last clearing, in the order of their ids.
 	ends []end
+	// barred: it has been put aside since the last clearing, and stays so until the next:
+	// the ends that another request explains later may have been its own too.
+	barred bool
 	// wide: it has been put aside at some time, so that every node of the fleet knows it;
 	// others are known to the nodes of their service.
 	wide bool
@@ -77,9 +80,14 @@
 func (r *record) judge(explained map[EndID]bool) {
 	left, doubted := r.unexplained(explained)
 	r.left = left
-	r.aside = left >= endsToPutAside && doubted
+	r.barred = r.barred || left >= endsToPutAside && doubted
+	r.aside = r.barred && len(r.ends) > 0
 }
 
+// innocent tells whether a request that is put aside may have been in hand by chance: others
+// explain all its ends, and no trial has shown anything yet.
+func (r *record) innocent() bool { return r.aside && r.left == 0 && r.trials() == 0 }
+
 // unexplained counts the ends that are not explained, and tells whether one of them is of a
 // run that was doubted.
 func (r *record) unexplained(explained map[EndID]bool) (left int, doubted bool) {
@@ -152,6 +160,9 @@
 	b := make([]byte, 0, len(r.content)+4+8*len(r.ends))
 	b = append(b, r.content[:]...)
 	b = binary.BigEndian.AppendUint32(b, r.cleared)
+	if r.barred {
+		b = append(b, 1)
+	}
 	for _, e := range r.ends {
 		b = binary.BigEndian.AppendUint64(b, uint64(e.id))
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -99,8 +99,10 @@
 }
 
 // judge finds who is to be put aside and returns what has changed. The request with the most
-// ends explains those ends: whoever else was in hand then is not suspect for them. The
-// verdict follows from the records alone, so that nodes with the same ones agree.
+// ends explains those ends: whoever else was in hand then is not suspect for them. One that
+// was put aside before stays so, or several that end workers would release each other by
+// turns; it may be tried at once. The verdict follows from the records alone, so that nodes
+// with the same ones agree.
 func (t *table) judge(now time.Time) []judged {
 	if !t.changed {
 		return nil
@@ -147,7 +149,7 @@
 		return false
 	}
 	r.cleared++
-	r.ends = nil
+	r.ends, r.barred = nil, false
 	t.touch(r, now)
 	return true
 }
@@ -172,6 +174,9 @@
 // nextTrial returns when a request that is put aside may be tried again; ok is false when
 // it has had all its trials.
 func (r *record) nextTrial() (at time.Time, ok bool) {
+	if r.innocent() {
+		return r.lastEnd(), true
+	}
 	failed := r.trials()
 	if failed >= len(trialPauses) {
 		return time.Time{}, false
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -85,6 +85,32 @@
 	}
 }
 
+func TestARequestThatAnotherOneExplainsIsTriedAtOnceAndOnceOnly(t *testing.T) {
+	tb := newTable()
+	for i := range 3 {
+		tb.endAt(at(i*1000), i, i > 0, 1, 2)
+	}
+	first, other := 1, 2
+	if tb.isAside(2) {
+		first, other = 2, 1
+	}
+	tb.endAt(at(4000), 10, true, other)
+	r := tb.records[content(first)]
+	if !r.trialDue(at(4001)) {
+		t.Error("no trial is due although another request explains all its ends")
+	}
+	tb.ended(at(5000), r.content, end{id: 11, owner: "w", at: at(5000), doubted: true, trial: true})
+	tb.judge(at(5000))
+	if r.trialDue(at(5000).Add(trialPauses[1] - time.Second)) {
+		t.Error("another trial is due at once after one that ended a worker")
+	}
+	tb.completed(at(6000), r.content)
+	tb.judge(at(6000))
+	if tb.isAside(first) {
+		t.Error("a whole run does not release it")
+	}
+}
+
 func TestAWholeRunClearsARequest(t *testing.T) {
 	tb := newTable()
 	for i := range 10 {
@@ -138,30 +164,36 @@
 }
 
 // plain is the rules of one node in the plainest form: all ends of each request since its
-// last whole run.
-type plain map[int][]end
+// last whole run, and which were put aside since.
+type plain struct {
+	ends   map[int][]end
+	barred map[int]bool
+}
 
 // aside returns the requests that are put aside: by turns the one with the most ends, unless
-// those before it leave too few of them.
+// those before it leave too few of them; and those that were.
 func (p plain) aside(requests int) map[int]bool {
 	order := make([]int, requests)
 	for c := range order {
 		order[c] = c
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		if len(p[a]) != len(p[b]) {
-			return len(p[b]) - len(p[a])
+		if len(p.ends[a]) != len(p.ends[b]) {
+			return len(p.ends[b]) - len(p.ends[a])
 		}
 		return strings.Compare(content(a).String(), content(b).String())
 	})
 	out, guilty := map[int]bool{}, map[EndID]bool{}
 	for _, c := range order {
-		left := slices.DeleteFunc(slices.Clone(p[c]), func(e end) bool { return guilty[e.id] })
-		if len(left) < 3 || !slices.ContainsFunc(left, func(e end) bool { return e.doubted }) {
+		left := slices.DeleteFunc(slices.Clone(p.ends[c]), func(e end) bool { return guilty[e.id] })
+		if len(left) >= 3 && slices.ContainsFunc(left, func(e end) bool { return e.doubted }) {
+			p.barred[c] = true
+		}
+		if !p.barred[c] {
 			continue
 		}
 		out[c] = true
-		for _, e := range p[c] {
+		for _, e := range p.ends[c] {
 			guilty[e.id] = true
 		}
 	}
@@ -171,7 +203,7 @@
 func TestTheTableJudgesAsThePlainModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const requests = 6
-		tb, model := newTable(), plain{}
+		tb, model := newTable(), plain{map[int][]end{}, map[int]bool{}}
 		now := epoch
 		// No more ends than are kept of a request.
 		for i := range rapid.IntRange(1, maxEnds).Draw(t, "steps") {
@@ -179,12 +211,13 @@
 			if rapid.IntRange(0, 5).Draw(t, "what") == 0 {
 				c := rapid.IntRange(0, requests-1).Draw(t, "completes")
 				tb.completed(now, content(c))
-				delete(model, c)
+				delete(model.ends, c)
+				delete(model.barred, c)
 			} else {
 				for _, c := range rapid.SliceOfNDistinct(rapid.IntRange(0, requests-1), 1, 4, rapid.ID[int]).Draw(t, "in hand") {
 					e := end{id: EndID(i + 1), owner: "w", at: now, doubted: rapid.Bool().Draw(t, "doubted")}
 					tb.ended(now, content(c), e)
-					model[c] = append(model[c], e)
+					model.ends[c] = append(model.ends[c], e)
 				}
 			}
 			tb.judge(now)
--- a/internal/wire/suspects.go
+++ b/internal/wire/suspects.go
@@ -49,6 +49,9 @@
 	Ends []EndRef `cbor:"3,keyasint,omitempty"`
 	// AgeMs is the time since the record last changed, in milliseconds.
 	AgeMs uint32 `cbor:"4,keyasint,omitempty"`
+	// Barred: it was put aside after the last clearing, whatever has explained its ends
+	// since.
+	Barred bool `cbor:"5,keyasint,omitempty"`
 }
 
 // SuspectEnd is one end of a worker's life.
