directory: a suspension of the machine counts in every age

After a suspended machine woke, what had waited in its sockets was taken for fresh: neither its own readings' time nor its questions' nor its knowledge's age counts what the steady clock leaves out. It and every peer that it told would then not read for up to 0.8 s and more on top of the age that they had.

Suspected only to be part of what users saw.

CLOCK_BOOTTIME less the steady clock tells it: the core is told before anything that waited (event 112), its knowledge grows older, ages heard within a second are raised, readings and questions count it.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -30,6 +30,10 @@
 // than PauseGap: the process had been stopped or starved For that long.
 type Paused struct{ For time.Duration }
 
+// Suspended comes before anything else that waited when the machine was suspended For that
+// long, which the clock of the events does not count.
+type Suspended struct{ For time.Duration }
+
 // LinkUp says that a control link to or from a peer is open.
 type LinkUp struct {
 	Peer model.Instance
@@ -173,6 +177,7 @@
 
 func (Tick) isEvent()            {}
 func (Paused) isEvent()          {}
+func (Suspended) isEvent()       {}
 func (LinkUp) isEvent()          {}
 func (LinkDown) isEvent()        {}
 func (Received) isEvent()        {}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -96,6 +96,10 @@
 	// none.
 	readingSince time.Time
 	readings     map[Cause]uint64
+	// sleptFor is how long the machine was suspended last. Until sleptUntil ages that are
+	// heard may lack it, as what came meanwhile waited here.
+	sleptFor   time.Duration
+	sleptUntil time.Time
 	// lateSince is when the view was last confirmed that is late; zero while in time.
 	lateSince time.Time
 	// doubtUntil is until when a removal that the directory tells may be the lapse of
@@ -143,6 +147,8 @@
 		c.asks.end(e.From)
 	case control.Paused:
 		c.timer.Paused(now, e.For)
+	case control.Suspended:
+		c.suspended(now, e.For)
 	case control.Tick:
 		c.tick(now)
 	}
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -116,7 +116,7 @@
 			c.ask(now, in)
 		}
 	case e.Mark.Revision == c.revision && c.revision != 0:
-		c.hearFresh(now, age)
+		c.hearFresh(now, age+c.slept(now))
 	}
 }
 
@@ -129,6 +129,7 @@
 		return
 	}
 	c.noteReturn(now)
+	e.Age += c.slept(now)
 	c.take(now, &e.DirectoryRead, "peer "+string(e.From))
 	c.hearFresh(now, e.Age)
 }
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -141,3 +141,26 @@
 		t.Errorf("lag %s after a sound configuration", got)
 	}
 }
+
+func TestWhatIsKnownGrowsOlderWhileTheMachineIsSuspended(t *testing.T) {
+	const asleep = 3 * time.Second
+	r := newRig()
+	r.handle(control.Tick{})
+	r.handle(two())
+	r.handle(control.Suspended{For: asleep})
+	if age := r.board.Directory.Get().Mark(r.now).AgeMs; age < uint32(asleep.Milliseconds()) {
+		t.Errorf("peers are told an age of %d ms", age)
+	}
+	// It waited here, and was of 10 ms when it came.
+	r.handle(control.DirectoryHeard{From: "10.0.0.2", Mark: model.DirectoryMark{Revision: 2, AgeMs: 10}})
+	if age := r.now.Sub(r.Confirmed()); age < asleep {
+		t.Errorf("confirmed %s ago by a mark that waited", age)
+	}
+	if _, reads := r.ticks(Bound); reads == 0 {
+		t.Error("no reading within the bound after the suspension")
+	}
+	r.handle(control.DirectoryHeard{From: "10.0.0.2", Mark: model.DirectoryMark{Revision: 2, AgeMs: 10}})
+	if age := r.now.Sub(r.Confirmed()); age > 10*time.Millisecond {
+		t.Errorf("confirmed %s ago by a fresh mark", age)
+	}
+}
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -13,6 +13,11 @@
 	DrainTimeout = define(103, zerolog.ErrorLevel, "drain time ended with requests in flight",
 		"The stop's stated bound ended before all requests did; the rest was cut off: callers' requests and other entries' attempts, as counted.",
 		"Raise stop_timeout_ms above the longest deadline of the classes.")
+	Suspended = define(112, zerolog.WarnLevel, "machine was suspended",
+		"The machine stood still for that many milliseconds, which the steady clock does not count. What the node knew is taken to be older by that.",
+		"Find out who suspends the machine. Time-outs that were running then last longer by it.")
+	SuspensionUnknown = define(113, zerolog.WarnLevel, "suspensions cannot be seen",
+		"The system has no clock that counts a suspension of the machine. Knowledge from before one is taken for fresh.", "none")
 	Paused = define(104, zerolog.WarnLevel, "process was paused",
 		"A tick came late by more than the stated gap, so the process had been stopped or starved; views and leases are doubted until refreshed.",
 		"Look for a noisy neighbour or a frozen host when it repeats.")
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -28,13 +28,13 @@
 )
 
 func (n *Node) readDirectory(after uint64) {
-	began := time.Now()
+	began := n.clock()
 	read, err := n.cfg.Directory.Read(n.ctx, after)
 	if err != nil {
 		n.sink(control.DirectoryFailed{Err: err})
 		return
 	}
-	read.Took = time.Since(began)
+	read.Took = n.elapsed(began)
 	n.sink(read)
 }
 
@@ -46,7 +46,7 @@
 		directoryAfter: {strconv.FormatUint(a.After, 10)},
 		directoryFrom:  {string(n.cfg.Instance)},
 	}
-	began := time.Now()
+	began := n.clock()
 	data, err := n.forwarder.Get(ctx, a.Peer.PeerAddress, directoryPath+"?"+query.Encode(), wire.MaxDirectoryBytes)
 	if err != nil {
 		n.sink(control.DirectoryAskFailed{From: a.Peer.ID, Err: err})
@@ -59,7 +59,7 @@
 	}
 	told.From = a.Peer.ID
 	// The answer may have waited on its way.
-	told.Age += time.Since(began)
+	told.Age += n.elapsed(began)
 	n.sink(told)
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -18,7 +18,7 @@
 func (n *Node) loop() {
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
-	last := time.Now()
+	last := n.clock()
 	for {
 		var ev control.Event
 		select {
@@ -30,14 +30,15 @@
 			ev = control.SuspectsChanged{}
 		case ev = <-n.events:
 		}
-		now := time.Now()
+		now := n.clock()
+		n.noteSuspension(last, now)
 		// A pause comes before whatever waited meanwhile, be it tick or message.
-		if gap := now.Sub(last); gap > control.TickInterval+control.PauseGap {
+		if gap := now.at.Sub(last.at); gap > control.TickInterval+control.PauseGap {
 			event.Log(&n.log, event.Paused).Int("milliseconds", gap.Milliseconds()).Send()
-			n.apply(n.core.Handle(now, control.Paused{For: gap}))
+			n.apply(n.core.Handle(now.at, control.Paused{For: gap}))
 		}
 		last = now
-		n.take(now, ev)
+		n.take(now.at, ev)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"gypsumstand/internal/registry"
 	"gypsumstand/internal/route"
 	"gypsumstand/internal/server"
+	"gypsumstand/internal/suspension"
 	"gypsumstand/internal/upstream"
 )
 
@@ -168,6 +169,9 @@
 		failed: make(chan error, 1),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	if _, err := suspension.Now(); err != nil {
+		event.Log(&n.log, event.SuspensionUnknown).Err(err).Send()
+	}
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
--- a/internal/suppress/suppress.go
+++ b/internal/suppress/suppress.go
@@ -181,6 +181,16 @@
 	t.doubtUntil = now.Add(wakeDoubt)
 }
 
+// Suspended says that the machine was suspended for d, which the caller's clock did not
+// count: all that is known is older by d.
+func (t *Timer) Suspended(d time.Duration) {
+	for _, at := range []*time.Time{&t.attempt, &t.confirmed, &t.checked} {
+		if !at.IsZero() {
+			*at = at.Add(-d)
+		}
+	}
+}
+
 // Ages returns the ages of the last attempt and the last success by anyone, as
 // far as known, for a beacon; Never for none.
 func (t *Timer) Ages(now time.Time) (attempt, confirmed time.Duration) {
