suppress: standstills in series keep no node from reading

The hold-back exists so that processes which woke together do not read together. It is drawn once until the next attempt that is heard of.

--- a/internal/suppress/suppress.go
+++ b/internal/suppress/suppress.go
@@ -70,8 +70,10 @@
 	// attempt and confirmed are the newest known times by anyone; zero for none.
 	attempt   time.Time
 	confirmed time.Time
-	// notBefore holds the timer back after a start or a pause.
+	// notBefore holds the timer back after a start or a pause. pausedAt is the pause after
+	// which that was done last.
 	notBefore time.Time
+	pausedAt  time.Time
 	// checked is the end of the span whose hazard has been drawn.
 	checked time.Time
 	// lone is the drawn silence after which this node fires for certain.
@@ -171,12 +173,16 @@
 }
 
 // Paused says that the process stood still for d until now. Nothing is
-// forgotten, but the timer is held back by a random time, so that processes
-// that woke together do not read together, and what waited in buffers is taken
+// forgotten, but the timer is held back by a random time, once until the next attempt, so
+// that processes that woke together do not read together, and what waited in buffers is taken
 // to be older by d.
 func (t *Timer) Paused(now time.Time, d time.Duration) {
 	t.start(now)
-	t.holdBack(now)
+	// Standstills in series would hold it back for ever.
+	if t.pausedAt.IsZero() || t.attempt.After(t.pausedAt) {
+		t.holdBack(now)
+		t.pausedAt = now
+	}
 	t.doubt = d
 	t.doubtUntil = now.Add(wakeDoubt)
 }
@@ -184,7 +190,7 @@
 // Suspended says that the machine was suspended for d, which the caller's clock did not
 // count: all that is known is older by d.
 func (t *Timer) Suspended(d time.Duration) {
-	for _, at := range []*time.Time{&t.attempt, &t.confirmed, &t.checked} {
+	for _, at := range []*time.Time{&t.attempt, &t.confirmed, &t.checked, &t.pausedAt} {
 		if !at.IsZero() {
 			*at = at.Add(-d)
 		}
--- a/internal/suppress/suppress_test.go
+++ b/internal/suppress/suppress_test.go
@@ -260,3 +260,22 @@
 		}
 	}
 }
+
+func TestStandstillsInSeriesKeepNoNodeFromReading(t *testing.T) {
+	const stop, run = 1200 * time.Millisecond, 250 * time.Millisecond
+	for seed := range uint64(100) {
+		timer := newTimer(seed)
+		now := epoch
+		due := timer.Due(now, 1)
+		for cycle := 0; !due; cycle++ {
+			if cycle == 3 {
+				t.Fatalf("seed %d: no reading in %d standstills", seed, cycle)
+			}
+			now = now.Add(stop)
+			timer.Paused(now, stop)
+			for end := now.Add(run); now.Before(end); now = now.Add(tick) {
+				due = due || timer.Due(now, 1)
+			}
+		}
+	}
+}
