directory: a node that is alone follows a store that is back

A node without peers had a change in force up to 4.2 s after the store had come back, over the 3 s after which it counts as in touch: fleets of 10, 80 and 300 on the fake clock of which one is left, readings that fail at once (3.7, 3.9, 4.2 s) or hang (1.9 s).

A failing node now goes by the peers that answer (living, able or not), 0.4 s for each of them up to the old bound, and counts a failed reading from its beginning.

TestADirectoryThatIsBackIsFollowedInTimeByANodeThatIsAlone failed before; now 2.1 s at most. Six living nodes and more try as seldom as before while a store is down.

--- a/internal/directory/bound_test.go
+++ b/internal/directory/bound_test.go
@@ -29,6 +29,8 @@
 	// storeTime is a reading's time, and peerTime a question's to a peer.
 	storeTime = 8 * time.Millisecond
 	peerTime  = 4 * time.Millisecond
+	// hangTime is that of one of which nothing comes: changes, then everything.
+	hangTime = 2100 * time.Millisecond
 	// slowStoreTime is that of a store a hundred times slower.
 	slowStoreTime = 400 * time.Millisecond
 	// calls is how many answers of peers a node hears in a second; the target's 43 are
@@ -59,6 +61,8 @@
 	dead, gradually bool
 	// slow: their readings take slowStoreTime.
 	slow bool
+	// down: every reading fails after that time; zero for not.
+	down time.Duration
 	// scarce: almost all nodes of the fleet live and may not read, so that in one of
 	// thousands targetBound holds.
 	scarce bool
@@ -264,6 +268,9 @@
 	took := storeTime
 	harmed := n.harmed && f.harmNow()
 	switch {
+	case f.harm.down > 0 && f.harmNow():
+		f.in(f.harm.down, func() { f.handle(n, control.DirectoryFailed{Err: errors.New("down")}) })
+		return
 	case f.cutOff(n):
 		f.in(time.Second, func() { f.handle(n, control.DirectoryFailed{Err: errors.New("no way")}) })
 		return
@@ -368,6 +375,37 @@
 	return !n.dead && !(n.harmed && (f.harm.cut || f.harm.turnedAway))
 }
 
+// followTime is how long after its return a directory that had failed must be followed: a
+// machine is in touch again after 3 s.
+const followTime = 3 * time.Second
+
+// Readings that fail at once, or hang until their time-outs.
+func TestADirectoryThatIsBackIsFollowedInTimeByANodeThatIsAlone(t *testing.T) {
+	for _, size := range []int{10, 80, 300} {
+		for _, takes := range []time.Duration{storeTime, hangTime} {
+			t.Run(fmt.Sprintf("%d nodes, failing after %s", size, takes), func(t *testing.T) {
+				t.Parallel()
+				var most time.Duration
+				for seed := range uint64(40) {
+					f := newFleet(seed, size, harm{allBut: 1, dead: true, down: takes})
+					f.change = epoch.Add(harmEnds + f.within(followTime-2*time.Second))
+					f.runUntil(epoch.Add(harmEnds + 2*followTime))
+					n := f.nodes[size-1]
+					late := 2 * followTime
+					if !n.inForce.IsZero() {
+						late = n.inForce.Sub(epoch.Add(harmEnds))
+					}
+					most = max(most, late)
+				}
+				t.Logf("in force at most %s after the return", most)
+				if most > followTime {
+					t.Errorf("over %s", followTime)
+				}
+			})
+		}
+	}
+}
+
 // delays returns how long the change took until it was in force at each node that the
 // directory serves; some that have it not after two bounds count as that.
 func (f *fleet) delays() []time.Duration {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -209,8 +209,12 @@
 	}
 	c.lost = true
 	c.failures++
+	begun := c.readingSince
+	if begun.IsZero() {
+		begun = now
+	}
 	c.readingSince = time.Time{}
-	c.timer.Own(now, false)
+	c.timer.FailedSince(now, begun)
 	c.publishFailed(now)
 }
 
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -241,19 +241,18 @@
 	c.board.Directory.Put(&d)
 }
 
-// readers estimates how many nodes read the directory in turn. One whose own readings fail
-// leaves it to the others, as it can't help; one that failed once may have been cut off
-// with many that come back at the same moment.
+// readers estimates how many nodes read the directory in turn. One whose own reading failed
+// may have been cut off with many that come back at the same moment; when several failed it
+// leaves the reading to whoever lives.
 func (c *Controller) readers(now time.Time) int {
 	listed := c.FleetSize()
-	estimate := c.asks.questions.readers(now, listed)
 	switch c.failures {
 	case 0:
-		return estimate
+		return c.asks.questions.readers(now, listed)
 	case 1:
-		return max(estimate, listed/crowd)
+		return max(c.asks.questions.readers(now, listed), listed/crowd)
 	}
-	return listed
+	return max(c.asks.questions.living(now, listed), listed/crowd)
 }
 
 // Changes returns what a node that knows every change up to a revision lacks of d.
--- a/internal/directory/questions.go
+++ b/internal/directory/questions.go
@@ -88,3 +88,12 @@
 	others := listed - 1
 	return 1 + max(others*t.able/t.asked, others*t.answered/t.asked/crowd)
 }
+
+// living estimates how many of the listed nodes answer, this one included.
+func (q *questions) living(now time.Time, listed int) int {
+	t := q.count(now)
+	if t.asked < leastQuestions {
+		return listed
+	}
+	return 1 + (listed-1)*t.answered/t.asked
+}
--- a/internal/suppress/suppress.go
+++ b/internal/suppress/suppress.go
@@ -97,8 +97,8 @@
 	// Failed bounds the interval while reads fail.
 	Failed time.Duration
 	// Alone is the silence after which a node that shares the source with nobody fires
-	// for certain, unless its own reads fail; PerDoubling is added for each doubling of
-	// the nodes that share it, up to LoneMin to LoneMax. Zero means these always.
+	// for certain; PerDoubling is added for each doubling of the nodes that share it, up
+	// to LoneMin to LoneMax. Zero means these always.
 	Alone, PerDoubling time.Duration
 }
 
@@ -128,7 +128,7 @@
 }
 
 // Own takes the end of this node's own read. A success confirms the source as of
-// the read's start; a failure counts as an attempt now.
+// the read's start; a failure counts as an attempt now, or when it began (FailedSince).
 func (t *Timer) Own(now time.Time, ok bool) {
 	t.start(now)
 	begun := t.reading
@@ -139,9 +139,16 @@
 		t.OwnSince(now, begun)
 		return
 	}
+	t.FailedSince(now, now)
+}
+
+// FailedSince takes the end of a read of this node's own that failed and began at a time
+// which the caller knows: one that hung is repeated the sooner.
+func (t *Timer) FailedSince(now, begun time.Time) {
+	t.start(now)
 	t.reading = time.Time{}
 	t.failures++
-	t.noteAttempt(now)
+	t.noteAttempt(begun)
 }
 
 // OwnSince takes the end of a read of this node's own that succeeded and began at a
@@ -255,8 +262,12 @@
 
 // certain is the silence after which this node fires for certain.
 func (t *Timer) certain(fleetSize int) time.Duration {
-	if t.pace.Alone == 0 || t.failures > 1 {
+	switch {
+	case t.pace.Alone == 0:
 		return t.lone
+	case t.failures > 1:
+		// They share the trying: whoever is served again tells the others.
+		return min(t.lone, time.Duration(fleetSize)*t.pace.Alone)
 	}
 	return min(t.lone, t.pace.Alone+time.Duration(math.Log2(float64(fleetSize))*float64(t.pace.PerDoubling)))
 }
