soak: nodes' ports cannot be taken by outgoing connections

Ports are drawn below the system's own range now, and soaks beside each other have IP numbers of their own.

--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -92,7 +94,10 @@
 	ended    chan struct{}
 }
 
-func ip(network, machine int) string { return fmt.Sprintf("127.%d.0.%d", network, machine+1) }
+// ip returns a machine's IP number; soaks that run beside each other have others.
+func ip(network, machine int) string {
+	return fmt.Sprintf("127.%d.%d.%d", network, os.Getpid()%250, machine+1)
+}
 
 // Networks of the machines' IP numbers.
 const (
@@ -136,14 +141,25 @@
 	return f, nil
 }
 
+// Ports of nodes lie below those that the system gives to outgoing connections: one of
+// these may take a port that is free now before its node listens.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+	portTries = 100
+)
+
 func freePort(host string) (string, error) {
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return "", err
+	var failed error
+	for range portTries {
+		port := strconv.Itoa(firstPort + rand.IntN(portCount))
+		l, err := net.Listen("tcp", net.JoinHostPort(host, port))
+		if err == nil {
+			return port, l.Close()
+		}
+		failed = err
 	}
-	defer l.Close()
-	_, port, err := net.SplitHostPort(l.Addr().String())
-	return port, err
+	return "", failed
 }
 
 func (f *fleet) addMachine(i int) error {
