--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -43,6 +43,9 @@
 	// Delays are the times that versions took to be in force at machines in touch, in
 	// order.
 	Delays []time.Duration
+	// Calls counts the calls to the store, Took is how long the soak took.
+	Calls int
+	Took  time.Duration
 }
 
 // Applied words how long configurations took to be in force.
@@ -51,8 +54,8 @@
 	if n == 0 {
 		return "no configuration at a machine in touch"
 	}
-	return fmt.Sprintf("configurations at machines in touch: %d, median %s, longest %s",
-		n, r.Delays[n/2].Round(time.Millisecond), r.Delays[n-1].Round(time.Millisecond))
+	return fmt.Sprintf("configurations at machines in touch: %d, median %s, longest %s; %.1f calls to the store a second",
+		n, r.Delays[n/2].Round(time.Millisecond), r.Delays[n-1].Round(time.Millisecond), float64(r.Calls)/r.Took.Seconds())
 }
 
 // clientsPerMachine send one request after the other.
@@ -68,6 +71,7 @@
 	if err := f.awaitReady(ctx); err != nil {
 		return Report{}, fmt.Errorf("%w; %v", err, f.close())
 	}
+	began := time.Now()
 	p := makePlan(cfg.Seed, cfg.Machines, cfg.Length, cfg.Plan)
 	clientsCtx, stopClients := context.WithCancel(ctx)
 	go l.watchStalls(clientsCtx)
@@ -87,7 +91,7 @@
 	stopClients()
 	clients.Wait()
 	f.watching.Wait()
-	report := Report{Plan: p.String(), Violations: l.check(), Requests: len(l.order), Delays: l.delays}
+	report := Report{Plan: p.String(), Violations: l.check(), Requests: len(l.order), Delays: l.delays, Calls: f.store.Calls(), Took: time.Since(began)}
 	for _, r := range l.order {
 		if r.status == http.StatusOK {
 			report.Served++
