directory: a directory that has lost all its workers is read on

After an outage in which all leases lapsed and the history went, the first whole list is empty, and each node that read it read nothing for 1.5 to 3 s: a change of the configuration, and the workers that list themselves again, came that late. The wait is meant for the start of a fleet; it is for the first reading now.

TestADirectoryThatHasLostAllWorkersIsReadOn failed before (no reading within 1.5 s). Found by reading; no run of processes brought it about.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -179,7 +179,7 @@
 	c.readingSince = time.Time{}
 	begun := now.Add(-r.Took)
 	c.timer.OwnSince(now, begun)
-	if r.Whole && len(r.Listed) == 0 {
+	if r.Whole && len(r.Listed) == 0 && c.confirmed.IsZero() {
 		// Nothing runs yet that could be served by.
 		c.timer.HoldBack(now, emptyWait)
 	}
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -164,3 +164,15 @@
 		t.Errorf("confirmed %s ago by a fresh mark", age)
 	}
 }
+
+// Its workers' leases lapsed while the directory was away and forgot its history.
+func TestADirectoryThatHasLostAllWorkersIsReadOn(t *testing.T) {
+	r := newRig()
+	r.handle(control.Tick{})
+	r.handle(two())
+	r.ticks(outageGap + time.Second)
+	r.handle(control.DirectoryRead{Whole: true, Revision: 50})
+	if _, reads := r.ticks(emptyWait); reads == 0 {
+		t.Errorf("no reading within %s", emptyWait)
+	}
+}
