directory: the only node that a store serves knows it

Where the store turned all nodes away but one, and for long, changes came up to 1.57 s (10 nodes), 1.83 s (80) and 1.99 s (195) late: after 3 s the others were taken to be able to read again, since nothing had made them try. The harm of the play lasted 3 s only, which hid that.

A peer whose reading failed counts as unable for 10 s. Who has read twice in a row, and heard nothing fresher of anybody between, goes by itself alone. The certain reading comes 60 ms later for each doubling of the readers, not 100: the word of one reading doubles in 35 to 70 ms.

--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -86,8 +86,8 @@
 }
 
 // failingTime is how long after a failed reading a node is taken to be unable to read the
-// directory: readings that fail are repeated within it.
-const failingTime = 3 * time.Second
+// directory: while peers keep it fresh it hardly tries again.
+const failingTime = 10 * time.Second
 
 // Failing tells whether this node's own readings fail.
 func (d *Directory) Failing(now time.Time) bool {
--- a/internal/directory/bound_test.go
+++ b/internal/directory/bound_test.go
@@ -36,10 +36,11 @@
 	// calls is how many answers of peers a node hears in a second; the target's 43 are
 	// more, and more only shorten the way.
 	calls = 10
-	// harmBegins and harmEnds bound the harm; the change comes between the two, or up to
-	// a second after.
+	// harmBegins is the harm's beginning, usualHarm and longHarm how long it lasts; the
+	// change comes during it, or up to a second after.
 	harmBegins = 3 * time.Second
-	harmEnds   = 6 * time.Second
+	usualHarm  = 3 * time.Second
+	longHarm   = 17 * time.Second
 )
 
 // harm is what is wrong with a share of the nodes.
@@ -49,15 +50,17 @@
 	// them is set.
 	share  float64
 	allBut int
-	// cut: they reach nothing from harmBegins to harmEnds; what they sent is held and
-	// arrives when the cut ends.
+	// long: it lasts longHarm.
+	long bool
+	// cut: they reach nothing while it lasts; what they sent is held and arrives when the
+	// cut ends.
 	cut bool
 	// turnedAway: the directory fails their readings at once.
 	turnedAway bool
 	// killed: each ends the moment after its first answer of the directory.
 	killed bool
 	// dead: they end at harmBegins and stay listed, gradually: at any time from then to
-	// harmEnds.
+	// the harm's end.
 	dead, gradually bool
 	// slow: their readings take slowStoreTime.
 	slow bool
@@ -89,12 +92,25 @@
 	{name: "most dead", share: 0.8, dead: true},
 	{name: "all but one cut", allBut: 1, cut: true},
 	{name: "all but one turned away", allBut: 1, turnedAway: true, scarce: true},
+	{name: "all but one turned away for long", allBut: 1, turnedAway: true, scarce: true, long: true},
+	{name: "half turned away for long", share: 0.5, turnedAway: true, long: true},
 	{name: "all but one dead", allBut: 1, dead: true},
 	{name: "all but one dead by and by", allBut: 1, dead: true, gradually: true},
 	{name: "all but three dead", allBut: 3, dead: true},
 }
 
-// harmed tells whether the harm is the i-th node's of a fleet.
+// lasts is how long the harm lasts.
+func (h *harm) lasts() time.Duration {
+	if h.long {
+		return longHarm
+	}
+	return usualHarm
+}
+
+// harmEnd is when the harm ends.
+func (f *fleet) harmEnd() time.Time { return epoch.Add(harmBegins + f.harm.lasts()) }
+
+// harms tells whether the harm is the i-th node's of a fleet.
 func (h *harm) harms(i, size int) bool {
 	if h.allBut > 0 {
 		return i < size-h.allBut
@@ -117,7 +133,7 @@
 	// each node's board is given shared instead.
 	listed []model.Listing
 	shared *model.Fleet
-	// reads counts the readings begun before the harm, during it, and until as long after.
+	// reads counts the readings begun before the harm, during it, and in usualHarm after.
 	reads [3]int
 }
 
@@ -158,7 +174,7 @@
 
 func newFleet(seed uint64, size int, h harm) *fleet {
 	f := &fleet{harm: h, rng: rand.New(rand.NewPCG(seed, uint64(size))), now: epoch, byID: map[model.InstanceID]*node{}}
-	f.change = epoch.Add(harmBegins + time.Duration(f.rng.Int64N(int64(harmEnds-harmBegins+time.Second))))
+	f.change = epoch.Add(harmBegins + f.within(h.lasts()+time.Second))
 	f.shared = playedFleet(size)
 	for i := range f.shared.Instances {
 		self := f.shared.Instances[i]
@@ -201,7 +217,7 @@
 // dies is when a node that is to die does.
 func (f *fleet) dies() time.Duration {
 	if f.harm.gradually {
-		return harmBegins + f.within(harmEnds-harmBegins)
+		return harmBegins + f.within(f.harm.lasts())
 	}
 	return harmBegins
 }
@@ -257,7 +273,7 @@
 
 // harmNow tells whether the harm lasts.
 func (f *fleet) harmNow() bool {
-	return !f.now.Before(epoch.Add(harmBegins)) && f.now.Before(epoch.Add(harmEnds))
+	return !f.now.Before(epoch.Add(harmBegins)) && f.now.Before(f.harmEnd())
 }
 
 func (f *fleet) cutOff(n *node) bool { return f.harm.cut && n.harmed && f.harmNow() }
@@ -295,9 +311,9 @@
 	switch at := f.now.Sub(epoch); {
 	case at < harmBegins:
 		f.reads[0]++
-	case at < harmEnds:
+	case at < harmBegins+f.harm.lasts():
 		f.reads[1]++
-	case at < 2*harmEnds-harmBegins:
+	case at < harmBegins+f.harm.lasts()+usualHarm:
 		f.reads[2]++
 	}
 }
@@ -354,7 +370,7 @@
 	}
 	way := peerTime
 	if f.cutOff(n) || f.cutOff(peer) {
-		way = epoch.Add(harmEnds).Sub(f.now) + f.within(time.Second)
+		way = f.harmEnd().Sub(f.now) + f.within(time.Second)
 	}
 	attempt := model.DirectoryMark{Revision: n.board.Directory.Get().Mark(f.now).Revision, AgeMs: model.AgeUnknown}
 	f.in(way/2, func() { f.hear(peer, n.id, attempt) })
@@ -388,12 +404,12 @@
 				var most time.Duration
 				for seed := range seeds {
 					f := newFleet(seed, size, harm{allBut: 1, dead: true, down: takes})
-					f.change = epoch.Add(harmEnds + f.within(followTime-2*time.Second))
-					f.runUntil(epoch.Add(harmEnds + 2*followTime))
+					f.change = f.harmEnd().Add(f.within(followTime - 2*time.Second))
+					f.runUntil(f.harmEnd().Add(2 * followTime))
 					n := f.nodes[size-1]
 					late := 2 * followTime
 					if !n.inForce.IsZero() {
-						late = n.inForce.Sub(epoch.Add(harmEnds))
+						late = n.inForce.Sub(f.harmEnd())
 					}
 					most = max(most, late)
 				}
@@ -410,7 +426,7 @@
 // directory serves; some that have it not after two bounds count as that.
 func (f *fleet) delays() []time.Duration {
 	most := 2 * f.harm.bound(len(f.nodes))
-	end := epoch.Add(2*harmEnds - harmBegins)
+	end := f.harmEnd().Add(usualHarm)
 	if late := f.change.Add(most); late.After(end) {
 		end = late
 	}
@@ -460,9 +476,9 @@
 						reads[i] += n
 					}
 				}
-				each := float64(seeds) * (harmEnds - harmBegins).Seconds()
-				t.Logf("%.1f readings a second; %.1f from the start, %.1f after the harm",
-					float64(reads[1])/each, float64(reads[0])/each, float64(reads[2])/each)
+				each := float64(seeds)
+				t.Logf("%.1f readings a second; %.1f from the start, %.1f after the harm", float64(reads[1])/each/h.lasts().Seconds(),
+					float64(reads[0])/each/harmBegins.Seconds(), float64(reads[2])/each/usualHarm.Seconds())
 				checkDelays(t, all, h.bound(size.nodes))
 			})
 		}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -47,7 +47,7 @@
 // long the word of a reading takes to reach twice as many nodes at ten calls a second.
 var pace = suppress.Pace{
 	Interval: 800 * time.Millisecond, MeanFirst: 100 * time.Millisecond, Failed: failedInterval,
-	Alone: 400 * time.Millisecond, PerDoubling: 100 * time.Millisecond,
+	Alone: 400 * time.Millisecond, PerDoubling: 60 * time.Millisecond,
 }
 
 // failedInterval bounds the time between a node's reads while they fail: a directory
@@ -87,6 +87,8 @@
 	failures int
 	// failedAt is when the last one did; zero when it succeeded.
 	failedAt time.Time
+	// inRow counts the own readings since a peer last told anything fresher.
+	inRow int
 	// readingSince is when the own read under way began that was begun last; zero for
 	// none.
 	readingSince time.Time
@@ -176,6 +178,7 @@
 	}
 	c.noteReturn(now)
 	c.lost, c.failures, c.failedAt = false, 0, time.Time{}
+	c.inRow++
 	c.readingSince = time.Time{}
 	begun := now.Add(-r.Took)
 	c.timer.OwnSince(now, begun)
--- a/internal/directory/peers.go
+++ b/internal/directory/peers.go
@@ -142,6 +142,7 @@
 		return
 	}
 	c.noteReturn(now)
+	c.inRow = 0
 	c.timer.Heard(now, age, age)
 	c.confirm(now.Add(-age))
 }
@@ -241,6 +242,10 @@
 	c.board.Directory.Put(&d)
 }
 
+// onlyReader is the number of own readings in a row, none of a peer's heard of between, that
+// make a node the only one which reads: of ten that take turns one in a hundred has two.
+const onlyReader = 2
+
 // readers estimates how many nodes read the directory in turn. One whose own reading failed
 // may have been cut off with many that come back at the same moment; when several failed it
 // leaves the reading to whoever lives.
@@ -248,6 +253,9 @@
 	listed := c.FleetSize()
 	switch c.failures {
 	case 0:
+		if c.inRow >= onlyReader {
+			return 1
+		}
 		return c.asks.questions.readers(now, listed)
 	case 1:
 		return max(c.asks.questions.readers(now, listed), listed/crowd)
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -176,3 +176,22 @@
 		t.Errorf("no reading within %s", emptyWait)
 	}
 }
+
+func TestANodeThatReadsAloneTwiceInARowTakesItselfForTheOnlyReader(t *testing.T) {
+	r := newRig()
+	r.handle(control.Tick{})
+	r.handle(two())
+	if got := r.readers(r.now); got != 2 {
+		t.Errorf("%d readers after one own reading, want 2", got)
+	}
+	r.now = r.now.Add(time.Second)
+	r.handle(control.DirectoryRead{Revision: 2})
+	if got := r.readers(r.now); got != 1 {
+		t.Errorf("%d readers after two own readings, want 1", got)
+	}
+	r.now = r.now.Add(time.Second)
+	r.handle(control.DirectoryHeard{From: "10.0.0.2", Mark: model.DirectoryMark{Revision: 2, AgeMs: 10}})
+	if got := r.readers(r.now); got != 2 {
+		t.Errorf("%d readers after a peer's, want 2", got)
+	}
+}
