directory: one count says whether readings fail

lost said the same as failures over zero. The detail of event 629 is for how long nothing had confirmed the view, as the catalogue says. No behaviour changes.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -81,11 +81,9 @@
 	confirmed time.Time
 	// published is the time confirmed that peers are told.
 	published time.Time
-	// lost says that the last read of this node's own failed, failures how many did in
-	// a row.
-	lost     bool
+	// failures counts the own reads that failed since the last good one, failedAt is when
+	// the last did; both zero when it succeeded.
 	failures int
-	// failedAt is when the last one did; zero when it succeeded.
 	failedAt time.Time
 	// inRow counts the own readings since a peer last told anything fresher.
 	inRow int
@@ -173,11 +171,11 @@
 
 // read takes an own reading of the directory.
 func (c *Controller) read(now time.Time, r control.DirectoryRead) {
-	if c.lost || c.confirmed.IsZero() {
+	if c.failures > 0 || c.confirmed.IsZero() {
 		c.record(event.DirectoryAnswers, "", since(now, c.confirmed), nil)
 	}
 	c.noteReturn(now)
-	c.lost, c.failures, c.failedAt = false, 0, time.Time{}
+	c.failures, c.failedAt = 0, time.Time{}
 	c.inRow++
 	c.readingSince = time.Time{}
 	begun := now.Add(-r.Took)
@@ -192,10 +190,9 @@
 }
 
 func (c *Controller) readFailed(now time.Time, err error) {
-	if !c.lost {
+	if c.failures == 0 {
 		c.record(event.DirectoryLost, "", since(now, c.confirmed), err)
 	}
-	c.lost = true
 	c.failures++
 	begun := c.readingSince
 	if begun.IsZero() {
--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -109,7 +109,7 @@
 		c.lateSince = c.confirmed
 		c.record(event.ViewLate, string(lag), c.viewWords(now), nil)
 	case !late && !c.lateSince.IsZero():
-		c.record(event.ViewInTime, "", "late since "+since(now, c.lateSince), nil)
+		c.record(event.ViewInTime, "", "confirmed by nothing for "+since(now, c.lateSince), nil)
 		c.lateSince = time.Time{}
 	}
 }
--- a/internal/directory/workers.go
+++ b/internal/directory/workers.go
@@ -81,7 +81,7 @@
 
 // expire takes for gone what is still missing.
 func (c *Controller) expire(now time.Time) {
-	if c.lost {
+	if c.failures > 0 {
 		return
 	}
 	for _, id := range c.overdue(now) {
