directory: a missing worker is gone in time also where only peers answer

It holds a removal back only while the view is not in time either.

TestAMissingWorkerIsGoneInTimeThoughOnlyPeersAnswer failed before.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -107,6 +107,22 @@
 	r.want(t, map[model.WorkerID]model.UpstreamState{"w2": model.StateLive})
 }
 
+// A machine that was cut off sent requests to a worker of a lapsed lease 2.5 s after it had left.
+func TestAMissingWorkerIsGoneInTimeThoughOnlyPeersAnswer(t *testing.T) {
+	r := newRig()
+	r.handle(two())
+	r.handle(control.DirectoryFailed{Err: errors.New("cut off")})
+	r.pass(outageGap + time.Second)
+	r.handle(control.DirectoryTold{From: "10.0.0.2", DirectoryRead: control.DirectoryRead{Revision: 100, Gone: gone("w2")}})
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLive})
+	for range int(relistTime / control.TickInterval) {
+		r.pass(control.TickInterval)
+		r.handle(control.DirectoryHeard{From: "10.0.0.2", Mark: model.DirectoryMark{Revision: 100, AgeMs: 10}})
+	}
+	r.pass(control.TickInterval)
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
+}
+
 func TestAWorkerThatDrainedBeforeAnOutageIsGoneAtOnce(t *testing.T) {
 	r := newRig()
 	r.handle(two())
--- a/internal/directory/workers.go
+++ b/internal/directory/workers.go
@@ -79,9 +79,11 @@
 	}
 }
 
-// expire takes for gone what is still missing.
+// expire takes for gone what is still missing, unless the directory is away again, so that
+// nobody can list himself. A failed reading of this node's own says nothing of that while
+// peers keep it in time.
 func (c *Controller) expire(now time.Time) {
-	if c.failures > 0 {
+	if c.failures > 0 && now.Sub(c.confirmed) > Bound {
 		return
 	}
 	for _, id := range c.overdue(now) {
