directory: failures of long ago keep no node from taking its turn

A node whose readings had failed in an outage, and which peers kept fresh since, counted as failing for ever, as it does not read: with few peers left its turn came up to 2 s later than it should (readers that fail share the trying, 0.4 s for each).

Failures over 10 s old count for nothing, as they do to peers. The two events of a directory that does not answer are told apart from that again (lost), which had joined.

TestFailuresOfLongAgoKeepNoNodeFromTakingItsTurn failed before (no reading in 1.5 s).

--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -85,13 +85,13 @@
 	FailedAt time.Time
 }
 
-// failingTime is how long after a failed reading a node is taken to be unable to read the
+// FailingTime is how long after a failed reading a node is taken to be unable to read the
 // directory: while peers keep it fresh it hardly tries again.
-const failingTime = 10 * time.Second
+const FailingTime = 10 * time.Second
 
 // Failing tells whether this node's own readings fail.
 func (d *Directory) Failing(now time.Time) bool {
-	return !d.FailedAt.IsZero() && now.Sub(d.FailedAt) < failingTime
+	return !d.FailedAt.IsZero() && now.Sub(d.FailedAt) < FailingTime
 }
 
 // Mark returns what rides on messages at time now.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -81,8 +81,10 @@
 	confirmed time.Time
 	// published is the time confirmed that peers are told.
 	published time.Time
-	// failures counts the own reads that failed since the last good one, failedAt is when
-	// the last did; both zero when it succeeded.
+	// lost says that the last own read failed, whenever that was.
+	lost bool
+	// failures counts the own reads that failed since the last good one, within
+	// FailingTime of each other, and failedAt is when the last did; zero for none.
 	failures int
 	failedAt time.Time
 	// inRow counts the own readings since a peer last told anything fresher.
@@ -146,6 +148,7 @@
 // tick reads the directory or asks a peer when that is due.
 func (c *Controller) tick(now time.Time) {
 	c.expire(now)
+	c.forgetFailures(now)
 	// The first read waits for nobody: without it the node serves no request.
 	due := c.timer.Due(now, c.readers(now))
 	switch {
@@ -171,11 +174,11 @@
 
 // read takes an own reading of the directory.
 func (c *Controller) read(now time.Time, r control.DirectoryRead) {
-	if c.failures > 0 || c.confirmed.IsZero() {
+	if c.lost || c.confirmed.IsZero() {
 		c.record(event.DirectoryAnswers, "", since(now, c.confirmed), nil)
 	}
 	c.noteReturn(now)
-	c.failures, c.failedAt = 0, time.Time{}
+	c.lost, c.failures, c.failedAt = false, 0, time.Time{}
 	c.inRow++
 	c.readingSince = time.Time{}
 	begun := now.Add(-r.Took)
@@ -190,9 +193,10 @@
 }
 
 func (c *Controller) readFailed(now time.Time, err error) {
-	if c.failures == 0 {
+	if !c.lost {
 		c.record(event.DirectoryLost, "", since(now, c.confirmed), err)
 	}
+	c.lost = true
 	c.failures++
 	begun := c.readingSince
 	if begun.IsZero() {
@@ -203,6 +207,15 @@
 	c.publishFailed(now)
 }
 
+// forgetFailures lets a node that peers have kept fresh since its readings failed take its
+// turn like the others.
+func (c *Controller) forgetFailures(now time.Time) {
+	if c.failures > 0 && now.Sub(c.failedAt) > blackboard.FailingTime {
+		c.failures, c.failedAt = 0, time.Time{}
+		c.timer.ForgetFailures()
+	}
+}
+
 // since words the time since t.
 func since(now, t time.Time) string {
 	if t.IsZero() {
--- a/internal/directory/view_test.go
+++ b/internal/directory/view_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"gypsumstand/internal/blackboard"
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/event"
@@ -195,3 +196,31 @@
 		t.Errorf("%d readers after a peer's, want 2", got)
 	}
 }
+
+// A peer answers all the while and does not read.
+func TestFailuresOfLongAgoKeepNoNodeFromTakingItsTurn(t *testing.T) {
+	r := newRig()
+	r.handle(control.Tick{})
+	r.handle(two())
+	for range 6 {
+		r.handle(control.DirectoryFailed{Err: errors.New("turned away")})
+	}
+	fresh := control.DirectoryHeard{From: "10.0.0.2", Mark: model.DirectoryMark{Revision: 2, AgeMs: 10}}
+	for range 2 * int(blackboard.FailingTime/control.TickInterval) {
+		r.handle(fresh)
+		r.ticks(control.TickInterval)
+	}
+	r.handle(fresh)
+	for confirmed := r.now; ; {
+		peers, reads := r.ticks(control.TickInterval)
+		if silent := r.now.Sub(confirmed); silent >= Bound {
+			t.Fatalf("no reading in %s after the last confirmation", silent)
+		}
+		if reads > 0 {
+			return
+		}
+		for _, peer := range peers {
+			r.handle(control.DirectoryTold{From: peer, DirectoryRead: control.DirectoryRead{Revision: 2}, Age: time.Hour})
+		}
+	}
+}
--- a/internal/suppress/suppress.go
+++ b/internal/suppress/suppress.go
@@ -162,6 +162,9 @@
 	t.noteAttempt(begun)
 }
 
+// ForgetFailures takes that this node's own failed reads were too long ago to tell anything.
+func (t *Timer) ForgetFailures() { t.failures = 0 }
+
 // Due reports whether this node should read now, and if so counts the read as
 // begun. It is called every tick; fleetSize is the number of nodes that are
 // believed to read the source in turn, this one included.
