--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -107,7 +107,7 @@
 	r.want(t, map[model.WorkerID]model.UpstreamState{"w2": model.StateLive})
 }
 
-// A machine that was cut off sent requests to a worker of a lapsed lease 2.5 s after it had left.
+// Machines that were cut off used a worker whose lease had lapsed after it had left.
 func TestAMissingWorkerIsGoneInTimeThoughOnlyPeersAnswer(t *testing.T) {
 	r := newRig()
 	r.handle(two())
--- a/internal/directory/workers.go
+++ b/internal/directory/workers.go
@@ -80,8 +80,8 @@
 }
 
 // expire takes for gone what is still missing, unless the directory is away again, so that
-// nobody can list himself. A failed reading of this node's own says nothing of that while
-// peers keep it in time.
+// no worker can list itself. A failed reading of this node's own says nothing of that while
+// peers keep its view in time.
 func (c *Controller) expire(now time.Time) {
 	if c.failures > 0 && now.Sub(c.confirmed) > Bound {
 		return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,8 +45,7 @@
 	}
 }
 
-// The seed of the first soak that broke the bound: with all others stopped a node took a
-// change 2.18 s late, and splits went to a part of weight 0.
+// With all others stopped a node waited for them to read, and a part of weight 0 got requests.
 func TestAMachineThatIsLeftAloneTakesChangesInTime(t *testing.T) {
 	report := play(t, Config{Program: buildNode(t), Seed: 1, Machines: 10, Length: 30 * time.Second, Plan: PlanSpared})
 	if !strings.Contains(report.Plan, string(kindAlone)) || len(report.Delays) == 0 {
