--- a/internal/directory/view.go
+++ b/internal/directory/view.go
@@ -41,8 +41,6 @@
 	Lag       Lag
 	// Listed is the number of instances that the directory names, this one included.
 	Listed int
-	// Readers is how many of them are taken to read the directory in turn.
-	Readers int
 	// Asked counts the latest questions to peers that had their time, Answered those
 	// of them that were answered.
 	Asked, Answered int
@@ -76,7 +74,7 @@
 		Readings: map[Cause]uint64{},
 	}
 	t := c.asks.questions.count(now)
-	v.Asked, v.Answered, v.Readers = t.asked, t.answered, c.readers(now)
+	v.Asked, v.Answered = t.asked, t.answered
 	for cause, n := range c.readings {
 		v.Readings[cause] = n
 	}
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -282,10 +282,13 @@
 		if !l.inTouch(r.machine, r.sent, r.ended) || r.deadly() {
 			continue
 		}
-		switch {
-		case r.class == "browse":
+		if r.class == "browse" {
 			other.take(r)
-		case strings.HasPrefix(r.class, "gen-") && l.dueAt(r) >= l.newestAt(r.ended) && len(partsOf(l.dueAt(r), r.class)) > 0:
+		}
+		if !strings.HasPrefix(r.class, "gen-") {
+			continue
+		}
+		if due := l.dueAt(r); due >= l.newestAt(r.ended) && len(partsOf(due, r.class)) > 0 {
 			added.take(r)
 		}
 	}
