--- a/internal/failure/deadly_test.go
+++ b/internal/failure/deadly_test.go
@@ -67,7 +67,12 @@
 // deadlyFleet is a fleet of four workers that end under the requests that deadly picks.
 func deadlyFleet(t *testing.T, d *deaths, deadly func(answer.Request) bool) *local.Fleet {
 	t.Helper()
-	cfg := config(4)
+	return deadlyFleetOf(t, 4, d, deadly)
+}
+
+func deadlyFleetOf(t *testing.T, workers int, d *deaths, deadly func(answer.Request) bool) *local.Fleet {
+	t.Helper()
+	cfg := config(workers)
 	s := &cfg.Services[0]
 	s.Deadly = func(r answer.Request) bool {
 		if !deadly(r) {
@@ -193,18 +198,56 @@
 
 func TestAPayoutThatEndsItsWorkersIsKeptFromThem(t *testing.T) {
 	t.Parallel()
-	const body = "pay the one that ends workers"
 	var d deaths
-	f := deadlyFleet(t, &d, func(r answer.Request) bool { return r.BodyHash == answer.Hash([]byte(body)) })
+	f := deadlyFleet(t, &d, func(r answer.Request) bool { return r.BodyHash == answer.Hash([]byte(deadlyBody)) })
 	deadly := func() request {
 		// The path and the caller are those of all payouts, the key is a new one.
 		r := payout("/payouts")
-		r.body = body
+		r.body = deadlyBody
 		return r
 	}
 	wantAllAnswered(t, playDeadly(t, f, &d, deadly, func() request { return payout("/payouts") }))
 }
 
+// Eight of eleven listed nodes, a data centre, never answer and are never declared gone. Who
+// put a request aside told its neighbours only, and where all of these were silent the next
+// two sendings ended the other two workers once more.
+func TestADeadlyRequestIsKeptFromWorkersThoughMostListedNodesNeverAnswer(t *testing.T) {
+	for first := range 3 {
+		t.Run(fmt.Sprintf("first at node %d", first+1), func(t *testing.T) {
+			t.Parallel()
+			var d deaths
+			f := deadlyFleetOf(t, 3, &d, func(r answer.Request) bool { return r.BodyHash == answer.Hash([]byte(deadlyBody)) })
+			listSilent(f, "statements", 4)
+			listSilent(f, "voucher-viewing", 4)
+			awaitMembers(t, f, "all listed", func(m *local.Member) bool { return len(m.Node.Core().Board.Fleet.Get().Instances) == 11 })
+			bad := newCallers(t)
+			for n := range 30 {
+				r := payout("/payouts")
+				r.body = deadlyBody
+				bad.send(t.Context(), f.Callers()[(first+n)%3], r)
+				time.Sleep(deadlyEvery)
+			}
+			if all, late := d.after(); all != 3 || late != 0 {
+				t.Errorf("a deadly request reached workers %d times, %d of them late; want 3 and 0: %v", all, late, d.times())
+			}
+		})
+	}
+}
+
+// deadlyBody is the body of a payout that ends its worker.
+const deadlyBody = "pay the one that ends workers"
+
+// listSilent lists nodes of a service at a data centre of their own, which never answer.
+func listSilent(f *local.Fleet, service model.ServiceName, n int) {
+	for i := range n {
+		f.Platform.Put(model.Instance{
+			ID: model.InstanceID(fmt.Sprintf("%s-%d", service, i+1)), Service: service, DataCentre: "silent",
+			PeerAddress: "127.0.0.2:1", State: model.StateLive,
+		})
+	}
+}
+
 // The worker ends 30 ms after the run began, when the caller has been told that its time is
 // over and the run's connection is closed: no run breaks. Workers ended for as long as it came.
 func TestADeadlyRequestIsKeptFromWorkersAlsoWhenItsCallerDoesNotWait(t *testing.T) {
@@ -253,3 +296,12 @@
 	wantAllAnswered(t, c)
 	c.check(t, f.Ledger)
 }
+
+func (d *deaths) times() (out []time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, at := range d.runs {
+		out = append(out, at.Sub(d.runs[0]))
+	}
+	return out
+}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -134,6 +134,18 @@
 	return n.core.Board.Directory.Get().Mark(time.Now())
 }
 
+// ownerHeard is told each owner that answered an attempt, with the mark that it told.
+func (n *Node) ownerHeard(from model.InstanceID, m model.DirectoryMark) {
+	n.core.Quarantine.Heard(from)
+	n.markHeard(from, m)
+}
+
+// entryHeard is told each entry that sent an attempt, with the revision that it told.
+func (n *Node) entryHeard(from model.InstanceID, revision uint64) {
+	n.core.Quarantine.Heard(from)
+	n.revisionHeard(from, revision)
+}
+
 // revisionHeard is told each revision that rode on an attempt or a question, whose age
 // nothing bounds.
 func (n *Node) revisionHeard(from model.InstanceID, revision uint64) {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -74,7 +74,7 @@
 		Recorder:   recorder{n},
 		Requests:   &n.cfg.Requests,
 		Seen:       n.seen,
-		Heard:      n.markHeard,
+		Heard:      n.ownerHeard,
 		Mark:       n.mark,
 		Unanswered: n.unanswered,
 		LostSignal: &n.lostSignal,
@@ -113,7 +113,7 @@
 	r := newRouter()
 	r.Path(link.Path).Handler(n.links.Handler())
 	r.Path(server.ReachPath).Methods(http.MethodGet).HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	attempts := &server.Peer{Executor: n.executor, Seen: n.seen, Heard: n.revisionHeard, Lost: n.forwarder.Lost}
+	attempts := &server.Peer{Executor: n.executor, Seen: n.seen, Heard: n.entryHeard, Lost: n.forwarder.Lost}
 	for _, prefix := range server.AttemptPaths {
 		r.PathPrefix(prefix).Handler(attempts)
 	}
--- a/internal/node/suspects.go
+++ b/internal/node/suspects.go
@@ -23,11 +23,12 @@
 )
 
 // tellSuspects tells a peer, over the connections that calls use, and once more when its
-// answer shows that it lacks something. What does not arrive is told by a later round.
+// answer shows that it lacks something. What does not arrive is told by a later round, and
+// others are told in the peer's place.
 func (n *Node) tellSuspects(a control.TellSuspects) {
 	reply, err := n.postSuspects(a.To, a.News)
 	if err != nil {
-		n.tellsFailed.Add(1)
+		n.untold(a)
 		return
 	}
 	more, differ := n.core.Quarantine.Told(time.Now(), reply)
@@ -35,10 +36,15 @@
 		return
 	}
 	if _, err := n.postSuspects(a.To, more); err != nil {
-		n.tellsFailed.Add(1)
+		n.untold(a)
 	}
 }
 
+func (n *Node) untold(a control.TellSuspects) {
+	n.tellsFailed.Add(1)
+	n.core.Quarantine.Unanswered(time.Now(), a)
+}
+
 func (n *Node) postSuspects(to model.Instance, news wire.SuspectNews) (wire.SuspectNews, error) {
 	data, err := wire.EncodeSuspects(&news)
 	if err != nil {
--- a/internal/proof/deadly.go
+++ b/internal/proof/deadly.go
@@ -173,7 +173,15 @@
 
 // tellSuspects stands for Node.tellSuspects.
 func (l *life) tellSuspects(a control.TellSuspects) {
+	answered := false
+	l.after(tellTimeout, func() {
+		if !answered {
+			l.core.Quarantine.Unanswered(l.w.now, a)
+			l.suspectsChanged()
+		}
+	})
 	l.postSuspects(a.To.PeerAddress, a.News, func(reply wire.SuspectNews) {
+		answered = true
 		more, differ := l.core.Quarantine.Told(l.w.now, reply)
 		l.suspectsChanged()
 		if differ {
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -102,6 +102,7 @@
 	f.count(from, news)
 	f.after(f.delay(), func() {
 		if from.cut || to.cut {
+			f.after(tellTimeout, func() { f.unanswered(from, life, to.instance, news) })
 			return
 		}
 		reply := to.q.Answer(f.now, news)
@@ -120,6 +121,17 @@
 	})
 }
 
+// tellTimeout is how long an answer is awaited.
+const tellTimeout = 500 * time.Millisecond
+
+func (f *fleet) unanswered(from *node, life *Quarantine, to model.Instance, news wire.SuspectNews) {
+	if from.q != life {
+		return
+	}
+	from.q.Unanswered(f.now, control.TellSuspects{To: to, News: news})
+	f.wake(from)
+}
+
 func (f *fleet) delay() time.Duration {
 	return time.Millisecond + time.Duration(f.rng.Int64N(int64(40*time.Millisecond)))
 }
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -133,11 +133,22 @@
 	out := t.where(func(r *record) bool { return r.untold && r.wide == wide })
 	out = out[:min(len(out), most)]
 	for _, r := range out {
-		r.untold = false
+		r.untold, r.asideHere = false, false
 	}
 	return out
 }
 
+// untoldHere tells whether peers have not been told of a request that was put aside here: the
+// owners of its service are told at once, since it comes back to them.
+func (t *table) untoldHere() bool {
+	for _, r := range t.records {
+		if r.untold && r.wide && r.asideHere {
+			return true
+		}
+	}
+	return false
+}
+
 // where returns the records that match, the severest first.
 func (t *table) where(match func(*record) bool) []*record {
 	var out []*record
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -198,7 +198,9 @@
 		q.table.ended(now, run.Content, end{id, q.self.ID, now, run.Doubted, run.Trial})
 		q.table.records[run.Content].label = run.Label
 	}
-	q.judge(now, "ended here")
+	for _, r := range q.judge(now, "ended here") {
+		r.asideHere = true
+	}
 	q.wake()
 }
 
@@ -223,16 +225,18 @@
 	q.record(event.WorkerEnded, fmt.Sprintf("%016x", uint64(id)), fmt.Sprintf("%d in hand: %s", len(runs), strings.Join(names, ", ")))
 }
 
-// judge finds who is to be put aside now; how tells what changed.
-func (q *Quarantine) judge(now time.Time, how string) {
+// judge finds who is to be put aside now and returns them; how tells what changed.
+func (q *Quarantine) judge(now time.Time, how string) (aside []*record) {
 	for _, j := range q.table.judge(now) {
 		if j.aside {
+			aside = append(aside, j.record)
 			q.note(event.PutAside, j.record.content, fmt.Sprintf("%s; ends of %s; %s", how, owners(j.record), j.record.label))
 			continue
 		}
 		q.note(event.Released, j.record.content, how)
 	}
 	q.count()
+	return aside
 }
 
 // owners names the instances whose workers ended under a request.
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -69,8 +69,9 @@
 	left  int
 	// trialAt is when a trial was last let through here.
 	trialAt time.Time
-	// untold: there is something that peers have not been told.
-	untold bool
+	// untold: there is something that peers have not been told. asideHere: it is that an end
+	// of the own worker put the request aside.
+	untold, asideHere bool
 }
 
 // judge judges the request by its ends that nothing else explains. It is put aside for enough
--- a/internal/quarantine/rounds.go
+++ b/internal/quarantine/rounds.go
@@ -52,6 +52,7 @@
 	tokens     float64
 	tokensAt   time.Time
 	neighbours neighbours
+	contacts   contacts
 }
 
 // neighbours are a node's on both rings, as of a revision of the fleet's view.
@@ -93,6 +94,7 @@
 		return
 	}
 	q.rounds.expire = now.Add(expireInterval)
+	q.rounds.contacts.forget(now)
 	q.table.expire(now)
 	q.judge(now, "forgotten")
 }
@@ -100,11 +102,17 @@
 // tell tells the neighbours what they have not been told yet.
 func (q *Quarantine) tell(now time.Time, out []control.Action) []control.Action {
 	if q.Empty() {
+		q.rounds.contacts.unanswered = nil
 		return out
 	}
 	n := q.findNeighbours()
-	out = q.tellOf(now, out, true, n.fleet, 0)
-	return q.tellOf(now, out, false, n.service, keptForAll)
+	to := q.withLatest(now, n.fleet, true)
+	if q.table.untoldHere() {
+		to = union(to, n.service)
+	}
+	out = q.tellOf(now, out, true, to, 0)
+	out = q.tellOf(now, out, false, q.withLatest(now, n.service, false), keptForAll)
+	return q.search(now, out)
 }
 
 // tellOf tells of records of one kind, as long as more than kept may be told.
@@ -121,7 +129,7 @@
 	news := q.news(wide)
 	put(now, records, &news)
 	for _, peer := range to {
-		out = append(out, control.TellSuspects{To: peer, News: news})
+		out = q.send(now, out, control.TellSuspects{To: peer, News: news})
 	}
 	return out
 }
@@ -169,19 +177,34 @@
 	r.fresh = max(r.fresh-1, 0)
 	r.count++
 	if asks || q.table.holds(true) {
-		out = q.compare(out, true, n.fleet, r.count)
+		out = q.compare(now, out, true, n.fleet, r.count)
 	}
 	if asks || r.count%suspectsEvery == 0 && q.table.holds(false) {
-		out = q.compare(out, false, n.service, r.count/suspectsEvery)
+		out = q.compare(now, out, false, n.service, r.count/suspectsEvery)
 	}
 	return out
 }
 
-// compare compares the records of one kind with some of the peers, others in each turn.
-func (q *Quarantine) compare(out []control.Action, wide bool, peers []model.Instance, turn int) []control.Action {
+// compare compares the records of one kind with some of the peers, others in each turn, and
+// with some of those that were heard of last where a neighbour may be gone.
+func (q *Quarantine) compare(now time.Time, out []control.Action, wide bool, peers []model.Instance, turn int) []control.Action {
 	for i := range min(perRound, len(peers)) {
 		to := peers[(turn*perRound+i)%len(peers)]
-		out = append(out, control.TellSuspects{To: to, News: q.comparison(wide)})
+		out = q.send(now, out, control.TellSuspects{To: to, News: q.comparison(wide)})
+	}
+	c := &q.rounds.contacts
+	if !c.missing(now) {
+		return out
+	}
+	left := perRound
+	for _, to := range q.latest(wide) {
+		if left == 0 {
+			break
+		}
+		if !c.toldLately(now, contact{to.ID, wide}) {
+			left--
+			out = q.send(now, out, control.TellSuspects{To: to, News: q.comparison(wide)})
+		}
 	}
 	return out
 }
@@ -197,7 +220,7 @@
 	var all []model.InstanceID
 	for i := range fleet.Instances {
 		in := &fleet.Instances[i]
-		if in.State == model.StateGone || in.PeerAddress == "" && in.ID != q.self.ID {
+		if in.ID != q.self.ID && !q.peer(in, true) {
 			continue
 		}
 		all = append(all, in.ID)
@@ -234,6 +257,7 @@
 func (q *Quarantine) Answer(now time.Time, from wire.SuspectNews) wire.SuspectNews {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.heard(from.From)
 	wide := from.Service == ""
 	if !wide && from.Service != q.self.Service {
 		return q.news(true)
@@ -253,6 +277,7 @@
 func (q *Quarantine) Told(now time.Time, reply wire.SuspectNews) (more wire.SuspectNews, differ bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.heard(reply.From)
 	wide := reply.Service == ""
 	if !reply.Compare || !wide && reply.Service != q.self.Service {
 		return wire.SuspectNews{}, false
