--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -152,12 +152,12 @@
 		Engine:  entry.NewEngine(entry.Config{Self: cfg.Self, Random: cfg.Random}, table),
 		Landing: measure.NewLanding(cfg.Started, bundle.Measuring{}),
 		Origin:  measure.NewOrigin(cfg.Random),
-		Quarantine: quarantine.New(quarantine.Config{
-			Self: cfg.Self, Started: cfg.Started, Fleet: board.Fleet.Get,
-		}),
-		cfg:   cfg,
-		reach: reach.New(cfg.Self.ID, table, board, rng),
+		cfg:     cfg,
+		reach:   reach.New(cfg.Self.ID, table, board, rng),
 	}
+	n.Quarantine = quarantine.New(quarantine.Config{
+		Self: cfg.Self, Started: cfg.Started, Fleet: board.Fleet.Get, Use: n.Owner.Use,
+	})
 	if cfg.FollowsDirectory {
 		n.directory = directory.New(directory.Config{Self: cfg.Self}, board, rng)
 		n.member, n.spread = n.directory, n.directory
@@ -266,6 +266,9 @@
 	if self.State >= model.StateLeaving && s < self.State {
 		return nil
 	}
+	if s == model.StateLive {
+		n.Quarantine.WorkerBack(now)
+	}
 	self.State = s
 	n.Board.Self.Put(&blackboard.Self{Instance: self})
 	return n.Owner.SetState(now, s)
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -99,6 +99,10 @@
 	return t.Pick(epoch, nil)
 }
 
+func (t oneOwner) Named(time.Time, model.ServiceName, model.InstanceID) (route.Choice, bool) {
+	return t.Pick(epoch, nil)
+}
+
 func (oneOwner) Sent(time.Time, model.InstanceID) {}
 
 func (oneOwner) Done(time.Time, model.InstanceID, route.Result) {}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -93,6 +93,7 @@
 	// passing: an owner refused for a reason that passes within a moment.
 	passing bool
 	tried   triedOwners
+	named   namedOwner
 	home    homeState
 	// advice is the earliest time at which an owner that refused may be asked
 	// again; zero when none gave advice.
@@ -188,6 +189,9 @@
 	if c.bound() {
 		return c.chooseHome(now)
 	}
+	if c.named.home != "" {
+		return c.chooseNamed(now)
+	}
 	if c.tried.full() {
 		return route.Choice{}, false
 	}
@@ -218,6 +222,7 @@
 	c.hedgeAt = c.hedgeTime(now)
 	c.sends++
 	c.tried.add(to.ID)
+	c.named.sent(to.ID)
 	c.open = true
 	c.hasReport = false
 	c.held = 0
@@ -244,6 +249,7 @@
 		MayMove:          c.mayMove(),
 		Objective:        c.objectiveLeft(now),
 		Ends:             uint8(c.ends),
+		Lent:             c.named.lent,
 	}
 	c.engine.table.Sent(now, to.ID)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,7 @@
 type chooser interface {
 	Pick(now time.Time, q *route.Query) (route.Choice, bool)
 	NextHome(now time.Time, service model.ServiceName, id model.RequestID, passed []model.InstanceID) (route.Choice, bool)
+	Named(now time.Time, service model.ServiceName, id model.InstanceID) (route.Choice, bool)
 	Sent(now time.Time, id model.InstanceID)
 	Done(now time.Time, id model.InstanceID, r route.Result)
 }
--- a/internal/entry/helpers_test.go
+++ b/internal/entry/helpers_test.go
@@ -66,6 +66,15 @@
 	return route.Choice{}, false
 }
 
+func (t *fakeTable) Named(_ time.Time, _ model.ServiceName, id model.InstanceID) (route.Choice, bool) {
+	for _, in := range t.owners {
+		if in.ID == id {
+			return route.Choice{Instance: in, OwnerClock: time.Second}, true
+		}
+	}
+	return route.Choice{}, false
+}
+
 func (t *fakeTable) Sent(_ time.Time, id model.InstanceID) { t.inFlight[id]++ }
 
 func (t *fakeTable) Done(_ time.Time, id model.InstanceID, r route.Result) {
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -82,7 +82,7 @@
 	}
 	switch r.Reason {
 	case model.ReasonOverloaded, model.ReasonQueueFull, model.ReasonLeaving, model.ReasonNotReady,
-		model.ReasonTenantLimit, model.ReasonDelegated, model.ReasonWorkerShed, model.ReasonWorkerReplaced, model.ReasonPutAside:
+		model.ReasonTenantLimit, model.ReasonDelegated, model.ReasonWorkerShed, model.ReasonWorkerReplaced, model.ReasonPutAside, model.ReasonHeldBack:
 		c.home.spoke = true
 	case model.ReasonWorkerUnreachable:
 		c.home.spoke = c.home.spoke || c.hasReport
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -91,11 +91,15 @@
 // too late or over the budget. It gives up too when one refused for load, or none for a
 // reason that passes at a known time: asking again answers few more calls, and the caller
 // is told when to come back. A request with its caller's own id waits: to come back proves
-// nothing of this sending.
+// nothing of this sending. One that may run at one owner only waits for no worker's return.
 func (c *Call) exhausted(now time.Time) {
-	if c.sends == 0 {
+	switch {
+	case c.sends == 0:
 		c.giveUp(model.ReasonNoUpstream)
 		return
+	case c.named.home != "":
+		c.giveUp(c.reason)
+		return
 	}
 	if c.moves > 0 && !c.staying {
 		c.stay()
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -99,12 +99,16 @@
 	case model.ReasonDelegated:
 		if c.bound() && c.replaceable() {
 			c.delegate()
+			c.named.home, c.named.lent = r.Home, r.Lent
 			c.phase = phasePlace
 			return
 		}
 	case model.ReasonBusy:
 		c.moveOn(now)
 		return
+	case model.ReasonHeldBack:
+		c.placeHeld(now, r)
+		return
 	case model.ReasonTenantLimit, model.ReasonPutAside, model.ReasonNoRoute, model.ReasonBodyTooLarge, model.ReasonBadRequest, model.ReasonCancelled:
 		c.giveUp(r.Reason)
 		return
@@ -148,6 +152,7 @@
 	c.reason = reason
 	if reason == model.ReasonWorkerEnded {
 		c.ends++
+		c.named.endedAt = c.to.ID
 	}
 	switch {
 	case c.req.Idempotent:
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -91,6 +91,15 @@
 	return w.choice(w.home(id)), true
 }
 
+func (w *world) Named(_ time.Time, _ model.ServiceName, id model.InstanceID) (route.Choice, bool) {
+	for _, o := range w.owners {
+		if o.instance.ID == id {
+			return w.choice(o), true
+		}
+	}
+	return route.Choice{}, false
+}
+
 func (w *world) home(id model.RequestID) *fakeOwner { return w.owners[int(id[1])%len(w.owners)] }
 
 func (w *world) choice(o *fakeOwner) route.Choice {
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -22,6 +22,9 @@
 		"A probe got through to an owner that was out of reach; it is used again. The detail is how long it was out of reach.", "none")
 	CallerConnectionBounded = define(416, zerolog.InfoLevel, "caller's connection closed by a bound",
 		"A caller's connection was idle, or its request's header incomplete, for longer than the configuration in force allows: which bound ended, how long that is and for how long it ran. No request was in hand.", "none")
+	HeldBack = define(418, zerolog.WarnLevel, "request is held back",
+		"An owner refused an attempt of a request under which a worker ended: its id, its fingerprint, the ends that nothing explains, the only owner at which it may run (empty where none is known), and in how many milliseconds a worker that ended is expected back. The attempt did not run.",
+		"Look up the fingerprint in gypsumctl aside, and event 514 for the worker that ended under it.")
 	PutAsideRefused = define(417, zerolog.WarnLevel, "request is put aside",
 		"An entry node, or the owner that was asked, refused a sending of a request that is put aside: its id, the request's fingerprint, which all its sendings share, and the advice to come back in milliseconds. Nothing of it ran.",
 		"Look up the fingerprint in gypsumctl aside, and events 514 and 515 for the workers that ended under it.")
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -50,6 +50,9 @@
 	DirectoryRevision uint64 `cbor:"20,keyasint,omitempty"`
 	// Ends counts the workers that seem to have ended under earlier attempts of this sending.
 	Ends uint8 `cbor:"21,keyasint,omitempty"`
+	// Lent says that the owner whose worker ended last under the request leaves this run
+	// to the attempt's owner.
+	Lent bool `cbor:"22,keyasint,omitempty"`
 }
 
 // Outcome is what the caller is told of its request.
@@ -142,6 +145,9 @@
 	ReasonWorkerEnded
 	// ReasonPutAside: workers ended under the same request time and again.
 	ReasonPutAside
+	// ReasonHeldBack: a worker ended under the same request, which now may run at one owner
+	// only; see Refusal.Home.
+	ReasonHeldBack
 
 	reasonCount
 )
@@ -152,7 +158,7 @@
 	"duplicate-done", "barred", "worker-unreachable", "worker-shed",
 	"worker-broken", "cancelled", "no-upstream", "no-route", "body-too-large",
 	"paused", "link-broken", "bad-request", "owner-absent", "busy", "worker-replaced", "not-taken-up",
-	"worker-ended", "put-aside",
+	"worker-ended", "put-aside", "held-back",
 }
 
 // String returns the header and label form of r.
@@ -181,6 +187,10 @@
 	// RetryAfter is the time after which another try here makes sense; zero
 	// means no advice.
 	RetryAfter time.Duration
+	// Home, with ReasonHeldBack or ReasonDelegated, is the only owner at which the request
+	// may run; empty where none is known. Lent: that owner is to be told so by Attempt.Lent.
+	Home InstanceID
+	Lent bool
 }
 
 // AttemptState is the owner's record of one attempt.
--- a/internal/owner/caution_test.go
+++ b/internal/owner/caution_test.go
@@ -91,3 +91,23 @@
 		t.Errorf("verdict %d, %+v; want that it has run", v, refusal)
 	}
 }
+
+func TestARequestThatIsHeldBackNamesItsOnlyOwner(t *testing.T) {
+	r := doubtRig(t)
+	v, _, refusal := r.suspect(Caution{Held: true, Home: "payouts-9", RetryAfter: 2 * time.Second})
+	want := model.Refusal{Reason: model.ReasonHeldBack, NotRun: true, Home: "payouts-9", RetryAfter: 2 * time.Second}
+	if v != Refuse || refusal != want {
+		t.Errorf("verdict %d, %+v; want %+v", v, refusal, want)
+	}
+}
+
+// The owner whose worker ended tells when it expects that back, not its usual second.
+func TestTheOnlyOwnerOfARequestTellsWhenItsWorkerIsBack(t *testing.T) {
+	r := doubtRig(t)
+	r.keep(r.o.SetState(r.now, model.StateCold))
+	c := Caution{Home: "payouts-1", RetryAfter: 2500 * time.Millisecond}
+	v, _, refusal := r.suspect(c)
+	if v != Refuse || refusal.Reason != model.ReasonHeldBack || refusal.RetryAfter != c.RetryAfter || !refusal.NotRun {
+		t.Errorf("verdict %d, %+v; want held back for %s", v, refusal, c.RetryAfter)
+	}
+}
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -61,11 +61,11 @@
 	if r := o.refuseKey(t, it); r.Reason != model.ReasonNone {
 		return Refuse, r
 	}
-	if c.PutAside {
-		return Refuse, o.refuseNew(t, it, c.refusal())
+	if r := c.refusal(); r.Reason != model.ReasonNone {
+		return Refuse, o.refuseNew(t, it, r)
 	}
 	if r := o.refuseState(t, a); r.Reason != model.ReasonNone {
-		return Refuse, o.refuseNew(t, it, r)
+		return Refuse, o.refuseNew(t, it, c.untilBack(r))
 	}
 	if r := o.refuseBreaking(t, a); r.Reason != model.ReasonNone {
 		return Refuse, o.refuseNew(t, it, r)
@@ -311,7 +311,7 @@
 func placeable(r model.Reason) bool {
 	switch r {
 	case model.ReasonOverloaded, model.ReasonQueueFull, model.ReasonNotReady,
-		model.ReasonPaused, model.ReasonDelegated:
+		model.ReasonPaused, model.ReasonDelegated, model.ReasonHeldBack:
 		return true
 	}
 	return false
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -39,5 +39,17 @@
 	return r
 }
 
+// Use returns the part of the worker's slots that is in use, and false while none can be
+// used.
+func (o *Owner) Use(now time.Time) (part float64, known bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	limit := o.limit.effective(o.clock(now))
+	if !o.runs() || limit <= 0 {
+		return 0, false
+	}
+	return min(float64(o.inFlight)/float64(limit), 1), true
+}
+
 // clamp16 returns n within the report's range.
 func clamp16(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
--- /dev/null
+++ b/internal/quarantine/hold_test.go
@@ -0,0 +1,248 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+// Times of the plays.
+const (
+	// deadlyRun is how long a run lasts that ends its worker, backAfter how long the worker
+	// is away then.
+	deadlyRun = 40 * time.Millisecond
+	awayFor   = 3 * time.Second
+	// mostHops bounds the owners that one sending is offered to.
+	mostHops = 6
+)
+
+// upstreams are the workers of a fleet's first service, which end under some requests.
+type upstreams struct {
+	*fleet
+	owners []*node
+	down   map[*node]bool
+	// mostDown is how many were away at one moment, ends counts ends by request.
+	mostDown int
+	ends     map[model.Fingerprint]int
+	// refusals and runs count what became of sendings.
+	refusals, runs int
+}
+
+// newUpstreams returns n workers with that part of their slots in use.
+func newUpstreams(n int, use float64) *upstreams {
+	u := &upstreams{fleet: newFleet(n, 1), down: map[*node]bool{}, ends: map[model.Fingerprint]int{}}
+	u.owners = u.nodes
+	for _, nd := range u.owners {
+		nd.q.usage = func(time.Time) (float64, bool) {
+			return min(use*float64(n)/float64(max(n-len(u.down), 1)), 1), !u.down[nd]
+		}
+	}
+	u.play(10 * time.Second)
+	return u
+}
+
+// send brings a sending to a random owner with a worker, and goes on as owners say. It returns the last
+// verdict.
+func (u *upstreams) send(c model.Fingerprint, length time.Duration, deadly func() bool) Verdict {
+	first := u.owners[u.rng.IntN(len(u.owners))]
+	for u.down[first] && len(u.down) < len(u.owners) {
+		first = u.owners[u.rng.IntN(len(u.owners))]
+	}
+	return u.offer(first, c, length, deadly, Sending{}, 0)
+}
+
+func (u *upstreams) offer(to *node, c model.Fingerprint, length time.Duration, deadly func() bool, s Sending, hops int) Verdict {
+	v := to.q.Judge(u.now, c, s, "GET /")
+	next := u.byID[v.Home]
+	switch {
+	case v.PutAside, v.Held && (next == nil || hops == mostHops):
+		u.refusals++
+	case v.Held:
+		return u.offer(next, c, length, deadly, Sending{Lent: v.Lent}, hops+1)
+	case u.down[to]:
+		u.refusals++
+	default:
+		u.runs++
+		u.run(to, c, length, v, deadly())
+	}
+	return v
+}
+
+func (u *upstreams) run(at *node, c model.Fingerprint, length time.Duration, v Verdict, deadly bool) {
+	began := u.now
+	u.after(length, func() {
+		if u.down[at] {
+			return
+		}
+		if !deadly {
+			at.q.Completed(u.now, c)
+			u.wake(at)
+			return
+		}
+		u.ends[c]++
+		u.end(at, Run{Content: c, Began: began, Doubted: v.Ends > 0, Trial: v.Trial})
+	})
+}
+
+// end ends a worker with requests in hand.
+func (u *upstreams) end(at *node, runs ...Run) {
+	u.down[at] = true
+	u.mostDown = max(u.mostDown, len(u.down))
+	for _, r := range runs {
+		at.q.Broke(u.now, r)
+	}
+	at.q.Ended(u.now)
+	u.wake(at)
+	u.after(awayFor, func() {
+		delete(u.down, at)
+		at.q.WorkerBack(u.now)
+	})
+}
+
+func always() bool { return true }
+func never() bool  { return false }
+
+// A request that ends its workers was sent on to the next ones at once: it took all workers of
+// a small service away together.
+func TestOneRequestTakesNoMoreWorkersThanTheServiceCanSpare(t *testing.T) {
+	for _, n := range []int{2, 3, 7, 20, 200} {
+		for _, use := range []float64{0.3, 0.8} {
+			t.Run(fmt.Sprintf("%d workers, %.1f in use", n, use), func(t *testing.T) {
+				u := newUpstreams(n, use)
+				for range 200 {
+					u.send(content(1), deadlyRun, always)
+					u.play(100 * time.Millisecond)
+				}
+				most := max(1, spareWorkers(n, n, use))
+				if u.mostDown > min(most, 2) {
+					t.Errorf("%d workers were away at one moment; %d can be spared", u.mostDown, most)
+				}
+				if got := u.ends[content(1)]; got != 2 {
+					t.Errorf("%d ends; want 2, as nothing else was in hand at both", got)
+				}
+			})
+		}
+	}
+}
+
+// Several sendings at a time, and several such requests.
+func TestSeveralDeadlyRequestsTakeNoMoreWorkersThanThereAreOfThem(t *testing.T) {
+	for _, n := range []int{3, 7, 20} {
+		u := newUpstreams(n, 0.8)
+		for i := range 300 {
+			u.send(content(1+i%2), deadlyRun, always)
+			u.play(100 * time.Millisecond)
+		}
+		if most := max(2, spareWorkers(n, n, 0.8)); u.mostDown > most {
+			t.Errorf("%d workers: %d were away at one moment under two requests; %d can be spared", n, u.mostDown, most)
+		}
+		for c, got := range u.ends {
+			if got > endsToPutAside {
+				t.Errorf("%d workers: %d ends under %s", n, got, c)
+			}
+		}
+	}
+}
+
+// One that ran whole lately is served on by all owners after a plain end, however small the
+// service.
+func TestAPopularRequestIsServedOnByAllAfterAPlainEnd(t *testing.T) {
+	u := newUpstreams(3, 0.8)
+	popular := content(1)
+	for range 100 {
+		u.send(popular, 200*time.Millisecond, never)
+		u.play(50 * time.Millisecond)
+	}
+	u.end(u.owners[0], Run{Content: popular, Began: u.now.Add(-time.Millisecond)})
+	served, away := u.runs, 0
+	for range 20 {
+		for _, nd := range u.owners {
+			switch v := nd.q.Judge(u.now, popular, Sending{}, ""); {
+			case u.down[nd]:
+				away++
+			case v.Held:
+				t.Fatalf("%s holds a popular request back after a plain end", nd.instance.ID)
+			}
+		}
+		u.send(popular, 200*time.Millisecond, never)
+		u.play(50 * time.Millisecond)
+	}
+	if u.runs == served || away == 0 {
+		t.Error("nothing was played")
+	}
+}
+
+// Where the service can spare workers, what was in hand at an end runs again at once.
+func TestWhatWasInHandRunsAgainAtOnceWhereWorkersCanBeSpared(t *testing.T) {
+	u := newUpstreams(20, 0.6)
+	var inHand []Run
+	for i := range 12 {
+		inHand = append(inHand, Run{Content: content(10 + i), Began: u.now})
+	}
+	u.end(u.owners[0], inHand...)
+	u.play(50 * time.Millisecond)
+	for _, r := range inHand {
+		u.send(r.Content, 200*time.Millisecond, never)
+	}
+	if u.runs != len(inHand) {
+		t.Errorf("%d of %d ran again at once", u.runs, len(inHand))
+	}
+}
+
+// Where it can spare none they wait for the worker that ended, and are told how long.
+func TestWhatWasInHandIsToldWhenTheWorkerIsExpectedBack(t *testing.T) {
+	u := newUpstreams(3, 0.9)
+	for range 3 {
+		u.end(u.owners[0], Run{Content: content(99), Began: u.now})
+		u.play(awayFor + time.Second)
+		u.owners[0].q.Completed(u.now, content(99))
+	}
+	u.end(u.owners[0], Run{Content: content(7), Began: u.now})
+	u.play(time.Second)
+	v := u.owners[0].q.Judge(u.now, content(7), Sending{}, "")
+	if v.Held || v.Home != u.owners[0].instance.ID || v.RetryAfter != awayFor-time.Second {
+		t.Errorf("%+v; want this owner in %s", v, awayFor-time.Second)
+	}
+	if v := u.owners[1].q.Judge(u.now, content(7), Sending{}, ""); !v.Held || v.Home != u.owners[0].instance.ID {
+		t.Errorf("another owner: %+v; want it held back for %s", v, u.owners[0].instance.ID)
+	}
+	u.play(awayFor)
+	before := u.runs
+	u.send(content(7), time.Millisecond, never)
+	u.play(time.Second)
+	if v := u.owners[1].q.Judge(u.now, content(7), Sending{}, ""); u.runs != before+1 || v.Held {
+		t.Errorf("after a whole run: %+v; want it free", v)
+	}
+}
+
+// An entry tells an owner of an end before the owner whose worker ended does.
+func TestAnOwnerHoldsBackWhatItsEntrySawEndAWorker(t *testing.T) {
+	u := newUpstreams(3, 0.9)
+	if v := u.owners[1].q.Judge(u.now, content(5), Sending{Ends: 1}, ""); !v.Held || v.Home != "" || v.RetryAfter != firstReturn {
+		t.Errorf("%+v; want it held back for %s", v, firstReturn)
+	}
+	if v := u.owners[1].q.Judge(u.now, content(5), Sending{}, ""); v != (Verdict{}) {
+		t.Errorf("the next sending: %+v; nothing is known of it", v)
+	}
+}
+
+// A worker that is gone for good holds nothing back for ever.
+func TestARequestIsHeldBackForAWorkerThatNeverReturnsForAWhileOnly(t *testing.T) {
+	u := newUpstreams(3, 0.9)
+	at := u.owners[0]
+	at.q.Broke(u.now, Run{Content: content(5), Began: u.now})
+	at.q.Ended(u.now)
+	u.wake(at)
+	u.play(longestHold + time.Second)
+	free := 0
+	for _, nd := range u.owners {
+		if !nd.q.Judge(u.now, content(5), Sending{}, "").Held {
+			free++
+		}
+	}
+	if free != 1 {
+		t.Errorf("%d owners would run it; want one", free)
+	}
+}
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -74,7 +74,7 @@
 		r.barred, news = true, true
 	}
 	for _, e := range ends {
-		news = r.add(e) || news
+		news = t.add(r, e) || news
 	}
 	if !news {
 		return
--- /dev/null
+++ b/internal/quarantine/odds.go
@@ -0,0 +1,93 @@
+package quarantine
+
+import (
+	"time"
+
+	"gypsumstand/internal/model"
+)
+
+const (
+	// mostByChance is how likely it may be that chance alone explains why a request is put
+	// aside after two ends.
+	mostByChance = 0.01
+	// firstPlainEnd is the time in which a worker is taken to end by itself once, before
+	// anything was seen.
+	firstPlainEnd = 10 * time.Minute
+	// shortestRun is the least length of a run that broke: its end is noticed a little late.
+	shortestRun = 50 * time.Millisecond
+)
+
+// convict puts a request aside at its second end where chance does not explain it: of all that
+// were in hand at an end before, it alone has run again since, and that run's worker ended too.
+func (q *Quarantine) convict(now time.Time, id EndID, runs []Run) {
+	suspect, only := onlyDoubted(runs)
+	if !only {
+		return
+	}
+	r := q.table.records[suspect.Content]
+	if r == nil || len(r.ends) < 2 {
+		return
+	}
+	length := max(now.Sub(suspect.Began), shortestRun)
+	if q.byChance(now, r, id, length) <= mostByChance {
+		r.barred = true
+		q.table.changed = true
+	}
+}
+
+// onlyDoubted returns the only one of the runs that began when an end under its request was
+// known.
+func onlyDoubted(runs []Run) (suspect Run, only bool) {
+	n := 0
+	for _, run := range runs {
+		if run.Doubted && !run.Trial && !run.Content.IsZero() {
+			suspect = run
+			n++
+		}
+	}
+	return suspect, n == 1
+}
+
+// byChance returns how likely it is that the own worker ended by itself during a run of that
+// length, for any of the requests that were in hand at an end before.
+func (q *Quarantine) byChance(now time.Time, r *record, id EndID, length time.Duration) float64 {
+	others := int(q.noticed) - r.endsAt(q.self.ID)
+	each := firstPlainEnd + now.Sub(q.started)
+	rate := float64(1+max(others, 0)) / each.Seconds()
+	return rate * length.Seconds() * float64(q.table.together(r, id))
+}
+
+// together counts the requests, this one included, that were in hand at an end of it other
+// than one.
+func (t *table) together(r *record, except EndID) int {
+	n := 0
+	for _, other := range t.records {
+		if other.shares(r, except) {
+			n++
+		}
+	}
+	return n
+}
+
+// shares tells whether both were in hand at an end other than one.
+func (r *record) shares(other *record, except EndID) bool {
+	for i := range r.ends {
+		for k := range other.ends {
+			if id := r.ends[i].id; id != except && id == other.ends[k].id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// endsAt counts the ends of one owner's worker.
+func (r *record) endsAt(owner model.InstanceID) int {
+	n := 0
+	for i := range r.ends {
+		if r.ends[i].owner == owner {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -28,14 +28,20 @@
 	Started time.Time
 	// Fleet returns the fleet's present view; it does not block.
 	Fleet func() *model.Fleet
+	// Use returns the part of the own worker's slots that is in use, and false while none
+	// can be used. It does not block. Nil stands for a worker that is always in full use.
+	Use func(now time.Time) (part float64, known bool)
 }
 
 // Quarantine is one node's part. Its methods are safe for concurrent use.
 type Quarantine struct {
 	self     model.Instance
+	started  time.Time
 	life     uint64
 	fleet    func() *model.Fleet
+	usage    func(now time.Time) (part float64, known bool)
 	evidence Evidence
+	whole    wholeRuns
 	// size is the number of records: with none, nobody need ask for a fingerprint.
 	size    atomic.Int64
 	changed chan struct{}
@@ -46,6 +52,9 @@
 	// with requests in hand.
 	named, noticed uint64
 	rounds         rounds
+	returns        returns
+	// use is the part of the own worker's slots that is in use, averaged.
+	use float64
 	// shown is where the last part of the records that some returned began.
 	shown int
 	// notes are log lines that Handle has not taken.
@@ -55,7 +64,7 @@
 // New returns a quarantine that knows of nothing.
 func New(cfg Config) *Quarantine {
 	return &Quarantine{
-		self: cfg.Self, life: uint64(cfg.Started.UnixNano()), fleet: cfg.Fleet,
+		self: cfg.Self, started: cfg.Started, life: uint64(cfg.Started.UnixNano()), fleet: cfg.Fleet, usage: cfg.Use, use: 1,
 		changed: make(chan struct{}, 1), table: newTable(), rounds: rounds{fresh: freshRounds},
 	}
 }
@@ -88,6 +97,32 @@
 	RetryAfter time.Duration
 	// Trial: it is put aside, and this once it may run, alone.
 	Trial bool
+	// Home, when set, is the only owner at which it may run, as a worker may end under it
+	// again; RetryAfter then is when a worker that ended is expected back. Held: this node is
+	// not that owner, or nobody knows which one is.
+	Home model.InstanceID
+	Held bool
+	// Lent: this node is the one that says where it may run, and leaves it to Home.
+	Lent bool
+}
+
+// Sending is what an attempt says of its sending.
+type Sending struct {
+	// Ends counts the workers that ended under earlier attempts.
+	Ends int
+	// Lent: the owner whose worker ended last under the request leaves it to this one.
+	Lent bool
+}
+
+// Refusal returns what refuses the request, ReasonNone where it may run here.
+func (v Verdict) Refusal() model.Refusal {
+	switch {
+	case v.PutAside:
+		return model.Refusal{Reason: model.ReasonPutAside, NotRun: true, RetryAfter: v.RetryAfter}
+	case v.Held:
+		return model.Refusal{Reason: model.ReasonHeldBack, NotRun: true, RetryAfter: v.RetryAfter, Home: v.Home, Lent: v.Lent}
+	}
+	return model.Refusal{}
 }
 
 // RunsAlone tells whether the request is to run where no other one as suspect runs.
@@ -99,21 +134,26 @@
 	maxRetry = time.Hour
 )
 
-// Judge says how an owner treats a request that is offered to it. label is what the
-// request asks for.
-func (q *Quarantine) Judge(now time.Time, content model.Fingerprint, label string) Verdict {
-	if q.Empty() {
+// Judge says how an owner treats a request that is offered to it. label is what the request
+// asks for.
+func (q *Quarantine) Judge(now time.Time, content model.Fingerprint, s Sending, label string) Verdict {
+	if q.Empty() && s.Ends == 0 {
 		return Verdict{}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.table.records[content]
-	if r == nil {
+	switch {
+	case r != nil:
+		r.label = label
+	case s.Ends == 0:
 		return Verdict{}
+	default:
+		r = unheard(now, content, s.Ends)
 	}
-	r.label = label
 	v := Verdict{Ends: r.left}
 	if !r.aside {
+		q.hold(now, r, s, &v)
 		return v
 	}
 	if r.trialDue(now) && trialHome(content, q.findNeighbours().owners) == q.self.ID {
@@ -173,10 +213,11 @@
 	next := q.nextEnd()
 	q.mu.Unlock()
 	if runs := q.evidence.Ended(now, next); len(runs) > 0 {
-		q.inHand(now, next, runs)
 		q.mu.Lock()
 		q.noticed++
+		q.returns.end(now)
 		q.mu.Unlock()
+		q.inHand(now, next, runs)
 	}
 }
 
@@ -198,6 +239,7 @@
 		q.table.ended(now, run.Content, end{id, q.self.ID, now, run.Doubted, run.Trial})
 		q.table.records[run.Content].label = run.Label
 	}
+	q.convict(now, id, runs)
 	for _, r := range q.judge(now, "ended here") {
 		r.asideHere = true
 	}
@@ -206,6 +248,13 @@
 
 // Completed takes a whole answer of the own worker to a request.
 func (q *Quarantine) Completed(now time.Time, content model.Fingerprint) {
+	if content.IsZero() {
+		return
+	}
+	q.whole.add(content)
+	if q.Empty() {
+		return
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.table.completed(now, content) {
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -112,6 +112,23 @@
 	return last
 }
 
+// lastOwner returns the owner whose worker ended last under the request.
+func (r *record) lastOwner() model.InstanceID {
+	var last end
+	for _, e := range r.ends {
+		if e.at.After(last.at) {
+			last = e
+		}
+	}
+	return last.owner
+}
+
+// unheard stands for a request of which an entry says that workers ended, and nobody else
+// yet.
+func unheard(now time.Time, content model.Fingerprint, ends int) *record {
+	return &record{content: content, ends: []end{{at: now}}, left: ends}
+}
+
 // add adds an end and reports whether it is new. Of more than maxEnds those are kept that
 // prove most, the same ones on every node.
 func (r *record) add(e end) bool {
--- a/internal/quarantine/rounds.go
+++ b/internal/quarantine/rounds.go
@@ -78,6 +78,9 @@
 	case control.SuspectsChanged:
 		out = q.tell(now, out)
 	case control.Tick:
+		if part, known := q.used(now); known {
+			q.observe(part, control.TickInterval)
+		}
 		out = q.tell(now, out)
 		out = q.round(now, out)
 		q.expire(now)
@@ -89,6 +92,14 @@
 	return out
 }
 
+// used returns the part of the own worker's slots that is in use.
+func (q *Quarantine) used(now time.Time) (part float64, known bool) {
+	if q.usage == nil {
+		return 0, false
+	}
+	return q.usage(now)
+}
+
 func (q *Quarantine) expire(now time.Time) {
 	if now.Before(q.rounds.expire) {
 		return
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -35,11 +35,15 @@
 // table holds the records of one node. It is not safe for concurrent use.
 type table struct {
 	records map[model.Fingerprint]*record
+	// lastEnds is when each owner's worker last ended under a request.
+	lastEnds map[model.InstanceID]time.Time
 	// changed: the records have changed since they were judged.
 	changed bool
 }
 
-func newTable() table { return table{records: map[model.Fingerprint]*record{}} }
+func newTable() table {
+	return table{records: map[model.Fingerprint]*record{}, lastEnds: map[model.InstanceID]time.Time{}}
+}
 
 // get returns the record of a request, a new one when there is none.
 func (t *table) get(now time.Time, content model.Fingerprint) *record {
@@ -75,11 +79,22 @@
 // ended adds an end under a request.
 func (t *table) ended(now time.Time, content model.Fingerprint, e end) {
 	r := t.get(now, content)
-	if r.add(e) {
+	if t.add(r, e) {
 		t.touch(r, e.at)
 	}
 }
 
+// add adds an end to a record and reports whether it is new.
+func (t *table) add(r *record, e end) bool {
+	if !r.add(e) {
+		return false
+	}
+	if e.at.After(t.lastEnds[e.owner]) {
+		t.lastEnds[e.owner] = e.at
+	}
+	return true
+}
+
 // touch notes that a record changed at that time, and that peers have not been told. Until it
 // is judged it counts as suspect, or the next one of the same end would take its place in a
 // full table.
@@ -169,6 +184,11 @@
 			t.forget(r)
 		}
 	}
+	for owner, at := range t.lastEnds {
+		if now.Sub(at) > suspectMemory {
+			delete(t.lastEnds, owner)
+		}
+	}
 }
 
 // nextTrial returns when a request that is put aside may be tried again; ok is false when
--- a/internal/route/home.go
+++ b/internal/route/home.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,6 +33,22 @@
 	return t.choice(u, p.nanos(now), &Query{Service: service}), true
 }
 
+// Named returns one instance of a service; ok is false where it takes no requests.
+func (t *Table) Named(now time.Time, service model.ServiceName, id model.InstanceID) (c Choice, ok bool) {
+	p := t.picker.Load()
+	svc := p.services[service]
+	if svc == nil {
+		return Choice{}, false
+	}
+	i, found := slices.BinarySearchFunc(svc.all, id, func(u *upstream, id model.InstanceID) int {
+		return cmp.Compare(u.instance.ID, id)
+	})
+	if !found || !svc.all[i].eligible(t.filter(p.nanos(now), nil)) {
+		return Choice{}, false
+	}
+	return t.choice(svc.all[i], p.nanos(now), &Query{Service: service}), true
+}
+
 // home returns the upstream with the highest score for a request's hash, the
 // first of the order of ids among equals, without those passed.
 func (s *service) home(request uint64, f filter) *upstream {
