--- a/internal/failure/deadly_test.go
+++ b/internal/failure/deadly_test.go
@@ -13,6 +13,7 @@
 	"gypsumstand/internal/fake/worker"
 	"gypsumstand/internal/local"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/pause"
 	"gypsumstand/internal/status"
 )
 
@@ -32,6 +33,8 @@
 	// deadlyEvery is the time between two sendings of one deadly request.
 	deadlyEvery = 150 * time.Millisecond
 	deadlyFor   = 8 * time.Second
+	// backAfter is how long a worker is away.
+	backAfter = 700 * time.Millisecond
 	// mustKnowAfter is how long after the third end the fleet must have learned.
 	mustKnowAfter = 3 * time.Second
 	// usualEvery is the time between two usual calls.
@@ -79,7 +82,7 @@
 		d.ran()
 		return true
 	}
-	s.EndsAfter, s.BackAfter = 30*time.Millisecond, 700*time.Millisecond
+	s.EndsAfter, s.BackAfter = 30*time.Millisecond, backAfter
 	return startFleet(t, cfg)
 }
 
@@ -233,6 +236,55 @@
 	}
 }
 
+// mostDown returns the most workers that were away at one moment, each from endsAfter after a
+// run began for backAfter.
+func (d *deaths) mostDown() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	most := 0
+	for i, at := range d.runs {
+		down := 1
+		for _, before := range d.runs[:i] {
+			if at.Sub(before) < backAfter {
+				down++
+			}
+		}
+		most = max(most, down)
+	}
+	return most
+}
+
+// All three workers of a service whose slots are mostly in use were away together: a request
+// went on to the next one while the first was not back.
+func TestADeadlyRequestLeavesABusyServiceAllWorkersButOne(t *testing.T) {
+	t.Parallel()
+	const path = "/deadly?of=9"
+	var d deaths
+	f := deadlyFleetOf(t, 3, &d, func(r answer.Request) bool { return r.Target == path })
+	ctx, cancel := context.WithTimeout(t.Context(), deadlyFor)
+	defer cancel()
+	usual, bad := newCallers(t), newCallers(t)
+	var wg sync.WaitGroup
+	n := 0
+	// Nine are in hand at once, where three workers have twelve slots.
+	wg.Go(func() {
+		usual.sendEvery(ctx, f, 33*time.Millisecond, func() request { n++; return view(fmt.Sprintf("/slow/usual?of=%d", n)) })
+	})
+	pause.For(ctx, 2*time.Second)
+	bad.sendEvery(ctx, f, deadlyEvery, func() request { return view(path) })
+	wg.Wait()
+	all, late := d.after()
+	if all < 2 {
+		t.Fatalf("%d deadly runs: the fault was not brought about", all)
+	}
+	if down := d.mostDown(); down > 1 || all > 3 || late > 0 {
+		t.Errorf("%d deadly runs, %d late, up to %d workers away at one moment; want 3, 0 and 1 at most", all, late, down)
+	}
+	t.Logf("%d deadly runs, up to %d workers away; usual calls answered: %d of %d", all, d.mostDown(), usual.count(answered), len(usual.sendings()))
+	usual.check(t, f.Ledger)
+	bad.check(t, f.Ledger)
+}
+
 // deadlyBody is the body of a payout that ends its worker.
 const deadlyBody = "pay the one that ends workers"
 
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -53,7 +53,7 @@
 // under it, empty where that is not known here, and any other one, the same in equal views,
 // once that may be gone for good.
 func (q *Quarantine) decider(now time.Time, r *record) model.InstanceID {
-	owners := q.findNeighbours().owners
+	owners := q.findNeighbours().takers
 	if len(owners) == 0 {
 		return q.self.ID
 	}
@@ -70,7 +70,7 @@
 	if q.workerUp(now) {
 		return q.self.ID
 	}
-	owners := q.findNeighbours().owners
+	owners := q.findNeighbours().takers
 	up := slices.DeleteFunc(q.up(now, owners), func(id model.InstanceID) bool { return id == q.self.ID })
 	if spareWorkers(len(up), len(owners), q.use) == 0 {
 		return q.self.ID
--- a/internal/quarantine/hold_test.go
+++ b/internal/quarantine/hold_test.go
@@ -246,3 +246,21 @@
 		t.Errorf("%d owners would run it; want one", free)
 	}
 }
+
+// The owner whose worker ended last leaves as planned: another one decides at once.
+func TestARequestIsNotHeldBackForAnOwnerThatLeaves(t *testing.T) {
+	u := newUpstreams(3, 0.9)
+	u.end(u.owners[0], Run{Content: content(5), Began: u.now})
+	u.play(time.Second)
+	u.view.Revision++
+	u.view.Instances[0].State = model.StateLeaving
+	free := 0
+	for _, nd := range u.owners[1:] {
+		if !nd.q.Judge(u.now, content(5), Sending{}, "").Held {
+			free++
+		}
+	}
+	if free != 1 {
+		t.Errorf("%d of the other owners would run it; want one", free)
+	}
+}
--- a/internal/quarantine/rounds.go
+++ b/internal/quarantine/rounds.go
@@ -63,8 +63,9 @@
 	// tells that they are told what others told.
 	fleet, service []model.Instance
 	passOn         bool
-	// owners are the nodes of the own service.
-	owners []model.InstanceID
+	// owners are the nodes of the own service, takers those of them that take new requests
+	// as far as the view tells.
+	owners, takers []model.InstanceID
 }
 
 // Handle implements control.Controller.
@@ -237,6 +238,9 @@
 		all = append(all, in.ID)
 		if in.Service == q.self.Service {
 			n.owners = append(n.owners, in.ID)
+			if in.State < model.StateLeaving {
+				n.takers = append(n.takers, in.ID)
+			}
 		}
 	}
 	n.fleet = instances(fleet, ring(q.self.ID, all))
--- a/internal/wire/headers_test.go
+++ b/internal/wire/headers_test.go
@@ -149,6 +149,7 @@
 
 func TestRefusalSurvivesItsHeaders(t *testing.T) {
 	for _, want := range []model.Refusal{
+		{Reason: model.ReasonHeldBack, NotRun: true, RetryAfter: time.Second, Home: "ledger-3", Lent: true},
 		{Reason: model.ReasonOverloaded, NotRun: true, RetryAfter: 15 * time.Millisecond},
 		{Reason: model.ReasonDuplicateDone},
 	} {
@@ -170,6 +171,8 @@
 		"two reasons":     {HeaderRefusal: {"leaving", "stale"}, HeaderNotRun: {"true"}},
 		"odd not-run":     {HeaderRefusal: {"leaving"}, HeaderNotRun: {"yes"}},
 		"two not-run":     {HeaderRefusal: {"leaving"}, HeaderNotRun: {"true", "false"}},
+		"odd lent":        {HeaderRefusal: {"leaving"}, HeaderNotRun: {"true"}, HeaderRefusalLent: {"yes"}},
+		"two homes":       {HeaderRefusal: {"leaving"}, HeaderNotRun: {"true"}, HeaderRefusalHome: {"a", "b"}},
 		"bad retry-after": {HeaderRefusal: {"leaving"}, HeaderNotRun: {"true"}, HeaderRetryAfterMs: {"-1"}},
 	}
 	for name, h := range tests {
