--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -37,16 +37,17 @@
 	if !q.held(r) {
 		return
 	}
-	v.RetryAfter = max(q.returns.left(now.Sub(r.lastEnd())), minRetry)
 	v.Home = q.decider(now, r)
+	last := r.lastEnd()
 	switch {
 	case s.Lent:
 		v.Home = q.self.ID
-	case v.Home == q.self.ID:
-		v.Home = q.lend(now, r)
-		v.Lent = v.Home != q.self.ID
+	case v.Home != q.self.ID:
+		v.Held = true
+	default:
+		last = q.decide(now, r, v)
 	}
-	v.Held = v.Home != q.self.ID
+	v.RetryAfter = max(q.returns.left(now.Sub(last)), minRetry)
 }
 
 // decider returns the owner that says where a request may run: the one whose worker ended last
@@ -64,18 +65,25 @@
 	return trialHome(r.content, owners)
 }
 
-// lend returns the owner at which a request may run that this node decides on: itself, also
-// while its worker is away, unless the service can spare one more.
-func (q *Quarantine) lend(now time.Time, r *record) model.InstanceID {
-	if q.workerUp(now) {
-		return q.self.ID
-	}
+// decide says where a request may run that this node decides on: here while no other worker
+// of the service is away, and elsewhere while the own one is, or anywhere if the service can
+// spare one more. It returns the end whose worker is waited for.
+func (q *Quarantine) decide(now time.Time, r *record, v *Verdict) (last time.Time) {
 	owners := q.findNeighbours().takers
-	up := slices.DeleteFunc(q.up(now, owners), func(id model.InstanceID) bool { return id == q.self.ID })
-	if spareWorkers(len(up), len(owners), q.use) == 0 {
-		return q.self.ID
+	up, last := q.others(now, owners)
+	here := q.workerUp(now)
+	spare := spareWorkers(len(up), len(owners), q.use) > 0
+	switch {
+	case !here && spare:
+		v.Home = trialHome(r.content, up)
+		v.Held, v.Lent = true, true
+	case here && !spare && !last.IsZero():
+		v.Held = true
+	}
+	if own := r.lastEnd(); !here || own.After(last) {
+		last = own
 	}
-	return trialHome(r.content, up)
+	return last
 }
 
 // workerUp tells whether the own worker takes requests.
@@ -92,16 +100,21 @@
 // average over the time of an end errs on the safe side.
 func spareWorkers(up, all int, use float64) int { return max(up-int(math.Ceil(use*float64(all))), 0) }
 
-// up returns the owners of which no worker ended so lately that it is still away.
-func (q *Quarantine) up(now time.Time, owners []model.InstanceID) []model.InstanceID {
+// others returns the other owners of which no worker ended so lately that it is still away,
+// and the last end of the others, zero where there are none.
+func (q *Quarantine) others(now time.Time, owners []model.InstanceID) (up []model.InstanceID, last time.Time) {
 	away := time.Duration(downMargin * float64(q.returns.expected()))
-	var up []model.InstanceID
 	for _, id := range owners {
-		if at, known := q.table.lastEnds[id]; !known || now.Sub(at) >= away {
+		at, known := q.table.lastEnds[id]
+		switch {
+		case id == q.self.ID:
+		case !known || now.Sub(at) >= away:
 			up = append(up, id)
+		case at.After(last):
+			last = at
 		}
 	}
-	return up
+	return up, last
 }
 
 // observe takes the part of the own worker's slots that is in use, a while after the last
--- a/internal/quarantine/hold_test.go
+++ b/internal/quarantine/hold_test.go
@@ -264,3 +264,28 @@
 		t.Errorf("%d of the other owners would run it; want one", free)
 	}
 }
+
+// Two such requests ended a worker each; both workers were back, and both ended together again.
+func TestRequestsOfTwoOwnersEndTheirWorkersOneAfterTheOther(t *testing.T) {
+	u := newUpstreams(3, 0.8)
+	u.end(u.owners[0], Run{Content: content(1), Began: u.now})
+	u.play(100 * time.Millisecond)
+	u.end(u.owners[1], Run{Content: content(2), Began: u.now})
+	u.play(awayFor + 100*time.Millisecond)
+	u.mostDown = 0
+	for i := range 300 {
+		u.send(content(1+i%2), deadlyRun, always)
+		u.play(100 * time.Millisecond)
+	}
+	if u.mostDown != 1 {
+		t.Errorf("%d workers were away at one moment; want 1", u.mostDown)
+	}
+	for c, got := range u.ends {
+		if got != 1 {
+			t.Errorf("%d more ends under %s; want 1", got, c)
+		}
+	}
+	if len(u.ends) != 2 {
+		t.Errorf("%d of 2 requests ran again", len(u.ends))
+	}
+}
