--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -16,6 +16,9 @@
 	Suspended = define(112, zerolog.WarnLevel, "machine was suspended",
 		"The machine stood still for that many milliseconds, which the steady clock does not count. What the node knew is taken to be older by that.",
 		"Find out who suspends the machine. Time-outs that were running then last longer by it.")
+	HintsDropped = define(114, zerolog.WarnLevel, "what calls showed was left out",
+		"The queue of the node's core was full, so that calls went on without telling it what they had seen: newer versions, owners that gave no answer or that peers cannot reach. How many times since the last such line. Later calls show it again.",
+		"The process is starved, or its core is stuck: look at event 104 and at its processor time.")
 	SuspensionUnknown = define(113, zerolog.WarnLevel, "suspensions cannot be seen",
 		"The system has no clock that counts a suspension of the machine. Knowledge from before one is taken for fresh.", "none")
 	Paused = define(104, zerolog.WarnLevel, "process was paused",
--- a/internal/node/callfilter.go
+++ b/internal/node/callfilter.go
@@ -89,6 +89,6 @@
 		return
 	}
 	if n.calls.first(v) {
-		n.sink(control.VersionSeen{From: from, Version: v})
+		n.hint(control.VersionSeen{From: from, Version: v})
 	}
 }
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -163,6 +163,6 @@
 		return
 	}
 	if n.calls.newMark(m) {
-		n.sink(control.DirectoryHeard{From: from, Mark: m})
+		n.hint(control.DirectoryHeard{From: from, Mark: m})
 	}
 }
--- a/internal/node/export_test.go
+++ b/internal/node/export_test.go
@@ -1,6 +1,9 @@
 package node
 
-import "gypsumstand/internal/control"
+import (
+	"gypsumstand/internal/control"
+	"gypsumstand/internal/model"
+)
 
 // Start runs f as the node runs its own parts.
 func (n *Node) Start(f func()) { n.start(f) }
@@ -17,6 +20,9 @@
 	}
 }
 
+// See tells the node of a version that a call carried.
+func (n *Node) See(v model.BundleVersion) { n.seen("peer", v) }
+
 // FillQueue fills the queue of the core's events.
 func (n *Node) FillQueue() {
 	for {
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"gypsumstand/internal/local"
+	"gypsumstand/internal/model"
 	"gypsumstand/internal/node"
 )
 
@@ -276,6 +277,39 @@
 	}
 }
 
+// A call that carried a newer version waited for the core for as long as its queue was full,
+// beyond the caller's time.
+func TestACallDoesNotWaitForTheCore(t *testing.T) {
+	t.Parallel()
+	f, log := stuckFleet(t)
+	began, stuck := make(chan struct{}), make(chan struct{})
+	log.on(`"event":220,`, func() {
+		close(began)
+		<-stuck
+	})
+	if err := f.Publish(fmt.Appendf(nil, faultBundle, 2)); err != nil {
+		t.Fatal(err)
+	}
+	<-began
+	m := f.Members()[0]
+	m.Node.FillQueue()
+	told, late := make(chan struct{}), time.NewTimer(10*time.Second)
+	defer late.Stop()
+	go func() {
+		defer close(told)
+		m.Node.See(model.BundleVersion{Name: "test", Version: 99})
+	}()
+	select {
+	case <-told:
+	case <-late.C:
+		t.Error("a call waits for the core")
+	}
+	left := log.await(`"event":114,`)
+	close(stuck)
+	<-left
+	<-told
+}
+
 // A stop that waits for good, here to say that it begins, does not keep the process.
 func TestAStopThatIsStuckItselfEnds(t *testing.T) {
 	t.Parallel()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -46,6 +46,7 @@
 // was taken, also when what came of it panicked.
 func (n *Node) take(now time.Time, ev control.Event) {
 	defer n.calls.reset(ev)
+	n.noteHints()
 	if e, ok := ev.(control.SelfChanged); ok && e.State >= model.StateLeaving {
 		defer n.leavingTold.Store(true)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,6 +140,8 @@
 	lostSignal server.LostSignal
 	// tellsFailed counts what peers were not told of suspect requests.
 	tellsFailed atomic.Uint64
+	// hintsDropped counts the hints that the core's queue had no room for.
+	hintsDropped atomic.Uint64
 	// lostTold counts the owners out of reach that were named to peers.
 	lostTold atomic.Uint64
 	calls    callFilter
@@ -330,6 +332,23 @@
 	}
 }
 
+// hint queues an event that a call shows, and that later calls will show again: a call does
+// not wait for the core.
+func (n *Node) hint(ev control.Event) {
+	select {
+	case n.events <- ev:
+	default:
+		n.hintsDropped.Add(1)
+	}
+}
+
+// noteHints logs the hints that were dropped.
+func (n *Node) noteHints() {
+	if dropped := n.hintsDropped.Swap(0); dropped > 0 {
+		event.Log(&n.log, event.HintsDropped).Int("dropped", int64(dropped)).Send()
+	}
+}
+
 // Run serves until ctx ends or a part of the node fails, then stops gracefully. The error
 // tells which part failed, or that the stop was not graceful.
 func (n *Node) Run(ctx context.Context) error {
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -11,7 +11,7 @@
 	if !n.calls.firstUnanswered(owner.ID) {
 		return
 	}
-	n.sink(control.OwnerDoubted{
+	n.hint(control.OwnerDoubted{
 		Owner:        owner,
 		NoConnection: reason == model.ReasonWorkerUnreachable || reason == model.ReasonOwnerAbsent,
 		NotTakenUp:   reason == model.ReasonNotTakenUp,
@@ -50,6 +50,6 @@
 		}
 	}
 	if len(fresh) > 0 {
-		n.sink(control.OwnersSaidLost{Owners: fresh})
+		n.hint(control.OwnersSaidLost{Owners: fresh})
 	}
 }
