--- a/internal/soak/deadly.go
+++ b/internal/soak/deadly.go
@@ -18,20 +18,50 @@
 	// time from then until the worker is back.
 	endsAfter = 30 * time.Millisecond
 	backAfter = 1500 * time.Millisecond
+	// lateEndsAfter is that of a late one: its caller's time is over by then.
+	lateEndsAfter = routeTimeout + 500*time.Millisecond
 	// deadlyEnds is the number of ends after which nodes must know, and deadlyMore how
 	// often the request may still reach a worker once they do.
 	deadlyEnds, deadlyMore = 3, 3
 )
 
-// deadlyClass begins the class of a deadly request, and the part of its path that names it.
-const deadlyClass = "deadly-"
+// deadlyClass begins the class of a deadly request, and the part of its path that names it;
+// lateClass those of a late one.
+const (
+	deadlyClass = "deadly-"
+	lateClass   = deadlyClass + "late-"
+)
 
 func (r *request) deadly() bool { return strings.HasPrefix(r.class, deadlyClass) }
 
-// startDeadly lets a caller send one deadly request again and again until ctx ends, at all
-// machines in turn.
-func (f *fleet) startDeadly(ctx context.Context, t trouble) {
-	name := fmt.Sprintf("%s%d-%d", deadlyClass, t.at.Milliseconds(), t.machine)
+// endOf returns the time from the start of a deadly run to its worker's end.
+func endOf(class string) time.Duration {
+	if strings.HasPrefix(class, lateClass) {
+		return lateEndsAfter
+	}
+	return endsAfter
+}
+
+// classOf returns the class of a deadly request by its path, empty for others.
+func classOf(path string) string {
+	_, after, found := strings.Cut(path, "/"+deadlyClass)
+	if !found {
+		return ""
+	}
+	name, _, _ := strings.Cut(after, "/")
+	return deadlyClass + name
+}
+
+// startPair lets callers send two deadly requests to one service from one moment on.
+func (f *fleet) startPair(ctx context.Context, t trouble) {
+	f.startDeadly(ctx, t, deadlyClass+"one-")
+	f.startDeadly(ctx, t, deadlyClass+"other-")
+}
+
+// startDeadly lets a caller send one deadly request of a class again and again until ctx
+// ends, at all machines in turn.
+func (f *fleet) startDeadly(ctx context.Context, t trouble, class string) {
+	name := fmt.Sprintf("%s%d-%d", class, t.at.Milliseconds(), t.machine)
 	route, service := "browse", serviceCatalogue
 	if t.machine%2 == 0 {
 		route, service = "order", serviceOrders
@@ -55,8 +85,8 @@
 // ran takes a run of the worker, which ends under a deadly one.
 func (m *machine) ran(run standin.Run) {
 	m.fleet.ledger.ran(run)
-	if strings.Contains(run.Request.URL.Path, "/"+deadlyClass) {
-		time.AfterFunc(endsAfter, m.endWorker)
+	if class := classOf(run.Request.URL.Path); class != "" {
+		time.AfterFunc(endOf(class), m.endWorker)
 	}
 }
 
@@ -117,7 +147,7 @@
 		}
 		sort.Slice(at, func(i, j int) bool { return at[i].Before(at[j]) })
 		for _, run := range r.runs {
-			if l.lateDeadly(at[deadlyEnds-1].Add(endsAfter), r, run) {
+			if l.lateDeadly(at[deadlyEnds-1].Add(endOf(r.class)), r, run) {
 				late[r.class]++
 			}
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -36,6 +36,8 @@
 	kindForeign   kind = "foreign"     // another writer replaces a worker's entry
 	kindCutConfig kind = "cut-config"  // silence, and a configuration right after it
 	kindDeadly    kind = "deadly"      // from then on a caller sends a request that ends workers
+	kindLate      kind = "deadly-late" // one under which workers end after callers' time is over
+	kindPair      kind = "deadly-pair" // two such requests in one service, from one moment on
 	kindAlone     kind = "alone"       // all other machines are of no use to one, and changes come
 	kindListed    kind = "listed"      // workers are listed whose nodes never answer
 	kindMute      kind = "mute"        // its open connections are silent for good, new ones work
@@ -56,8 +58,11 @@
 // thirdKinds is what plans of PlanThird are drawn from.
 var thirdKinds = append(slices.Clone(secondKinds), kindDeadly, kindDeadly)
 
+// fourthKinds is what plans of PlanFourth are drawn from.
+var fourthKinds = append(slices.Clone(thirdKinds), kindAlone, kindAlone, kindListed, kindMute, kindChanges, kindChanges, kindStalls)
+
 // newestKinds is what plans of PlanNewest are drawn from.
-var newestKinds = append(slices.Clone(thirdKinds), kindAlone, kindAlone, kindListed, kindMute, kindChanges, kindChanges, kindStalls)
+var newestKinds = append(slices.Clone(fourthKinds), kindLate, kindPair)
 
 // sparedKinds is what plans of PlanSpared are drawn from: the store is sound, and one
 // machine has no trouble of its own.
@@ -77,11 +82,13 @@
 	PlanFirst  PlanVersion = "first"
 	PlanSecond PlanVersion = "second"
 	PlanThird  PlanVersion = "third"
+	PlanFourth PlanVersion = "fourth"
 )
 
 // kindsOf are the kinds of each version.
 var kindsOf = map[PlanVersion][]kind{
 	PlanNewest: newestKinds, PlanSpared: sparedKinds, PlanFirst: firstKinds, PlanSecond: secondKinds, PlanThird: thirdKinds,
+	PlanFourth: fourthKinds,
 }
 
 // Known tells whether there is such a version.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -170,7 +170,13 @@
 		f.configure(ctx)
 		return
 	case kindDeadly:
-		f.startDeadly(ctx, t)
+		f.startDeadly(ctx, t, deadlyClass)
+		return
+	case kindLate:
+		f.startDeadly(ctx, t, lateClass)
+		return
+	case kindPair:
+		f.startPair(ctx, t)
 		return
 	case kindForget:
 		f.store.Compact()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,3 +61,13 @@
 		t.Errorf("the plan has no deadly request:\n%s", report.Plan)
 	}
 }
+
+// Two such requests from one moment on, and one whose callers have left when its worker ends.
+func TestSeveralDeadlyRequestsAmongOtherTroublesAreKeptFromWorkers(t *testing.T) {
+	report := play(t, Config{Program: buildNode(t), Seed: 5, Machines: 6, Length: 24 * time.Second, Plan: PlanNewest})
+	for _, k := range []kind{kindPair, kindLate} {
+		if !strings.Contains(report.Plan, string(k)) {
+			t.Errorf("the plan has no %s:\n%s", k, report.Plan)
+		}
+	}
+}
