--- a/internal/entry/held_test.go
+++ b/internal/entry/held_test.go
@@ -16,11 +16,14 @@
 
 func TestARequestThatIsHeldBackGoesToItsOnlyOwner(t *testing.T) {
 	for _, trait := range []func(*Request){func(*Request) {}, idempotent} {
-		s := start(t, 3, trait)
+		s := start(t, 3, trait, moving(5))
 		s.do(heldBackFor("payouts-c", 3*time.Second))
 		if s.step.Kind != StepSend || s.step.To.ID != "payouts-c" {
 			t.Fatalf("step %s to %s; want a sending to payouts-c", s.step.Kind, s.step.To.ID)
 		}
+		if s.step.Attempt.MayMove {
+			t.Error("its only owner may turn it away as busy, though no other one would run it")
+		}
 	}
 }
 
--- a/internal/quarantine/odds.go
+++ b/internal/quarantine/odds.go
@@ -35,17 +35,21 @@
 	}
 }
 
-// onlyDoubted returns the only one of the runs that began when an end under its request was
-// known.
+// onlyDoubted returns the only request of which runs began when an end under it was known, by
+// the run that began first.
 func onlyDoubted(runs []Run) (suspect Run, only bool) {
-	n := 0
 	for _, run := range runs {
-		if run.Doubted && !run.Trial && !run.Content.IsZero() {
+		switch {
+		case !run.Doubted || run.Trial || run.Content.IsZero():
+		case suspect.Content.IsZero():
+			suspect = run
+		case run.Content != suspect.Content:
+			return Run{}, false
+		case run.Began.Before(suspect.Began):
 			suspect = run
-			n++
 		}
 	}
-	return suspect, n == 1
+	return suspect, !suspect.Content.IsZero()
 }
 
 // byChance returns how likely it is that the own worker ended by itself during a run of that
--- a/internal/quarantine/odds_test.go
+++ b/internal/quarantine/odds_test.go
@@ -42,6 +42,16 @@
 	}
 }
 
+// Two sendings of one request were in hand at its second end, and were taken for two requests.
+func TestTwoSendingsAtTheSecondEndAreOneRequest(t *testing.T) {
+	q := lone()
+	inHandAt(q, at(1000), 50*time.Millisecond, twelve)
+	inHandAt(q, at(5000), 50*time.Millisecond, []int{1, 1, 20}, 1)
+	if !isAside(q, at(5001), 1) {
+		t.Error("not put aside")
+	}
+}
+
 func TestTwoEndsAreTooFewWhereSomethingElseMayExplainThem(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
