--- a/internal/owner/caution.go
+++ b/internal/owner/caution.go
@@ -53,5 +53,24 @@
 	return model.Refusal{Reason: model.ReasonHeldBack, NotRun: true, RetryAfter: c.RetryAfter, Home: c.Home}
 }
 
+// RunAlone takes that a started attempt is to run alone, as is known only now that its whole
+// request is here. It reports whether it does: no other one that runs alone is at the worker.
+func (o *Owner) RunAlone(id model.AttemptID) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	it := o.live[id]
+	switch {
+	case it == nil || !it.started:
+		return false
+	case it.alone:
+		return true
+	case o.alones > 0:
+		return false
+	}
+	it.alone = true
+	o.alones++
+	return true
+}
+
 // mustWait tells whether a start has to wait for one that runs alone.
 func (o *Owner) mustWait(it *item) bool { return it.alone && o.alones > 0 }
--- a/internal/owner/caution_test.go
+++ b/internal/owner/caution_test.go
@@ -51,6 +51,24 @@
 	}
 }
 
+// That a request is suspect is known of some only when their bodies are here, after their start.
+func TestAStartedAttemptRunsAloneOrNotAtAll(t *testing.T) {
+	r := doubtRig(t)
+	_, first, _ := r.suspect(Caution{})
+	_, second, _ := r.suspect(Caution{})
+	if !r.o.RunAlone(first) || !r.o.RunAlone(first) {
+		t.Fatal("the first does not run alone")
+	}
+	if r.o.RunAlone(second) {
+		t.Error("the second runs beside the first")
+	}
+	r.pass(10 * time.Millisecond)
+	r.keep(r.o.Finish(r.now, first, Finish{Status: 200, ServiceTime: 10 * time.Millisecond}))
+	if !r.o.RunAlone(second) {
+		t.Error("the second does not run alone after the first's end")
+	}
+}
+
 // An entry that can place a suspect attempt elsewhere need not wait for another's end.
 func TestASuspectAttemptMovesOnRatherThanWait(t *testing.T) {
 	r := doubtRig(t)
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -17,6 +17,9 @@
 	// useMemory is the time over which the use of the own worker is averaged, so that what a
 	// neighbour's end sends here for a moment does not hide what is usual.
 	useMemory = 2 * time.Second
+	// unseenFor is how long after an end the own worker may still pass for one that takes
+	// requests: its port has not been asked yet.
+	unseenFor = 300 * time.Millisecond
 )
 
 // held tells whether a request under which workers ended, and that is not put aside, may run
@@ -88,6 +91,9 @@
 
 // workerUp tells whether the own worker takes requests.
 func (q *Quarantine) workerUp(now time.Time) bool {
+	if ended := q.returns.ended; !ended.IsZero() && now.Sub(ended) < unseenFor {
+		return false
+	}
 	if q.usage == nil {
 		return true
 	}
--- a/internal/quarantine/hold_test.go
+++ b/internal/quarantine/hold_test.go
@@ -202,7 +202,7 @@
 	u.end(u.owners[0], Run{Content: content(7), Began: u.now})
 	u.play(time.Second)
 	v := u.owners[0].q.Judge(u.now, content(7), Sending{}, "")
-	if v.Held || v.Home != u.owners[0].instance.ID || v.RetryAfter != awayFor-time.Second {
+	if v.Held || !v.RunsAlone() || v.Home != u.owners[0].instance.ID || v.RetryAfter != awayFor-time.Second {
 		t.Errorf("%+v; want this owner in %s", v, awayFor-time.Second)
 	}
 	if v := u.owners[1].q.Judge(u.now, content(7), Sending{}, ""); !v.Held || v.Home != u.owners[0].instance.ID {
@@ -289,3 +289,15 @@
 		t.Errorf("%d of 2 requests ran again", len(u.ends))
 	}
 }
+
+// The worker has ended, and its owner has not asked its port yet: a request that may run
+// elsewhere is lent at once, and does not wait for a connection that is refused.
+func TestAnOwnerLendsBeforeItsWorkersPortIsAsked(t *testing.T) {
+	u := newUpstreams(4, 0.3)
+	at := u.owners[0]
+	at.q.Broke(u.now, Run{Content: content(5), Began: u.now})
+	at.q.Ended(u.now)
+	if v := at.q.Judge(u.now, content(5), Sending{}, ""); !v.Lent {
+		t.Errorf("%+v; want it lent", v)
+	}
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -125,8 +125,9 @@
 	return model.Refusal{}
 }
 
-// RunsAlone tells whether the request is to run where no other one as suspect runs.
-func (v Verdict) RunsAlone() bool { return v.Trial || v.Ends >= endsToRunAlone }
+// RunsAlone tells whether the request is to run where no other one as suspect runs, so that
+// the next end tells which of them it was.
+func (v Verdict) RunsAlone() bool { return v.Trial || v.Home != "" || v.Ends >= endsToRunAlone }
 
 // Bounds of the advice to come back.
 const (
--- a/internal/server/content_test.go
+++ b/internal/server/content_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -222,3 +223,33 @@
 		})
 	}
 }
+
+// Two sendings of a suspect payout whose bodies their entries withheld ran at one time, so that
+// both were in hand when the worker ended again.
+func TestTwoSendingsOfASuspectRequestDoNotRunAtOnce(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	worker := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		began <- struct{}{}
+		<-release
+	}))
+	t.Cleanup(worker.Close)
+	_, x := withSlots(4, strings.TrimPrefix(worker.URL, "http://"))
+	q := quarantine.New(quarantine.Config{
+		Self: model.Instance{ID: "n0", Service: "ledger"}, Started: time.Now(),
+		Fleet: func() *model.Fleet { return &model.Fleet{} },
+	})
+	x.suspects = q
+	first, second := workOf(1, "/payouts", "pay", claimedBody), workOf(2, "/payouts", "pay", claimedBody)
+	asked := x.contentOf(workOf(3, "/payouts", "pay", heldBody))
+	q.Broke(time.Now(), asked.run(time.Now()))
+	q.Ended(time.Now())
+	done := make(chan Result, 1)
+	go func() { done <- x.Do(context.Background(), first) }()
+	<-began
+	r := x.Do(t.Context(), second)
+	if r.Refusal.Reason != model.ReasonHeldBack || !r.Refusal.NotRun || r.Refusal.RetryAfter <= 0 {
+		t.Errorf("%+v; want it held back while the first runs", r.Refusal)
+	}
+	close(release)
+	(<-done).Answer.Body.Close()
+}
--- a/internal/server/executor_test.go
+++ b/internal/server/executor_test.go
@@ -70,9 +70,11 @@
 }
 
 // oneSlot returns an executor of a worker with one slot, and its owner.
-func oneSlot(address string) (*owner.Owner, *Executor) {
+func oneSlot(address string) (*owner.Owner, *Executor) { return withSlots(1, address) }
+
+func withSlots(slots int, address string) (*owner.Owner, *Executor) {
 	now := time.Now()
-	svc := &bundle.Service{Name: "ledger", Slots: 1, Connections: 4, QueueLimit: 8, KeyMemoryMs: 1000}
+	svc := &bundle.Service{Name: "ledger", Slots: slots, Connections: 4, QueueLimit: 8, KeyMemoryMs: 1000}
 	b := &bundle.Bundle{
 		Name: "test", Version: 1, Services: []bundle.Service{*svc},
 		Classes: []bundle.Class{{Name: "payout", Worth: 1, DeadlineMs: 60_000, MaxDeadlineMs: 60_000}},
--- a/internal/server/judge.go
+++ b/internal/server/judge.go
@@ -53,6 +53,9 @@
 // suspect tells whether a request may be one under which workers end.
 func (x *Executor) suspect(c *content) bool { return !x.suspects.Empty() || c.work.Attempt.Ends > 0 }
 
+// aloneRetry is when a request that is to run alone may come back, where another one does.
+const aloneRetry = time.Second
+
 // lateRefusal judges an admitted attempt right before its run: all of it is here now, and
 // while it waited its request may have been put aside. Nil lets it run.
 func (x *Executor) lateRefusal(c *content) *model.Refusal {
@@ -64,9 +67,13 @@
 		x.finish(id, owner.Finish{NotRun: true, Abandoned: true})
 		return &model.Refusal{Reason: model.ReasonCancelled, NotRun: true}
 	}
-	refusal := x.judge(time.Now(), c).Refusal()
+	v := x.judge(time.Now(), c)
+	refusal := v.Refusal()
 	if refusal.Reason == model.ReasonNone {
-		return nil
+		if !v.RunsAlone() || x.owner.RunAlone(id) {
+			return nil
+		}
+		refusal = model.Refusal{Reason: model.ReasonHeldBack, NotRun: true, RetryAfter: aloneRetry}
 	}
 	x.finish(id, owner.Finish{NotRun: true, Abandoned: true})
 	return &refusal
