--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -74,6 +74,11 @@
 func (q *Quarantine) decide(now time.Time, r *record, v *Verdict) (last time.Time) {
 	owners := q.findNeighbours().takers
 	up, last := q.others(now, owners)
+	own := r.lastEnd()
+	if r.lastOwner() != q.self.ID && now.Sub(own) < q.away() && own.After(last) {
+		// Its owner may not be listed any more while its worker is away.
+		last = own
+	}
 	here := q.workerUp(now)
 	spare := spareWorkers(len(up), len(owners), q.use) > 0
 	switch {
@@ -83,12 +88,17 @@
 	case here && !spare && !last.IsZero():
 		v.Held = true
 	}
-	if own := r.lastEnd(); !here || own.After(last) {
+	if !here || own.After(last) {
 		last = own
 	}
 	return last
 }
 
+// away returns how long a worker counts as away after an end.
+func (q *Quarantine) away() time.Duration {
+	return time.Duration(downMargin * float64(q.returns.expected()))
+}
+
 // workerUp tells whether the own worker takes requests.
 func (q *Quarantine) workerUp(now time.Time) bool {
 	if ended := q.returns.ended; !ended.IsZero() && now.Sub(ended) < unseenFor {
@@ -109,12 +119,11 @@
 // others returns the other owners of which no worker ended so lately that it is still away,
 // and the last end of the others, zero where there are none.
 func (q *Quarantine) others(now time.Time, owners []model.InstanceID) (up []model.InstanceID, last time.Time) {
-	away := time.Duration(downMargin * float64(q.returns.expected()))
 	for _, id := range owners {
 		at, known := q.table.lastEnds[id]
 		switch {
 		case id == q.self.ID:
-		case !known || now.Sub(at) >= away:
+		case !known || now.Sub(at) >= q.away():
 			up = append(up, id)
 		case at.After(last):
 			last = at
--- a/internal/quarantine/hold_test.go
+++ b/internal/quarantine/hold_test.go
@@ -247,13 +247,15 @@
 	}
 }
 
-// The owner whose worker ended last leaves as planned: another one decides at once.
+// The owner whose worker ended last leaves as planned: another one decides, and runs the request
+// once that worker should be back.
 func TestARequestIsNotHeldBackForAnOwnerThatLeaves(t *testing.T) {
 	u := newUpstreams(3, 0.9)
 	u.end(u.owners[0], Run{Content: content(5), Began: u.now})
 	u.play(time.Second)
 	u.view.Revision++
 	u.view.Instances[0].State = model.StateLeaving
+	u.play(time.Duration(downMargin * float64(firstReturn)))
 	free := 0
 	for _, nd := range u.owners[1:] {
 		if !nd.q.Judge(u.now, content(5), Sending{}, "").Held {
@@ -301,3 +303,26 @@
 		t.Errorf("%+v; want it lent", v)
 	}
 }
+
+// The owner whose worker ended is not listed while that is away: another one decides, and ended
+// its own worker beside it.
+func TestARequestWaitsAlsoForAWorkerThatIsNotListedMeanwhile(t *testing.T) {
+	u := newUpstreams(3, 0.8)
+	u.end(u.owners[0], Run{Content: content(5), Began: u.now})
+	u.play(time.Second)
+	u.view.Revision++
+	u.view.Instances = u.view.Instances[1:]
+	for range 20 {
+		u.send(content(5), deadlyRun, always)
+		u.play(100 * time.Millisecond)
+	}
+	if u.mostDown != 1 {
+		t.Errorf("%d workers were away at one moment; want 1", u.mostDown)
+	}
+	u.play(awayFor)
+	before := u.runs
+	u.send(content(5), deadlyRun, never)
+	if u.runs != before+1 {
+		t.Error("it does not run once the worker should be back")
+	}
+}
