--- a/internal/event/worker.go
+++ b/internal/event/worker.go
@@ -19,7 +19,7 @@
 		"This node's worker ended, not as planned, and requests broke with it. The subject names the end, the detail the requests that were in hand: the fingerprint of each, which all sendings of the same request share, and what it asked for. One end may have several lines.",
 		"Look for a fingerprint that stands in the lines of several ends, also of other nodes: that request may be why.")
 	PutAside = define(515, zerolog.ErrorLevel, "request put aside",
-		"Workers ended under one and the same request, three times at least, and one of them after the request was suspect already. It reaches no worker any more: every sending is refused as not run, with the reason put-aside. The subject is the request's fingerprint; the detail tells how this node learned, whose workers ended, and what the request asked for where this node has seen it. Every node of the fleet logs it once.",
+		"Workers ended under one and the same request: three times, one of them after the request was suspect already, or twice where chance does not explain the second. It reaches no worker any more: every sending is refused as not run, with the reason put-aside. The subject is the request's fingerprint; the detail tells how this node learned, whose workers ended, and what the request asked for where this node has seen it. Every node of the fleet logs it once.",
 		"Find the caller by event 410 or 411 with that reason, and mend the workers' fault. gypsumctl aside lists what is put aside and when it is tried.")
 	SuspectsMalformed = define(518, zerolog.WarnLevel, "peer's word of suspect requests not understood",
 		"What a peer told of requests under which workers end could not be read. The subject is its address.",
--- a/internal/quarantine/bench_test.go
+++ b/internal/quarantine/bench_test.go
@@ -60,3 +60,12 @@
 		q.Ended(epoch)
 	}
 }
+
+// BenchmarkCompleted is what each whole answer costs while nothing is suspect, but for its
+// fingerprint.
+func BenchmarkCompleted(b *testing.B) {
+	q := New(Config{Fleet: func() *model.Fleet { return nil }})
+	for i := 0; b.Loop(); i++ {
+		q.Completed(epoch, content(i))
+	}
+}
--- a/internal/server/judge.go
+++ b/internal/server/judge.go
@@ -79,7 +79,14 @@
 	return &refusal
 }
 
+// wholeBytes is the longest body of a request that is remembered for its whole run while none
+// is suspect: what is popular is short, and a hash of 64 KiB takes as long as a fast answer.
+const wholeBytes = 4 << 10
+
 // completed takes a whole answer: the request ends no workers.
 func (x *Executor) completed(c *content) {
+	if x.suspects.Empty() && len(c.work.Held) > wholeBytes {
+		return
+	}
 	x.suspects.Completed(time.Now(), c.fingerprint())
 }
