--- a/internal/quarantine/contacts.go
+++ b/internal/quarantine/contacts.go
@@ -176,6 +176,22 @@
 	return reachable && (wide || in.Service == q.self.Service)
 }
 
+// compareLatest compares the records of one kind with some of the peers that were heard of last.
+func (q *Quarantine) compareLatest(now time.Time, out []control.Action, wide bool) []control.Action {
+	left := perRound
+	for _, to := range q.latest(wide) {
+		if left == 0 {
+			break
+		}
+		if q.rounds.contacts.toldLately(now, contact{to.ID, wide}) {
+			continue
+		}
+		left--
+		out = q.send(now, out, control.TellSuspects{To: to, News: q.comparison(wide)})
+	}
+	return out
+}
+
 // withLatest adds to a node's neighbours the peers that were heard of last, where one of the
 // neighbours may be gone.
 func (q *Quarantine) withLatest(now time.Time, to []model.Instance, wide bool) []model.Instance {
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -57,7 +57,7 @@
 // under it, empty where that is not known here, and any other one, the same in equal views,
 // once that may be gone for good.
 func (q *Quarantine) decider(now time.Time, r *record) model.InstanceID {
-	owners := q.findNeighbours().takers
+	owners := q.findNeighbours().admitting
 	if len(owners) == 0 {
 		return q.self.ID
 	}
@@ -72,7 +72,7 @@
 // of the service is away, and elsewhere while the own one is, or anywhere if the service can
 // spare one more. It returns the end whose worker is waited for.
 func (q *Quarantine) decide(now time.Time, r *record, v *Verdict) (last time.Time) {
-	owners := q.findNeighbours().takers
+	owners := q.findNeighbours().admitting
 	up, last := q.others(now, owners)
 	own := r.lastEnd()
 	if r.lastOwner() != q.self.ID && now.Sub(own) < q.away() && own.After(last) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -157,7 +157,7 @@
 		q.hold(now, r, s, &v)
 		return v
 	}
-	if r.trialDue(now) && trialHome(content, q.findNeighbours().takers) == q.self.ID {
+	if r.trialDue(now) && trialHome(content, q.findNeighbours().admitting) == q.self.ID {
 		r.trialAt = now
 		v.Trial = true
 		q.note(event.PutAsideTried, content, r.label)
--- a/internal/quarantine/rounds.go
+++ b/internal/quarantine/rounds.go
@@ -63,9 +63,8 @@
 	// tells that they are told what others told.
 	fleet, service []model.Instance
 	passOn         bool
-	// owners are the nodes of the own service, takers those of them that take new requests
-	// as far as the view tells.
-	owners, takers []model.InstanceID
+	// owners are the nodes of the own service, admitting those of them that do not leave.
+	owners, admitting []model.InstanceID
 }
 
 // Handle implements control.Controller.
@@ -204,19 +203,8 @@
 		to := peers[(turn*perRound+i)%len(peers)]
 		out = q.send(now, out, control.TellSuspects{To: to, News: q.comparison(wide)})
 	}
-	c := &q.rounds.contacts
-	if !c.missing(now) {
-		return out
-	}
-	left := perRound
-	for _, to := range q.latest(wide) {
-		if left == 0 {
-			break
-		}
-		if !c.toldLately(now, contact{to.ID, wide}) {
-			left--
-			out = q.send(now, out, control.TellSuspects{To: to, News: q.comparison(wide)})
-		}
+	if q.rounds.contacts.missing(now) {
+		return q.compareLatest(now, out, wide)
 	}
 	return out
 }
@@ -239,7 +227,7 @@
 		if in.Service == q.self.Service {
 			n.owners = append(n.owners, in.ID)
 			if in.State < model.StateLeaving {
-				n.takers = append(n.takers, in.ID)
+				n.admitting = append(n.admitting, in.ID)
 			}
 		}
 	}
