--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -17,6 +17,9 @@
 	// useMemory is the time over which the use of the own worker is averaged, so that what a
 	// neighbour's end sends here for a moment does not hide what is usual.
 	useMemory = 2 * time.Second
+	// mostUse is the part of their slots that workers may have in use once another one is lost:
+	// fuller ones answer late.
+	mostUse = 0.75
 	// unseenFor is how long after an end the own worker may still pass for one that takes
 	// requests: its port has not been asked yet.
 	unseenFor = 300 * time.Millisecond
@@ -114,7 +117,10 @@
 // spareWorkers returns how many of the workers that are up a service can lose, when that part
 // of the slots of all is in use. While some are away the others' use is greater, so that the
 // average over the time of an end errs on the safe side.
-func spareWorkers(up, all int, use float64) int { return max(up-int(math.Ceil(use*float64(all))), 0) }
+func spareWorkers(up, all int, use float64) int {
+	needed := int(math.Ceil(use * float64(all) / mostUse))
+	return max(up-needed, 0)
+}
 
 // others returns the other owners of which no worker ended so lately that it is still away,
 // and the last end of the others, zero where there are none.
--- a/internal/quarantine/hold_test.go
+++ b/internal/quarantine/hold_test.go
@@ -127,6 +127,22 @@
 	}
 }
 
+// A third of the slots of three workers was in use: one was away and another one lent, which
+// left all to the third.
+func TestWorkersAreSparedOnlyWhereTheOthersHaveRoom(t *testing.T) {
+	for _, tt := range []struct {
+		up, all int
+		use     float64
+		want    int
+	}{
+		{2, 3, 0.33, 0}, {2, 3, 0.2, 1}, {1, 3, 0, 1}, {1, 2, 0.1, 0}, {6, 7, 0.32, 3}, {19, 20, 0.6, 3}, {19, 20, 0.9, 0},
+	} {
+		if got := spareWorkers(tt.up, tt.all, tt.use); got != tt.want {
+			t.Errorf("%d of %d up, %.2f in use: %d can be spared; want %d", tt.up, tt.all, tt.use, got, tt.want)
+		}
+	}
+}
+
 // Several sendings at a time, and several such requests.
 func TestSeveralDeadlyRequestsTakeNoMoreWorkersThanThereAreOfThem(t *testing.T) {
 	for _, n := range []int{3, 7, 20} {
