--- a/internal/owner/caution.go
+++ b/internal/owner/caution.go
@@ -12,15 +12,12 @@
 	Ends int
 	// Alone: it runs where nothing else does that is to run alone.
 	Alone bool
-	// PutAside: it is refused for long. Held: it is refused here, and may run at Home, where
-	// that is known. RetryAfter is the advice that goes with both.
-	PutAside, Held bool
-	RetryAfter     time.Duration
-	// Home is the only owner at which it may run, this one unless it is held; empty where
-	// any may run it.
-	Home model.InstanceID
-	// Lent: Home is to be told that this owner leaves the run to it.
-	Lent bool
+	// Refusal is what refuses it whatever this owner's state, ReasonNone where nothing does.
+	Refusal model.Refusal
+	// Home is the only owner at which it may run, empty where any may run it; RetryAfter is
+	// when a worker that ended under it is expected back.
+	Home       model.InstanceID
+	RetryAfter time.Duration
 }
 
 // endsToRunAlone is the number of ends under one sending from which it runs alone. What was
@@ -32,18 +29,6 @@
 // alone tells whether the request has to run alone.
 func (c Caution) alone() bool { return c.Alone || c.Ends >= endsToRunAlone }
 
-// refusal returns what refuses the request whatever the owner's state, ReasonNone where
-// nothing does.
-func (c Caution) refusal() model.Refusal {
-	switch {
-	case c.PutAside:
-		return model.Refusal{Reason: model.ReasonPutAside, NotRun: true, RetryAfter: c.RetryAfter}
-	case c.Held:
-		return model.Refusal{Reason: model.ReasonHeldBack, NotRun: true, RetryAfter: c.RetryAfter, Home: c.Home, Lent: c.Lent}
-	}
-	return model.Refusal{}
-}
-
 // untilBack gives a refusal by an owner whose worker is away the time at which that is
 // expected back, where the request may run nowhere else.
 func (c Caution) untilBack(r model.Refusal) model.Refusal {
--- a/internal/owner/caution_test.go
+++ b/internal/owner/caution_test.go
@@ -14,6 +14,10 @@
 	return v, a.ID, refusal
 }
 
+func putAsideFor(d time.Duration) model.Refusal {
+	return model.Refusal{Reason: model.ReasonPutAside, NotRun: true, RetryAfter: d}
+}
+
 // doubtRig has eight slots.
 func doubtRig(t *testing.T) *rig {
 	svc := testService()
@@ -86,7 +90,7 @@
 func TestARequestThatIsPutAsideIsRefusedForGood(t *testing.T) {
 	r := doubtRig(t)
 	a := r.attempt()
-	v, refusal := r.o.OfferSuspect(r.now, a, false, Caution{PutAside: true, RetryAfter: time.Minute})
+	v, refusal := r.o.OfferSuspect(r.now, a, false, Caution{Refusal: putAsideFor(time.Minute)})
 	if v != Refuse || refusal.Reason != model.ReasonPutAside || !refusal.NotRun || refusal.RetryAfter != time.Minute {
 		t.Errorf("verdict %d, %+v", v, refusal)
 	}
@@ -106,7 +110,7 @@
 	r.o.Confirm(r.now, a.ID)
 	r.o.Finish(r.now, a.ID, Finish{Failed: true})
 	again := r.keyed("k")
-	v, refusal := r.o.OfferSuspect(r.now, again, false, Caution{PutAside: true})
+	v, refusal := r.o.OfferSuspect(r.now, again, false, Caution{Refusal: putAsideFor(0)})
 	if v != Refuse || refusal.NotRun || refusal.Reason != model.ReasonDuplicateDone {
 		t.Errorf("verdict %d, %+v; want that it has run", v, refusal)
 	}
@@ -114,8 +118,8 @@
 
 func TestARequestThatIsHeldBackNamesItsOnlyOwner(t *testing.T) {
 	r := doubtRig(t)
-	v, _, refusal := r.suspect(Caution{Held: true, Home: "payouts-9", RetryAfter: 2 * time.Second})
 	want := model.Refusal{Reason: model.ReasonHeldBack, NotRun: true, Home: "payouts-9", RetryAfter: 2 * time.Second}
+	v, _, refusal := r.suspect(Caution{Refusal: want, Home: "payouts-9"})
 	if v != Refuse || refusal != want {
 		t.Errorf("verdict %d, %+v; want %+v", v, refusal, want)
 	}
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -61,8 +61,8 @@
 	if r := o.refuseKey(t, it); r.Reason != model.ReasonNone {
 		return Refuse, r
 	}
-	if r := c.refusal(); r.Reason != model.ReasonNone {
-		return Refuse, o.refuseNew(t, it, r)
+	if c.Refusal.Reason != model.ReasonNone {
+		return Refuse, o.refuseNew(t, it, c.Refusal)
 	}
 	if r := o.refuseState(t, a); r.Reason != model.ReasonNone {
 		return Refuse, o.refuseNew(t, it, c.untilBack(r))
--- a/internal/proof/executor.go
+++ b/internal/proof/executor.go
@@ -80,7 +80,7 @@
 	}
 	v := j.judge()
 	verdict, refusal := l.core.Owner.OfferSuspect(l.w.now, &a, j.sameNode, owner.Caution{
-		Ends: int(a.Ends), Alone: v.RunsAlone(), PutAside: v.PutAside, RetryAfter: v.RetryAfter,
+		Ends: int(a.Ends), Alone: v.RunsAlone(), Refusal: v.Refusal(), Home: v.Home, RetryAfter: v.RetryAfter,
 	})
 	if l.w.switches.ignoreLeaving && l.leaving() && refusal.Reason == model.ReasonLeaving {
 		j.forced = true
--- a/internal/server/judge.go
+++ b/internal/server/judge.go
@@ -45,8 +45,7 @@
 	}
 	v := x.judge(now, c)
 	caution.Alone = v.RunsAlone()
-	caution.PutAside, caution.Held = v.PutAside, v.Held
-	caution.RetryAfter, caution.Home, caution.Lent = v.RetryAfter, v.Home, v.Lent
+	caution.Refusal, caution.Home, caution.RetryAfter = v.Refusal(), v.Home, v.RetryAfter
 	return caution
 }
 
