--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -20,8 +20,8 @@
 	// mostUse is the part of their slots that workers may have in use once another one is lost:
 	// fuller ones answer late.
 	mostUse = 0.75
-	// unseenFor is how long after an end the own worker may still pass for one that takes
-	// requests: its port has not been asked yet.
+	// unseenFor is how long after the last word of an end the own worker may still pass for one
+	// that takes requests: its port has not been asked since.
 	unseenFor = 300 * time.Millisecond
 )
 
@@ -104,7 +104,7 @@
 
 // workerUp tells whether the own worker takes requests.
 func (q *Quarantine) workerUp(now time.Time) bool {
-	if ended := q.returns.ended; !ended.IsZero() && now.Sub(ended) < unseenFor {
+	if !q.returns.ended.IsZero() && now.Sub(q.returns.told) < unseenFor {
 		return false
 	}
 	if q.usage == nil {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -212,11 +212,11 @@
 func (q *Quarantine) Ended(now time.Time) {
 	q.mu.Lock()
 	next := q.nextEnd()
+	q.returns.end(now)
 	q.mu.Unlock()
 	if runs := q.evidence.Ended(now, next); len(runs) > 0 {
 		q.mu.Lock()
 		q.noticed++
-		q.returns.end(now)
 		q.mu.Unlock()
 		q.inHand(now, next, runs)
 	}
--- a/internal/quarantine/returns.go
+++ b/internal/quarantine/returns.go
@@ -16,13 +16,14 @@
 // returns learns how long the own worker takes to be back after an end. The zero value knows
 // of none.
 type returns struct {
-	// ended is when the worker ended; zero while it is there.
-	ended time.Time
-	mean  time.Duration
+	// ended is when the worker ended; zero while it is there. told is the last word of it.
+	ended, told time.Time
+	mean        time.Duration
 }
 
-// end takes that the worker has ended.
+// end takes that the worker has ended, or is still away.
 func (r *returns) end(now time.Time) {
+	r.told = now
 	if r.ended.IsZero() {
 		r.ended = now
 	}
--- a/internal/server/content_test.go
+++ b/internal/server/content_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"gypsumstand/internal/control"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/quarantine"
 )
@@ -253,3 +254,33 @@
 	close(release)
 	(<-done).Answer.Body.Close()
 }
+
+// A request's only owner had not noticed yet that its worker was away: it said that the worker
+// could not be reached, and nobody else was asked.
+func TestTheOnlyOwnerLeavesARequestToAnotherWhenItsWorkerCannotBeReached(t *testing.T) {
+	closed := httptest.NewServer(http.NotFoundHandler())
+	address := strings.TrimPrefix(closed.URL, "http://")
+	closed.Close()
+	_, x := withSlots(4, address)
+	fleet := &model.Fleet{Revision: 1}
+	for _, id := range []model.InstanceID{"n0", "n1", "n2", "n3"} {
+		fleet.Instances = append(fleet.Instances, model.Instance{ID: id, Service: "ledger", PeerAddress: "a", State: model.StateLive})
+	}
+	q := quarantine.New(quarantine.Config{
+		Self: fleet.Instances[0], Started: time.Now(),
+		Fleet: func() *model.Fleet { return fleet },
+		Use:   func(time.Time) (float64, bool) { return 0, true },
+	})
+	x.suspects, x.portClosed = q, func() { q.Ended(time.Now()) }
+	asked := x.contentOf(workOf(3, "/popular", "", heldBody))
+	now := time.Now()
+	q.Broke(now.Add(-2*time.Second), asked.run(now.Add(-2*time.Second)))
+	q.Ended(now.Add(-2 * time.Second))
+	for i := range 100 {
+		q.Handle(now.Add(time.Duration(i-100)*control.TickInterval/10), control.Tick{})
+	}
+	r := x.Do(t.Context(), workOf(1, "/popular", "", heldBody))
+	if r.Refusal.Reason != model.ReasonHeldBack || !r.Refusal.NotRun || !r.Refusal.Lent || r.Refusal.Home == "n0" {
+		t.Errorf("%+v; want it lent to another owner", r.Refusal)
+	}
+}
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -120,6 +120,8 @@
 	switch {
 	case gaveUp:
 		reason = model.ReasonCancelled
+	case notRun && asked.verdict.Home != "":
+		return Result{Refusal: x.stillAway(asked)}
 	case notRun:
 		reason = delegated(&w.Attempt, model.ReasonWorkerUnreachable)
 	case ctx.Err() != nil:
