--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -102,6 +102,24 @@
 	return time.Duration(downMargin * float64(q.returns.expected()))
 }
 
+// Elsewhere says where a suspect request goes whose run here found no worker. Others may know
+// less of it than this node and leave it to this one, so that it is lent also where it would go
+// on anywhere.
+func (q *Quarantine) Elsewhere(now time.Time, content model.Fingerprint, s Sending, label string) Verdict {
+	v := q.Judge(now, content, s, label)
+	if v.PutAside || v.Home != "" || v.Ends == 0 {
+		return v
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	up, _ := q.others(now, q.findNeighbours().admitting)
+	if len(up) > 0 {
+		v.Home, v.Held, v.Lent = trialHome(content, up), true, true
+		v.RetryAfter = max(q.returns.left(0), minRetry)
+	}
+	return v
+}
+
 // workerUp tells whether the own worker takes requests.
 func (q *Quarantine) workerUp(now time.Time) bool {
 	if !q.returns.ended.IsZero() && now.Sub(q.returns.told) < unseenFor {
--- a/internal/server/content_test.go
+++ b/internal/server/content_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -258,6 +259,14 @@
 // A request's only owner had not noticed yet that its worker was away: it said that the worker
 // could not be reached, and nobody else was asked.
 func TestTheOnlyOwnerLeavesARequestToAnotherWhenItsWorkerCannotBeReached(t *testing.T) {
+	for _, ranWhole := range []bool{false, true} {
+		t.Run(fmt.Sprintf("ran whole here %t", ranWhole), func(t *testing.T) { leftToAnother(t, ranWhole) })
+	}
+}
+
+// leftToAnother offers a suspect request to an owner without a worker; others may not know that
+// it ran whole there.
+func leftToAnother(t *testing.T, ranWhole bool) {
 	closed := httptest.NewServer(http.NotFoundHandler())
 	address := strings.TrimPrefix(closed.URL, "http://")
 	closed.Close()
@@ -274,6 +283,9 @@
 	x.suspects, x.portClosed = q, func() { q.Ended(time.Now()) }
 	asked := x.contentOf(workOf(3, "/popular", "", heldBody))
 	now := time.Now()
+	if ranWhole {
+		q.Completed(now, asked.fingerprint())
+	}
 	q.Broke(now.Add(-2*time.Second), asked.run(now.Add(-2*time.Second)))
 	q.Ended(now.Add(-2 * time.Second))
 	for i := range 100 {
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -120,7 +120,7 @@
 	switch {
 	case gaveUp:
 		reason = model.ReasonCancelled
-	case notRun && asked.verdict.Home != "":
+	case notRun && asked.verdict.Ends > 0:
 		return Result{Refusal: x.stillAway(asked)}
 	case notRun:
 		reason = delegated(&w.Attempt, model.ReasonWorkerUnreachable)
--- a/internal/server/judge.go
+++ b/internal/server/judge.go
@@ -52,10 +52,10 @@
 // suspect tells whether a request may be one under which workers end.
 func (x *Executor) suspect(c *content) bool { return !x.suspects.Empty() || c.work.Attempt.Ends > 0 }
 
-// stillAway refuses an attempt of a request that may run at one owner only, this one, whose
-// worker could not be reached: it is left to another owner, or waits for the worker.
+// stillAway refuses an attempt of a suspect request whose worker could not be reached: it is
+// left to another owner, or waits for the worker.
 func (x *Executor) stillAway(c *content) model.Refusal {
-	v := x.judge(time.Now(), c)
+	v := x.suspects.Elsewhere(time.Now(), c.fingerprint(), c.sending(), c.label())
 	refusal := v.Refusal()
 	if refusal.Reason == model.ReasonNone {
 		refusal = model.Refusal{Reason: model.ReasonHeldBack, NotRun: true, RetryAfter: v.RetryAfter, Home: v.Home}
