--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -256,12 +256,11 @@
 	return f, log
 }
 
-// The core's loop is stuck and its queue full: the stop can't say that the node leaves, and
-// finishes what is in hand all the same.
-func TestAStopBesideAStuckLoopIsGraceful(t *testing.T) {
-	t.Parallel()
-	f, log := stuckFleet(t)
-	began, stuck := make(chan struct{}), make(chan struct{})
+// stickLoop makes the core's loop wait until stuck is closed, and fills its queue.
+func stickLoop(t *testing.T, f *local.Fleet, log *faultLog) (m *local.Member, stuck chan struct{}) {
+	t.Helper()
+	began := make(chan struct{})
+	stuck = make(chan struct{})
 	log.on(`"event":220,`, func() {
 		close(began)
 		<-stuck
@@ -270,8 +269,17 @@
 		t.Fatal(err)
 	}
 	<-began
-	m := f.Members()[0]
+	m = f.Members()[0]
 	m.Node.FillQueue()
+	return m, stuck
+}
+
+// The core's loop is stuck and its queue full: the stop can't say that the node leaves, and
+// finishes what is in hand all the same.
+func TestAStopBesideAStuckLoopIsGraceful(t *testing.T) {
+	t.Parallel()
+	f, log := stuckFleet(t)
+	m, stuck := stickLoop(t, f, log)
 	if err := stopBeside(t, f, m, stuck); err != nil {
 		t.Error(err)
 	}
@@ -282,17 +290,7 @@
 func TestACallDoesNotWaitForTheCore(t *testing.T) {
 	t.Parallel()
 	f, log := stuckFleet(t)
-	began, stuck := make(chan struct{}), make(chan struct{})
-	log.on(`"event":220,`, func() {
-		close(began)
-		<-stuck
-	})
-	if err := f.Publish(fmt.Appendf(nil, faultBundle, 2)); err != nil {
-		t.Fatal(err)
-	}
-	<-began
-	m := f.Members()[0]
-	m.Node.FillQueue()
+	m, stuck := stickLoop(t, f, log)
 	told, late := make(chan struct{}), time.NewTimer(10*time.Second)
 	defer late.Stop()
 	go func() {
