owner, platform: what a worker says of its rate limit is logged and exported

No decision reads it yet. A response ends a limit only if its request was sent after the limit was last named, since responses on several connections overtake each other; the health path may set a limit and never ends one.

With these the hypotheses tell themselves apart: 523 at the owner and starts that go on (read by nobody who decides), starts below the arrivals at the worker (past the owner), an excess that ends (known too late).

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -81,6 +81,7 @@
 	// RetryAfter is the worker's Retry-After; zero means none.
 	RetryAfter time.Duration
 	Load       WorkerLoad
+	RateLimit  RateLimit
 	// Worker is the id of the worker incarnation that refused the attempt; empty when the
 	// response does not name it or is no refusal.
 	Worker model.WorkerID
@@ -92,8 +93,9 @@
 	OK, Leaving bool
 	// Worker is the id of the worker incarnation that responded, empty when the response
 	// does not name it.
-	Worker model.WorkerID
-	Load   WorkerLoad
+	Worker    model.WorkerID
+	Load      WorkerLoad
+	RateLimit RateLimit
 	// Warming is how long the worker stays below its full capacity; zero means that it is
 	// not warming.
 	Warming time.Duration
@@ -111,6 +113,29 @@
 	Slowdown float64
 }
 
+// RateLimitKind is what a response says about the worker's rate limit.
+type RateLimitKind uint8
+
+// Values of RateLimitKind.
+const (
+	// RateLimitUnknown means that the response does not tell whether there is a limit.
+	RateLimitUnknown RateLimitKind = iota
+	// RateLimitNone means that the response names no limit.
+	RateLimitNone
+	// RateLimitNamed means that the response names a limit.
+	RateLimitNamed
+	// RateLimitMalformed means that the response names a limit that cannot be used.
+	RateLimitMalformed
+)
+
+// RateLimit is the rate limit that a worker names in a response.
+type RateLimit struct {
+	Kind RateLimitKind
+	// PerSecond is the limit in requests a second from all machines together, a finite
+	// number that is not negative. It is zero unless Kind is RateLimitNamed.
+	PerSecond float64
+}
+
 // spareSlotsShare is the share of busy slots below which load does not explain that a worker
 // refuses a request.
 const spareSlotsShare = 0.75
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -71,6 +71,9 @@
 // Int adds an integer field.
 func (l *Line) Int(key string, value int64) *Line { l.zl = l.zl.Int64(key, value); return l }
 
+// Float adds a number field.
+func (l *Line) Float(key string, value float64) *Line { l.zl = l.zl.Float64(key, value); return l }
+
 // Bool adds a field that is true or false.
 func (l *Line) Bool(key string, value bool) *Line { l.zl = l.zl.Bool(key, value); return l }
 
--- a/internal/event/worker.go
+++ b/internal/event/worker.go
@@ -10,6 +10,9 @@
 	WorkerWarming = define(522, zerolog.InfoLevel, "worker started or finished warming",
 		"This node's worker reports that it can take only a part of its usual load for so many more milliseconds, or, at zero, that it can take all of it again. Meanwhile it gets what the bundle's warming_per_second allows; requests beyond that go to other workers, are queued, or are refused as not run.",
 		"None after a start or an evacuation. If it happens for no reason: check the worker and its host.")
+	WorkerRateLimit = define(523, zerolog.InfoLevel, "worker's rate limit changed",
+		"This node's worker names another limit in its responses, in requests a second from all machines together, or none any more (change ended). A limit that cannot be used (change unusable) leaves the one before.",
+		"Find out why the worker is in need. If its limits are unusable: correct the worker.")
 	WorkerFailing = define(511, zerolog.WarnLevel, "worker fails every attempt",
 		"Several attempts in a row were interrupted at this node's worker or got an invalid response. Attempts are refused as not run, except for a trial a few times a second.",
 		"Check the worker: its health path may report success all the while.")
--- a/internal/node/collector.go
+++ b/internal/node/collector.go
@@ -34,6 +34,8 @@
 	descLimit                = describe("owner_limit", "Requests that the owner runs at once now.")
 	descInFlight             = describe("owner_in_flight", "Requests at the worker.")
 	descQueued               = describe("owner_queued", "Requests that wait at the owner.")
+	descRateLimit            = describe("owner_rate_limit_per_second", "Requests a second that the worker says it takes; absent while it names no limit.")
+	descStarts               = describe("owner_starts_total", "Attempts that the owner started.")
 	descService              = describe("owner_service_seconds", "Smoothed time of the worker per request.")
 	descFailures             = describe("owner_failure_ratio", "Smoothed share of the worker's answers that failed.")
 	descMeasuring            = describe("measuring_messages_total", "Messages that only measure, by kind: polls and probes of this node's worker, probes sent.", "kind")
@@ -153,6 +155,10 @@
 	gauge(ch, descLimit, float64(r.Limit))
 	gauge(ch, descInFlight, float64(r.InFlight))
 	gauge(ch, descQueued, float64(r.Queued))
+	if perSecond, named := c.node.core.Owner.RateLimit(); named {
+		gauge(ch, descRateLimit, perSecond)
+	}
+	counter(ch, descStarts, c.node.core.Owner.Starts())
 	gauge(ch, descService, r.ServiceTime.Seconds())
 	gauge(ch, descFailures, r.FailureShare())
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -246,6 +246,7 @@
 		RefreshLoad:        n.watch.refresh,
 		DirectoryFreshness: n.directoryFreshness,
 		WorkerIdentified:   n.watch.identified,
+		RateLimitObserved:  n.watch.observeRateLimit,
 		DetectCrash:        n.detectCrash,
 
 		PortClosed: n.workerPortClosed,
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -11,9 +11,11 @@
 
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/control"
+	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/health"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/owner"
 	"gypsumstand/internal/pause"
 )
 
@@ -175,6 +177,10 @@
 	report := w.node.cfg.Workers.ReadHealth(resp, data)
 	w.node.executor.Deliver(w.node.core.Owner.ObserveLoad(time.Now(), report.Load))
 	w.recordWarming(sent, report.Warming)
+	if report.RateLimit.Kind != dialect.RateLimitNone {
+		// The health path need not name the limit that requests are under.
+		w.observeRateLimit(sent, report.RateLimit)
+	}
 	if report.Worker != "" {
 		w.identified(report.Worker)
 	}
@@ -191,6 +197,17 @@
 	}
 }
 
+// observeRateLimit records what a response of the worker says of its rate limit, and logs
+// changes.
+func (w *workerWatch) observeRateLimit(sent time.Time, l dialect.RateLimit) {
+	change := w.node.core.Owner.ObserveRateLimit(time.Now(), sent, l)
+	if change == owner.RateLimitUnchanged {
+		return
+	}
+	event.Log(&w.node.log, event.WorkerRateLimit).Str("change", change.String()).
+		Float("per_second", l.PerSecond).Str("worker", string(w.node.worker())).Send()
+}
+
 // identified records the id that the worker reports. It blocks while the core's queue is
 // full.
 func (w *workerWatch) identified(id model.WorkerID) {
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -103,6 +103,7 @@
 		o.exclusiveInFlight++
 	}
 	o.inFlight++
+	o.starts++
 	o.warming.recordStart(t)
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -96,6 +96,8 @@
 	queueLimit   int
 
 	inFlight int
+	// starts counts the attempts that were started.
+	starts uint64
 	// exclusiveInFlight counts the exclusive attempts in flight.
 	exclusiveInFlight int
 	// slowdownSum is the sum of the slowdown over the attempts in flight.
@@ -114,6 +116,7 @@
 	slowdown    slowdownTracker
 	breaker     breaker
 	warming     warming
+	rateLimit   rateLimit
 	overload    overloadSpan
 	// delayedShare is the smoothed share of offers that were not started at once.
 	delayedShare float64
@@ -338,6 +341,13 @@
 	return o.inFlight
 }
 
+// Starts returns the number of attempts that were started.
+func (o *Owner) Starts() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.starts
+}
+
 // takeDecisions returns the decisions made since the last call and empties the buffer.
 func (o *Owner) takeDecisions() []Decision {
 	ds := o.decisions
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -47,6 +47,9 @@
 	if head.Worker != "" && x.workerIdentified != nil {
 		x.workerIdentified(head.Worker)
 	}
+	if head.Refusal != model.ReasonWorkerReplaced {
+		x.rateLimitObserved(started, head.RateLimit)
+	}
 	if head.NotRun {
 		defer cancel()
 		defer resp.Body.Close()
