known red: three plays of workers that name a rate limit, all failing

The stand-in worker names limits (steady, changing with each response, 0, malformed), the proof's oracle and the soak check them as a promise. A worker's limit that is heard by its node binds across restarts of the node; the machine where a request began is excused by its own restart, pause or cut, as the users' rule says.

--- a/cmd/gypsumproof/main.go
+++ b/cmd/gypsumproof/main.go
@@ -53,6 +53,7 @@
 	plans := flags.Int("plans", 12, "number of plans, 1 to 1000000")
 	steps := flags.Int("steps", 40, "steps per plan, 1 to 10000")
 	warming := flags.Bool("warming", false, "include periods in which workers are warming and can take little load")
+	rateLimits := flags.Bool("limits", false, "include periods in which workers name rate limits")
 	deadly := flags.Bool("deadly", true, "include requests that crash workers")
 	trace := flags.Bool("trace", false, "print each event")
 	flags.Usage = func() {
@@ -68,7 +69,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	p := proof.Plan{Seed: *seed, Steps: *steps, Deadly: *deadly, Warming: *warming}
+	p := proof.Plan{Seed: *seed, Steps: *steps, Deadly: *deadly, Warming: *warming, RateLimits: *rateLimits}
 	if *trace {
 		p.Trace = out
 	}
--- a/internal/proof/executor.go
+++ b/internal/proof/executor.go
@@ -157,6 +157,9 @@
 		return
 	}
 	j.proc.observeTraffic(false)
+	if resp.kind != responseCrossed {
+		j.proc.observeRateLimit(j.started, resp.rateLimit)
+	}
 	switch {
 	case resp.kind == responseCrossed && !j.proc.w.options.acceptCrossed:
 		j.finish(owner.Completion{ServiceTime: took, Failed: true})
--- a/internal/proof/ledger.go
+++ b/internal/proof/ledger.go
@@ -16,15 +16,16 @@
 type promise string
 
 const (
-	promiseBudget  promise = "measuring stays within the budget"
-	promiseAnswer  promise = "a caller gets the complete response to its own request"
-	promiseNotRun  promise = "a request reported as not run did not run"
-	promiseOnce    promise = "a non-idempotent request runs at most once"
-	promiseLeaving promise = "a leaving upstream receives no new work"
-	promiseStop    promise = "a planned stop cuts off no request"
-	promiseDeadly  promise = "a request that crashes its workers is kept from them"
-	promiseWarming promise = "a warming worker receives no more than its limit"
-	promiseBundle  promise = "a bundle in force spreads and never reverts"
+	promiseBudget    promise = "measuring stays within the budget"
+	promiseAnswer    promise = "a caller gets the complete response to its own request"
+	promiseNotRun    promise = "a request reported as not run did not run"
+	promiseOnce      promise = "a non-idempotent request runs at most once"
+	promiseLeaving   promise = "a leaving upstream receives no new work"
+	promiseStop      promise = "a planned stop cuts off no request"
+	promiseDeadly    promise = "a request that crashes its workers is kept from them"
+	promiseWarming   promise = "a warming worker receives no more than its limit"
+	promiseRateLimit promise = "a worker receives no more than the rate that it names"
+	promiseBundle    promise = "a bundle in force spreads and never reverts"
 	// promiseRecovery covers liveness: once faults stop, every node serves again.
 	promiseRecovery promise = "service returns once faults stop"
 )
--- a/internal/proof/options.go
+++ b/internal/proof/options.go
@@ -40,6 +40,8 @@
 	// warming limits the request rate of workers while they warm up; ignoreWarming makes
 	// workers report that they are warm at all times.
 	warming, ignoreWarming bool
+	// ignoreRateLimits keeps owners from hearing the rate limits that workers name.
+	ignoreRateLimits bool
 	// trace, when not nil, receives one line for each event of the run.
 	trace io.Writer
 }
--- a/internal/proof/polling.go
+++ b/internal/proof/polling.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gypsumstand/internal/control"
+	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/health"
 	"gypsumstand/internal/model"
 )
@@ -63,11 +64,15 @@
 			if p.w.options.ignoreWarming {
 				warming = 0
 			}
+			limit := wk.rateLimitInHealth()
 			p.after(workerDelay, func() {
 				if !replied {
 					replied = true
 					ds, _ := p.core.Owner.ObserveWarming(p.w.now, askedAt, warming)
 					p.deliver(ds)
+					if limit.Kind != dialect.RateLimitNone {
+						p.observeRateLimit(askedAt, limit)
+					}
 					p.observePoll(wk.reported)
 					done()
 				}
--- a/internal/proof/run.go
+++ b/internal/proof/run.go
@@ -23,6 +23,8 @@
 	Deadly bool
 	// Warming lets workers warm up at random moments, with a limited request rate.
 	Warming bool
+	// RateLimits lets workers name rate limits at random moments.
+	RateLimits bool
 	// Trace receives one line for each event of the run; nil disables it.
 	Trace io.Writer
 }
@@ -50,6 +52,9 @@
 	if p.Warming {
 		steps = append(steps, warmingAction, warmingAction)
 	}
+	if p.RateLimits {
+		steps = append(steps, rateLimitAction, rateLimitAction)
+	}
 	w.play(c, p.Steps, steps)
 	return w.report(p)
 }
--- a/internal/proof/run_test.go
+++ b/internal/proof/run_test.go
@@ -45,3 +45,17 @@
 		t.Errorf("%d requests at warming workers, want at least 100: the plans do not test the limit", requests)
 	}
 }
+
+func TestRateLimitHoldsUnderFaults(t *testing.T) {
+	requests := 0
+	for seed := range uint64(12) {
+		report := Run(Plan{Seed: seed, Steps: 60, RateLimits: true, Deadly: seed%2 == 0})
+		requests += report.Counts["requests at limited workers"]
+		for _, violation := range report.Violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+	if requests < 100 {
+		t.Errorf("%d requests at limited workers, want at least 100: the plans do not test the limit", requests)
+	}
+}
--- a/internal/proof/worker.go
+++ b/internal/proof/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/health"
 	"gypsumstand/internal/model"
 )
@@ -36,6 +37,14 @@
 	// second that arrived during it.
 	warmingUntil    time.Time
 	warmingArrivals []time.Time
+	// rateLimit is the limit that the worker names until limitedUntil, in requests a second;
+	// limitInHealth reports that health responses name it too, limitHeard that its node has
+	// heard it. limitedArrivals are the requests of the last rateLimitWindow since then.
+	rateLimit       float64
+	limitedUntil    time.Time
+	limitInHealth   bool
+	limitHeard      bool
+	limitedArrivals []time.Time
 	// lastRequest is the request that was answered last.
 	lastRequest model.RequestID
 }
@@ -61,9 +70,10 @@
 )
 
 type workerResponse struct {
-	kind    responseKind
-	request model.RequestID
-	failed  bool
+	kind      responseKind
+	request   model.RequestID
+	failed    bool
+	rateLimit dialect.RateLimit
 }
 
 func (a workerResponse) status() int {
@@ -111,6 +121,7 @@
 	r := &run{wk: wk, j: j}
 	wk.node.w.after(workerDelay, func() {
 		wk.recordArrival()
+		wk.recordLimitedArrival()
 		wk.whenRunning(r.begin)
 	})
 	if wk.node.w.options.replay && wk.node.w.chance(0.1) {
@@ -173,6 +184,7 @@
 		return
 	}
 	proc := r.j.proc
+	resp.rateLimit = r.wk.namedRateLimit()
 	proc.after(workerDelay, func() { r.j.handleResponse(resp) })
 }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -77,6 +78,8 @@
 	peerProxy, storeProxy, workerProxy *proxy
 	caller, operator                   string
 	settings                           string
+	// limited is set while the worker names a rate limit.
+	limited atomic.Bool
 
 	mu sync.Mutex
 	// process is nil while the node is down.
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -84,6 +84,8 @@
 	// burstSpans are the spans in which workers may receive requests in bursts, by
 	// machine.
 	burstSpans map[int][]span
+	// rateLimits are the times in which workers named rate limits.
+	rateLimits []rateLimitSpan
 	// watchEnd is the end of the watches, zero before that.
 	watchEnd time.Time
 }
@@ -256,6 +258,7 @@
 		l.checkRetryBudget(service)
 	}
 	l.checkColdWorkers()
+	l.checkRateLimits()
 	l.checkDeadly()
 	l.checkRecovery()
 	return l.violations
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -100,6 +100,9 @@
 			l.recordRun(standin.Run{ID: "x", Service: serviceOrders, Worker: "w1-0", StartedAt: timeAt(maxDrainTime + time.Second)})
 		},
 		"deadly": func(l *ledger) { l.addDeadly() },
+		"limit: w1-0": func(l *ledger) {
+			l.rateLimits = []rateLimitSpan{{span: span{from: testStart}, worker: "w1-0", perSecond: 3}}
+		},
 		"config: machine 1 has": func(l *ledger) {
 			l.recordActivation(activation{machine: 1, version: 1, at: timeAt(maxApplyTime + time.Millisecond)})
 		},
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -46,6 +46,7 @@
 	kindStallSeries       kind = "stalls"      // a series of SIGSTOP and SIGCONT
 	kindEvacuate          kind = "evacuate"    // a zone is evacuated for a while
 	kindWorkerCold        kind = "chill"       // a worker becomes cold without a restart
+	kindRateLimit         kind = "limit"       // a worker names a rate limit
 )
 
 // firstKinds are the kinds that plans of PlanFirst are drawn from.
@@ -68,8 +69,18 @@
 // fifthKinds are the kinds that plans of PlanFifth are drawn from.
 var fifthKinds = append(slices.Clone(fourthKinds), kindDeadlyLate, kindDeadlyPair)
 
+// sixthKinds are the kinds that plans of PlanSixth are drawn from.
+var sixthKinds = append(slices.Clone(fifthKinds), kindEvacuate, kindEvacuate, kindEvacuate, kindWorkerCold, kindWorkerCold, kindWorkerCold)
+
 // newestKinds are the kinds that plans of PlanNewest are drawn from.
-var newestKinds = append(slices.Clone(fifthKinds), kindEvacuate, kindEvacuate, kindEvacuate, kindWorkerCold, kindWorkerCold, kindWorkerCold)
+var newestKinds = append(slices.Clone(sixthKinds), kindRateLimit, kindRateLimit, kindRateLimit)
+
+// limitKinds are the kinds that plans of PlanLimits are drawn from: rate limits, and the
+// faults that most often coincide with them.
+var limitKinds = []kind{
+	kindRateLimit, kindRateLimit, kindRateLimit, kindRateLimit, kindTerm, kindTerm, kindKill, kindKillMany, kindWorkerDrain, kindWorkerRestart,
+	kindWorkerShed, kindWorkerSlow, kindBadResponses, kindConfig, kindStoreDown, kindPause, kindReset, kindPartition, kindHangUp, kindWorkerCold,
+}
 
 // zoneKinds are the kinds that plans of PlanZones are drawn from: evacuations, cold
 // workers, and the faults that most often coincide with them.
@@ -98,18 +109,26 @@
 	PlanThird  PlanVersion = "third"
 	PlanFourth PlanVersion = "fourth"
 	PlanFifth  PlanVersion = "fifth"
+	PlanSixth  PlanVersion = "sixth"
 	PlanZones  PlanVersion = "zones"
+	PlanLimits PlanVersion = "limits"
 )
 
 // kindsOf holds the kinds of each version.
 var kindsOf = map[PlanVersion][]kind{
 	PlanNewest: newestKinds, PlanSpared: sparedKinds, PlanFirst: firstKinds, PlanSecond: secondKinds, PlanThird: thirdKinds,
-	PlanFourth: fourthKinds, PlanFifth: fifthKinds, PlanZones: zoneKinds,
+	PlanFourth: fourthKinds, PlanFifth: fifthKinds, PlanSixth: sixthKinds, PlanZones: zoneKinds, PlanLimits: limitKinds,
 }
 
 // hasColdWorkers reports whether workers are cold after their start in plans of the
 // version.
-func (v PlanVersion) hasColdWorkers() bool { return v == PlanNewest || v == PlanZones }
+func (v PlanVersion) hasColdWorkers() bool {
+	switch v {
+	case PlanNewest, PlanSixth, PlanZones, PlanLimits:
+		return true
+	}
+	return false
+}
 
 // Valid reports whether the version exists.
 func (v PlanVersion) Valid() bool { return kindsOf[v] != nil }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -192,6 +192,9 @@
 	case kindWorkerCold:
 		m.setCold(flt.duration)
 		return
+	case kindRateLimit:
+		m.limitWorker(ctx, flt)
+		return
 	case kindIsolate:
 		f.isolate(ctx, flt)
 		return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -74,6 +74,14 @@
 	}
 }
 
+// Workers name rate limits while nodes and workers restart.
+func TestRateLimitedWorkersStayWithinLimits(t *testing.T) {
+	report := playSoak(t, Config{Program: buildNode(t), Seed: 4, Machines: 6, Length: 24 * time.Second, Plan: PlanLimits})
+	if !strings.Contains(report.Plan, string(kindRateLimit)) {
+		t.Errorf("the plan has no %s:\n%s", kindRateLimit, report.Plan)
+	}
+}
+
 // Evacuations and cold workers coincide with restarts and kills.
 func TestEvacuatedZonesAndColdWorkersStayWithinLimits(t *testing.T) {
 	report := playSoak(t, Config{Program: buildNode(t), Seed: 2, Machines: 6, Length: 24 * time.Second, Plan: PlanZones})
