owner: a worker that names a rate limit gets no more starts than that

Ruled out: requests past the owner (only its own machine reaches a worker, and the owner's log has the arrivals), and a limit that is known too late (the excess never ended).

All requests for a worker pass its owner, so a token bucket there holds the rate exactly: half a second's worth, empty when a limit is first named. Predictions count its tokens, so what cannot start in time is refused at once, with the time of the next start as Retry-After; its queue's order gives the starts to the classes worth most. Load reports carry rate and wait, so that entries, for whom a limited worker looks idle, send elsewhere first. Health polls of a limited worker go to one a second, load samples are left out.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -49,6 +49,9 @@
 	// OnBreakerChange is called with true when this node's worker begins to break every
 	// attempt, and with false when that ends. It must not block.
 	OnBreakerChange func(open bool)
+	// WorkersNameRateLimits reports whether the worker may name a rate limit in its
+	// responses.
+	WorkersNameRateLimits bool
 	// Started is the start time of the process.
 	Started time.Time
 	// Seed makes the random choices of the controllers reproducible.
@@ -155,7 +158,7 @@
 		Table: table,
 		Owner: owner.New(owner.Config{
 			Self: cfg.Self, Region: cfg.Regions[cfg.Self.DataCentre],
-			Started: cfg.Started, OnBreakerChange: cfg.OnBreakerChange,
+			Started: cfg.Started, OnBreakerChange: cfg.OnBreakerChange, WorkersNameRateLimits: cfg.WorkersNameRateLimits,
 		}),
 		Engine:       entry.NewEngine(entry.Config{Self: cfg.Self, Random: cfg.Random}, table),
 		OwnerLimiter: measure.NewOwnerLimiter(cfg.Started, bundle.Measuring{}),
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -55,6 +55,8 @@
 	// AcceptsCloseDelimited reports whether a response with neither a length nor chunked
 	// encoding is complete when its connection is closed without a reset.
 	AcceptsCloseDelimited() bool
+	// NamesRateLimits reports whether workers may name a rate limit in their responses.
+	NamesRateLimits() bool
 }
 
 // Echo is the result of comparing the attempt named in a response with the attempt sent.
--- a/internal/dialect/product.go
+++ b/internal/dialect/product.go
@@ -122,3 +122,6 @@
 // AcceptsCloseDelimited implements Workers. It returns false because a truncated response
 // could not be distinguished from a complete one.
 func (Product) AcceptsCloseDelimited() bool { return false }
+
+// NamesRateLimits implements Workers.
+func (Product) NamesRateLimits() bool { return false }
--- a/internal/model/load.go
+++ b/internal/model/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -79,6 +80,38 @@
 	// Delayed is the smoothed share of the attempts offered to the owner that it did not
 	// start at once, in thousandths.
 	Delayed uint16 `cbor:"14,keyasint,omitempty"`
+	// RateLimitMilli is how many requests the worker takes in 1,000 s from the whole fleet;
+	// zero when it names no rate limit.
+	RateLimitMilli uint32 `cbor:"15,keyasint,omitempty"`
+	// StartWaitMs is the time after which that limit lets one more attempt start than those
+	// queued, in milliseconds.
+	StartWaitMs uint32 `cbor:"16,keyasint,omitempty"`
+}
+
+// rateLimitScale is the value of LoadReport.RateLimitMilli for one request a second.
+const rateLimitScale = 1000
+
+// SetRateLimit sets the worker's rate limit, in requests a second, and the time after which
+// it lets one more attempt start.
+func (r *LoadReport) SetRateLimit(perSecond float64, wait time.Duration) {
+	r.RateLimitMilli = uint32(min(max(perSecond*rateLimitScale, 1), math.MaxUint32))
+	r.StartWaitMs = uint32(min(max(wait.Milliseconds(), 0), math.MaxUint32))
+}
+
+// RateLimit returns the worker's rate limit in requests a second, zero when it names none.
+func (r *LoadReport) RateLimit() float64 { return float64(r.RateLimitMilli) / rateLimitScale }
+
+// rateBurst is the time whose worth of requests may start at once at a worker with a rate
+// limit.
+const rateBurst = 500 * time.Millisecond
+
+// RateBurst returns how many requests may start at once at a worker with a rate limit, in
+// requests a second.
+func RateBurst(perSecond float64) int { return max(int(perSecond*rateBurst.Seconds()), 1) }
+
+// StartWait returns the time after which the rate limit lets one more attempt start.
+func (r *LoadReport) StartWait() time.Duration {
+	return time.Duration(r.StartWaitMs) * time.Millisecond
 }
 
 // delayedScale is the value of LoadReport.Delayed for a share of 1.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -312,7 +312,8 @@
 		ProbeAge:        n.cfg.ProbeAge,
 		OnBreakerChange: n.breakerChanged,
 
-		FollowsDirectory: n.cfg.Directory != nil,
+		FollowsDirectory:      n.cfg.Directory != nil,
+		WorkersNameRateLimits: n.cfg.Workers.NamesRateLimits(),
 
 		Started: started,
 		Seed:    uint64(started.UnixNano()),
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -240,6 +240,8 @@
 		c.Note = "its data centre is evacuated: not chosen"
 	case e.Warming > 0:
 		c.Note = fmt.Sprintf("warming for %s: chosen in turn", e.Warming.Round(time.Millisecond))
+	case e.RateLimit > 0:
+		c.Note = fmt.Sprintf("its worker takes %.2f requests a second", e.RateLimit)
 	case !e.Reported:
 		c.Note = "no report heard yet: taken for the service's mean"
 	}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -28,6 +28,9 @@
 	// livenessPause is the interval of polls if the budget is reserved for load samples:
 	// they only check that the worker is running.
 	livenessPause = 400 * time.Millisecond
+	// limitedPause is the shortest interval of polls of a worker that names a rate limit:
+	// each poll is one more request to it.
+	limitedPause = time.Second
 )
 
 // workerWatch tracks the worker's state by polls and traffic.
@@ -129,7 +132,10 @@
 func (w *workerWatch) pollPause(b *bundle.Bundle) time.Duration {
 	pause := pollPause(b.Measuring.PerUpstreamPerSecond * b.Measuring.PollShare)
 	if w.node.cfg.Directory != nil {
-		return max(pause, livenessPause)
+		pause = max(pause, livenessPause)
+	}
+	if _, limited := w.node.core.Owner.RateLimit(); limited {
+		pause = max(pause, limitedPause)
 	}
 	return pause
 }
@@ -177,10 +183,8 @@
 	report := w.node.cfg.Workers.ReadHealth(resp, data)
 	w.node.executor.Deliver(w.node.core.Owner.ObserveLoad(time.Now(), report.Load))
 	w.recordWarming(sent, report.Warming)
-	if report.RateLimit.Kind != dialect.RateLimitNone {
-		// The health path need not name the limit that requests are under.
-		w.observeRateLimit(sent, report.RateLimit)
-	}
+	ds, change := w.node.core.Owner.ObservePolledRateLimit(time.Now(), sent, report.RateLimit)
+	w.rateLimitObserved(ds, change, report.RateLimit)
 	if report.Worker != "" {
 		w.identified(report.Worker)
 	}
@@ -197,10 +201,16 @@
 	}
 }
 
-// observeRateLimit records what a response of the worker says of its rate limit, and logs
-// changes.
+// observeRateLimit records what a response to a request says of the worker's rate limit.
 func (w *workerWatch) observeRateLimit(sent time.Time, l dialect.RateLimit) {
-	change := w.node.core.Owner.ObserveRateLimit(time.Now(), sent, l)
+	ds, change := w.node.core.Owner.ObserveRateLimit(time.Now(), sent, l)
+	w.rateLimitObserved(ds, change, l)
+}
+
+// rateLimitObserved passes on the owner's decisions after it has heard of the worker's rate
+// limit, and logs a change.
+func (w *workerWatch) rateLimitObserved(ds []owner.Decision, change owner.RateLimitChange, l dialect.RateLimit) {
+	w.node.executor.Deliver(ds)
 	if change == owner.RateLimitUnchanged {
 		return
 	}
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -60,7 +60,7 @@
 	if !o.runs() || o.pause.blocked(t) {
 		return 0
 	}
-	return min(o.limit.effective(t)-o.inFlight, o.warming.available(t))
+	return min(o.limit.effective(t)-o.inFlight, o.warming.available(t), o.rateLimit.available(t, o.inFlight))
 }
 
 // runs reports whether the worker's state allows admitted attempts to start.
@@ -105,6 +105,7 @@
 	o.inFlight++
 	o.starts++
 	o.warming.recordStart(t)
+	o.rateLimit.recordStart(t)
 }
 
 // release removes a started attempt and returns its slot.
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -26,6 +26,9 @@
 	retryKeysFull = time.Second
 	retryMin      = 10 * time.Millisecond
 	retryMax      = time.Second
+	// retryRateLimit bounds the time until a worker that names a rate limit can start one
+	// more attempt.
+	retryRateLimit = 10 * time.Second
 )
 
 // Offer starts, queues or refuses an arriving attempt. sameNode means that it comes from
@@ -239,9 +242,9 @@
 }
 
 // overloadRetryAfter is the Retry-After time of a refusal for load, where d is the
-// expected delay.
+// expected delay. Unlike an overload, a rate limit tells when the next attempt can start.
 func (o *Owner) overloadRetryAfter(t, d time.Duration) time.Duration {
-	return o.clampRetryAfter(max(d, o.overload.recordRefusal(t)))
+	return max(o.clampRetryAfter(max(d, o.overload.recordRefusal(t))), o.rateRetryAfter(t))
 }
 
 // newPending makes a pendingAttempt from an attempt that passed the checks of binding and
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -15,6 +15,9 @@
 	Region model.RegionName
 	// Started is the start of the process; LoadReport.Clock counts from it.
 	Started time.Time
+	// WorkersNameRateLimits reports whether the worker may name a rate limit in its
+	// responses.
+	WorkersNameRateLimits bool
 	// OnBreakerChange, if not nil, is called when the breaker opens (true) and closes.
 	// The owner's lock is held during the call: it must not block or call the owner.
 	OnBreakerChange func(open bool)
@@ -139,6 +142,8 @@
 		attempts: newLedger(),
 		keys:     newKeyTable(),
 		warming:  newWarming(),
+
+		rateLimit: rateLimit{mayBeNamed: cfg.WorkersNameRateLimits},
 	}
 	o.classes = newClassSet(&o.service.all)
 	return o
--- a/internal/owner/predict.go
+++ b/internal/owner/predict.go
@@ -135,5 +135,5 @@
 	if g := p.class.guaranteed(limit); g > 0 {
 		expected = min(expected, float64(p.class.expected())*float64(own+1)/g)
 	}
-	return max(time.Duration(expected), o.warming.wait(t, all+1)), all
+	return max(time.Duration(expected), o.warming.wait(t, all+1), o.rateLimit.wait(t, all+1)), all
 }
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -35,7 +35,11 @@
 		r.State = model.StateCold
 	}
 	if o.runs() {
-		r.Limit = clamp16(o.warming.limit(t, o.limit.effective(t), o.service.all.mean()))
+		mean := o.service.all.mean()
+		r.Limit = clamp16(o.rateLimit.limit(o.warming.limit(t, o.limit.effective(t), mean), mean))
+	}
+	if o.rateLimit.named() {
+		r.SetRateLimit(float64(o.rateLimit.bucket.Limit()), o.rateRetryAfter(t))
 	}
 	if o.warming.active(t) {
 		r.WarmingMs = uint32(max((o.warming.until - t).Milliseconds(), 1))
--- a/internal/owner/restart.go
+++ b/internal/owner/restart.go
@@ -25,7 +25,7 @@
 	o.limit.startWarmup(t)
 	o.slowdown = slowdownTracker{slowPeriod: o.slowdown.slowPeriod}
 	o.warming.until = 0
-	o.rateLimit = rateLimit{}
+	o.rateLimit.reset()
 	o.service.failures = 0
 	o.dispatch(t)
 	return o.takeDecisions()
--- a/internal/owner/slowdown.go
+++ b/internal/owner/slowdown.go
@@ -123,7 +123,7 @@
 	if o.slowdown.slow(t) {
 		wait = max(wait, o.slowdown.recoversIn())
 	}
-	wait = min(max(wait, retryMin), retryMax)
+	wait = max(min(max(wait, retryMin), retryMax), o.rateRetryAfter(t))
 	return model.Refusal{Reason: model.ReasonBusy, NotRun: true, RetryAfter: wait}
 }
 
@@ -153,11 +153,15 @@
 const maxSampleAge = 50 * time.Millisecond
 
 // NeedsSample reports whether the worker's last report is too old to decide on an
-// attempt: that of its slowdown, if it reports one, or of whether it is warming.
+// attempt: that of its slowdown, if it reports one, or of whether it is warming. A worker
+// that names a rate limit is not sampled, as each sample is one more request to it.
 func (o *Owner) NeedsSample(now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.clock(now)
+	if o.rateLimit.named() {
+		return false
+	}
 	return o.slowdown.current > 0 && t-o.slowdown.sampledAt > maxSampleAge || o.warming.stale(t)
 }
 
@@ -167,7 +171,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.clock(now)
-	if o.queue.length == 0 {
+	if o.queue.length == 0 || o.rateLimit.named() {
 		return false
 	}
 	return o.slowdown.slow(t) && t-o.slowdown.sampledAt > maxSampleAge || o.warming.stale(t)
--- a/internal/owner/tenants.go
+++ b/internal/owner/tenants.go
@@ -96,11 +96,7 @@
 	if t.bucket == nil {
 		return 0
 	}
-	missing := 1 - t.bucket.TokensAt(now)
-	if missing <= 0 {
-		return 0
-	}
-	return time.Duration(missing / float64(t.bucket.Limit()) * float64(time.Second))
+	return bucketWait(t.bucket, now, 1)
 }
 
 // spend takes the token of an admitted request.
--- a/internal/owner/warming.go
+++ b/internal/owner/warming.go
@@ -210,7 +210,7 @@
 	if !w.active(t) {
 		return limit
 	}
-	return min(limit, max(int(math.Ceil(w.rate()*service.Seconds())), 1))
+	return limitAtRate(limit, w.rate(), service)
 }
 
 // ObserveWarming records the worker's report of how much longer it is warming, zero if it
--- a/internal/proof/mutation_test.go
+++ b/internal/proof/mutation_test.go
@@ -47,6 +47,7 @@
 	"an older bundle is put in force":          {options{acceptOlderBundle: true}, promiseBundle, serveOlderAfterNewer},
 	"worker crashes go unnoticed":              {options{ignoreCrashes: true}, promiseDeadly, sendDeadlyRequests},
 	"a warming worker is treated as warm":      {options{warming: true, ignoreWarming: true}, promiseWarming, warmWorkers},
+	"a worker's rate limit is not heard":       {options{rateLimits: true, ignoreRateLimits: true}, promiseRateLimit, limitWorkers},
 	"a process ignores bundle updates":         {options{ignoreUpdates: true}, promiseBundle, serveOlderAfterNewer},
 }
 
@@ -56,6 +57,14 @@
 	}
 }
 
+// limitWorkers makes every worker name a rate limit, which its node has heard.
+func limitWorkers(w *world) {
+	for _, n := range w.nodes {
+		n.worker.startRateLimit(1, time.Minute)
+		n.worker.limitInHealth, n.worker.limitHeard = true, true
+	}
+}
+
 func warmWorkers(w *world) {
 	for _, n := range w.nodes {
 		n.worker.warmingUntil = w.now.Add(time.Minute)
--- a/internal/proof/options.go
+++ b/internal/proof/options.go
@@ -9,7 +9,7 @@
 	"gypsumstand/internal/wire"
 )
 
-// options configure a world. Except for warming and trace, each one is a mutation that
+// options configure a world. Except for warming, rateLimits and trace, each one is a mutation that
 // disables the code behind one promise, to check that the oracle detects it.
 type options struct {
 	// ignoreBudget polls the worker without asking the measuring budget.
@@ -40,8 +40,9 @@
 	// warming limits the request rate of workers while they warm up; ignoreWarming makes
 	// workers report that they are warm at all times.
 	warming, ignoreWarming bool
-	// ignoreRateLimits keeps owners from hearing the rate limits that workers name.
-	ignoreRateLimits bool
+	// rateLimits lets workers name rate limits; ignoreRateLimits keeps owners from hearing
+	// them.
+	rateLimits, ignoreRateLimits bool
 	// trace, when not nil, receives one line for each event of the run.
 	trace io.Writer
 }
--- a/internal/proof/polling.go
+++ b/internal/proof/polling.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"gypsumstand/internal/control"
-	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/health"
 	"gypsumstand/internal/model"
 )
@@ -70,9 +69,7 @@
 					replied = true
 					ds, _ := p.core.Owner.ObserveWarming(p.w.now, askedAt, warming)
 					p.deliver(ds)
-					if limit.Kind != dialect.RateLimitNone {
-						p.observeRateLimit(askedAt, limit)
-					}
+					p.observePolledRateLimit(askedAt, limit)
 					p.observePoll(wk.reported)
 					done()
 				}
--- a/internal/proof/process.go
+++ b/internal/proof/process.go
@@ -106,7 +106,7 @@
 	proc.links = newLinks(proc)
 	proc.core = core.New(core.Config{
 		Self: proc.self, Trusted: trusted, Seeds: w.seedAddresses(), LocalDelay: nearDelay, RemoteDelay: farDelay,
-		Started: w.now, Seed: w.rng.Uint64(), Random: w.rng.Uint64,
+		Started: w.now, Seed: w.rng.Uint64(), Random: w.rng.Uint64, WorkersNameRateLimits: w.options.rateLimits,
 	})
 	n.process = proc
 	w.platform.put(n, model.StateLive)
--- a/internal/proof/ratelimit.go
+++ b/internal/proof/ratelimit.go
@@ -65,7 +65,20 @@
 	if l.Kind == dialect.RateLimitNamed {
 		p.node.worker.limitHeard = true
 	}
-	p.core.Owner.ObserveRateLimit(p.w.now, sent, l)
+	ds, _ := p.core.Owner.ObserveRateLimit(p.w.now, sent, l)
+	p.deliver(ds)
+}
+
+// observePolledRateLimit is observeRateLimit for a health response.
+func (p *process) observePolledRateLimit(sent time.Time, l dialect.RateLimit) {
+	if p.w.options.ignoreRateLimits {
+		return
+	}
+	if l.Kind == dialect.RateLimitNamed {
+		p.node.worker.limitHeard = true
+	}
+	ds, _ := p.core.Owner.ObservePolledRateLimit(p.w.now, sent, l)
+	p.deliver(ds)
 }
 
 // recordLimitedArrival records a request at a worker whose limit was heard at its node, by
--- a/internal/proof/run.go
+++ b/internal/proof/run.go
@@ -44,7 +44,7 @@
 // Run plays a plan, then ends all faults and checks that service recovers.
 func Run(p Plan) Report {
 	c := seededChooser{rand.New(rand.NewPCG(p.Seed, 1))}
-	w := newWorld(p.Seed, options{trace: p.Trace, warming: p.Warming})
+	w := newWorld(p.Seed, options{trace: p.Trace, warming: p.Warming, rateLimits: p.RateLimits})
 	steps := slices.Clone(actions)
 	if p.Deadly {
 		steps = append(steps, deadlyAction)
--- a/internal/route/estimate.go
+++ b/internal/route/estimate.go
@@ -89,6 +89,8 @@
 	// warming.go.
 	Evacuated bool
 	Warming   time.Duration
+	// RateLimit is the worker's rate limit in requests a second, zero when it names none.
+	RateLimit float64
 }
 
 // estimateParts is an estimate in nanoseconds.
@@ -99,6 +101,8 @@
 	failureRate float64
 
 	link, wait, service, overdue, failure float64
+	// rateWait is the wait due to the worker's rate limit.
+	rateWait float64
 	// remote is Config.RemoteCost for an upstream of another data centre, otherwise zero.
 	remote float64
 }
@@ -137,6 +141,7 @@
 	p.load = max(p.load, float64(c.inFlight.Load()))
 	p.failureRate = max(p.failureRate, c.failureRate.value(now, failureDecay))
 	p.addWait(t, deviate)
+	p.wait = max(p.wait, p.rateWait)
 	p.wait += c.coldWait(last, now)
 	p.wait += float64(max(0, c.backOffUntil.Load()-now))
 	if t.tuning.Overdue {
@@ -184,6 +189,20 @@
 		p.service += outsideZone(float64(r.ServiceTime)-meanService, t.tuning.DeadZone*meanService) * speed
 	}
 	p.failureRate = r.FailureShare() * speed
+	p.rateWait = rateWait(u.cell, last, p.age)
+}
+
+// rateWait returns the expected wait until a worker with a rate limit can start one more
+// attempt, in nanoseconds. Its slots are mostly free, so its load does not show it.
+func rateWait(c *cell, last *receivedReport, age float64) float64 {
+	perSecond := last.report.RateLimit()
+	if perSecond == 0 {
+		return 0
+	}
+	sinceStart := (age - float64(last.report.StartWait())) / float64(time.Second)
+	starts := min(1+sinceStart*perSecond, float64(model.RateBurst(perSecond)))
+	missing := 1 + float64(c.sendsNotCounted(last)) - starts
+	return max(missing, 0) / perSecond * float64(time.Second)
 }
 
 // outsideZone returns the part of d that is farther than zone from zero.
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -70,6 +70,7 @@
 	}
 	if e.reported {
 		out.Age = time.Duration(e.age)
+		out.RateLimit = u.cell.lastReport.Load().report.RateLimit()
 	}
 	return out
 }
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -135,6 +135,8 @@
 	FailureRate float64 `json:"failure_rate"`
 	// WarmingLeft is the time until the worker has warmed up; absent if it is not warming.
 	WarmingLeft Milliseconds `json:"warming_ms,omitempty"`
+	// RateLimit is the worker's rate limit in requests a second; absent if it names none.
+	RateLimit float64 `json:"rate_limit,omitempty"`
 }
 
 // LoadOf converts a load report.
@@ -146,6 +148,7 @@
 		ServiceTime: Ms(r.ServiceTime),
 		FailureRate: r.FailureShare(),
 		WarmingLeft: Ms(r.WarmingLeft()),
+		RateLimit:   r.RateLimit(),
 	}
 }
 
