--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -93,6 +93,9 @@
 // DirectoryRead is the result of reading a directory, a source of workers and configuration
 // that were checked when they were written.
 type DirectoryRead struct {
+	// Era counts how often the directory was restored from an older copy of its content;
+	// zero when it does not tell. Revisions start anew with it.
+	Era uint64
 	// Revision is the directory's revision; all changes up to it are included.
 	Revision uint64
 	// Full reports that Listed holds every worker; otherwise Listed holds the changed
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -12,6 +12,7 @@
 package directory
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -71,6 +72,8 @@
 	timer *suppress.Timer
 	peers peerSync
 
+	// readEra is the directory's era in this node's last own read.
+	readEra uint64
 	// revision is the directory revision up to which every change is known.
 	revision uint64
 	workers  map[model.WorkerID]*worker
@@ -190,6 +193,10 @@
 	c.lastReadFailed, c.readFailures, c.failedAt = false, 0, time.Time{}
 	c.consecutiveReads++
 	c.readStarted = time.Time{}
+	if r.Era != c.readEra {
+		c.record(event.DirectoryRestored, fmt.Sprint("era ", r.Era), fmt.Sprintf("era %d before, at revision %d; now at revision %d", c.readEra, c.revision, r.Revision), nil)
+		c.readEra = r.Era
+	}
 	start := now.Add(-r.ReadDuration)
 	c.timer.ReadSucceeded(now, start)
 	if r.Full && len(r.Listed) == 0 && c.confirmed.IsZero() {
--- a/internal/directory/workers.go
+++ b/internal/directory/workers.go
@@ -30,6 +30,7 @@
 	id := l.Instance.Worker
 	w := c.workers[id]
 	if l.Revision < c.removed.revision(id) || w != nil && l.Revision < w.listing.Revision {
+		c.record(event.ListingIgnored, string(id), fmt.Sprintf("%s at revision %d", l.Instance.State, l.Revision), nil)
 		return
 	}
 	if w != nil && w.missingUntil.IsZero() && w.listing == l {
--- a/internal/event/directory.go
+++ b/internal/event/directory.go
@@ -36,6 +36,11 @@
 		"None if it was intended. Otherwise find out who wrote that revision.")
 	DataCentreRestored = define(633, zerolog.InfoLevel, "data centre in use again",
 		"An evacuation has ended. Traffic returns at the rate that the workers there can take. The subject is the data centre, the detail the directory's revision and where it came from.", "none")
+	DirectoryRestored = define(634, zerolog.WarnLevel, "directory restored from an older copy",
+		"A read of the directory showed a greater era: it lost what was written since that copy was made, and its revisions go back. The subject is the new era; the detail names the eras and revisions before and after. It is also logged at the first read.",
+		"Check that the operator's configuration and the workers' entries were written again.")
+	ListingIgnored = define(635, zerolog.DebugLevel, "older listing ignored",
+		"A read or a peer told of a worker's entry at a revision before a change of it that is known. The subject is the worker, the detail the entry's state and revision.", "none")
 	DirectoryReading = define(630, zerolog.InfoLevel, "reading the directory",
 		"This node reads the directory itself. The subject is the reason: start (nothing is known yet), turn (no recent update was received and it is this node's turn), behind (a newer revision was announced and no peer has sent it). The detail is what the reason is based on.", "none")
 )
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -17,24 +17,32 @@
 // costs a new connection instead.
 const maxDrainBytes = 4 << 10
 
-// Get sends a GET request for url and returns the response body of at most limit bytes. For
-// any status other than 200 it returns the error that statusError gives for it.
-func Get(ctx context.Context, client *http.Client, url string, limit int64, statusError func(status int) error) ([]byte, error) {
+// Response is a response with status 200.
+type Response struct {
+	Header http.Header
+	Body   []byte
+}
+
+// Get sends a GET request for url and returns the response, whose body has at most limit
+// bytes. For any status other than 200 it returns the error that statusError gives for the
+// status and the header.
+func Get(ctx context.Context, client *http.Client, url string, limit int64, statusError func(status int, h http.Header) error) (Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return nil, err
+		return Response{}, err
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, err
+		return Response{}, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		// An error is ignored: the transport does not reuse a connection that fails.
 		_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
-		return nil, statusError(resp.StatusCode)
+		return Response{}, statusError(resp.StatusCode, resp.Header)
 	}
-	return readLimited(resp, limit)
+	data, err := readLimited(resp, limit)
+	return Response{Header: resp.Header, Body: data}, err
 }
 
 func readLimited(resp *http.Response, limit int64) ([]byte, error) {
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -13,7 +13,7 @@
 
 var errRefused = errors.New("refused")
 
-func statusError(status int) error { return fmt.Errorf("%w: %d", errRefused, status) }
+func statusError(status int, _ http.Header) error { return fmt.Errorf("%w: %d", errRefused, status) }
 
 func TestErrorResponseKeepsConnection(t *testing.T) {
 	var connections atomic.Int32
@@ -47,10 +47,10 @@
 				}
 				fmt.Fprint(w, strings.Repeat("a", size))
 			}))
-			data, err := Get(t.Context(), s.Client(), s.URL, limit, statusError)
+			resp, err := Get(t.Context(), s.Client(), s.URL, limit, statusError)
 			s.Close()
-			if size > limit && !errors.Is(err, ErrTooLarge) || size <= limit && (err != nil || len(data) != size) {
-				t.Errorf("%d bytes, declared %v: got %d bytes, %v", size, declared, len(data), err)
+			if size > limit && !errors.Is(err, ErrTooLarge) || size <= limit && (err != nil || len(resp.Body) != size) {
+				t.Errorf("%d bytes, declared %v: got %d bytes, %v", size, declared, len(resp.Body), err)
 			}
 		}
 	}
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -169,11 +169,12 @@
 func (c *Client) getFrom(ctx context.Context, address, pathAndQuery string, limit int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	return fetch.Get(ctx, c.http, "http://"+address+pathAndQuery, limit, statusError)
+	resp, err := fetch.Get(ctx, c.http, "http://"+address+pathAndQuery, limit, statusError)
+	return resp.Body, err
 }
 
 // statusError returns the error for a status other than 200.
-func statusError(status int) error {
+func statusError(status int, _ http.Header) error {
 	switch status {
 	case http.StatusTooManyRequests:
 		return ErrRateLimited
