--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -60,6 +60,9 @@
 	// coldWorkers makes workers cold after their start.
 	coldWorkers bool
 
+	// restoring is set while the store is being restored.
+	restoring atomic.Bool
+
 	mu sync.Mutex
 	// evacuations counts the overlapping evacuations in progress, by zone.
 	evacuations map[string]int
@@ -87,6 +90,10 @@
 	workerReplacements int
 	// workerRestarts tells apart the worker's incarnations under one id.
 	workerRestarts int
+	// listedState is the state in the entry that the worker last wrote, and entryReplaced is
+	// set while another writer's entry takes its place.
+	listedState   string
+	entryReplaced bool
 	// workerDown is set from a crash of the worker's process until its restart.
 	workerDown bool
 	// responseFault is the fault injected into part of the worker's responses; empty for
@@ -241,7 +248,12 @@
 func (m *machine) workerID() string { return fmt.Sprintf("w%d-%d", m.index, m.workerReplacements) }
 
 // listWorker writes the worker's entry to the store.
-func (m *machine) listWorker(state string) { m.fleet.store.PutWorker(m.workerEntry(state)) }
+func (m *machine) listWorker(state string) {
+	m.mu.Lock()
+	m.listedState = state
+	m.mu.Unlock()
+	m.fleet.store.PutWorker(m.workerEntry(state))
+}
 
 func (m *machine) workerEntry(state string) standin.WorkerEntry {
 	m.mu.Lock()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -86,6 +86,9 @@
 	burstSpans map[int][]span
 	// rateLimits are the times in which workers named rate limits.
 	rateLimits []rateLimitSpan
+	// toldLeaving holds the time at which a machine first passed on a response in which a
+	// worker said that it was leaving.
+	toldLeaving map[workerAtMachine]time.Time
 	// watchEnd is the end of the watches, zero before that.
 	watchEnd time.Time
 }
@@ -98,7 +101,7 @@
 		requests: map[string]*request{}, machineFaults: map[int][]span{}, plannedFaults: map[int][]span{},
 		drainedAt: map[string]time.Time{}, writtenAt: map[int]time.Time{}, processSpans: map[int][]span{},
 		observations: map[nodeProcess][]observation{}, stalls: map[int][]span{},
-		evacuatedAt: map[string]time.Time{}, burstSpans: map[int][]span{},
+		evacuatedAt: map[string]time.Time{}, burstSpans: map[int][]span{}, toldLeaving: map[workerAtMachine]time.Time{},
 	}
 }
 
@@ -139,6 +142,7 @@
 		l.addViolation("route", "%s (%s) was run by service %s", r.id, r.class, run.Service)
 	}
 	l.checkEvacuation(r, run)
+	l.checkAnnounced(r, run)
 	if at, ok := l.drainedAt[run.Worker]; ok && run.StartedAt.Sub(at) > maxDrainTime &&
 		l.undisturbed(workerMachine(run.Worker), at, run.StartedAt) {
 		l.addViolation("drain", "%s reached %s %s after it was listed as draining", r.id, run.Worker, run.StartedAt.Sub(at))
@@ -163,6 +167,7 @@
 	if resp == nil || body == nil {
 		return
 	}
+	l.recordAnnounced(r, resp)
 	r.status = resp.StatusCode
 	if r.status < 200 || r.status >= 300 {
 		return
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"gypsumstand/platform/names"
 	"gypsumstand/platform/standin"
 )
 
@@ -100,6 +101,17 @@
 			l.recordRun(standin.Run{ID: "x", Service: serviceOrders, Worker: "w1-0", StartedAt: timeAt(maxDrainTime + time.Second)})
 		},
 		"deadly": func(l *ledger) { l.addDeadly() },
+		"announced": func(l *ledger) {
+			r := servedRequest("told", "order", serviceOrders, time.Second)
+			l.add(r)
+			l.recordResponse(r, &http.Response{Header: http.Header{names.Leaving: {"1"}}}, []byte{}, nil)
+			r.completed = r.sent.Add(time.Millisecond)
+			l.toldLeaving[workerAtMachine{0, "w1-0"}] = r.completed
+			late := servedRequest("late", "order", serviceOrders, time.Second+maxDrainTime+time.Second)
+			late.runs = nil
+			l.add(late)
+			l.recordRun(standin.Run{ID: "late", Service: serviceOrders, Worker: "w1-0", StartedAt: late.sent})
+		},
 		"limit: w1-0": func(l *ledger) {
 			l.rateLimits = []rateLimitSpan{{span: span{from: testStart}, worker: "w1-0", perSecond: 3}}
 		},
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -47,6 +47,8 @@
 	kindEvacuate          kind = "evacuate"    // a zone is evacuated for a while
 	kindWorkerCold        kind = "chill"       // a worker becomes cold without a restart
 	kindRateLimit         kind = "limit"       // a worker names a rate limit
+	kindRestore           kind = "restore"     // the store comes back as it was some seconds before
+	kindAnnounce          kind = "announce"    // a worker says only in its responses that it is leaving, and is replaced
 )
 
 // firstKinds are the kinds that plans of PlanFirst are drawn from.
@@ -73,7 +75,7 @@
 var sixthKinds = append(slices.Clone(fifthKinds), kindEvacuate, kindEvacuate, kindEvacuate, kindWorkerCold, kindWorkerCold, kindWorkerCold)
 
 // newestKinds are the kinds that plans of PlanNewest are drawn from.
-var newestKinds = append(slices.Clone(sixthKinds), kindRateLimit, kindRateLimit, kindRateLimit)
+var newestKinds = append(slices.Clone(sixthKinds), kindRateLimit, kindRateLimit, kindRateLimit, kindRestore, kindRestore, kindRestore, kindAnnounce, kindAnnounce)
 
 // limitKinds are the kinds that plans of PlanLimits are drawn from: rate limits, and the
 // faults that most often coincide with them.
@@ -82,6 +84,13 @@
 	kindWorkerShed, kindWorkerSlow, kindBadResponses, kindConfig, kindStoreDown, kindPause, kindReset, kindPartition, kindHangUp, kindWorkerCold,
 }
 
+// restoreKinds are the kinds that plans of PlanRestores are drawn from: restores, changes of
+// what the store holds, and the faults that most often coincide with them.
+var restoreKinds = []kind{
+	kindRestore, kindRestore, kindRestore, kindConfig, kindConfig, kindConfigSeries, kindWorkerDrain, kindWorkerDrain, kindAnnounce, kindAnnounce, kindAnnounce,
+	kindTerm, kindKill, kindStoreCut, kindWorkerRestart, kindEvacuate, kindHangUp,
+}
+
 // zoneKinds are the kinds that plans of PlanZones are drawn from: evacuations, cold
 // workers, and the faults that most often coincide with them.
 var zoneKinds = []kind{
@@ -102,22 +111,23 @@
 
 // The versions.
 const (
-	PlanNewest PlanVersion = "newest"
-	PlanSpared PlanVersion = "spared"
-	PlanFirst  PlanVersion = "first"
-	PlanSecond PlanVersion = "second"
-	PlanThird  PlanVersion = "third"
-	PlanFourth PlanVersion = "fourth"
-	PlanFifth  PlanVersion = "fifth"
-	PlanSixth  PlanVersion = "sixth"
-	PlanZones  PlanVersion = "zones"
-	PlanLimits PlanVersion = "limits"
+	PlanNewest   PlanVersion = "newest"
+	PlanSpared   PlanVersion = "spared"
+	PlanFirst    PlanVersion = "first"
+	PlanSecond   PlanVersion = "second"
+	PlanThird    PlanVersion = "third"
+	PlanFourth   PlanVersion = "fourth"
+	PlanFifth    PlanVersion = "fifth"
+	PlanSixth    PlanVersion = "sixth"
+	PlanZones    PlanVersion = "zones"
+	PlanLimits   PlanVersion = "limits"
+	PlanRestores PlanVersion = "restores"
 )
 
 // kindsOf holds the kinds of each version.
 var kindsOf = map[PlanVersion][]kind{
 	PlanNewest: newestKinds, PlanSpared: sparedKinds, PlanFirst: firstKinds, PlanSecond: secondKinds, PlanThird: thirdKinds,
-	PlanFourth: fourthKinds, PlanFifth: fifthKinds, PlanSixth: sixthKinds, PlanZones: zoneKinds, PlanLimits: limitKinds,
+	PlanFourth: fourthKinds, PlanFifth: fifthKinds, PlanSixth: sixthKinds, PlanZones: zoneKinds, PlanLimits: limitKinds, PlanRestores: restoreKinds,
 }
 
 // hasColdWorkers reports whether workers are cold after their start in plans of the
@@ -130,6 +140,14 @@
 	return false
 }
 
+// meanGap returns the mean time between two faults.
+func (v PlanVersion) meanGap() time.Duration {
+	if v == PlanRestores {
+		return restoreGap
+	}
+	return meanGap
+}
+
 // Valid reports whether the version exists.
 func (v PlanVersion) Valid() bool { return kindsOf[v] != nil }
 
@@ -156,7 +174,10 @@
 	faultFreeStart = 2 * time.Second
 	faultFreeEnd   = 9 * time.Second
 	// meanGap is the mean time between two faults, short enough that they overlap.
-	meanGap     = 700 * time.Millisecond
+	meanGap = 700 * time.Millisecond
+	// restoreGap is meanGap in plans of PlanRestores: what the store lacks after a restore
+	// shows while it is sound.
+	restoreGap  = 2500 * time.Millisecond
 	minDuration = 200 * time.Millisecond
 	maxDuration = 4 * time.Second
 	// seriesChance is the probability that a fault of the same kind follows shortly on
@@ -183,7 +204,7 @@
 			next.duration = max(min(next.duration, length-faultFreeEnd-next.at), minDuration)
 			p = append(p, next)
 		}
-		at += time.Duration(rng.ExpFloat64() * float64(meanGap))
+		at += time.Duration(rng.ExpFloat64() * float64(v.meanGap()))
 	}
 	if v == PlanSpared {
 		p.spareMachine(int(seed)%machines, machines)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -195,6 +195,13 @@
 	case kindRateLimit:
 		m.limitWorker(ctx, flt)
 		return
+	case kindRestore:
+		f.restore(ctx, flt)
+		return
+	case kindAnnounce:
+		defer f.ledger.beginFault(flt.machine, true)()
+		m.announceLeaving(ctx)
+		return
 	case kindIsolate:
 		f.isolate(ctx, flt)
 		return
@@ -261,6 +268,7 @@
 
 func (m *machine) drainWorker(ctx context.Context) {
 	id := m.worker.ID()
+	m.worker.SetLeaving()
 	m.listWorker(names.StateDraining)
 	m.fleet.ledger.recordDraining(id)
 	sleep(ctx, drainDuration)
@@ -269,10 +277,23 @@
 	}
 }
 
+// announceLeaving makes a worker say in its responses that it is leaving, while its entry
+// stays as it is, and replaces it.
+func (m *machine) announceLeaving(ctx context.Context) {
+	id := m.worker.ID()
+	m.worker.SetLeaving()
+	sleep(ctx, maxDrainTime+drainDuration)
+	if m.worker.ID() == id {
+		m.replaceWorker()
+	}
+}
+
 // replaceEntry simulates another writer that replaces the worker's entry for a while and
 // adds an entry of an unknown service.
 func (m *machine) replaceEntry(ctx context.Context, flt fault) {
 	id := m.worker.ID()
+	m.setEntryReplaced(true)
+	defer m.setEntryReplaced(false)
 	m.fleet.store.Put(names.WorkerKeyPrefix+id,
 		standin.InvalidWorkerValues[int(flt.duration)%len(standin.InvalidWorkerValues)])
 	m.fleet.ledger.recordDraining(id)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -82,6 +82,16 @@
 	}
 }
 
+// The store comes back from copies while configurations change and workers leave.
+func TestRestoredStoreIsFollowedAmongOtherFaults(t *testing.T) {
+	report := playSoak(t, Config{Program: buildNode(t), Seed: 6, Machines: 6, Length: 40 * time.Second, Plan: PlanRestores})
+	for _, k := range []kind{kindRestore, kindAnnounce} {
+		if !strings.Contains(report.Plan, string(k)) {
+			t.Errorf("the plan has no %s:\n%s", k, report.Plan)
+		}
+	}
+}
+
 // Evacuations and cold workers coincide with restarts and kills.
 func TestEvacuatedZonesAndColdWorkersStayWithinLimits(t *testing.T) {
 	report := playSoak(t, Config{Program: buildNode(t), Seed: 2, Machines: 6, Length: 24 * time.Second, Plan: PlanZones})
