owner, route: a worker that says in its answers that it leaves gets no new work

Callers saw nothing; a leaving worker got requests past the time that it had given (DRAIN).

The owner, by which all requests for a worker pass, admits nothing for that worker's id from the first answer on that says so (health answers too), for good; what waits may start for 0.3 s more, as after the list's word. It does not need the store, nor membership. Load reports name the worker, and entries leave it out for as long as it is the one listed there: its node may start again and not know yet.

The proof plays it (12 plans) and a mutation shows that its oracle sees it.

--- a/cmd/gypsumproof/main.go
+++ b/cmd/gypsumproof/main.go
@@ -54,6 +54,7 @@
 	steps := flags.Int("steps", 40, "steps per plan, 1 to 10000")
 	warming := flags.Bool("warming", false, "include periods in which workers are warming and can take little load")
 	rateLimits := flags.Bool("limits", false, "include periods in which workers name rate limits")
+	announcements := flags.Bool("announce", false, "include workers that say only in their responses that they leave")
 	deadly := flags.Bool("deadly", true, "include requests that crash workers")
 	trace := flags.Bool("trace", false, "print each event")
 	flags.Usage = func() {
@@ -69,7 +70,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	p := proof.Plan{Seed: *seed, Steps: *steps, Deadly: *deadly, Warming: *warming, RateLimits: *rateLimits}
+	p := proof.Plan{Seed: *seed, Steps: *steps, Deadly: *deadly, Warming: *warming, RateLimits: *rateLimits, Announcements: *announcements}
 	if *trace {
 		p.Trace = out
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -313,6 +313,7 @@
 	n.Table.Update(now, fleet, set)
 	self, _ := fleet.Instance(n.cfg.Self.ID)
 	ds := n.applyIncarnation(now, self.WorkerIncarnation())
+	n.Owner.SetWorker(now, self.Worker)
 	n.Owner.SetWithdrawn(now, self.State == model.StateLeaving)
 	n.Owner.SetEvacuated(now, fleet.IsEvacuated(n.cfg.Self.DataCentre))
 	if n.directory != nil {
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -84,6 +84,8 @@
 	RetryAfter time.Duration
 	Load       WorkerLoad
 	RateLimit  RateLimit
+	// Leaving reports that the worker says that it is leaving.
+	Leaving bool
 	// Worker is the id of the worker incarnation that refused the attempt; empty when the
 	// response does not name it or is no refusal.
 	Worker model.WorkerID
--- a/internal/event/worker.go
+++ b/internal/event/worker.go
@@ -13,6 +13,9 @@
 	WorkerRateLimit = define(523, zerolog.InfoLevel, "worker's rate limit changed",
 		"This node's worker names another limit in its responses, in requests a second from all machines together, or none any more (change ended). A limit that cannot be used (change unusable) leaves the one before.",
 		"Find out why the worker is in need. If its limits are unusable: correct the worker.")
+	WorkerLeaving = define(524, zerolog.InfoLevel, "worker says that it is leaving",
+		"This node's worker said in a response that it is leaving. It gets no new requests, whatever the directory says of it; another worker on this instance does.",
+		"none")
 	WorkerFailing = define(511, zerolog.WarnLevel, "worker fails every attempt",
 		"Several attempts in a row were interrupted at this node's worker or got an invalid response. Attempts are refused as not run, except for a trial a few times a second.",
 		"Check the worker: its health path may report success all the while.")
--- a/internal/model/load.go
+++ b/internal/model/load.go
@@ -86,6 +86,8 @@
 	// StartWaitMs is the time after which that limit lets one more attempt start than those
 	// queued, in milliseconds.
 	StartWaitMs uint32 `cbor:"16,keyasint,omitempty"`
+	// LeavingWorker is the worker if it has said itself that it is leaving.
+	LeavingWorker WorkerID `cbor:"17,keyasint,omitempty"`
 }
 
 // rateLimitScale is the value of LoadReport.RateLimitMilli for one request a second.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -246,7 +246,7 @@
 		RefreshLoad:        n.watch.refresh,
 		DirectoryFreshness: n.directoryFreshness,
 		WorkerIdentified:   n.watch.identified,
-		RateLimitObserved:  n.watch.observeRateLimit,
+		WorkerDescribed:    n.watch.workerDescribed,
 		DetectCrash:        n.detectCrash,
 
 		PortClosed: n.workerPortClosed,
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -188,6 +188,9 @@
 	if report.Worker != "" {
 		w.identified(report.Worker)
 	}
+	if report.Leaving && w.node.cfg.Directory != nil {
+		w.observeLeaving(report.Worker)
+	}
 	return health.Poll{Answered: true, OK: report.OK, Leaving: report.Leaving}
 }
 
@@ -201,10 +204,21 @@
 	}
 }
 
-// observeRateLimit records what a response to a request says of the worker's rate limit.
-func (w *workerWatch) observeRateLimit(sent time.Time, l dialect.RateLimit) {
-	ds, change := w.node.core.Owner.ObserveRateLimit(time.Now(), sent, l)
-	w.rateLimitObserved(ds, change, l)
+// workerDescribed records what a response to a request says about the worker; it implements
+// server.ExecutorConfig.WorkerDescribed.
+func (w *workerWatch) workerDescribed(sent time.Time, worker model.WorkerID, head dialect.ResponseHead) {
+	if head.Leaving {
+		w.observeLeaving(worker)
+	}
+	ds, change := w.node.core.Owner.ObserveRateLimit(time.Now(), sent, head.RateLimit)
+	w.rateLimitObserved(ds, change, head.RateLimit)
+}
+
+// observeLeaving records that a worker says that it is leaving.
+func (w *workerWatch) observeLeaving(worker model.WorkerID) {
+	if w.node.core.Owner.ObserveLeaving(time.Now(), worker) {
+		event.Log(&w.node.log, event.WorkerLeaving).Str("worker", string(worker)).Send()
+	}
 }
 
 // rateLimitObserved passes on the owner's decisions after it has heard of the worker's rate
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -88,6 +88,11 @@
 	// instances does not name the worker. evacuated: nothing may be sent to workers of
 	// this data centre.
 	withdrawn, unlisted, evacuated admissionStop
+	// announced: the worker has said itself that it is leaving. That is final for
+	// announcedWorker, whatever the list says later; worker is the one that is listed.
+	announced               admissionStop
+	announcedWorker, worker model.WorkerID
+	hasAnnounced            bool
 	// leavingAt is when the state became leaving.
 	leavingAt time.Duration
 	// coldSince is when the state last became cold.
@@ -235,7 +240,9 @@
 }
 
 // leaving reports whether the worker is leaving, so that no new attempt may be admitted.
-func (o *Owner) leaving() bool { return o.state >= model.StateLeaving || o.withdrawn.active }
+func (o *Owner) leaving() bool {
+	return o.state >= model.StateLeaving || o.withdrawn.active || o.announced.active
+}
 
 // AdoptIncarnation switches to a greater incarnation, to which later attempts must be
 // bound. Queued and started attempts go on. A Resolve for them under the earlier
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -28,6 +28,9 @@
 		Delayed:         model.DelayedThousandths(o.delayedShare),
 		SlowdownPercent: clamp16(int(o.slowdown.current * 100)),
 	}
+	if o.announced.active {
+		r.LeavingWorker = o.worker
+	}
 	if o.leaving() {
 		r.State = max(o.state, model.StateLeaving)
 	}
--- a/internal/owner/stops.go
+++ b/internal/owner/stops.go
@@ -34,6 +34,35 @@
 	o.withdrawn.set(o.clock(now), withdrawn)
 }
 
+// SetWorker sets the id of the worker that is listed; empty for none.
+func (o *Owner) SetWorker(now time.Time, id model.WorkerID) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.worker = id
+	o.updateAnnounced(o.clock(now))
+}
+
+// ObserveLeaving records that a worker said itself that it is leaving, and reports whether
+// that was not known. No attempt is admitted for that worker any more, and Tick refuses
+// queued ones after withdrawnQueue. Where workers have no ids, it holds for good.
+func (o *Owner) ObserveLeaving(now time.Time, worker model.WorkerID) (first bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.announced.active {
+		// A late response of an earlier worker must not hide that this one leaves.
+		return false
+	}
+	o.announcedWorker, o.hasAnnounced = worker, true
+	o.updateAnnounced(o.clock(now))
+	return o.announced.active
+}
+
+// updateAnnounced stops admission while the listed worker is the one that said that it is
+// leaving.
+func (o *Owner) updateAnnounced(t time.Duration) {
+	o.announced.set(t, o.hasAnnounced && o.announcedWorker == o.worker)
+}
+
 // SetUnlisted sets whether this node's own worker is missing from the directory that
 // names all workers. Until it is listed, nothing is admitted, and Tick refuses queued
 // attempts after withdrawnQueue.
@@ -80,7 +109,7 @@
 	switch {
 	case o.state >= model.StateLeaving && t-o.leavingAt >= withdrawnQueue:
 		o.refuseAllQueued(t, notRunRefusal(model.ReasonLeaving))
-	case o.withdrawn.activeFor(t, withdrawnQueue):
+	case o.withdrawn.activeFor(t, withdrawnQueue), o.announced.activeFor(t, withdrawnQueue):
 		o.refuseAllQueued(t, notRunRefusal(model.ReasonLeaving))
 	case o.unlisted.activeFor(t, withdrawnQueue):
 		o.refuseAllQueued(t, notRunRefusal(model.ReasonNotReady))
--- a/internal/proof/executor.go
+++ b/internal/proof/executor.go
@@ -160,6 +160,9 @@
 	if resp.kind != responseCrossed {
 		j.proc.observeRateLimit(j.started, resp.rateLimit)
 	}
+	if resp.leaving && resp.kind != responseCrossed {
+		j.proc.observeLeaving()
+	}
 	switch {
 	case resp.kind == responseCrossed && !j.proc.w.options.acceptCrossed:
 		j.finish(owner.Completion{ServiceTime: took, Failed: true})
--- a/internal/proof/mutation_test.go
+++ b/internal/proof/mutation_test.go
@@ -48,6 +48,7 @@
 	"worker crashes go unnoticed":              {options{ignoreCrashes: true}, promiseDeadly, sendDeadlyRequests},
 	"a warming worker is treated as warm":      {options{warming: true, ignoreWarming: true}, promiseWarming, warmWorkers},
 	"a worker's rate limit is not heard":       {options{rateLimits: true, ignoreRateLimits: true}, promiseRateLimit, limitWorkers},
+	"a worker's announcement is not heard":     {options{ignoreAnnouncements: true}, promiseLeaving, announceLeavings},
 	"a process ignores bundle updates":         {options{ignoreUpdates: true}, promiseBundle, serveOlderAfterNewer},
 }
 
@@ -65,6 +66,13 @@
 	}
 }
 
+// announceLeavings makes every worker say that it leaves.
+func announceLeavings(w *world) {
+	for _, n := range w.nodes {
+		n.worker.announces = true
+	}
+}
+
 func warmWorkers(w *world) {
 	for _, n := range w.nodes {
 		n.worker.warmingUntil = w.now.Add(time.Minute)
--- a/internal/proof/options.go
+++ b/internal/proof/options.go
@@ -43,6 +43,8 @@
 	// rateLimits lets workers name rate limits; ignoreRateLimits keeps owners from hearing
 	// them.
 	rateLimits, ignoreRateLimits bool
+	// ignoreAnnouncements keeps owners from hearing that their workers say they leave.
+	ignoreAnnouncements bool
 	// trace, when not nil, receives one line for each event of the run.
 	trace io.Writer
 }
--- a/internal/proof/process.go
+++ b/internal/proof/process.go
@@ -79,6 +79,8 @@
 	pendingResolves   map[model.AttemptID]*pendingResolve
 	forwardedVersions map[model.BundleVersion]bool
 	healthTracker     *health.Tracker
+	// heardLeaving is when a response first said that the worker leaves; zero for never.
+	heardLeaving time.Time
 
 	// callerClosed and peerClosed: the port accepts no new connections.
 	callerClosed, peerClosed bool
--- a/internal/proof/run.go
+++ b/internal/proof/run.go
@@ -25,6 +25,8 @@
 	Warming bool
 	// RateLimits lets workers name rate limits at random moments.
 	RateLimits bool
+	// Announcements lets workers say only in their responses that they are leaving.
+	Announcements bool
 	// Trace receives one line for each event of the run; nil disables it.
 	Trace io.Writer
 }
@@ -55,6 +57,9 @@
 	if p.RateLimits {
 		steps = append(steps, rateLimitAction, rateLimitAction)
 	}
+	if p.Announcements {
+		steps = append(steps, announceAction)
+	}
 	w.play(c, p.Steps, steps)
 	return w.report(p)
 }
--- a/internal/proof/run_test.go
+++ b/internal/proof/run_test.go
@@ -59,3 +59,17 @@
 		t.Errorf("%d requests at limited workers, want at least 100: the plans do not test the limit", requests)
 	}
 }
+
+func TestAnnouncedLeavingHoldsUnderFaults(t *testing.T) {
+	announced := 0
+	for seed := range uint64(12) {
+		report := Run(Plan{Seed: seed, Steps: 60, Announcements: true, Deadly: seed%2 == 0})
+		announced += report.Counts["announced leavings"]
+		for _, violation := range report.Violations {
+			t.Errorf("seed %d: %s", seed, violation)
+		}
+	}
+	if announced < 20 {
+		t.Errorf("%d announced leavings, want at least 20", announced)
+	}
+}
--- a/internal/proof/worker.go
+++ b/internal/proof/worker.go
@@ -37,6 +37,8 @@
 	// second that arrived during it.
 	warmingUntil    time.Time
 	warmingArrivals []time.Time
+	// announces: responses say that the worker is leaving, until it is replaced.
+	announces bool
 	// rateLimit is the limit that the worker names until limitedUntil, in requests a second;
 	// limitInHealth reports that health responses name it too, limitHeard that its node has
 	// heard it. limitedArrivals are the requests of the last rateLimitWindow since then.
@@ -74,6 +76,7 @@
 	request   model.RequestID
 	failed    bool
 	rateLimit dialect.RateLimit
+	leaving   bool
 }
 
 func (a workerResponse) status() int {
@@ -135,6 +138,7 @@
 func (r *run) begin() {
 	wk, w := r.wk, r.wk.node.w
 	w.ledger.checkLeaving(r.j)
+	w.ledger.checkAnnounced(r.j)
 	switch {
 	case wk.cold:
 		r.respond(workerResponse{kind: responseClosed})
@@ -185,6 +189,7 @@
 	}
 	proc := r.j.proc
 	resp.rateLimit = r.wk.namedRateLimit()
+	resp.leaving = r.wk.announces
 	proc.after(workerDelay, func() { r.j.handleResponse(resp) })
 }
 
@@ -221,6 +226,7 @@
 	wk.clearFaults()
 	wk.cold = false
 	wk.draining = false
+	wk.announces = false
 	wk.publishHealth()
 }
 
--- a/internal/route/cell.go
+++ b/internal/route/cell.go
@@ -89,6 +89,8 @@
 	refusedAt    atomic.Int64
 	// leavingIn is the incarnation (as a leavingKey) whose owner refused as leaving.
 	leavingIn atomic.Uint64
+	// leavingWorker is the worker that has said itself that it is leaving; nil if none has.
+	leavingWorker atomic.Pointer[model.WorkerID]
 	// unreachableUntil is the time up to which the owner counts as unreachable, zero if it
 	// doesn't.
 	unreachableUntil atomic.Int64
@@ -171,6 +173,14 @@
 	return max(0, min(n, c.inFlight.Load()))
 }
 
+// workerLeaving reports whether the upstream's worker has said itself that it is leaving.
+// That is final for the worker, unlike an owner's announcement, after which its node may
+// start again beside the same worker.
+func (u *upstream) workerLeaving() bool {
+	id := u.cell.leavingWorker.Load()
+	return id != nil && *id == u.instance.Worker
+}
+
 // reportedLeaving reports whether the owner itself announced that it is leaving or gone,
 // within ttl before now, or ever if ttl is zero.
 func (c *cell) reportedLeaving(now, ttl int64) bool {
@@ -214,6 +224,9 @@
 		}
 		c.silentSince.Store(now)
 		c.clearBackOff(now)
+		if r.LeavingWorker != "" {
+			c.leavingWorker.Store(&next.report.LeavingWorker)
+		}
 		return true
 	}
 }
--- a/internal/route/explain.go
+++ b/internal/route/explain.go
@@ -63,7 +63,7 @@
 		Failure:     time.Duration(e.failure),
 		Expected:    time.Duration(e.latency()),
 		Cost:        time.Duration(e.cost()),
-		Leaving:     u.cell.reportedLeaving(now, int64(t.cfg.LeavingTTL)),
+		Leaving:     u.workerLeaving() || u.cell.reportedLeaving(now, int64(t.cfg.LeavingTTL)),
 		Unreachable: u.cell.isUnreachable(now),
 		Evacuated:   u.evacuated,
 		Warming:     time.Duration(max(u.cell.warmingUntil.Load()-now, 0)),
--- a/internal/route/sample.go
+++ b/internal/route/sample.go
@@ -97,7 +97,7 @@
 	switch {
 	case u.evacuated && !f.includeEvacuated, !f.regions.Allows(u.region):
 		return false
-	case u.cell.reportedLeaving(f.now, f.leavingTTL), u.cell.isUnreachable(f.now):
+	case u.workerLeaving(), u.cell.reportedLeaving(f.now, f.leavingTTL), u.cell.isUnreachable(f.now):
 		return false
 	}
 	return f.ignoreTurns || u.cell.turnDue(f.now)
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -101,14 +101,14 @@
 	connectionObserved func(refused bool)
 	dialect            dialect.Workers
 	// worker returns the id of the worker's current incarnation, or empty if unknown.
-	worker            func() model.WorkerID
-	requestLog        *zerolog.Logger
-	refreshLoad       func(ctx context.Context)
-	freshness         func() model.DirectoryFreshness
-	workerIdentified  func(model.WorkerID)
-	rateLimitObserved func(sent time.Time, l dialect.RateLimit)
-	detectCrash       func(quarantine.Run) (crashed bool)
-	quarantine        *quarantine.Quarantine
+	worker           func() model.WorkerID
+	requestLog       *zerolog.Logger
+	refreshLoad      func(ctx context.Context)
+	freshness        func() model.DirectoryFreshness
+	workerIdentified func(model.WorkerID)
+	workerDescribed  func(sent time.Time, worker model.WorkerID, head dialect.ResponseHead)
+	detectCrash      func(quarantine.Run) (crashed bool)
+	quarantine       *quarantine.Quarantine
 	// portClosed is called when nothing listens on the worker's port.
 	portClosed func()
 	// routeHost returns the request's host if its route is for that host only, else empty.
@@ -149,9 +149,9 @@
 	// WorkerIdentified is called with the worker id in a response; nil if workers do not
 	// identify themselves.
 	WorkerIdentified func(model.WorkerID)
-	// RateLimitObserved is called with what a response of the worker says of its rate
-	// limit, and when its request was sent; it may be nil.
-	RateLimitObserved func(sent time.Time, l dialect.RateLimit)
+	// WorkerDescribed is called with what a response says about the worker, when its request
+	// was sent, and the worker to which it was sent; it may be nil.
+	WorkerDescribed func(sent time.Time, worker model.WorkerID, head dialect.ResponseHead)
 	// RouteHost returns the request's host if its route is for that host only, else
 	// empty. Nil means that all routes are for any host.
 	RouteHost func(host, method, path string) string
@@ -177,8 +177,8 @@
 	if cfg.PortClosed == nil {
 		cfg.PortClosed = func() {}
 	}
-	if cfg.RateLimitObserved == nil {
-		cfg.RateLimitObserved = func(time.Time, dialect.RateLimit) {}
+	if cfg.WorkerDescribed == nil {
+		cfg.WorkerDescribed = func(time.Time, model.WorkerID, dialect.ResponseHead) {}
 	}
 	if cfg.DetectCrash == nil {
 		cfg.DetectCrash = func(quarantine.Run) bool { return false }
@@ -193,7 +193,7 @@
 		refreshLoad:        cfg.RefreshLoad,
 		freshness:          cfg.DirectoryFreshness,
 		workerIdentified:   cfg.WorkerIdentified,
-		rateLimitObserved:  cfg.RateLimitObserved,
+		workerDescribed:    cfg.WorkerDescribed,
 		detectCrash:        cfg.DetectCrash,
 		quarantine:         cfg.Quarantine,
 		waiters:            map[model.AttemptID]chan owner.Decision{},
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -24,7 +24,8 @@
 	// If this process is suspended here, it may resume after the deadline. Anything
 	// written then would run after the caller was told that the call had ended.
 	trace := upstream.RequestTrace{SendDeadline: deadline}
-	req := trace.Attach(x.request(ctx, m))
+	worker := x.worker()
+	req := trace.Attach(x.request(ctx, m, worker))
 	upstream.PreventReplay(req)
 	resp, err := x.transportFor(&m.Attempt).RoundTrip(req)
 	if err != nil {
@@ -48,7 +49,7 @@
 		x.workerIdentified(head.Worker)
 	}
 	if head.Refusal != model.ReasonWorkerReplaced {
-		x.rateLimitObserved(started, head.RateLimit)
+		x.workerDescribed(started, worker, head)
 	}
 	if head.NotRun {
 		defer cancel()
@@ -175,11 +176,11 @@
 const spuriousRetry = 50 * time.Millisecond
 
 // request returns the HTTP request to the worker.
-func (x *Executor) request(ctx context.Context, m *AttemptMessage) *http.Request {
+func (x *Executor) request(ctx context.Context, m *AttemptMessage, worker model.WorkerID) *http.Request {
 	u := *m.URL
 	u.Scheme, u.Host = "http", x.address
 	req := m.request(ctx, &u)
-	x.dialect.PrepareAttempt(req.Header, &m.Attempt, x.worker())
+	x.dialect.PrepareAttempt(req.Header, &m.Attempt, worker)
 	return req
 }
 
