owner: a rate limit that health answers name ends with them too

Found by TestWorkerGetsNoMoreThanTheRateItNames, once beside a busy machine: 0 requests in the second after a limit had ended (93 and 165 before). Once one has carried it, one without it ends the limit now. Where health answers never name limits, an answer to a request is still what ends one.

--- a/internal/owner/ratelimit.go
+++ b/internal/owner/ratelimit.go
@@ -38,6 +38,8 @@
 	perSecond float64
 	// namedAt is when a response last named a limit.
 	namedAt time.Duration
+	// namedInHealth reports that a health response has named the limit.
+	namedInHealth bool
 	// malformed reports that the last response that named a limit could not be used.
 	malformed bool
 	// logged is the limit that was last reported as a change.
@@ -187,13 +189,16 @@
 
 // ObservePolledRateLimit is ObserveRateLimit for the response to a health poll. Such a
 // response need not name the limit that requests are under, so without one it changes
-// nothing.
+// nothing, unless one before it did.
 func (o *Owner) ObservePolledRateLimit(now, sentAt time.Time, l dialect.RateLimit) ([]Decision, RateLimitChange) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if l.Kind == dialect.RateLimitNone {
+	if l.Kind == dialect.RateLimitNone && !o.rateLimit.namedInHealth {
 		return o.takeDecisions(), RateLimitUnchanged
 	}
+	if l.Kind == dialect.RateLimitNamed {
+		o.rateLimit.namedInHealth = true
+	}
 	return o.observeRateLimit(now, sentAt, l)
 }
 
--- a/internal/owner/ratelimit_test.go
+++ b/internal/owner/ratelimit_test.go
@@ -104,6 +104,10 @@
 	if got := r.hear(noRateLimit); got != RateLimitEnded {
 		t.Errorf("a later response: %v", got)
 	}
+	r.o.ObservePolledRateLimit(r.now, r.now, named(1))
+	if _, change := r.o.ObservePolledRateLimit(r.now, r.now, noRateLimit); change != RateLimitEnded {
+		t.Errorf("a health response without a limit after one with it: %v", change)
+	}
 	r.hear(named(1))
 	r.o.WorkerRestarted(r.now)
 	if _, on := r.o.RateLimit(); on {
