--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,7 +13,6 @@
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/directory"
 	"gypsumstand/internal/entry"
-	"gypsumstand/internal/event"
 	"gypsumstand/internal/measure"
 	"gypsumstand/internal/member"
 	"gypsumstand/internal/model"
@@ -120,12 +119,6 @@
 	Directory *directory.View
 }
 
-// derived identifies the snapshots that the derived state was built from.
-type derived struct {
-	fleet   uint64
-	bundles uint64
-}
-
 // Output is the result of one event.
 type Output struct {
 	Actions []control.Action
@@ -287,104 +280,6 @@
 	return n.Owner.SetState(now, s)
 }
 
-// deriveIntervalPerInstance is the shortest time between two rebuilds of derived state, per
-// known instance. A rebuild takes about 0.7 us an instance (docs/CAPACITY.md), so bursts of
-// changes, such as the start of a data centre, use 1.4% of a core at most. Changes are
-// delayed by up to half a second at 10,000 instances and not noticeably at 11.
-const deriveIntervalPerInstance = 50 * time.Microsecond
-
-// minDeriveInterval returns the shortest time between two rebuilds for a fleet.
-func minDeriveInterval(fleet *model.Fleet) time.Duration {
-	return time.Duration(len(fleet.Instances)) * deriveIntervalPerInstance
-}
-
-// derive rebuilds the state that depends on changed sections, now or at a later event.
-func (n *Node) derive(now time.Time) []owner.Decision {
-	seen := derived{fleet: n.Board.Fleet.Changes(), bundles: n.Board.Bundles.Changes()}
-	if seen == n.derived {
-		return nil
-	}
-	fleet, set := n.Board.Fleet.Get(), n.Board.Bundles.Get()
-	if now.Before(n.derivedAt.Add(minDeriveInterval(fleet))) {
-		return nil
-	}
-	n.derived = seen
-	n.derivedAt = now
-	n.Table.Update(now, fleet, set)
-	self, _ := fleet.Instance(n.cfg.Self.ID)
-	ds := n.applyIncarnation(now, self.WorkerIncarnation())
-	n.Owner.SetWorker(now, self.Worker)
-	n.Owner.SetWithdrawn(now, self.State == model.StateLeaving)
-	n.Owner.SetEvacuated(now, fleet.IsEvacuated(n.cfg.Self.DataCentre))
-	if n.directory != nil {
-		n.Owner.SetUnlisted(now, n.workerUnlisted())
-	}
-	n.Engine.SetEntryNodes(n.member.FleetSize())
-	svc, b := set.Service(n.cfg.Self.Service)
-	if svc == nil {
-		return ds
-	}
-	n.OwnerLimiter.Configure(now, b.Measuring)
-	return append(ds, n.Owner.Configure(now, b, withSlots(svc, self.Slots), liveUpstreams(fleet, n.cfg.Self.Service))...)
-}
-
-// workerUnlisted reports whether the directory lists no worker that this node may use: none
-// on this node, or one that is no longer there. While the directory is unavailable the
-// present worker may belong to another service, so nothing is sent to it.
-func (n *Node) workerUnlisted() bool {
-	listed, known := n.directory.Listed()
-	if !known {
-		return false
-	}
-	return !listed || n.workerReplaced()
-}
-
-// workerReplaced reports whether this node's worker gives another ID than the listed one.
-func (n *Node) workerReplaced() bool {
-	listed := n.Worker()
-	return listed != "" && n.reportedWorker != "" && n.reportedWorker != listed
-}
-
-// applyReportedWorker updates the owner with the ID that its worker gives for itself: until
-// the directory lists a new worker, attempts that name the old one would only be refused.
-func (n *Node) applyReportedWorker(now time.Time) []control.Action {
-	if n.directory == nil {
-		return nil
-	}
-	n.Owner.SetUnlisted(now, n.workerUnlisted())
-	if !n.workerReplaced() {
-		return nil
-	}
-	return []control.Action{control.Record{
-		Event: event.WorkerReplaced, Subject: string(n.reportedWorker), Detail: "listed: " + string(n.Worker()),
-	}}
-}
-
-// applyIncarnation notifies the owner when another incarnation of its worker is listed. A
-// worker that is unlisted for a while may come back as the same incarnation.
-func (n *Node) applyIncarnation(now time.Time, incarnation model.WorkerIncarnation) []owner.Decision {
-	before := n.incarnation
-	if incarnation == (model.WorkerIncarnation{}) || incarnation == before {
-		return nil
-	}
-	n.incarnation = incarnation
-	// The reported ID belongs to the previous incarnation or equals the listed one.
-	n.reportedWorker = ""
-	if before == (model.WorkerIncarnation{}) {
-		return nil
-	}
-	n.noteWorkerChange(now, true)
-	return n.Owner.WorkerRestarted(now)
-}
-
-// noteWorkerChange records a crash if this node's worker has changed. A worker that left as
-// planned did not crash under its requests.
-func (n *Node) noteWorkerChange(now time.Time, changed bool) {
-	if changed && !n.Owner.Draining() {
-		n.Quarantine.WorkerCrashed(now)
-	}
-}
-
 // publishStats publishes the controllers' state at each tick; readers need no fresher
 // values.
 func (n *Node) publishStats(now time.Time, ev control.Event) {
@@ -413,30 +308,3 @@
 	}
 	return &blackboard.Readiness{Ready: len(missing) == 0, Missing: missing}
 }
-
-// withSlots returns svc with the number of slots that a worker announces for itself.
-func withSlots(svc *bundle.Service, slots int) *bundle.Service {
-	if slots <= 0 {
-		return svc
-	}
-	own := *svc
-	own.Slots = slots
-	return &own
-}
-
-// Worker returns the ID of this node's worker in the fleet's view; empty if it has none.
-func (n *Node) Worker() model.WorkerID {
-	self, _ := n.Board.Fleet.Get().Instance(n.cfg.Self.ID)
-	return self.Worker
-}
-
-// liveUpstreams counts the instances of a service that are not leaving, at least 1.
-func liveUpstreams(fleet *model.Fleet, service model.ServiceName) int {
-	count := 0
-	for i := range fleet.Instances {
-		if in := &fleet.Instances[i]; in.Service == service && in.State < model.StateLeaving {
-			count++
-		}
-	}
-	return max(count, 1)
-}
--- a/internal/directory/peers_test.go
+++ b/internal/directory/peers_test.go
@@ -257,8 +257,10 @@
 	peer.want(t, map[model.WorkerID]model.UpstreamState{"w1": model.StateLive})
 }
 
-func TestEachNodeDelaysRemovalsAfterOutage(t *testing.T) {
-	reader, peer := newRig(), newRig()
+// missingAfterOutage returns two nodes after an outage since which the directory lists w1
+// only: one has read it, and the other was told.
+func missingAfterOutage() (reader, peer *rig) {
+	reader, peer = newRig(), newRig()
 	reader.handle(twoWorkers())
 	peer.handle(twoWorkers())
 	for _, r := range []*rig{reader, peer} {
@@ -268,6 +270,11 @@
 	full.Revision, full.Listed = 9, full.Listed[:1]
 	reader.handle(full)
 	syncFrom(reader, peer)
+	return reader, peer
+}
+
+func TestEachNodeDelaysRemovalsAfterOutage(t *testing.T) {
+	reader, peer := missingAfterOutage()
 	both := map[model.WorkerID]model.UpstreamState{"w1": model.StateLive, "w2": model.StateLive}
 	reader.want(t, both)
 	peer.want(t, both)
@@ -278,16 +285,7 @@
 }
 
 func TestRelistedWorkerIsKeptAfterOutage(t *testing.T) {
-	reader, peer := newRig(), newRig()
-	reader.handle(twoWorkers())
-	peer.handle(twoWorkers())
-	for _, r := range []*rig{reader, peer} {
-		r.now = r.now.Add(outageThreshold + time.Second)
-	}
-	full := twoWorkers()
-	full.Revision, full.Listed = 9, full.Listed[:1]
-	reader.handle(full)
-	syncFrom(reader, peer)
+	reader, peer := missingAfterOutage()
 	relisted := listing("w2", "10.0.0.2", 10, model.StateLive)
 	relisted.Revision = 10
 	reader.handle(control.DirectoryRead{Revision: 10, Listed: []model.Listing{relisted}})
--- a/internal/proof/ratelimit.go
+++ b/internal/proof/ratelimit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gypsumstand/internal/dialect"
+	"gypsumstand/internal/owner"
 )
 
 // Bounds of workers that name a rate limit, in plans with RateLimits set.
@@ -57,27 +58,26 @@
 	return wk.namedRateLimit()
 }
 
-// observeRateLimit passes what a response says of the worker's rate limit to the owner.
+// observeRateLimit passes what the response to a request says of the worker's rate limit to
+// the owner.
 func (p *process) observeRateLimit(sent time.Time, l dialect.RateLimit) {
-	if p.w.options.ignoreRateLimits {
-		return
-	}
-	if l.Kind == dialect.RateLimitNamed {
-		p.node.worker.limitHeard = true
-	}
-	ds, _ := p.core.Owner.ObserveRateLimit(p.w.now, sent, l)
-	p.deliver(ds)
+	p.hearRateLimit(sent, l, p.core.Owner.ObserveRateLimit)
 }
 
 // observePolledRateLimit is observeRateLimit for a health response.
 func (p *process) observePolledRateLimit(sent time.Time, l dialect.RateLimit) {
+	p.hearRateLimit(sent, l, p.core.Owner.ObservePolledRateLimit)
+}
+
+// hearRateLimit passes a rate limit to the owner by one of its methods.
+func (p *process) hearRateLimit(sent time.Time, l dialect.RateLimit, observe func(now, sentAt time.Time, l dialect.RateLimit) ([]owner.Decision, owner.RateLimitChange)) {
 	if p.w.options.ignoreRateLimits {
 		return
 	}
 	if l.Kind == dialect.RateLimitNamed {
 		p.node.worker.limitHeard = true
 	}
-	ds, _ := p.core.Owner.ObservePolledRateLimit(p.w.now, sent, l)
+	ds, _ := observe(p.w.now, sent, l)
 	p.deliver(ds)
 }
 
--- a/internal/proof/run_test.go
+++ b/internal/proof/run_test.go
@@ -32,44 +32,32 @@
 	}
 }
 
-func TestWarmingLimitHoldsUnderFaults(t *testing.T) {
-	requests := 0
+// checkPlans runs plans of the given kind with twelve seeds, every other one with deadly
+// requests, and checks that they hold all promises and reach a count.
+func checkPlans(t *testing.T, kind Plan, counted string, least int) {
+	t.Helper()
+	count := 0
 	for seed := range uint64(12) {
-		report := Run(Plan{Seed: seed, Steps: 60, Warming: true, Deadly: seed%2 == 0})
-		requests += report.Counts["requests at warming workers"]
+		kind.Seed, kind.Steps, kind.Deadly = seed, 60, seed%2 == 0
+		report := Run(kind)
+		count += report.Counts[counted]
 		for _, violation := range report.Violations {
 			t.Errorf("seed %d: %s", seed, violation)
 		}
 	}
-	if requests < 100 {
-		t.Errorf("%d requests at warming workers, want at least 100: the plans do not test the limit", requests)
+	if count < least {
+		t.Errorf("%d %s, want at least %d: the plans do not test the promise", count, counted, least)
 	}
 }
 
+func TestWarmingLimitHoldsUnderFaults(t *testing.T) {
+	checkPlans(t, Plan{Warming: true}, "requests at warming workers", 100)
+}
+
 func TestRateLimitHoldsUnderFaults(t *testing.T) {
-	requests := 0
-	for seed := range uint64(12) {
-		report := Run(Plan{Seed: seed, Steps: 60, RateLimits: true, Deadly: seed%2 == 0})
-		requests += report.Counts["requests at limited workers"]
-		for _, violation := range report.Violations {
-			t.Errorf("seed %d: %s", seed, violation)
-		}
-	}
-	if requests < 100 {
-		t.Errorf("%d requests at limited workers, want at least 100: the plans do not test the limit", requests)
-	}
+	checkPlans(t, Plan{RateLimits: true}, "requests at limited workers", 100)
 }
 
 func TestAnnouncedLeavingHoldsUnderFaults(t *testing.T) {
-	announced := 0
-	for seed := range uint64(12) {
-		report := Run(Plan{Seed: seed, Steps: 60, Announcements: true, Deadly: seed%2 == 0})
-		announced += report.Counts["announced leavings"]
-		for _, violation := range report.Violations {
-			t.Errorf("seed %d: %s", seed, violation)
-		}
-	}
-	if announced < 20 {
-		t.Errorf("%d announced leavings, want at least 20", announced)
-	}
+	checkPlans(t, Plan{Announcements: true}, "announced leavings", 20)
 }
