directory: a worker listed since a restore takes the place of one that the copy lacks

A worker that the copy lacks stays in use for 2.2 s, and would have kept the instance from one that was listed since at a lower number; its owner would have refused all of it meanwhile. Creations are compared within one era now. TestWorkerListedSinceARestoreTakesThePlaceOfOneThatTheCopyLacks failed before (w9 in place of w10). The requests of peers are read without a map, and one without a revision stays an error.

--- a/internal/directory/restore_test.go
+++ b/internal/directory/restore_test.go
@@ -245,3 +245,15 @@
 		t.Error("a reply without an era was taken")
 	}
 }
+
+// Creations are counted anew with each era.
+func TestWorkerListedSinceARestoreTakesThePlaceOfOneThatTheCopyLacks(t *testing.T) {
+	r := newRig()
+	before := entry("w9", "10.0.0.1", live, 95, 5)
+	before.Created = 95
+	r.handle(content(1, 100, 49, before))
+	since := entry("w10", "10.0.0.1", live, 61, 1)
+	since.Created = 61
+	r.handle(content(2, 61, 49, since))
+	r.want(t, map[model.WorkerID]model.UpstreamState{"w10": live})
+}
--- a/internal/directory/workers.go
+++ b/internal/directory/workers.go
@@ -30,6 +30,15 @@
 	heldUntil time.Time
 }
 
+// createdBefore reports whether the worker was listed first before another one. Creations are
+// ordered within one era of the directory.
+func (w *worker) createdBefore(other *worker) bool {
+	if w.earlierEra != other.earlierEra {
+		return w.earlierEra
+	}
+	return w.listing.Created < other.listing.Created
+}
+
 // applyListing applies a worker's listing unless a newer change of it is known.
 func (c *Controller) applyListing(now time.Time, l model.Listing) {
 	id := l.Instance.Worker
@@ -156,7 +165,7 @@
 		if !w.heldUntil.IsZero() || !c.usable(l) {
 			continue
 		}
-		if before, taken := newest[l.Instance.ID]; !taken || before.listing.Created < l.Created {
+		if before, taken := newest[l.Instance.ID]; !taken || before.createdBefore(w) {
 			newest[l.Instance.ID] = w
 		}
 	}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -112,6 +113,9 @@
 	return n.cfg.Directory.Configuration(text)
 }
 
+// errNoRevision is the error of a request that names no revision.
+var errNoRevision = errors.New(directoryAfter + " is missing")
+
 // readRequested reads what a requesting peer knows. What an earlier version of a node omits
 // is taken so that its request means what it meant before: the era of this node's view, and a
 // configuration that is only sent as a change.
@@ -120,20 +124,26 @@
 	if view != nil {
 		known.After.Era = view.Revision.Era
 	}
-	for name, field := range map[string]*uint64{
-		directoryAfter: &known.After.Number, directoryEra: &known.After.Era, directoryConfig: &known.Config,
-	} {
-		text := query.Get(name)
-		if text == "" && name != directoryAfter {
-			continue
-		}
-		value, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			return directory.Requested{}, fmt.Errorf("%s: want a whole number", name)
-		}
-		*field = value
-	}
-	return known, nil
+	if !query.Has(directoryAfter) {
+		return directory.Requested{}, errNoRevision
+	}
+	var errs [3]error
+	known.After.Number, errs[0] = readWhole(query, directoryAfter, 0)
+	known.After.Era, errs[1] = readWhole(query, directoryEra, known.After.Era)
+	known.Config, errs[2] = readWhole(query, directoryConfig, known.Config)
+	return known, errors.Join(errs[:]...)
+}
+
+// readWhole reads a whole number of a query, or returns absent if the query lacks it.
+func readWhole(query url.Values, name string, absent uint64) (uint64, error) {
+	if !query.Has(name) {
+		return absent, nil
+	}
+	n, err := strconv.ParseUint(query.Get(name), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%s: want a whole number", name)
+	}
+	return n, nil
 }
 
 // serveDirectory responds to a peer's request for changes.
