failure, local: nodes' logs are kept and printed when a test fails

The tests of package failure threw their nodes' logs away, and no line named its node, so that a failure that shows once under load could not be traced.

The tests of deadly requests print when, at which worker and from which submission each deadly run began. Tests and checks are unchanged otherwise. The fleet that tests share, and the tests that start processes, keep no logs.

--- a/internal/failure/deadly_test.go
+++ b/internal/failure/deadly_test.go
@@ -43,16 +43,36 @@
 	normalInterval = 20 * time.Millisecond
 )
 
-// deadlyRuns records when deadly requests began to run. It is safe for concurrent use.
+// deadlyRuns records when and where deadly requests began to run. It is safe for
+// concurrent use.
 type deadlyRuns struct {
 	mu   sync.Mutex
-	runs []time.Time
+	runs []deadlyRun
 }
 
-func (d *deadlyRuns) record() {
+// deadlyRun is the start of one run of a deadly request.
+type deadlyRun struct {
+	at      time.Time
+	worker  model.InstanceID
+	request model.RequestID
+}
+
+func (d *deadlyRuns) record(worker model.InstanceID, request model.RequestID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runs = append(d.runs, deadlyRun{time.Now(), worker, request})
+}
+
+// logIfFailed logs the runs if the test failed.
+func (d *deadlyRuns) logIfFailed(t *testing.T) {
+	if !t.Failed() {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.runs = append(d.runs, time.Now())
+	for i, r := range d.runs {
+		t.Logf("deadly run %d: began %s at %s, request %s", i+1, r.at.Format(logTimeFormat), r.worker, r.request)
+	}
 }
 
 // counts returns the number of all runs and of those later than learnTime after the
@@ -60,8 +80,8 @@
 func (d *deadlyRuns) counts() (all, late int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for i, at := range d.runs {
-		if i >= 3 && at.Sub(d.runs[2]) > learnTime {
+	for i, r := range d.runs {
+		if i >= 3 && r.at.Sub(d.runs[2].at) > learnTime {
 			late++
 		}
 	}
@@ -79,14 +99,15 @@
 	t.Helper()
 	cfg := config(workers)
 	s := &cfg.Services[0]
-	s.CrashOn = func(r answer.Request) bool {
+	s.CrashOn = func(worker model.InstanceID, r answer.Request) bool {
 		if !deadly(r) {
 			return false
 		}
-		d.record()
+		d.record(worker, r.ID)
 		return true
 	}
 	s.CrashDelay, s.RestartDelay = 30*time.Millisecond, restartDelay
+	t.Cleanup(func() { d.logIfFailed(t) })
 	return startFleet(t, cfg)
 }
 
@@ -239,10 +260,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	most := 0
-	for i, at := range d.runs {
+	for i, r := range d.runs {
 		down := 1
 		for _, before := range d.runs[:i] {
-			if at.Sub(before) < restartDelay {
+			if r.at.Sub(before.at) < restartDelay {
 				down++
 			}
 		}
--- a/internal/failure/fleet_test.go
+++ b/internal/failure/fleet_test.go
@@ -118,9 +118,11 @@
 	}
 }
 
-// startFleet runs a fleet until the test ends.
+// startFleet runs a fleet until the test ends. If the test fails it prints the nodes' logs.
 func startFleet(t *testing.T, cfg local.Config) *local.Fleet {
 	t.Helper()
+	log := zerolog.New(newFailureLog(t))
+	cfg.Log, cfg.RequestLog = log, log
 	f, err := local.Start(cfg)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/local/fleet.go
+++ b/internal/local/fleet.go
@@ -46,8 +46,9 @@
 	Profiles []worker.Profile
 	// Handler replaces the stand-in worker when it is not nil.
 	Handler http.Handler
-	// CrashOn, CrashDelay and RestartDelay are passed to the stand-in worker.
-	CrashOn                  func(answer.Request) bool
+	// CrashOn, when not nil, selects the requests that crash the worker of an instance.
+	// CrashDelay and RestartDelay are passed to the stand-in worker.
+	CrashOn                  func(model.InstanceID, answer.Request) bool
 	CrashDelay, RestartDelay time.Duration
 }
 
@@ -76,7 +77,10 @@
 	// SeedPeers gives each node the peer addresses of the nodes that run when it starts,
 	// so that it finds them without the platform.
 	SeedPeers bool
-	Log       zerolog.Logger
+	// Log and RequestLog are passed to the nodes; each line gets the instance id of its
+	// node as the field "node". The zero RequestLog drops its lines.
+	Log        zerolog.Logger
+	RequestLog zerolog.Logger
 }
 
 // Member is one node with its worker.
@@ -229,7 +233,7 @@
 		Ledger:   f.Ledger,
 		Node:     m.Node.CallerAddress(),
 
-		CrashOn: s.CrashOn, CrashDelay: s.CrashDelay, RestartDelay: s.RestartDelay,
+		CrashOn: crashOn(m.ID, s), CrashDelay: s.CrashDelay, RestartDelay: s.RestartDelay,
 	})
 	if err != nil {
 		return err
@@ -239,6 +243,19 @@
 	return nil
 }
 
+// crashOn returns the selection of requests that crash the worker of one instance.
+func crashOn(id model.InstanceID, s Service) func(answer.Request) bool {
+	if s.CrashOn == nil {
+		return nil
+	}
+	return func(r answer.Request) bool { return s.CrashOn(id, r) }
+}
+
+// nodeLogger returns a logger that names the node in each line.
+func nodeLogger(l zerolog.Logger, id model.InstanceID) zerolog.Logger {
+	return l.With().Str("node", string(id)).Logger()
+}
+
 func (f *Fleet) nodeConfig(m *Member) node.Config {
 	return node.Config{
 		Instance:        m.ID,
@@ -264,7 +281,8 @@
 		Policy:          f.cfg.Policy,
 		ProbeAge:        f.cfg.ProbeAge,
 		OnCall:          f.cfg.OnCall,
-		Log:             f.cfg.Log,
+		Log:             nodeLogger(f.cfg.Log, m.ID),
+		RequestLog:      nodeLogger(f.cfg.RequestLog, m.ID),
 	}
 }
 
