quarantine: slot use is averaged over the time that passed, also when ticks are late

What callers saw: none traced to this alone. On a node short of CPU time a worker that had been busy for seconds still counted as idle, so that the node, as coordinator of a suspect request, granted it to another owner while its own worker was down: two workers away where the service could spare one.

Cause: each tick counted for the usual interval, whatever time had passed since the last one. After 8 s idle and 2 s at 0.75 the average was 0.15 with a fifth of the ticks, 0.49 with all; below 0.25 three workers count as able to spare two.

The average now takes the time since the last tick as its weight. One existing test let a second of ticks stand for ten: it relied on the fault, so its ticks are now spaced by the interval; its check is the same.

--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -85,8 +85,9 @@
 		out = q.sendUpdates(now, out)
 	case control.Tick:
 		if share, known := q.slotUse(now); known {
-			q.observeUse(share, control.TickInterval)
+			q.observeUse(share, now.Sub(q.lastTick))
 		}
+		q.lastTick = now
 		out = q.sendUpdates(now, out)
 		out = q.runRound(now, out)
 		q.expire(now)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -57,8 +57,9 @@
 	crashIDsAllocated, crashesAttributed uint64
 	gossip                               gossip
 	recovery                             recovery
-	// averageUse is the average share of this node's worker slots in use.
+	// averageUse is the average share of this node's worker slots in use, as of lastTick.
 	averageUse float64
+	lastTick   time.Time
 	// rotation is the offset at which selectRecords last started among the less severe
 	// records.
 	rotation int
@@ -73,7 +74,7 @@
 	}
 	return &Quarantine{
 		self: cfg.Self, started: cfg.Started, incarnation: uint64(cfg.Started.UnixNano()),
-		fleet: cfg.Fleet, slotUse: cfg.SlotUse, averageUse: 1,
+		fleet: cfg.Fleet, slotUse: cfg.SlotUse, averageUse: 1, lastTick: cfg.Started,
 		changed: make(chan struct{}, 1), table: newTable(), gossip: gossip{queryRounds: initialQueryRounds},
 	}
 }
--- a/internal/server/suspects_test.go
+++ b/internal/server/suspects_test.go
@@ -289,7 +289,7 @@
 	q.RunFailed(now.Add(-2*time.Second), fp.run(now.Add(-2*time.Second)))
 	q.WorkerCrashed(now.Add(-2 * time.Second))
 	for i := range 100 {
-		q.Handle(now.Add(time.Duration(i-100)*control.TickInterval/10), control.Tick{})
+		q.Handle(now.Add(time.Duration(i-100)*control.TickInterval), control.Tick{})
 	}
 	r := x.Do(t.Context(), messageOf(1, "/popular", "", bufferedBody))
 	if r.Refusal.Reason != model.ReasonDeferred || !r.Refusal.NotRun || !r.Refusal.Granted || r.Refusal.OnlyOwner == "n0" {
