server, node: what a refused connection to the worker shows is judged with what is known then

What callers saw: a deadly request that waited in the queue of the owner whose worker had just crashed under it was sent on and took down a second worker.

Cause: the crash frees the worker's slots, the queue moves up, and the queued copy is dialled at the closed port. That refusal itself shows the crash, but the executor answered by the decision of the attempt's admission, 0.1 to 1 ms earlier: plain "worker unreachable", so that the entry placed the request elsewhere with no crash known, before any other owner had heard. Besides, the slot was freed before the run that had crashed the worker was recorded, so that the copy could find no record.

Now a run that was interrupted is recorded before its slot is free, and a request whose worker cannot be reached is evaluated again: a suspect one gets its only owner or waits. The proof plays the same way, which it lacked.

--- a/internal/node/crash.go
+++ b/internal/node/crash.go
@@ -23,19 +23,18 @@
 	pollRetryPause = 5 * time.Millisecond
 )
 
-// detectCrash handles a run that was interrupted at this node's worker and reports
-// whether the worker seems to have crashed. It implements
-// server.ExecutorConfig.DetectCrash.
-func (n *Node) detectCrash(r quarantine.Run) (crashed bool) {
+// runInterrupted records a run that was interrupted at this node's worker and looks for
+// evidence of a crash. It implements server.ExecutorConfig.RunInterrupted.
+func (n *Node) runInterrupted(r quarantine.Run) (seemsCrashed func() bool) {
 	if n.core.Owner.Draining() {
-		return false
+		return func() bool { return false }
 	}
 	now := time.Now()
 	if n.core.Quarantine.RunFailed(now, r) {
-		return true
+		return func() bool { return true }
 	}
 	n.start(func() { n.watch.pollUntilKnown(now) })
-	return n.seemsCrashed(now)
+	return func() bool { return n.seemsCrashed(now) }
 }
 
 // seemsCrashed reports whether the worker seems to have crashed when a run was
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -248,7 +248,7 @@
 		DirectoryFreshness: n.directoryFreshness,
 		WorkerIdentified:   n.watch.identified,
 		WorkerDescribed:    n.watch.workerDescribed,
-		DetectCrash:        n.detectCrash,
+		RunInterrupted:     n.runInterrupted,
 
 		PortClosed: n.workerPortClosed,
 		Quarantine: n.core.Quarantine,
--- a/internal/proof/deadly.go
+++ b/internal/proof/deadly.go
@@ -127,13 +127,30 @@
 // evaluate asks the quarantine for its decision about a job (server.Executor.evaluate).
 func (j *job) evaluate() quarantine.Decision {
 	q := j.proc.core.Quarantine
-	j.decision = q.Evaluate(j.proc.w.now, j.submission().fingerprint(),
-		quarantine.Submission{Crashes: int(j.attempt.Crashes), Granted: j.attempt.Granted}, j.submission().route.path)
+	j.decision = q.Evaluate(j.proc.w.now, j.submission().fingerprint(), j.quarantineSubmission(), j.submission().route.path)
 	return j.decision
 }
 
+// quarantineSubmission describes the job's submission to the quarantine.
+func (j *job) quarantineSubmission() quarantine.Submission {
+	return quarantine.Submission{Crashes: int(j.attempt.Crashes), Granted: j.attempt.Granted}
+}
+
 func (j *job) submission() *submission { return j.proc.w.ledger.attempts[j.attempt.ID].submission }
 
+// refusalWorkerDown refuses a job whose worker could not be reached
+// (server.Executor.refuseWorkerDown).
+func (j *job) refusalWorkerDown() model.Refusal {
+	refusal := model.Refusal{Reason: model.ReasonWorkerUnreachable, NotRun: true}
+	d := j.proc.core.Quarantine.EvaluateReroute(j.proc.w.now, j.submission().fingerprint(), j.quarantineSubmission(), j.submission().route.path)
+	if d != (quarantine.Decision{}) {
+		d.Deferred = true
+		refusal = d.Refusal()
+	}
+	refusal.Reason = delegatedReason(&j.attempt, refusal.Reason)
+	return refusal
+}
+
 // detectCrash reports a failed run to the quarantine. It returns true when the worker has
 // crashed, which a refused connection also shows (package node).
 func (j *job) detectCrash() (crashed bool) {
--- a/internal/proof/executor.go
+++ b/internal/proof/executor.go
@@ -199,6 +199,7 @@
 	if j.run != nil {
 		j.run.cancel()
 	}
+	crashed := !notRun && !j.cancelled && !j.expired && j.detectCrash()
 	j.finish(owner.Completion{
 		ServiceTime: j.proc.w.now.Sub(j.started), NotRun: notRun,
 		Delegate: notRun && !j.cancelled, Failed: !j.cancelled, Expired: j.expired,
@@ -209,15 +210,16 @@
 	}
 	switch {
 	case notRun:
-		reason = delegatedReason(&j.attempt, model.ReasonWorkerUnreachable)
+		j.refuse(j.refusalWorkerDown())
+		return
 	case j.cancelled:
 		reason = model.ReasonCancelled
 	case j.expired:
 		reason = model.ReasonExpired
-	case j.detectCrash():
+	case crashed:
 		reason = model.ReasonWorkerCrashed
 	}
-	j.refuse(model.Refusal{Reason: reason, NotRun: notRun})
+	j.refuse(model.Refusal{Reason: reason})
 }
 
 // cancel cancels the job because the entry no longer waits; expired is set when the
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -107,7 +107,7 @@
 	freshness        func() model.DirectoryFreshness
 	workerIdentified func(model.WorkerID)
 	workerDescribed  func(sent time.Time, worker model.WorkerID, head dialect.ResponseHead)
-	detectCrash      func(quarantine.Run) (crashed bool)
+	runInterrupted   func(quarantine.Run) (seemsCrashed func() bool)
 	quarantine       *quarantine.Quarantine
 	// portClosed is called when nothing listens on the worker's port.
 	portClosed func()
@@ -160,10 +160,11 @@
 	Quarantine *quarantine.Quarantine
 	// PortClosed is called when nothing listens on the worker's port; it may be nil.
 	PortClosed func()
-	// DetectCrash is called for each run that was interrupted at the worker and reports
-	// whether the worker seems to have crashed. It may block for a tenth of a second; nil
-	// means never.
-	DetectCrash func(quarantine.Run) (crashed bool)
+	// RunInterrupted is called for each run that was interrupted at the worker, before its
+	// slot is free: the next attempt may find the worker down, and the run is evidence then.
+	// seemsCrashed reports whether the worker seems to have crashed and may block for a tenth
+	// of a second. Nil means that workers never crash.
+	RunInterrupted func(quarantine.Run) (seemsCrashed func() bool)
 }
 
 // NewExecutor returns an executor for one worker.
@@ -180,8 +181,8 @@
 	if cfg.WorkerDescribed == nil {
 		cfg.WorkerDescribed = func(time.Time, model.WorkerID, dialect.ResponseHead) {}
 	}
-	if cfg.DetectCrash == nil {
-		cfg.DetectCrash = func(quarantine.Run) bool { return false }
+	if cfg.RunInterrupted == nil {
+		cfg.RunInterrupted = func(quarantine.Run) func() bool { return func() bool { return false } }
 	}
 	x := &Executor{
 		owner:              cfg.Owner,
@@ -194,7 +195,7 @@
 		freshness:          cfg.DirectoryFreshness,
 		workerIdentified:   cfg.WorkerIdentified,
 		workerDescribed:    cfg.WorkerDescribed,
-		detectCrash:        cfg.DetectCrash,
+		runInterrupted:     cfg.RunInterrupted,
 		quarantine:         cfg.Quarantine,
 		waiters:            map[model.AttemptID]chan owner.Decision{},
 
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -73,14 +73,18 @@
 		c.Abandoned = !complete && cancelledByEntry(ctx)
 		c.Expired = !complete && ctx.Err() != nil && !c.Abandoned
 		cancel()
-		x.finish(m.Attempt.ID, c)
 		switch {
 		case complete:
+			x.finish(m.Attempt.ID, c)
 			x.completed(fp)
 		case c.Abandoned || c.Expired:
+			x.finish(m.Attempt.ID, c)
 			x.quarantine.RunAbandoned(time.Now(), fp.run(started))
 		default:
-			x.detectCrash(fp.run(started))
+			seemsCrashed := x.runInterrupted(fp.run(started))
+			x.finish(m.Attempt.ID, c)
+			// The entry must not retry before the evidence of a crash is complete.
+			seemsCrashed()
 		}
 	}}
 	response := &Response{
@@ -111,6 +115,10 @@
 func (x *Executor) failed(ctx context.Context, fp *fingerprinter, started time.Time, notRun bool) Result {
 	m := fp.message
 	cancelled := cancelledByEntry(ctx)
+	seemsCrashed := func() bool { return false }
+	if !notRun && ctx.Err() == nil {
+		seemsCrashed = x.runInterrupted(fp.run(started))
+	}
 	x.finish(m.Attempt.ID, owner.Completion{
 		ServiceTime: time.Since(started),
 		NotRun:      notRun,
@@ -129,13 +137,11 @@
 	switch {
 	case cancelled:
 		reason = model.ReasonCancelled
-	case notRun && fp.decision.Crashes > 0:
-		return Result{Refusal: x.refuseWorkerDown(fp)}
 	case notRun:
-		reason = delegatedReason(&m.Attempt, model.ReasonWorkerUnreachable)
+		return Result{Refusal: x.refuseWorkerDown(fp)}
 	case ctx.Err() != nil:
 		reason = model.ReasonExpired
-	case x.detectCrash(fp.run(started)):
+	case seemsCrashed():
 		reason = model.ReasonWorkerCrashed
 	}
 	return Result{Refusal: model.Refusal{Reason: reason, NotRun: notRun}}
--- a/internal/server/suspects.go
+++ b/internal/server/suspects.go
@@ -55,12 +55,18 @@
 	return !x.quarantine.Empty() || fp.message.Attempt.Crashes > 0
 }
 
-// refuseWorkerDown refuses an attempt of a suspect request whose worker could not be
-// reached: another owner gets it, or it waits for the worker.
+// refuseWorkerDown refuses an attempt whose worker could not be reached. If the request is
+// suspect, maybe only since the attempt was admitted, another owner gets it or it waits for
+// the worker.
 func (x *Executor) refuseWorkerDown(fp *fingerprinter) model.Refusal {
-	d := x.quarantine.EvaluateReroute(time.Now(), fp.fingerprint(), fp.submission(), fp.label())
-	d.Deferred = true
-	refusal := d.Refusal()
+	refusal := model.Refusal{Reason: model.ReasonWorkerUnreachable, NotRun: true}
+	if x.maybeSuspect(fp) {
+		d := x.quarantine.EvaluateReroute(time.Now(), fp.fingerprint(), fp.submission(), fp.label())
+		if d != (quarantine.Decision{}) {
+			d.Deferred = true
+			refusal = d.Refusal()
+		}
+	}
 	refusal.Reason = delegatedReason(&fp.message.Attempt, refusal.Reason)
 	return refusal
 }
--- a/internal/server/suspects_test.go
+++ b/internal/server/suspects_test.go
@@ -39,10 +39,10 @@
 		Fleet: func() *model.Fleet { return &model.Fleet{} },
 	})
 	x.quarantine = q
-	x.detectCrash = func(r quarantine.Run) bool {
+	x.runInterrupted = func(r quarantine.Run) func() bool {
 		q.RunFailed(time.Now(), r)
 		q.WorkerCrashed(time.Now())
-		return true
+		return func() bool { return true }
 	}
 	return x, q, runs
 }
@@ -297,6 +297,25 @@
 	}
 }
 
+// A deadly request waited in the queue of its first owner and was sent on to another one,
+// because the crash became known between its admission and its connection to the worker.
+func TestQueuedSuspectIsNotSentOnWhenWorkerIsFoundDown(t *testing.T) {
+	listener := httptest.NewServer(http.NotFoundHandler())
+	listener.Close()
+	x, q, _ := newSuspectExecutor(t)
+	x.address = strings.TrimPrefix(listener.URL, "http://")
+	m := messageOf(1, "/breaks", "", bufferedBody)
+	content := x.newFingerprinter(m).fingerprint()
+	x.worker = func() model.WorkerID {
+		q.RunFailed(time.Now(), quarantine.Run{Content: content, Started: time.Now()})
+		q.WorkerCrashed(time.Now())
+		return ""
+	}
+	if r := x.Do(t.Context(), m).Refusal; r.Reason != model.ReasonDeferred || !r.NotRun {
+		t.Errorf("got %+v; want it deferred", r)
+	}
+}
+
 // A deadly lookup was refused as not ready, and sent on to another owner, because its body
 // had been withheld, although it had none.
 func TestSuspectWithoutBodyIsEvaluatedWhenOffered(t *testing.T) {
