quarantine, owner, server: one owner at a time runs a request that no worker has completed yet

What callers saw: two submissions of one deadly request, 150 ms apart at two entries, took down two of the three workers of a busy service within some ms; until they were back a third served all, and a third run was needed to quarantine the request.

Cause: before the first crash nothing about a request was known beside its owner. The first submission waited in one owner's queue while another owner started the second (16 of 36 traced failures), or its worker's crash was not attributed yet (7) or not told yet (4); the measuring budget delays the check of the port by up to 0.1 s.

What is queued can be known before it runs. In a service that cannot spare two workers an owner now announces the content of what it queues, unless a run of it completed there of late: a lease, for a second at a time, until the worker responds, the attempt ends, or its run has lasted a second. Other owners leave equal content to the holder, by the way that deferred requests go already, and judge again right before a run; where two announcements cross, the running attempt has precedence, then a hash. At one owner equal content runs one at a time under the same conditions. A crash does not end the lease, so that nobody may run the request before the crash is told. Services of over 16 owners, and what can be spared, use none.

--- a/internal/failure/deadlyorder_test.go
+++ b/internal/failure/deadlyorder_test.go
@@ -14,6 +14,7 @@
 	"gypsumstand/internal/fake/worker"
 	"gypsumstand/internal/local"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/pause"
 	"gypsumstand/internal/wire"
 )
 
@@ -30,6 +31,8 @@
 	heldPath   = "/held"
 	// orderedTimeout exceeds all waits of a test.
 	orderedTimeout = 20 * time.Second
+	// busyTime is how long all slots are held until the owners take the service for busy.
+	busyTime = 3 * time.Second
 	// onePollInTwoSeconds is a measuring budget per second, half of which is for polls.
 	onePollInTwoSeconds = "1"
 	// usualBudget is the measuring budget per second of the tests' bundle.
@@ -357,3 +360,40 @@
 	<-second
 	f.wantDeadlyRunsOnlyAt(t, 0)
 }
+
+// Two submissions of a request that no worker had run were queued at two owners. Both ran
+// before any crash was known.
+func TestDeadlyRequestQueuedAtTwoOwnersRunsAtOneOnly(t *testing.T) {
+	t.Parallel()
+	f := startOrderedFleet(t, usualBudget)
+	for i := range f.workers {
+		f.hold(t, i, slots)
+	}
+	pause.For(t.Context(), busyTime)
+	first := f.startOffer(t, 0, deadlyPath)
+	await(t, "queued at the first owner", func() bool { return f.queuedAt(0) == 1 })
+	pause.For(t.Context(), deadlyInterval)
+	second := f.startOffer(t, 1, deadlyPath)
+	var early []reply
+	await(t, "queued or refused at the second owner", func() bool {
+		select {
+		case r := <-second:
+			early = append(early, r)
+		default:
+		}
+		return len(early) > 0 || f.queuedAt(1) == 1
+	})
+	for i := range f.workers {
+		close(f.workers[i].unhold)
+	}
+	await(t, "a deadly run at the first worker", func() bool {
+		deadly, _ := f.workers[0].counts()
+		return deadly > 0
+	})
+	f.crashAfterPoll(t, 0)
+	wantMayHaveRun(t, <-first)
+	if len(early) == 0 {
+		<-second
+	}
+	f.wantDeadlyRunsOnlyAt(t, 0)
+}
--- a/internal/owner/dispatch.go
+++ b/internal/owner/dispatch.go
@@ -53,6 +53,10 @@
 	// exclusive: workers crashed under the request, so no other exclusive attempt may run
 	// at the same time.
 	exclusive bool
+	// content is set if attempts of the same content run one at a time; held: another one
+	// is queued or running.
+	content model.Fingerprint
+	held    bool
 }
 
 // freeSlots returns the number of attempts that may start now.
@@ -111,6 +115,7 @@
 // release removes a started attempt and returns its slot.
 func (o *Owner) release(p *pendingAttempt) {
 	delete(o.pending, p.id)
+	o.leaveSerial(p)
 	o.slowdownSum -= p.slowdown
 	p.class.inFlight--
 	p.tenant.inFlight--
@@ -124,6 +129,7 @@
 func (o *Owner) refuseQueued(t time.Duration, p *pendingAttempt, r model.Refusal) {
 	o.queue.remove(p)
 	delete(o.pending, p.id)
+	o.leaveSerial(p)
 	if p.keyed && !mayRetryElsewhere(r.Reason) {
 		o.keys.remove(p)
 	}
--- a/internal/owner/offer.go
+++ b/internal/owner/offer.go
@@ -61,6 +61,9 @@
 	p := o.newPending(t, a)
 	p.stamp = stampOf(t, a, sameNode)
 	p.exclusive = restrictions.runsExclusively()
+	p.content = restrictions.Content
+	p.held = o.serial.leads(p.content)
+	p.mayMove = p.mayMove && !p.held
 	if r := o.refuseKey(t, p); r.Reason != model.ReasonNone {
 		return Refuse, r
 	}
@@ -302,6 +305,7 @@
 	o.pending[p.id] = p
 	p.log = o.attempts.logAdmitted(p.id, p.stamp)
 	o.keys.setRunning(p)
+	o.serial.join(p)
 }
 
 // refuseOffered fences an attempt that was never admitted and returns its refusal, as a
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -120,6 +120,7 @@
 	service     serviceStats
 	attempts    ledger
 	keys        keyTable
+	serial      serialSet
 	pause       pauseState
 	slowdown    slowdownTracker
 	breaker     breaker
@@ -146,6 +147,7 @@
 		limit:    newLimiter(),
 		attempts: newLedger(),
 		keys:     newKeyTable(),
+		serial:   serialSet{},
 		warming:  newWarming(),
 
 		rateLimit: rateLimit{mayBeNamed: cfg.WorkersNameRateLimits},
@@ -290,6 +292,9 @@
 		o.observeCompletion(t, p, f)
 		o.updateBreaker(t, f)
 	}
+	if !f.NotRun && f.Status != 0 {
+		o.endSerial(p.content)
+	}
 	o.release(p)
 	switch {
 	case !f.NotRun:
@@ -330,6 +335,7 @@
 	o.pause.unblock()
 	o.expireQueued(t)
 	o.reevaluateQueue(t)
+	o.endLongSerial(t)
 	o.refuseWhileCold(t)
 	o.refuseStopped(t)
 	o.attempts.expire(t)
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -93,12 +93,13 @@
 	tenant    *tenant
 	late      bool
 	exclusive bool
+	held      bool
 }
 
-// subqueueKeyOf separates exclusive attempts from the rest, as they may have to wait
-// while others start.
+// subqueueKeyOf separates exclusive and held attempts from the rest, as they may have to
+// wait while others start.
 func subqueueKeyOf(p *pendingAttempt) subqueueKey {
-	return subqueueKey{p.class, p.tenant, p.late, p.exclusive}
+	return subqueueKey{p.class, p.tenant, p.late, p.exclusive, p.held}
 }
 
 // queue holds the queued attempts. Only subqueues with attempts are in nonEmpty, so the
--- a/internal/owner/restrictions.go
+++ b/internal/owner/restrictions.go
@@ -20,6 +20,9 @@
 	// it. RetryAfter is the expected time until a worker that crashed under it is back.
 	OnlyOwner  model.InstanceID
 	RetryAfter time.Duration
+	// Content identifies a request of which one attempt at a time may run here; zero for
+	// others. See serialSet.
+	Content model.Fingerprint
 }
 
 // exclusiveAfterCrashes is the number of crashes under one submission from which it runs
--- a/internal/owner/shares.go
+++ b/internal/owner/shares.go
@@ -161,7 +161,7 @@
 	var bestBounded, bestUnder bool
 	for _, s := range o.queue.nonEmpty {
 		p := s.first()
-		if o.waitsForRecovery(t, p) || o.waitsForExclusive(p) {
+		if p.held || o.waitsForRecovery(t, p) || o.waitsForExclusive(p) {
 			continue
 		}
 		bounded := s.tenant.atBound(limit)
--- a/internal/proof/deadly.go
+++ b/internal/proof/deadly.go
@@ -151,6 +151,45 @@
 	return refusal
 }
 
+// unprovenContent returns the content of a job of which one may run at a time, else zero.
+func (j *job) unprovenContent() model.Fingerprint {
+	if f := j.submission().fingerprint(); j.proc.core.Quarantine.Unproven(f) {
+		return f
+	}
+	return model.Fingerprint{}
+}
+
+// acquireLease announces a queued job (server.Executor.acquireLease).
+func (j *job) acquireLease() {
+	j.leased = j.proc.core.Quarantine.AcquireLease(j.submission().fingerprint(), j.offered.Add(j.attempt.Remaining))
+	j.proc.suspectsChanged()
+}
+
+// leaseRunning records that a job with a lease starts.
+func (j *job) leaseRunning() {
+	if j.leased {
+		j.proc.core.Quarantine.LeaseRunning(j.proc.w.now, j.submission().fingerprint())
+		j.proc.suspectsChanged()
+	}
+}
+
+// releaseLease gives up the job's lease, if it holds one.
+func (j *job) releaseLease(r *result) {
+	if !j.leased {
+		return
+	}
+	j.leased = false
+	end := quarantine.LeaseUnserved
+	switch {
+	case r.response != nil:
+		end = quarantine.LeaseServed
+	case r.refusal.Reason == model.ReasonWorkerCrashed:
+		end = quarantine.LeaseCrashed
+	}
+	j.proc.core.Quarantine.ReleaseLease(j.submission().fingerprint(), end)
+	j.proc.suspectsChanged()
+}
+
 // detectCrash reports a failed run to the quarantine. It returns true when the worker has
 // crashed, which a refused connection also shows (package node).
 func (j *job) detectCrash() (crashed bool) {
--- a/internal/proof/executor.go
+++ b/internal/proof/executor.go
@@ -36,6 +36,8 @@
 	run    *run
 	// decision is the quarantine's latest decision about the job.
 	decision quarantine.Decision
+	// leased reports that the job holds a lease.
+	leased bool
 	// reply takes the result; nil when no entry waits for it.
 	reply func(result)
 }
@@ -64,6 +66,7 @@
 	switch kind {
 	case owner.Queue:
 		p.queued[j.attempt.ID] = j
+		j.acquireLease()
 	case owner.Refuse:
 		j.refuse(refusal)
 	default:
@@ -80,7 +83,7 @@
 	decision := j.evaluate()
 	kind, refusal := p.core.Owner.OfferSuspect(p.w.now, &attempt, j.sameNode, owner.Restrictions{
 		Crashes: int(attempt.Crashes), Exclusive: decision.Exclusive(), Refusal: decision.Refusal(),
-		OnlyOwner: decision.OnlyOwner, RetryAfter: decision.RetryAfter,
+		OnlyOwner: decision.OnlyOwner, RetryAfter: decision.RetryAfter, Content: j.unprovenContent(),
 	})
 	if p.w.options.ignoreLeaving && p.leaving() && refusal.Reason == model.ReasonLeaving {
 		j.forced = true
@@ -128,6 +131,7 @@
 	}
 	j.attempt.Remaining -= j.started.Sub(j.offered)
 	j.state = jobRunning
+	j.leaseRunning()
 	if j.cancelled || j.expired || j.attempt.Remaining <= 0 {
 		j.fail(true)
 		return
@@ -254,6 +258,7 @@
 
 func (j *job) end(r result) {
 	j.state = jobDone
+	j.releaseLease(&r)
 	j.proc.jobs = slices.DeleteFunc(j.proc.jobs, func(o *job) bool { return o == j })
 	if j.reply != nil {
 		j.reply(r)
--- a/internal/quarantine/correlator.go
+++ b/internal/quarantine/correlator.go
@@ -86,12 +86,12 @@
 	c.abandoned = appendNewest(c.abandoned, failedRun{r, now}, maxAbandoned)
 }
 
-// appendNewest appends a run and drops the oldest one if the list has reached its limit.
-func appendNewest(runs []failedRun, r failedRun, limit int) []failedRun {
-	if len(runs) == limit {
-		runs = runs[1:]
+// appendNewest appends an element and drops the oldest one if the list has reached its limit.
+func appendNewest[E any](list []E, newest E, limit int) []E {
+	if len(list) == limit {
+		list = list[1:]
 	}
-	return append(runs, r)
+	return append(list, newest)
 }
 
 // WorkerCrashed records at time now that the worker crashed, and returns the runs that were
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -83,12 +83,16 @@
 		q.gossip.queryRounds = initialQueryRounds
 	case control.SuspectsChanged:
 		out = q.sendUpdates(now, out)
+		out = q.sendLeases(now, out)
 	case control.Tick:
 		if share, known := q.slotUse(now); known {
 			q.observeUse(share, now.Sub(q.lastTick))
 		}
 		q.lastTick = now
+		q.updateFragile(now)
+		q.expireLeases(now)
 		out = q.sendUpdates(now, out)
+		out = q.sendLeases(now, out)
 		out = q.runRound(now, out)
 		q.expire(now)
 	}
@@ -266,6 +270,7 @@
 		return q.newUpdate(true)
 	}
 	q.mergeUpdate(now, update, fleetWide)
+	q.mergeLeases(now, update)
 	if !update.Compare {
 		return q.newUpdate(fleetWide)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -8,7 +8,8 @@
 // the record of each suspect request and classify it, secondcrash.go decides on requests
 // with two crashes, and coordinator.go where a suspect request may run. merge.go merges the
 // records of peers, and gossip.go and contacts.go decide which peers to send them to, and
-// when.
+// when. lease.go and leasegossip.go give one owner at a time the right to run a request
+// that no worker has completed yet.
 package quarantine
 
 import (
@@ -46,6 +47,10 @@
 	slotUse     func(now time.Time) (share float64, known bool)
 	correlator  CrashCorrelator
 	completed   recentRuns
+	// fragile reports that the service cannot spare two workers at a time.
+	fragile atomic.Bool
+	// peerLeases is the number of peers' leases.
+	peerLeases atomic.Int64
 	// size is the number of records: while it is zero no fingerprint needs to be computed.
 	size    atomic.Int64
 	changed chan struct{}
@@ -57,6 +62,7 @@
 	crashIDsAllocated, crashesAttributed uint64
 	gossip                               gossip
 	recovery                             recovery
+	leases                               leases
 	// averageUse is the average share of this node's worker slots in use, as of lastTick.
 	averageUse float64
 	lastTick   time.Time
@@ -75,7 +81,7 @@
 	return &Quarantine{
 		self: cfg.Self, started: cfg.Started, incarnation: uint64(cfg.Started.UnixNano()),
 		fleet: cfg.Fleet, slotUse: cfg.SlotUse, averageUse: 1, lastTick: cfg.Started,
-		changed: make(chan struct{}, 1), table: newTable(), gossip: gossip{queryRounds: initialQueryRounds},
+		changed: make(chan struct{}, 1), table: newTable(), gossip: gossip{queryRounds: initialQueryRounds}, leases: newLeases(),
 	}
 }
 
@@ -110,8 +116,8 @@
 	// Trial reports whether the quarantined request may run this once, exclusively.
 	Trial bool
 	// OnlyOwner, if set, is the only owner at which the request may run, as a worker may
-	// crash under it again; RetryAfter is then the time until a crashed worker is expected
-	// to recover. Deferred reports that this node is not that owner, or that the owner is
+	// crash under it again, or as that owner holds its lease; RetryAfter is then the time
+	// until a crashed worker is expected to recover. Deferred reports that this node is not that owner, or that the owner is
 	// unknown.
 	OnlyOwner model.InstanceID
 	Deferred  bool
@@ -146,6 +152,11 @@
 	return d.Trial || d.OnlyOwner != "" || d.Crashes >= exclusiveThreshold
 }
 
+// unrestricted reports whether the request may run here like any other.
+func (d Decision) unrestricted() bool {
+	return !d.Quarantined && !d.Trial && !d.Deferred && d.OnlyOwner == ""
+}
+
 // Limits of Retry-After.
 const (
 	minRetry = time.Second
@@ -155,11 +166,20 @@
 // Evaluate decides how an owner treats a request that is offered to it. label describes the
 // request.
 func (q *Quarantine) Evaluate(now time.Time, content model.Fingerprint, s Submission, label string) Decision {
-	if q.Empty() && s.Crashes == 0 {
+	if q.Empty() && s.Crashes == 0 && !q.HasPeerLeases() {
 		return Decision{}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	d := q.evaluateRecord(now, content, s, label)
+	if d.unrestricted() && !s.Granted {
+		q.deferToLease(now, content, &d)
+	}
+	return d
+}
+
+// evaluateRecord decides by the crashes under a request.
+func (q *Quarantine) evaluateRecord(now time.Time, content model.Fingerprint, s Submission, label string) Decision {
 	r := q.table.records[content]
 	switch {
 	case r != nil:
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -281,15 +281,19 @@
 	fp := x.newFingerprinter(m)
 	refusal := x.admit(ctx, fp, offered)
 	if refusal != nil {
+		x.releaseLease(fp, quarantine.LeaseUnserved)
 		return x.refused(m, *refusal, offered)
 	}
 	started := time.Now()
 	if !x.owner.Confirm(started, m.Attempt.ID) {
 		x.finish(m.Attempt.ID, owner.Completion{NotRun: true})
+		x.releaseLease(fp, quarantine.LeaseUnserved)
 		return x.refused(m, model.Refusal{Reason: model.ReasonExpired, NotRun: true}, offered)
 	}
 	m.Attempt.Remaining -= started.Sub(offered)
+	x.leaseRunning(fp, started)
 	r := x.run(ctx, fp, started)
+	x.releaseLease(fp, leaseEnd(&r))
 	r.Times = wire.AttemptTimes{Queued: started.Sub(offered), Worker: time.Since(started)}
 	r.Report = x.report(time.Now())
 	x.logEnd(m, &r)
@@ -314,6 +318,7 @@
 		return x.endWithdrawn(id, ch, kind)
 	}
 	if kind == owner.Queue {
+		x.acquireLease(fp, now)
 		refusal := x.wait(ctx, id, ch)
 		if refusal != nil {
 			return refusal
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -51,6 +51,7 @@
 	if head.Refusal != model.ReasonWorkerReplaced {
 		x.workerDescribed(started, worker, head)
 	}
+	x.responding(fp, head)
 	if head.NotRun {
 		defer cancel()
 		defer resp.Body.Close()
--- a/internal/server/fingerprint.go
+++ b/internal/server/fingerprint.go
@@ -19,6 +19,8 @@
 	hostOfRoute func(host, method, path string) string
 	// cached is the fingerprint once it has been computed.
 	cached model.Fingerprint
+	// leased reports that the request holds a lease.
+	leased bool
 	// decision is the quarantine's last decision.
 	decision quarantine.Decision
 	// stream hashes a streamed body; nil for others.
--- a/internal/server/suspects.go
+++ b/internal/server/suspects.go
@@ -41,7 +41,13 @@
 // complete yet is evaluated by refusalBeforeRun only.
 func (x *Executor) restrictions(now time.Time, fp *fingerprinter) owner.Restrictions {
 	r := owner.Restrictions{Crashes: int(fp.message.Attempt.Crashes)}
-	if !x.maybeSuspect(fp) || !fp.complete() {
+	if !fp.complete() {
+		return r
+	}
+	if x.quarantine.Fragile() && x.quarantine.Unproven(fp.fingerprint()) {
+		r.Content = fp.fingerprint()
+	}
+	if !x.maybeSuspect(fp) {
 		return r
 	}
 	d := x.evaluate(now, fp)
@@ -52,7 +58,7 @@
 
 // maybeSuspect reports whether the request may be a suspect one.
 func (x *Executor) maybeSuspect(fp *fingerprinter) bool {
-	return !x.quarantine.Empty() || fp.message.Attempt.Crashes > 0
+	return !x.quarantine.Empty() || fp.message.Attempt.Crashes > 0 || x.quarantine.HasPeerLeases()
 }
 
 // refuseWorkerDown refuses an attempt whose worker could not be reached. If the request is
@@ -79,10 +85,16 @@
 // complete by now, and may have been quarantined while it was queued. Nil lets the
 // attempt run.
 func (x *Executor) refusalBeforeRun(fp *fingerprinter) *model.Refusal {
-	if !x.maybeSuspect(fp) || fp.decision.Trial {
+	if fp.decision.Trial {
 		return nil
 	}
 	id := fp.message.Attempt.ID
+	if refusal := x.serializeLate(fp); refusal != nil {
+		return refusal
+	}
+	if !x.maybeSuspect(fp) {
+		return nil
+	}
 	if fp.readPrefix() != nil {
 		x.finish(id, owner.Completion{NotRun: true, Abandoned: true})
 		return &model.Refusal{Reason: model.ReasonCancelled, NotRun: true}
--- a/internal/wire/suspects.go
+++ b/internal/wire/suspects.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/binary"
 	"fmt"
 
 	"gypsumstand/internal/model"
@@ -14,6 +15,8 @@
 	SuspectBuckets = 16
 	// MaxSuspectCrashes is the number of crashes in one record.
 	MaxSuspectCrashes = 8
+	// MaxLeases is the number of leases of each kind in one message.
+	MaxLeases = 16
 	// MaxSuspectBytes bounds a message: its records with their crashes and the crashes'
 	// owners.
 	MaxSuspectBytes = 64 << 10
@@ -35,8 +38,22 @@
 	// Compare reports that the sender asks for the records that it is missing. Without it
 	// Digests is absent and the reply is empty.
 	Compare bool `cbor:"5,keyasint,omitempty"`
+	// Leases are the keys of leases of which the sender's requests are queued, LeasesRunning
+	// of those of which one runs, LeasesEnded of those that it no longer holds. A message with
+	// any of them sets Service.
+	Leases        []LeaseKey `cbor:"7,keyasint,omitempty"`
+	LeasesRunning []LeaseKey `cbor:"8,keyasint,omitempty"`
+	LeasesEnded   []LeaseKey `cbor:"9,keyasint,omitempty"`
 }
 
+// LeaseKey identifies the content of a lease: a lease gives an owner the sole right to run
+// requests of that content. It is a part of the fingerprint, as messages about leases are
+// frequent. Two contents with equal keys only wait for each other.
+type LeaseKey uint64
+
+// NewLeaseKey returns the key of a request's content.
+func NewLeaseKey(f model.Fingerprint) LeaseKey { return LeaseKey(binary.BigEndian.Uint64(f[:])) }
+
 // SuspectBucket returns the bucket of a request's record.
 func SuspectBucket(f model.Fingerprint) int { return int(f[len(f)-1]) % SuspectBuckets }
 
@@ -112,6 +129,9 @@
 		return SuspectUpdate{}, fmt.Errorf("suspect requests: %d records are over the bound of %d",
 			len(n.Records), MaxSuspects)
 	}
+	if leases := max(len(n.Leases), len(n.LeasesRunning), len(n.LeasesEnded)); leases > MaxLeases {
+		return SuspectUpdate{}, fmt.Errorf("suspect requests: %d leases are over the bound of %d", leases, MaxLeases)
+	}
 	if parts := len(n.Digests); parts != 0 && parts != SuspectBuckets {
 		return SuspectUpdate{}, fmt.Errorf("suspect requests: %d digests; want none or %d", parts, SuspectBuckets)
 	}
