quarantine: after two crashes together all owners name the same coordinator

What callers saw: when two workers crashed some milliseconds apart under one request, all its submissions were refused as held-back for maxDeferral (15 s), also those of an innocent one, though both workers were back after seconds.

Cause: the owner of the last crash coordinates, and each node compared the crash times that it knows. Its own are exact, a peer's is the receipt less the age in whole ms, hence late by the message's way. So each of the two owners took the other's crash for the last, and named it as the only owner.

Change: the owner is chosen without times. Of the crashes of the record that with the strongest evidence counts (a run that began when a crash was known came after that crash), and of equal ones that with the greatest ID. Both are set by the crash's owner and carried unchanged to all others. Times remain where an error of milliseconds only shifts a wait: the downtime of a worker (assign, EvaluateReroute), Retry-After, and the end of the deferral.

Why it holds: evidence and ID are a total order that is the same at all nodes, and an owner always knows its own crash. An owner that names another knows a greater crash than its own, so redirections only rise and end at the owner of the greatest known one, also while updates are on their way. This covers the choice by crash; the choice by rendezvous hashing (after maxDeferral, or where that owner does not admit) depends on equal views as before. The coordinator may now be the one of the two that crashed first: assign waits for the other worker by lastCrashes as it did before. A provisional record has a single crash without owner or ID and gives the empty owner as before.

Evidence: TestOneOwnerRunsRequestAfterTwoCrashesTogether, 144 cases: 2, 3 and 7 owners, gaps of 0, 1, 3, 10, 40 ms and 1 s, 8 seeds, which choose the pair, its order and the delays of messages.

--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxDeferral is how long after its last crash a request is restricted to the worker
-	// that crashed under it. A worker that is down for longer may never recover.
+	// maxDeferral is how long after its last crash a request is restricted to a worker that
+	// crashed under it. A worker that is down for longer may never recover.
 	maxDeferral = 15 * time.Second
 	// downtimeMargin is the multiple of the usual recovery time for which a worker counts
 	// as down after a crash.
@@ -38,9 +38,9 @@
 }
 
 // restrict completes the decision on a request that may run at one owner only, so that it
-// risks one worker at a time however often and wherever it is submitted. The owner whose
-// worker crashed last under the request coordinates it, since no two nodes have the same
-// view of a service's state.
+// risks one worker at a time however often and wherever it is submitted. The owner of the
+// coordinating crash coordinates it, since no two nodes have the same view of a service's
+// state.
 func (q *Quarantine) restrict(now time.Time, r *record, s Submission, d *Decision) {
 	if !q.isRestricted(r) {
 		return
@@ -58,18 +58,18 @@
 	d.RetryAfter = max(q.recovery.remaining(now.Sub(last)), minRetry)
 }
 
-// coordinator returns the owner that decides where a request may run: the one whose worker
-// crashed last under it, or the empty ID if that is not known here. After maxDeferral, or
-// if that owner no longer admits requests, rendezvous hashing selects another one, the same
-// on all nodes with equal views.
+// coordinator returns the owner that decides where a request may run: that of its
+// coordinating crash, or the empty ID if that is not known here. After maxDeferral, or if
+// that owner no longer admits requests, rendezvous hashing selects another one, the same on
+// all nodes with equal views.
 func (q *Quarantine) coordinator(now time.Time, r *record) model.InstanceID {
 	owners := q.findNeighbours().admitting
 	if len(owners) == 0 {
 		return q.self.ID
 	}
-	last := r.lastCrash()
-	if now.Sub(last.at) < maxDeferral && (last.owner == "" || last.owner == q.self.ID || slices.Contains(owners, last.owner)) {
-		return last.owner
+	owner := r.coordinatingCrash().owner
+	if now.Sub(r.lastCrashTime()) < maxDeferral && (owner == "" || owner == q.self.ID || slices.Contains(owners, owner)) {
+		return owner
 	}
 	return rendezvousOwner(r.content, owners)
 }
--- a/internal/quarantine/coordinator_test.go
+++ b/internal/quarantine/coordinator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -347,3 +348,39 @@
 		t.Error("the request does not run once the worker should have recovered")
 	}
 }
+
+// Two owners whose workers crashed some milliseconds apart each take the other's crash for
+// the last one, as they learn of it late, and no owner runs the request.
+func TestOneOwnerRunsRequestAfterTwoCrashesTogether(t *testing.T) {
+	for _, n := range []int{2, 3, 7} {
+		for _, gap := range []time.Duration{0, time.Millisecond, 3 * time.Millisecond, 10 * time.Millisecond, 40 * time.Millisecond, time.Second} {
+			for seed := range uint64(8) {
+				t.Run(fmt.Sprintf("%d workers, %s apart, seed %d", n, gap, seed), func(t *testing.T) {
+					u := newUpstreams(n, 0.8)
+					u.rng = rand.New(rand.NewPCG(seed, 2))
+					pair := u.rng.Perm(n)
+					u.crashTogether(content(1), gap, u.owners[pair[0]], u.owners[pair[1]])
+					u.wantOneAdmitting(t, u.owners, content(1))
+					for _, first := range u.owners {
+						before := u.runs
+						u.offer(first, content(1), crashingRun, never, Submission{}, 0)
+						if u.runs != before+1 {
+							t.Errorf("a submission that %s receives first is refused", first.instance.ID)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// crashTogether makes two workers crash under runs of one request that began before either
+// crash, and waits until no worker counts as down.
+func (u *upstreams) crashTogether(c model.Fingerprint, gap time.Duration, first, second *node) {
+	r := Run{Content: c, Started: u.now}
+	u.simulate(crashingRun)
+	u.crash(first, r)
+	u.simulate(gap)
+	u.crash(second, r)
+	u.simulate(time.Duration(downtimeMargin*float64(workerDowntime)) + time.Second)
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -110,6 +110,21 @@
 	return count, alreadySuspect
 }
 
+// coordinatingCrash returns the crash whose owner coordinates the request: of those with
+// the strongest evidence, which as a rule are the latest ones, the one with the greatest
+// ID. All nodes that hold the same crashes return the same one, and no two owners return
+// each other's. Times are not compared, as each node learns those of its peers' crashes
+// with a different error.
+func (r *record) coordinatingCrash() crash {
+	var out crash
+	for _, c := range r.crashes {
+		if cmp.Or(cmp.Compare(c.weight(), out.weight()), cmp.Compare(c.id, out.id)) > 0 {
+			out = c
+		}
+	}
+	return out
+}
+
 // lastCrash returns the latest crash under the request.
 func (r *record) lastCrash() crash {
 	var last crash
