window: one counter of events within a sliding window, for soak, proof and platform's tests

Cause: the most starts within a window were counted in five places in three shapes: twice in the soak (cold and rate-limited workers, with the same excuses), twice in the proof, once in platform's tests. Change: window.Counter counts them; the soak's two checks share the excuses. The ledger's test of each check now has the limit of cold workers too, which it lacked. The count in owner's test stays, and that in measure's, whose window is closed. Behaviour unchanged.

--- a/internal/proof/ratelimit.go
+++ b/internal/proof/ratelimit.go
@@ -5,6 +5,7 @@
 
 	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/owner"
+	"gypsumstand/internal/window"
 )
 
 // Bounds of workers that name a rate limit, in plans with RateLimits set.
@@ -37,7 +38,7 @@
 // startRateLimit makes the worker name a limit until d has passed.
 func (wk *worker) startRateLimit(perSecond float64, d time.Duration) {
 	wk.rateLimit, wk.limitedUntil = perSecond, wk.node.w.now.Add(d)
-	wk.limitHeard, wk.limitedArrivals = false, nil
+	wk.limitHeard, wk.limitedArrivals = false, window.NewCounter(rateLimitWindow)
 }
 
 // namedRateLimit returns what a response says of the worker's rate limit.
@@ -87,14 +88,10 @@
 	if !wk.limited() || !wk.limitHeard {
 		return
 	}
-	now := wk.node.w.now
 	wk.node.w.ledger.count("requests at limited workers")
-	wk.limitedArrivals = append(wk.limitedArrivals, now)
-	for now.Sub(wk.limitedArrivals[0]) >= rateLimitWindow {
-		wk.limitedArrivals = wk.limitedArrivals[1:]
-	}
+	n := wk.limitedArrivals.Add(wk.node.w.now)
 	allowed := rateLimitTolerance*wk.rateLimit*rateLimitWindow.Seconds() + rateLimitSlack
-	if n := len(wk.limitedArrivals); float64(n) > allowed {
+	if float64(n) > allowed {
 		wk.node.w.ledger.violate(promiseRateLimit,
 			"the worker of %s named a limit of %v a second and received %d requests in %v, allowed %.0f", wk.node.id, wk.rateLimit, n, rateLimitWindow, allowed)
 	}
--- a/internal/proof/warming.go
+++ b/internal/proof/warming.go
@@ -33,13 +33,8 @@
 	if !wk.node.w.options.warming || wk.warmingLeft() == 0 {
 		return
 	}
-	now := wk.node.w.now
 	wk.node.w.ledger.count("requests at warming workers")
-	wk.warmingArrivals = append(wk.warmingArrivals, now)
-	for now.Sub(wk.warmingArrivals[0]) >= time.Second {
-		wk.warmingArrivals = wk.warmingArrivals[1:]
-	}
-	if n := len(wk.warmingArrivals); n > maxWarmingPerSecond {
+	if n := wk.warmingArrivals.Add(wk.node.w.now); n > maxWarmingPerSecond {
 		wk.node.w.ledger.violate(promiseWarming,
 			"the worker of %s received %d requests within a second while it was warming", wk.node.id, n)
 	}
--- a/internal/proof/worker.go
+++ b/internal/proof/worker.go
@@ -7,6 +7,7 @@
 	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/health"
 	"gypsumstand/internal/model"
+	"gypsumstand/internal/window"
 )
 
 // Times of a worker.
@@ -36,7 +37,7 @@
 	// warmingUntil is when the warm-up ends; warmingArrivals are the requests of the last
 	// second that arrived during it.
 	warmingUntil    time.Time
-	warmingArrivals []time.Time
+	warmingArrivals window.Counter
 	// announces: responses say that the worker is leaving, until it is replaced.
 	announces bool
 	// rateLimit is the limit that the worker names until limitedUntil, in requests a second;
@@ -46,7 +47,7 @@
 	limitedUntil    time.Time
 	limitInHealth   bool
 	limitHeard      bool
-	limitedArrivals []time.Time
+	limitedArrivals window.Counter
 	// lastRequest is the request that was answered last.
 	lastRequest model.RequestID
 }
@@ -87,7 +88,10 @@
 }
 
 func newWorker(n *node) *worker {
-	return &worker{node: n, slowdown: 1, reported: health.Poll{Answered: true, OK: true}}
+	return &worker{
+		node: n, slowdown: 1, reported: health.Poll{Answered: true, OK: true},
+		warmingArrivals: window.NewCounter(time.Second), limitedArrivals: window.NewCounter(rateLimitWindow),
+	}
 }
 
 func (wk *worker) refusesConnections() bool { return wk.cold }
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -112,6 +112,13 @@
 			l.add(late)
 			l.recordRun(standin.Run{ID: "late", Service: serviceOrders, Worker: "w1-0", StartedAt: late.sent})
 		},
+		"cold: w1-0": func(l *ledger) {
+			for i := range maxColdRequestsPerS + 1 {
+				r := servedRequest(fmt.Sprint("cold", i), "browse", serviceCatalogue, time.Second)
+				r.runs[0].Cold = true
+				l.add(r)
+			}
+		},
 		"limit: w1-0": func(l *ledger) {
 			l.rateLimits = []rateLimitSpan{{span: span{from: testStart}, worker: "w1-0", perSecond: 3}}
 		},
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math"
-	"sort"
 	"strconv"
 	"time"
 )
@@ -103,22 +102,9 @@
 }
 
 func (l *ledger) checkRateLimit(limit rateLimitSpan, times []time.Time) {
-	machine := workerMachine(limit.worker)
 	allowed := limitTolerance*limit.perSecond*limitWindow.Seconds() + limitSlack
-	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
-	from := 0
-	for i, at := range times {
-		for at.Sub(times[from]) >= limitWindow {
-			from++
-		}
-		if float64(i-from+1) <= allowed {
-			continue
-		}
-		since := times[from].Add(-time.Second)
-		if faultFree(l.burstSpans[machine], since, at) && faultFree(l.stalls[machine], since, at) {
-			l.addViolation("limit", "%s named a limit of %s a second and got %d requests in %s, allowed %.0f",
-				limit.worker, fmt.Sprint(limit.perSecond), i-from+1, limitWindow, allowed)
-			return
-		}
+	if n := l.unexcusedExcess(limit.worker, times, limitWindow, allowed); n > 0 {
+		l.addViolation("limit", "%s named a limit of %s a second and got %d requests in %s, allowed %.0f",
+			limit.worker, fmt.Sprint(limit.perSecond), n, limitWindow, allowed)
 	}
 }
--- a/internal/soak/zones.go
+++ b/internal/soak/zones.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"sort"
+	"slices"
 	"time"
 
+	"gypsumstand/internal/window"
 	"gypsumstand/platform/standin"
 )
 
@@ -123,20 +124,27 @@
 }
 
 func (l *ledger) checkColdWorker(worker string, times []time.Time) {
+	if n := l.unexcusedExcess(worker, times, time.Second, maxColdRequestsPerS); n > 0 {
+		l.addViolation("cold", "%s got %d requests within a second while it was cold, limit %d", worker, n, maxColdRequestsPerS)
+	}
+}
+
+// unexcusedExcess returns the number of requests that a worker received within a window of
+// a length when that first was more than allowed, or zero. Bursts and stalls on the way to
+// the worker excuse a window. times are the requests' starts, which it sorts; l.mu is held.
+func (l *ledger) unexcusedExcess(worker string, times []time.Time, length time.Duration, allowed float64) int {
 	machine := workerMachine(worker)
-	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
-	from := 0
-	for i, at := range times {
-		for at.Sub(times[from]) >= time.Second {
-			from++
-		}
-		if i-from+1 <= maxColdRequestsPerS {
+	slices.SortFunc(times, time.Time.Compare)
+	recent := window.NewCounter(length)
+	for _, at := range times {
+		n := recent.Add(at)
+		if float64(n) <= allowed {
 			continue
 		}
-		since := times[from].Add(-time.Second)
+		since := recent.Oldest().Add(-time.Second)
 		if faultFree(l.burstSpans[machine], since, at) && faultFree(l.stalls[machine], since, at) {
-			l.addViolation("cold", "%s got %d requests within a second while it was cold, limit %d", worker, i-from+1, maxColdRequestsPerS)
-			return
+			return n
 		}
 	}
+	return 0
 }
