soak: spans of faults and of bursts are opened in one place

Cause: four copies of the same lock, append and close, three of them in one function. Change: beginSpan serves them; the store's faults are those of the place storeFaults, which callers already named -1, and what is free of faults and planned operations is asked in one place. Behaviour unchanged.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -79,7 +79,7 @@
 		f.configureRepeatedly(ctx, flt)
 		return
 	case kindStoreDown, kindStoreSlow:
-		defer f.ledger.beginFault(-1, false)()
+		defer f.ledger.beginFault(storeFaults, false)()
 		faults := standin.StoreFaults{Status: http.StatusServiceUnavailable}
 		if flt.machine%2 == 0 {
 			faults = standin.StoreFaults{Hang: true}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -55,11 +55,10 @@
 	requests map[string]*request
 	// order lists the requests in the order of submission.
 	order []*request
-	// machineFaults, by machine, and storeFaults hold the spans of faults; plannedFaults
-	// holds those of planned operations.
+	// machineFaults holds the spans of faults, by machine or storeFaults, plannedFaults
+	// those of planned operations.
 	machineFaults map[int][]span
 	plannedFaults map[int][]span
-	storeFaults   []span
 	// drainedAt holds, by worker id, the time at which a worker was listed as draining or
 	// its entry was replaced.
 	drainedAt map[string]time.Time
@@ -93,9 +92,6 @@
 	watchEnd time.Time
 }
 
-// span is a period of time; its end is zero while it lasts.
-type span struct{ from, to time.Time }
-
 func newLedger() *ledger {
 	return &ledger{
 		requests: map[string]*request{}, machineFaults: map[int][]span{}, plannedFaults: map[int][]span{},
@@ -198,57 +194,6 @@
 	delete(l.drainedAt, worker)
 }
 
-// beginFault opens a span of faults and returns the function that closes it. machine is
-// -1 for the store.
-func (l *ledger) beginFault(machine int, planned bool) (end func()) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	storeSpans := &l.storeFaults
-	var index int
-	switch {
-	case machine < 0:
-		index = len(*storeSpans)
-		*storeSpans = append(*storeSpans, span{from: time.Now()})
-		return func() {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.storeFaults[index].to = time.Now()
-		}
-	case planned:
-		index = len(l.plannedFaults[machine])
-		l.plannedFaults[machine] = append(l.plannedFaults[machine], span{from: time.Now()})
-		return func() {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			l.plannedFaults[machine][index].to = time.Now()
-		}
-	}
-	index = len(l.machineFaults[machine])
-	l.machineFaults[machine] = append(l.machineFaults[machine], span{from: time.Now()})
-	return func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.machineFaults[machine][index].to = time.Now()
-	}
-}
-
-// faultFree reports whether no span of list overlaps the time between from and to.
-func faultFree(list []span, from, to time.Time) bool {
-	for _, s := range list {
-		if s.from.Before(to) && (s.to.IsZero() || s.to.After(from)) {
-			return false
-		}
-	}
-	return true
-}
-
-// undisturbed reports whether a machine and the store were free of faults and planned
-// operations from undisturbedTime before from until to.
-func (l *ledger) undisturbed(machine int, from, to time.Time) bool {
-	from = from.Add(-undisturbedTime)
-	return faultFree(l.machineFaults[machine], from, to) && faultFree(l.plannedFaults[machine], from, to) && faultFree(l.storeFaults, from, to)
-}
-
 // check runs the checks that need the complete record and returns all violations.
 func (l *ledger) check() []string {
 	l.mu.Lock()
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -98,7 +98,7 @@
 // toldInTime reports whether the machine where a request began is bound by a limit: it ran
 // undisturbed since the limit was named.
 func (l *ledger) toldInTime(limit rateLimitSpan, r *request) bool {
-	return faultFree(l.machineFaults[r.machine], limit.from, r.completed) && faultFree(l.plannedFaults[r.machine], limit.from, r.completed)
+	return l.machineFaultFree(r.machine, limit.from, r.completed)
 }
 
 func (l *ledger) checkRateLimit(limit rateLimitSpan, times []time.Time) {
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -39,7 +39,7 @@
 		return
 	}
 	defer f.restoring.Store(false)
-	defer f.ledger.beginFault(-1, false)()
+	defer f.ledger.beginFault(storeFaults, false)()
 	copied := time.Now().Add(-minCopyAge - flt.duration)
 	for range foreignWrites {
 		f.store.Put("app/other", "{}")
@@ -134,7 +134,7 @@
 	if !ok || r.sent.Sub(told) <= maxDrainTime {
 		return
 	}
-	if faultFree(l.machineFaults[r.machine], told, run.StartedAt) && faultFree(l.plannedFaults[r.machine], told, run.StartedAt) {
+	if l.machineFaultFree(r.machine, told, run.StartedAt) {
 		l.addViolation("announced", "%s was sent to machine %d %s after it had passed on that %s was leaving, and reached it",
 			r.id, r.machine, r.sent.Sub(told).Round(time.Millisecond), run.Worker)
 	}
--- a/internal/soak/zones.go
+++ b/internal/soak/zones.go
@@ -93,20 +93,6 @@
 	return false
 }
 
-// beginBursts opens a span in which a machine's worker may receive bursts, and returns
-// the function that closes it.
-func (l *ledger) beginBursts(machine int) (end func()) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	index := len(l.burstSpans[machine])
-	l.burstSpans[machine] = append(l.burstSpans[machine], span{from: time.Now()})
-	return func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.burstSpans[machine][index].to = time.Now()
-	}
-}
-
 // checkColdWorkers checks how many requests cold workers received in any second, also
 // during most faults: only bursts and stalls are excused. l.mu is held.
 func (l *ledger) checkColdWorkers() {
