--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -45,6 +45,7 @@
 type fleet struct {
 	dir           string
 	program       string
+	firstNetwork  int
 	peerPort      string
 	ledger        *ledger
 	store         *standin.Store
@@ -101,20 +102,40 @@
 	responses     int
 }
 
-// ip returns a machine's IP address; concurrent soaks use different ones.
-func ip(network, machine int) string {
-	return fmt.Sprintf("127.%d.%d.%d", network, os.Getpid()%250, machine+1)
-}
-
-// Second octets of the machines' IP addresses, by purpose.
+// Second octets of the machines' IP addresses, by purpose, counted from a soak's
+// firstNetwork.
 const (
-	networkNode = iota + 70
+	networkNode = iota
 	networkPeer
 	networkStore
 	networkWorker
 	networkUnresponsive
+	networkCount
+)
+
+// A process's soaks take networks in turn, from the lowest; soakRanges is the number of
+// soaks that it can run at the same time.
+const (
+	lowestNetwork = 70
+	soakRanges    = (256 - lowestNetwork) / networkCount
+	// processRanges is the number of third octets, by which processes' soaks differ.
+	processRanges = 250
 )
 
+// soaksStarted counts the soaks of this process.
+var soaksStarted atomic.Uint32
+
+// nextFirstNetwork returns the lowest network of the next soak.
+func nextFirstNetwork() int {
+	n := int(soaksStarted.Add(1)-1) % soakRanges
+	return lowestNetwork + n*networkCount
+}
+
+// ip returns a machine's IP address; concurrent soaks use different ones.
+func (f *fleet) ip(network, machine int) string {
+	return fmt.Sprintf("127.%d.%d.%d", f.firstNetwork+network, os.Getpid()%processRanges, machine+1)
+}
+
 // pageItems is the store's page size, small enough that a full list spans several pages.
 const pageItems = 4
 
@@ -122,7 +143,7 @@
 // cfg.Dir.
 func newFleet(ctx context.Context, cfg Config, l *ledger) (*fleet, error) {
 	f := &fleet{
-		dir: cfg.Dir, program: cfg.Program, ledger: l, store: standin.NewStore(),
+		dir: cfg.Dir, program: cfg.Program, firstNetwork: nextFirstNetwork(), ledger: l, store: standin.NewStore(),
 		coldWorkers: cfg.Plan.hasColdWorkers(), evacuations: map[string]int{},
 	}
 	f.store.PageItems = pageItems
@@ -135,7 +156,7 @@
 		// Serve returns when the listener is closed.
 		_ = http.Serve(storeListener, f.store)
 	}()
-	if f.peerPort, err = freePort(ip(networkNode, 0)); err != nil {
+	if f.peerPort, err = freePort(f.ip(networkNode, 0)); err != nil {
 		return nil, err
 	}
 	for i := range cfg.Machines {
@@ -178,18 +199,18 @@
 	if i%2 == 1 {
 		m.service = serviceCatalogue
 	}
-	l, err := net.Listen("tcp", ip(networkNode, i)+":0")
+	l, err := net.Listen("tcp", f.ip(networkNode, i)+":0")
 	if err != nil {
 		return err
 	}
 	m.worker = standin.NewWorker(
 		standin.WorkerConfig{Service: m.service, OnRun: m.onRun, Fault: m.nextResponseFault}, m.workerID(), l)
 	var errs [5]error
-	m.peerProxy, errs[0] = newProxy(net.JoinHostPort(ip(networkPeer, i), f.peerPort), net.JoinHostPort(ip(networkNode, i), f.peerPort))
-	m.storeProxy, errs[1] = newProxy(ip(networkStore, i)+":0", f.storeListener.Addr().String())
-	m.workerProxy, errs[2] = newProxy(ip(networkWorker, i)+":0", m.worker.Address())
-	m.caller, errs[3] = freeAddress(ip(networkNode, i), f.peerPort)
-	m.operator, errs[4] = freeAddress(ip(networkNode, i), f.peerPort, portOf(m.caller))
+	m.peerProxy, errs[0] = newProxy(net.JoinHostPort(f.ip(networkPeer, i), f.peerPort), net.JoinHostPort(f.ip(networkNode, i), f.peerPort))
+	m.storeProxy, errs[1] = newProxy(f.ip(networkStore, i)+":0", f.storeListener.Addr().String())
+	m.workerProxy, errs[2] = newProxy(f.ip(networkWorker, i)+":0", m.worker.Address())
+	m.caller, errs[3] = freeAddress(f.ip(networkNode, i), f.peerPort)
+	m.operator, errs[4] = freeAddress(f.ip(networkNode, i), f.peerPort, portOf(m.caller))
 	if err := errors.Join(errs[:]...); err != nil {
 		return err
 	}
@@ -231,7 +252,7 @@
 address = %q
 retry_ratio = %g
 retry_extra = %d
-%s`, ip(networkPeer, m.index), m.service, m.index%3, m.caller, net.JoinHostPort(ip(networkNode, m.index), m.fleet.peerPort),
+%s`, m.fleet.ip(networkPeer, m.index), m.service, m.index%3, m.caller, net.JoinHostPort(m.fleet.ip(networkNode, m.index), m.fleet.peerPort),
 		m.operator, m.workerProxy.address(), stopTimeout.Milliseconds(), leaveGracePeriod.Milliseconds(), m.storeProxy.address(), retryRatio, retryExtra, warmingSettings)
 	return os.WriteFile(m.settings, []byte(text), 0o600)
 }
@@ -251,7 +272,7 @@
 	defer m.mu.Unlock()
 	return standin.WorkerEntry{
 		ID: m.worker.ID(), Service: m.service, Zone: zoneOf(m.index),
-		Address: net.JoinHostPort(ip(networkPeer, m.index), "80"), State: state, Started: int64(m.workerRestarts), Slots: workerSlots,
+		Address: net.JoinHostPort(m.fleet.ip(networkPeer, m.index), "80"), State: state, Started: int64(m.workerRestarts), Slots: workerSlots,
 		ColdLeftMs: m.worker.ColdRemaining().Milliseconds(),
 	}
 }
--- a/internal/soak/isolation.go
+++ b/internal/soak/isolation.go
@@ -99,7 +99,7 @@
 	for i := range f.unresponsive {
 		f.store.PutWorker(standin.WorkerEntry{
 			ID: unresponsiveID(i), Service: serviceArchive, Zone: fmt.Sprintf("dc-%d", i%3),
-			Address: net.JoinHostPort(ip(networkUnresponsive, i), "80"), State: names.StateReady, Slots: workerSlots,
+			Address: net.JoinHostPort(f.ip(networkUnresponsive, i), "80"), State: names.StateReady, Slots: workerSlots,
 		})
 	}
 	sleep(ctx, flt.duration)
@@ -116,7 +116,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i := len(f.unresponsive); i < unresponsiveWorkers; i++ {
-		l, err := net.Listen("tcp", net.JoinHostPort(ip(networkUnresponsive, i), f.peerPort))
+		l, err := net.Listen("tcp", net.JoinHostPort(f.ip(networkUnresponsive, i), f.peerPort))
 		if err != nil {
 			return err
 		}
