--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -82,8 +82,7 @@
 	playSoak(t, Config{Seed: 6, Machines: 6, Length: 40 * time.Second, Plan: PlanRestores}, kindRestore, kindAnnounce)
 }
 
-// With all other nodes stopped, a node once waited for them to read its messages, and a
-// destination of weight 0 got requests.
+// With all other nodes stopped, a node must not wait for them to read its messages.
 func TestIsolatedMachineAppliesConfigurationsInTime(t *testing.T) {
 	report := playSoak(t, Config{Seed: 1, Machines: 10, Length: 30 * time.Second, Plan: PlanSpared}, kindIsolate)
 	if len(report.ApplyDelays) == 0 {
--- a/internal/spread/requests_test.go
+++ b/internal/spread/requests_test.go
@@ -75,10 +75,7 @@
 	}
 }
 
-// A call names a version whose sender has no link here, so another peer is asked, which
-// is missing the version too and declines. Without a delay, request and decline repeated
-// as fast as the network allowed: with duplicated messages, 1.2 million of them within
-// 0.2 s took 14 GB.
+// Request and decline must not repeat as fast as the network allows.
 func TestDeclinedRequestIsDelayedWhenHolderHasNoLink(t *testing.T) {
 	newest := []model.BundleVersion{{Name: "a", Version: 6}}
 	s := newSingleNode(t, "q")
