soak: kinds of fault are looked up in two tables

Cause: injectFault was a switch of 80 lines, most cases a call and a return. Change: faults of the fleet and planned operations of a machine are tables by kind; what is left of injectFault are the faults of one machine. The store's faults are a function of their own. Behaviour unchanged.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -32,81 +32,52 @@
 	}
 }
 
-// injectFault injects one fault and ends it after its duration.
-func (f *fleet) injectFault(ctx context.Context, flt fault) {
-	m := f.machines[flt.machine]
-	switch flt.kind {
-	case kindConfig:
-		f.configure(ctx)
-		return
-	case kindDeadly:
-		f.startDeadly(ctx, flt, deadlyClass)
-		return
-	case kindDeadlyLate:
-		f.startDeadly(ctx, flt, lateClass)
-		return
-	case kindDeadlyPair:
-		f.startDeadlyPair(ctx, flt)
-		return
-	case kindCompact:
-		f.store.Compact()
-		return
-	case kindEvacuate:
-		f.evacuate(ctx, flt)
-		return
-	case kindWorkerCold:
-		m.setCold(flt.duration)
-		return
-	case kindRateLimit:
-		m.limitWorker(ctx, flt)
-		return
-	case kindRestore:
-		f.restore(ctx, flt)
-		return
-	case kindAnnounce:
-		defer f.ledger.beginFault(flt.machine, true)()
-		m.announceLeaving(ctx)
-		return
-	case kindIsolate:
-		f.isolate(ctx, flt)
-		return
-	case kindUnresponsivePeers:
+// fleetFaults are the faults that concern more than one machine, or record their spans
+// themselves.
+var fleetFaults = map[kind]func(*fleet, context.Context, fault){
+	kindConfig:       func(f *fleet, ctx context.Context, _ fault) { f.configure(ctx) },
+	kindConfigSeries: (*fleet).configureRepeatedly,
+	kindCompact:      func(f *fleet, _ context.Context, _ fault) { f.store.Compact() },
+	kindRestore:      (*fleet).restore,
+	kindStoreDown:    (*fleet).disturbStore,
+	kindStoreSlow:    (*fleet).disturbStore,
+	kindDeadly:       func(f *fleet, ctx context.Context, flt fault) { f.startDeadly(ctx, flt, deadlyClass) },
+	kindDeadlyLate:   func(f *fleet, ctx context.Context, flt fault) { f.startDeadly(ctx, flt, lateClass) },
+	kindDeadlyPair:   (*fleet).startDeadlyPair,
+	kindEvacuate:     (*fleet).evacuate,
+	kindIsolate:      (*fleet).isolate,
+	kindKillMany:     (*fleet).killMany,
+	kindUnresponsivePeers: func(f *fleet, ctx context.Context, flt fault) {
 		if err := f.listUnresponsive(ctx, flt); err != nil {
 			f.ledger.recordViolation("soak", "open unresponsive nodes: %v", err)
 		}
+	},
+	kindWorkerCold: func(f *fleet, _ context.Context, flt fault) { f.machines[flt.machine].setCold(flt.duration) },
+	kindRateLimit:  func(f *fleet, ctx context.Context, flt fault) { f.machines[flt.machine].limitWorker(ctx, flt) },
+}
+
+// plannedOperations are the planned operations of one machine.
+var plannedOperations = map[kind]func(*machine, context.Context, fault){
+	kindTerm:          (*machine).stopOrReload,
+	kindHangUp:        (*machine).stopOrReload,
+	kindWorkerDrain:   func(m *machine, ctx context.Context, _ fault) { m.drainWorker(ctx) },
+	kindAnnounce:      func(m *machine, ctx context.Context, _ fault) { m.announceLeaving(ctx) },
+	kindForeignWriter: (*machine).replaceEntry,
+}
+
+// injectFault injects one fault and ends it after its duration.
+func (f *fleet) injectFault(ctx context.Context, flt fault) {
+	if inject := fleetFaults[flt.kind]; inject != nil {
+		inject(f, ctx, flt)
 		return
-	case kindConfigSeries:
-		f.configureRepeatedly(ctx, flt)
-		return
-	case kindStoreDown, kindStoreSlow:
-		defer f.ledger.beginFault(storeFaults, false)()
-		faults := standin.StoreFaults{Status: http.StatusServiceUnavailable}
-		if flt.machine%2 == 0 {
-			faults = standin.StoreFaults{Hang: true}
-		}
-		if flt.kind == kindStoreSlow {
-			faults = standin.StoreFaults{Delay: 400 * time.Millisecond}
-		}
-		f.store.SetFaults(faults)
-		sleep(ctx, flt.duration)
-		f.store.SetFaults(standin.StoreFaults{})
-		return
-	case kindTerm, kindHangUp:
-		defer f.ledger.beginFault(flt.machine, true)()
-		m.stopOrReload(flt.kind)
-		return
-	case kindWorkerDrain:
-		defer f.ledger.beginFault(flt.machine, true)()
-		m.drainWorker(ctx)
-		return
-	case kindKillMany:
-		f.killMany(ctx, flt)
-		return
-	case kindForeignWriter:
+	}
+	m := f.machines[flt.machine]
+	if operate := plannedOperations[flt.kind]; operate != nil {
 		defer f.ledger.beginFault(flt.machine, true)()
-		m.replaceEntry(ctx, flt)
+		operate(m, ctx, flt)
 		return
-	case kindPartitionConfig:
+	}
+	if flt.kind == kindPartitionConfig {
 		// The configuration is written once the machine is reachable again.
 		defer f.configure(ctx)
 	}
@@ -119,8 +90,24 @@
 	m.endFault(flt)
 }
 
-func (m *machine) stopOrReload(k kind) {
-	if k == kindHangUp {
+// disturbStore makes the store slow, unavailable or silent for a while.
+func (f *fleet) disturbStore(ctx context.Context, flt fault) {
+	defer f.ledger.beginFault(storeFaults, false)()
+	faults := standin.StoreFaults{Status: http.StatusServiceUnavailable}
+	if flt.machine%2 == 0 {
+		faults = standin.StoreFaults{Hang: true}
+	}
+	if flt.kind == kindStoreSlow {
+		faults = standin.StoreFaults{Delay: 400 * time.Millisecond}
+	}
+	f.store.SetFaults(faults)
+	sleep(ctx, flt.duration)
+	f.store.SetFaults(standin.StoreFaults{})
+}
+
+// stopOrReload restarts the node as planned, or makes it read its settings again.
+func (m *machine) stopOrReload(_ context.Context, flt fault) {
+	if flt.kind == kindHangUp {
 		m.signalNode(syscall.SIGHUP, false)
 		return
 	}
