owner: an attempt that displaces the leader of its content may start

Cause: whether an attempt is held was decided when it was offered. In a full queue it may then displace the very attempt behind which it was held. It became the leader of its content but stayed held, so it never started, and neither did later attempts of the content, until their deadlines.

Change: serialSet.join decides it at admission, after the displacement.

Evidence: TestAttemptThatDisplacesItsLeaderStarts fails without the change (another attempt starts instead) and passes with it; go test ./internal/owner passes.

--- a/internal/owner/serial.go
+++ b/internal/owner/serial.go
@@ -23,15 +23,19 @@
 // leads reports whether another attempt of the content is queued or running.
 func (s serialSet) leads(content model.Fingerprint) bool { return s[content] != nil }
 
-// join adds an admitted attempt as the leader of its content or, if held, behind it.
+// join adds an admitted attempt as the leader of its content, or held behind the leader. The
+// one that led when the attempt was offered may have made room for it in a full queue.
 func (s serialSet) join(p *pendingAttempt) {
-	switch g := s[p.content]; {
-	case p.content.IsZero():
-	case g == nil:
+	if p.content.IsZero() {
+		return
+	}
+	g := s[p.content]
+	p.held = g != nil
+	if g == nil {
 		s[p.content] = &serialGroup{leader: p}
-	default:
-		g.held = append(g.held, p)
+		return
 	}
+	g.held = append(g.held, p)
 }
 
 // leaveSerial removes an attempt that ends without a response of the worker; the next one
--- a/internal/owner/serial_test.go
+++ b/internal/owner/serial_test.go
@@ -126,3 +126,30 @@
 		t.Error("the second may not run after the end of the first")
 	}
 }
+
+// An attempt that displaced the leader of its own content waited until its deadline, though
+// slots were free.
+func TestAttemptThatDisplacesItsLeaderStarts(t *testing.T) {
+	r := newRig(t, testService())
+	running := r.fill(2)
+	offer := func(worth float64, content model.Fingerprint) model.AttemptID {
+		t.Helper()
+		a := r.attempt()
+		a.Worth = worth
+		v, _ := r.o.OfferSuspect(r.now, a, false, Restrictions{Content: content})
+		if v != Queue {
+			t.Fatalf("decision %d; want it to wait", v)
+		}
+		return a.ID
+	}
+	for i := range testService().QueueLimit - 1 {
+		offer(10, model.Fingerprint{2, byte(i)})
+	}
+	leader := offer(1, serialContent)
+	newer := offer(20, serialContent)
+	ds := r.tick(0)
+	if len(ds) != 1 || ds[0].Attempt != leader || ds[0].Kind != Refuse {
+		t.Fatalf("decisions %+v; want the leader refused", ds)
+	}
+	wantStarted(t, r.finish(running[0], Completion{Status: 200}), newer)
+}
