--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -23,8 +23,11 @@
 	CallerConnectionTimedOut = define(416, zerolog.InfoLevel, "caller's connection timed out",
 		"A caller's connection was idle, or its request header incomplete, for longer than the configuration in force allows: which limit was exceeded, its length and how long the connection waited. No request was in flight.", "none")
 	RequestDeferred = define(418, zerolog.WarnLevel, "request deferred",
-		"An owner refused an attempt of a request during which a worker crashed, or which another owner runs and no worker has completed yet (no crashes): its id, its fingerprint, the number of its unexplained crashes, the only owner that may run it (empty if none is known), and in how many milliseconds the crashed worker is expected back. The attempt did not run.",
+		"An owner refused an attempt of a request during which a worker crashed: its id, its fingerprint, the number of its unexplained crashes, the only owner that may run it (empty if none is known), and in how many milliseconds the crashed worker is expected back. The attempt did not run.",
 		"Look up the fingerprint in gypsumctl aside, and event 514 for the worker that crashed during it.")
+	RequestLeased = define(420, zerolog.InfoLevel, "request left to another owner",
+		"An owner refused an attempt of a request that waits or runs at another owner and to which no worker has responded yet: its id, its fingerprint and that owner, which gets the request next. The attempt did not run.",
+		"If the same fingerprint goes on for seconds: look for it at the named owner (events 419 and 520).")
 	LeaseAcquired = define(419, zerolog.DebugLevel, "request announced to other owners",
 		"A request waits at this owner in a service that cannot spare two workers, and no run of the same request completed here recently: its id and its fingerprint. Until this worker responds to it, other owners leave submissions of the same request to this one, as it may crash a worker.", "none")
 	QuarantinedRefused = define(417, zerolog.WarnLevel, "quarantined request refused",
--- a/internal/proof/deadly.go
+++ b/internal/proof/deadly.go
@@ -161,32 +161,35 @@
 
 // acquireLease announces a queued job (server.Executor.acquireLease).
 func (j *job) acquireLease() {
-	j.leased = j.proc.core.Quarantine.AcquireLease(j.submission().fingerprint(), j.offered.Add(j.attempt.Remaining))
+	j.lease = j.proc.core.Quarantine.AcquireLease(j.submission().fingerprint(), j.offered.Add(j.attempt.Remaining))
 	j.proc.suspectsChanged()
 }
 
-// leaseRunning records that a job with a lease starts.
+// leaseRunning records that a job starts (server.Executor.leaseRunning).
 func (j *job) leaseRunning() {
-	if j.leased {
-		j.proc.core.Quarantine.LeaseRunning(j.proc.w.now, j.submission().fingerprint())
-		j.proc.suspectsChanged()
+	q, now := j.proc.core.Quarantine, j.proc.w.now
+	if j.lease != nil {
+		q.LeaseRunning(now, j.lease)
+	} else {
+		j.lease = q.AcquireRunning(now, j.submission().fingerprint(), now.Add(j.attempt.Remaining))
 	}
+	j.proc.suspectsChanged()
 }
 
-// releaseLease gives up the job's lease, if it holds one.
+// releaseLease gives up the job's lease, if it holds one (server.leaseEnd).
 func (j *job) releaseLease(r *result) {
-	if !j.leased {
+	if j.lease == nil {
 		return
 	}
-	j.leased = false
-	end := quarantine.LeaseUnserved
+	end := quarantine.LeaseUndecided
 	switch {
 	case r.response != nil:
 		end = quarantine.LeaseServed
-	case r.refusal.Reason == model.ReasonWorkerCrashed:
-		end = quarantine.LeaseCrashed
+	case r.refusal.NotRun || r.refusal.Reason == model.ReasonWorkerBroken:
+		end = quarantine.LeaseUnserved
 	}
-	j.proc.core.Quarantine.ReleaseLease(j.submission().fingerprint(), end)
+	j.proc.core.Quarantine.ReleaseLease(j.lease, end)
+	j.lease = nil
 	j.proc.suspectsChanged()
 }
 
@@ -216,6 +219,7 @@
 
 // runCompleted reports a complete response to the quarantine.
 func (j *job) runCompleted() {
+	j.proc.core.Quarantine.Responding(j.submission().fingerprint())
 	j.proc.core.Quarantine.RunCompleted(j.proc.w.now, j.submission().fingerprint())
 	j.proc.suspectsChanged()
 }
--- a/internal/proof/executor.go
+++ b/internal/proof/executor.go
@@ -36,8 +36,8 @@
 	run    *run
 	// decision is the quarantine's latest decision about the job.
 	decision quarantine.Decision
-	// leased reports that the job holds a lease.
-	leased bool
+	// lease is the job's lease, if it holds one.
+	lease *quarantine.Lease
 	// reply takes the result; nil when no entry waits for it.
 	reply func(result)
 }
--- a/internal/quarantine/coordinator_test.go
+++ b/internal/quarantine/coordinator_test.go
@@ -349,8 +349,7 @@
 	}
 }
 
-// Two owners whose workers crashed some milliseconds apart each take the other's crash for
-// the last one, as they learn of it late, and no owner runs the request.
+// Each of two owners learns of the other's crash late, takes it for the last one and refuses.
 func TestOneOwnerRunsRequestAfterTwoCrashesTogether(t *testing.T) {
 	for _, n := range []int{2, 3, 7} {
 		for _, gap := range []time.Duration{0, time.Millisecond, 3 * time.Millisecond, 10 * time.Millisecond, 40 * time.Millisecond, time.Second} {
--- a/internal/quarantine/gossip.go
+++ b/internal/quarantine/gossip.go
@@ -270,7 +270,9 @@
 		return q.newUpdate(true)
 	}
 	q.mergeUpdate(now, update, fleetWide)
-	q.mergeLeases(now, update)
+	if !fleetWide {
+		q.mergeLeases(now, update)
+	}
 	if !update.Compare {
 		return q.newUpdate(fleetWide)
 	}
--- a/internal/quarantine/lease.go
+++ b/internal/quarantine/lease.go
@@ -28,16 +28,16 @@
 const (
 	// LeaseServed: the worker responds to the request.
 	LeaseServed LeaseEnd = iota
-	// LeaseUnserved: the attempt ended without a response.
+	// LeaseUnserved: the request did not run, or its connection broke and the worker lives.
 	LeaseUnserved
-	// LeaseCrashed: the worker crashed during the run. The lease expires at the peers, which
-	// learn of the crash meanwhile.
-	LeaseCrashed
+	// LeaseUndecided: the worker crashed during the run, or may still process the request.
+	// The lease expires at the peers, which learn of a crash meanwhile.
+	LeaseUndecided
 )
 
 // leases are the leases of this owner and of its peers. The zero value is not usable.
 type leases struct {
-	own   map[wire.LeaseKey]*ownLease
+	own   map[wire.LeaseKey]*Lease
 	peers map[wire.LeaseKey]peerLease
 	// ended are the latest announced leases of this owner whose end has not been sent, at
 	// most wire.MaxLeases; urgent reports that attempts elsewhere may wait for one of them.
@@ -47,8 +47,9 @@
 	budget tokenBucket
 }
 
-// ownLease is a lease of this owner.
-type ownLease struct {
+// Lease is a lease of this owner.
+type Lease struct {
+	key wire.LeaseKey
 	// attempts counts the attempts here that hold the lease, until the latest of their
 	// deadlines.
 	attempts int
@@ -57,11 +58,16 @@
 	runningSince time.Time
 	// announcedAt is when peers were last told; zero if they have to be told at once.
 	announcedAt time.Time
-	// crashed reports that the worker crashed during a run.
-	crashed bool
+	// unannounced leases are of runs that started at once. Peers are told only if one of them
+	// queues the same content.
+	unannounced bool
+	// shared reports that several attempts hold the lease, so that peers may have sent some.
+	shared bool
+	// undecided reports that a run ended with LeaseUndecided.
+	undecided bool
 }
 
-func (l *ownLease) running() bool { return !l.runningSince.IsZero() }
+func (l *Lease) running() bool { return !l.runningSince.IsZero() }
 
 // peerLease is a lease of another owner.
 type peerLease struct {
@@ -71,7 +77,7 @@
 }
 
 func newLeases() leases {
-	return leases{own: map[wire.LeaseKey]*ownLease{}, peers: map[wire.LeaseKey]peerLease{}}
+	return leases{own: map[wire.LeaseKey]*Lease{}, peers: map[wire.LeaseKey]peerLease{}}
 }
 
 // HasPeerLeases reports whether any peer holds a lease. It takes no lock.
@@ -82,76 +88,119 @@
 func (q *Quarantine) Fragile() bool { return q.fragile.Load() }
 
 // Unproven reports whether requests of a content may run at one owner only and one at a
-// time: the service cannot spare two workers, and no run of the content completed here
-// recently.
+// time: the service cannot spare two workers, and this node's worker did not respond to the
+// content recently.
 func (q *Quarantine) Unproven(content model.Fingerprint) bool {
-	return q.fragile.Load() && !content.IsZero() && !q.completed.has(content)
+	return q.fragile.Load() && !content.IsZero() && !q.proven(content)
+}
+
+// proven reports whether the worker recently responded to a request of the content.
+func (q *Quarantine) proven(content model.Fingerprint) bool {
+	return q.responded.has(content) || q.completed.has(content)
+}
+
+// Responding records that this node's worker responds to a request.
+func (q *Quarantine) Responding(content model.Fingerprint) {
+	if !content.IsZero() {
+		q.responded.add(content)
+	}
 }
 
 // AcquireLease announces that an attempt of an unproven content is queued here, at most
-// until its deadline. ReleaseLease must follow if it returns true.
-func (q *Quarantine) AcquireLease(content model.Fingerprint, deadline time.Time) bool {
+// until its deadline. It returns nil if no lease is needed; otherwise ReleaseLease must
+// follow.
+func (q *Quarantine) AcquireLease(content model.Fingerprint, deadline time.Time) *Lease {
 	if !q.Unproven(content) {
-		return false
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	l := q.acquire(wire.NewLeaseKey(content), deadline)
+	if l.unannounced || l.announcedAt.IsZero() {
+		l.unannounced = false
+		q.wake()
+	}
+	return l
+}
+
+// AcquireRunning is AcquireLease for an attempt that starts without having been queued. The
+// lease is announced only if a peer queues the same content.
+func (q *Quarantine) AcquireRunning(now time.Time, content model.Fingerprint, deadline time.Time) *Lease {
+	if !q.Unproven(content) {
+		return nil
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	key := wire.NewLeaseKey(content)
+	_, known := q.leases.own[key]
+	l := q.acquire(key, deadline)
+	l.unannounced = l.unannounced || !known
+	q.startLease(now, l)
+	return l
+}
+
+// acquire adds an attempt to the lease of a content.
+func (q *Quarantine) acquire(key wire.LeaseKey, deadline time.Time) *Lease {
 	l := q.leases.own[key]
 	if l == nil {
-		l = &ownLease{}
+		l = &Lease{key: key}
 		q.leases.own[key] = l
 		q.leases.ended = slices.DeleteFunc(q.leases.ended, func(other wire.LeaseKey) bool { return other == key })
-		q.wake()
 	}
 	l.attempts++
+	l.shared = l.attempts > 1
 	if deadline.After(l.until) {
 		l.until = deadline
 	}
-	return true
+	return l
 }
 
 // LeaseRunning records that an attempt with a lease starts. Peers that hold a lease of the
 // same content are told, so that they do not start theirs.
-func (q *Quarantine) LeaseRunning(now time.Time, content model.Fingerprint) {
+func (q *Quarantine) LeaseRunning(now time.Time, l *Lease) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	key := wire.NewLeaseKey(content)
-	l := q.leases.own[key]
-	if l == nil || l.running() {
+	if q.leases.own[l.key] == l {
+		q.startLease(now, l)
+	}
+}
+
+// startLease records the first start of an attempt with a lease.
+func (q *Quarantine) startLease(now time.Time, l *Lease) {
+	if l.running() {
 		return
 	}
 	l.runningSince = now
-	if _, contested := q.leases.peers[key]; contested {
-		l.announcedAt = time.Time{}
-		q.wake()
+	if _, contested := q.leases.peers[l.key]; contested {
+		q.announceAgain(l)
 	}
 }
 
+// announceAgain makes a lease known to peers at once.
+func (q *Quarantine) announceAgain(l *Lease) {
+	l.announcedAt, l.unannounced = time.Time{}, false
+	q.wake()
+}
+
 // ReleaseLease records the end of an attempt with a lease.
-func (q *Quarantine) ReleaseLease(content model.Fingerprint, end LeaseEnd) {
+func (q *Quarantine) ReleaseLease(l *Lease, end LeaseEnd) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	key := wire.NewLeaseKey(content)
-	l := q.leases.own[key]
-	if l == nil {
-		return
-	}
 	l.attempts--
-	l.crashed = l.crashed || end == LeaseCrashed
-	if end == LeaseServed || l.attempts <= 0 {
-		q.endLease(key, l, end)
+	l.undecided = l.undecided || end == LeaseUndecided
+	if q.leases.own[l.key] == l && (end == LeaseServed || l.attempts <= 0) {
+		q.endLease(l, end)
 	}
 }
 
-// endLease drops a lease of this owner.
-func (q *Quarantine) endLease(key wire.LeaseKey, l *ownLease, end LeaseEnd) {
-	delete(q.leases.own, key)
-	if l.announcedAt.IsZero() || l.crashed {
+// endLease drops a lease of this owner. Peers are told at once if attempts may wait for that.
+func (q *Quarantine) endLease(l *Lease, end LeaseEnd) {
+	delete(q.leases.own, l.key)
+	if l.announcedAt.IsZero() || l.undecided {
 		return
 	}
-	q.leases.ended = appendNewest(q.leases.ended, key, wire.MaxLeases)
-	if end == LeaseUnserved {
+	q.leases.ended = appendNewest(q.leases.ended, l.key, wire.MaxLeases)
+	if end == LeaseUnserved || l.shared {
 		q.leases.urgent = true
 		q.wake()
 	}
@@ -160,9 +209,9 @@
 // expireLeases drops leases that are no longer valid: those of peers that have expired, and
 // those of this owner whose run has lasted longer than others wait for it.
 func (q *Quarantine) expireLeases(now time.Time) {
-	for key, l := range q.leases.own {
+	for _, l := range q.leases.own {
 		if now.After(l.until) || l.running() && now.Sub(l.runningSince) >= model.MaxSerialRun {
-			q.endLease(key, l, LeaseUnserved)
+			q.endLease(l, LeaseUnserved)
 		}
 	}
 	for key, l := range q.leases.peers {
@@ -184,7 +233,7 @@
 func (q *Quarantine) deferToLease(now time.Time, content model.Fingerprint, d *Decision) {
 	key := wire.NewLeaseKey(content)
 	l, known := q.leases.peers[key]
-	if !known || !now.Before(l.expires) || q.ownLeasePrecedes(key, l) || q.completed.has(content) {
+	if !known || !now.Before(l.expires) || q.ownLeasePrecedes(key, l) || q.proven(content) {
 		return
 	}
 	if !q.mayRun(now, l.owner) {
--- a/internal/quarantine/lease_test.go
+++ b/internal/quarantine/lease_test.go
@@ -15,17 +15,25 @@
 func busyOwners(n int) *upstreams { return newUpstreams(n, 0.75) }
 
 // acquire makes an owner queue an attempt of an unproven request.
-func (u *upstreams) acquire(t *testing.T, at *node, c model.Fingerprint) {
+func (u *upstreams) acquire(t *testing.T, at *node, c model.Fingerprint) *Lease {
 	t.Helper()
-	if !at.q.AcquireLease(c, u.now.Add(5*time.Second)) {
+	l := at.q.AcquireLease(c, u.now.Add(5*time.Second))
+	if l == nil {
 		t.Fatal("no lease")
 	}
 	u.wake(at)
+	return l
 }
 
 // release makes the attempt end.
-func (u *upstreams) release(at *node, c model.Fingerprint, end LeaseEnd) {
-	at.q.ReleaseLease(c, end)
+func (u *upstreams) release(at *node, l *Lease, end LeaseEnd) {
+	at.q.ReleaseLease(l, end)
+	u.wake(at)
+}
+
+// begin makes an attempt with a lease start.
+func (u *upstreams) begin(at *node, l *Lease) {
+	at.q.LeaseRunning(u.now, l)
 	u.wake(at)
 }
 
@@ -55,11 +63,11 @@
 		t.Run(fmt.Sprintf("%d workers", n), func(t *testing.T) {
 			u := busyOwners(n)
 			first := u.owners[1]
-			u.acquire(t, first, content(1))
+			l := u.acquire(t, first, content(1))
 			u.simulate(messageTime)
 			u.wantOwners(t, content(1), first)
 			u.wantOwners(t, content(2), u.owners...)
-			first.q.LeaseRunning(u.now, content(1))
+			u.begin(first, l)
 			u.simulate(leaseTTL - 2*messageTime)
 			u.wantOwners(t, content(1), first)
 		})
@@ -69,9 +77,9 @@
 func TestEndedLeaseLetsOtherOwnersRunRequest(t *testing.T) {
 	u := busyOwners(3)
 	first := u.owners[0]
-	u.acquire(t, first, content(1))
+	l := u.acquire(t, first, content(1))
 	u.simulate(messageTime)
-	u.release(first, content(1), LeaseUnserved)
+	u.release(first, l, LeaseUnserved)
 	u.simulate(messageTime)
 	u.wantOwners(t, content(1), u.owners...)
 }
@@ -80,13 +88,13 @@
 func TestServedRequestRunsAnywhereOnceLeaseExpires(t *testing.T) {
 	u := busyOwners(3)
 	first := u.owners[0]
-	u.acquire(t, first, content(1))
+	l := u.acquire(t, first, content(1))
 	u.simulate(messageTime)
 	first.q.RunCompleted(u.now, content(1))
-	u.release(first, content(1), LeaseServed)
+	u.release(first, l, LeaseServed)
 	u.simulate(leaseTTL)
 	u.wantOwners(t, content(1), u.owners...)
-	if first.q.AcquireLease(content(1), u.now.Add(time.Second)) {
+	if first.q.AcquireLease(content(1), u.now.Add(time.Second)) != nil {
 		t.Error("a lease for a request that completed here")
 	}
 }
@@ -102,8 +110,7 @@
 
 func TestLongRunLosesItsLease(t *testing.T) {
 	u := busyOwners(3)
-	u.acquire(t, u.owners[0], content(1))
-	u.owners[0].q.LeaseRunning(u.now, content(1))
+	u.begin(u.owners[0], u.acquire(t, u.owners[0], content(1)))
 	u.simulate(model.MaxSerialRun + 200*time.Millisecond)
 	u.wantOwners(t, content(1), u.owners...)
 }
@@ -139,9 +146,9 @@
 	for c := range 20 {
 		u := busyOwners(3)
 		first := u.owners[0]
-		u.acquire(t, first, content(c))
+		l := u.acquire(t, first, content(c))
 		u.acquire(t, u.owners[1], content(c))
-		first.q.LeaseRunning(u.now, content(c))
+		u.begin(first, l)
 		u.simulate(2 * messageTime)
 		u.wantOwners(t, content(c), first)
 	}
@@ -151,14 +158,14 @@
 func TestCrashedRunStaysRestricted(t *testing.T) {
 	u := busyOwners(3)
 	first := u.owners[0]
+	l := u.acquire(t, first, content(1))
 	u.acquire(t, first, content(1))
-	u.acquire(t, first, content(1))
-	first.q.LeaseRunning(u.now, content(1))
+	u.begin(first, l)
 	started := u.now
 	u.simulate(crashingRun)
 	u.crash(first, Run{Content: content(1), Started: started})
-	u.release(first, content(1), LeaseCrashed)
-	u.release(first, content(1), LeaseUnserved)
+	u.release(first, l, LeaseUndecided)
+	u.release(first, l, LeaseUnserved)
 	for range 100 {
 		for _, nd := range u.owners[1:] {
 			if d := nd.q.Evaluate(u.now, content(1), Submission{}, "GET /"); !d.Deferred {
@@ -169,9 +176,89 @@
 	}
 }
 
+// The first submission started at once, and the second was queued elsewhere.
+func TestRunThatWasNotQueuedKeepsQueuedRequestsBack(t *testing.T) {
+	u := busyOwners(3)
+	first := u.owners[0]
+	if first.q.AcquireRunning(u.now, content(1), u.now.Add(5*time.Second)) == nil {
+		t.Fatal("no lease")
+	}
+	u.sent = 0
+	u.simulate(messageTime)
+	if u.sent != 0 {
+		t.Errorf("%d bytes were sent on a run that nobody waits for", u.sent)
+	}
+	u.acquire(t, u.owners[1], content(1))
+	u.simulate(2 * messageTime)
+	u.wantOwners(t, content(1), first)
+}
+
+// A late end of an attempt whose lease had ended released the lease of a later attempt.
+func TestEndOfEarlierLeaseKeepsLaterOne(t *testing.T) {
+	u := busyOwners(3)
+	first := u.owners[0]
+	earlier := u.acquire(t, first, content(1))
+	u.begin(first, earlier)
+	u.simulate(model.MaxSerialRun + 200*time.Millisecond)
+	u.acquire(t, first, content(1))
+	u.simulate(messageTime)
+	u.release(first, earlier, LeaseUnserved)
+	u.simulate(messageTime)
+	u.wantOwners(t, content(1), first)
+}
+
+// Two owners whose workers had both responded each left the request to the other.
+func TestOwnersThatServedRequestDoNotDeferToEachOther(t *testing.T) {
+	for c := range 20 {
+		u := busyOwners(3)
+		for _, nd := range u.owners[:2] {
+			l := u.acquire(t, nd, content(c))
+			u.after(messageTime, func() {
+				nd.q.Responding(content(c))
+				u.release(nd, l, LeaseServed)
+			})
+		}
+		u.simulate(messageTime + time.Millisecond)
+		for _, nd := range u.owners[:2] {
+			if d := nd.q.Evaluate(u.now, content(c), Submission{}, "GET /"); d.Deferred {
+				t.Errorf("%s leaves a request that it served to %s", nd.instance.ID, d.OnlyOwner)
+			}
+		}
+	}
+}
+
+// Submissions that other owners had left to the holder show that the content is popular.
+func TestEndOfSharedLeaseIsToldAtOnce(t *testing.T) {
+	u := busyOwners(3)
+	first := u.owners[0]
+	l := u.acquire(t, first, content(1))
+	u.acquire(t, first, content(1))
+	u.simulate(messageTime)
+	first.q.Responding(content(1))
+	u.release(first, l, LeaseServed)
+	u.simulate(messageTime)
+	u.wantOwners(t, content(1), u.owners...)
+}
+
+// The worker may go on with a request whose caller has left, and crash.
+func TestUnansweredRunKeepsItsLease(t *testing.T) {
+	u := busyOwners(3)
+	first := u.owners[0]
+	l := u.acquire(t, first, content(1))
+	u.begin(first, l)
+	u.simulate(messageTime)
+	u.release(first, l, LeaseUndecided)
+	u.simulate(5 * messageTime)
+	for _, nd := range u.owners[1:] {
+		if d := nd.q.Evaluate(u.now, content(1), Submission{}, "GET /"); !d.Deferred {
+			t.Errorf("%s would run it", nd.instance.ID)
+		}
+	}
+}
+
 func TestServiceThatCanSpareWorkersUsesNoLeases(t *testing.T) {
 	u := newUpstreams(7, 0.3)
-	if u.owners[0].q.AcquireLease(content(1), u.now.Add(time.Second)) {
+	if u.owners[0].q.AcquireLease(content(1), u.now.Add(time.Second)) != nil {
 		t.Error("a lease in a service that can spare two workers")
 	}
 }
@@ -188,8 +275,8 @@
 			for i := range seconds * perSecond {
 				for k, nd := range u.owners {
 					c := content(i*n + k)
-					u.acquire(t, nd, c)
-					u.after(300*time.Millisecond, func() { u.release(nd, c, LeaseServed) })
+					l := u.acquire(t, nd, c)
+					u.after(300*time.Millisecond, func() { u.release(nd, l, LeaseServed) })
 				}
 				u.simulate(time.Second / perSecond)
 			}
--- a/internal/quarantine/leasegossip.go
+++ b/internal/quarantine/leasegossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"gypsumstand/internal/control"
@@ -12,10 +13,10 @@
 const (
 	// leaseRenewal is the time after which a lease is announced again.
 	leaseRenewal = leaseTTL / 2
-	// leaseRate and leaseBurst limit the messages about leases: 8 a second and as many replies
-	// to peers take about half of the 7 KB that a node may send for control. Without budget,
+	// leaseRate and leaseBurst limit the messages about leases: 10 a second with as many
+	// replies to peers stay below the 7 KB that a node may send for control. Without budget,
 	// announcements wait for the next tick.
-	leaseRate  = 8
+	leaseRate  = 10
 	leaseBurst = 32
 	// maxLeaseOwners is the size of the largest service that uses leases: two announcements
 	// to all its owners fit in leaseBurst. A larger one loses little with two workers.
@@ -42,28 +43,28 @@
 	return out
 }
 
-// leasesDue returns the contents whose leases have to be announced, at most as many as one
-// message holds.
-func (q *Quarantine) leasesDue(now time.Time) []wire.LeaseKey {
-	var due []wire.LeaseKey
-	for key, l := range q.leases.own {
-		if now.Sub(l.announcedAt) >= leaseRenewal && len(due) < wire.MaxLeases {
-			due = append(due, key)
+// leasesDue returns the leases that have to be announced, new ones first, at most as many as
+// one message holds.
+func (q *Quarantine) leasesDue(now time.Time) []*Lease {
+	var due []*Lease
+	for _, l := range q.leases.own {
+		if !l.unannounced && now.Sub(l.announcedAt) >= leaseRenewal {
+			due = append(due, l)
 		}
 	}
-	return due
+	slices.SortFunc(due, func(a, b *Lease) int { return a.announcedAt.Compare(b.announcedAt) })
+	return due[:min(len(due), wire.MaxLeases)]
 }
 
 // takeLeases adds leases and ends to an update and records that they are sent.
-func (q *Quarantine) takeLeases(now time.Time, due []wire.LeaseKey, update *wire.SuspectUpdate) {
-	for _, key := range due {
-		l := q.leases.own[key]
+func (q *Quarantine) takeLeases(now time.Time, due []*Lease, update *wire.SuspectUpdate) {
+	for _, l := range due {
 		l.announcedAt = now
 		if l.running() {
-			update.LeasesRunning = append(update.LeasesRunning, key)
+			update.LeasesRunning = append(update.LeasesRunning, l.key)
 			continue
 		}
-		update.Leases = append(update.Leases, key)
+		update.Leases = append(update.Leases, l.key)
 	}
 	update.LeasesEnded = q.leases.ended
 	q.leases.ended, q.leases.urgent = nil, false
@@ -89,8 +90,7 @@
 // learnLease takes over one lease of a peer, unless another one takes precedence.
 func (q *Quarantine) learnLease(now time.Time, key wire.LeaseKey, l peerLease) {
 	if own := q.leases.own[key]; own != nil && own.running() && !l.running {
-		own.announcedAt = time.Time{}
-		q.wake()
+		q.announceAgain(own)
 	}
 	old, known := q.leases.peers[key]
 	if known && now.Before(old.expires) && old.owner != l.owner && old.precedes(key, l) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -47,6 +47,9 @@
 	slotUse     func(now time.Time) (share float64, known bool)
 	correlator  CrashCorrelator
 	completed   recentRuns
+	// responded holds the requests to which this node's worker recently responded, even if
+	// the response is not complete yet.
+	responded recentRuns
 	// fragile reports that the service cannot spare two workers at a time.
 	fragile atomic.Bool
 	// peerLeases is the number of peers' leases.
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -116,8 +116,9 @@
 func (x *Executor) failed(ctx context.Context, fp *fingerprinter, started time.Time, notRun bool) Result {
 	m := fp.message
 	cancelled := cancelledByEntry(ctx)
+	ended := ctx.Err() != nil
 	seemsCrashed := func() bool { return false }
-	if !notRun && ctx.Err() == nil {
+	if !notRun && !ended {
 		seemsCrashed = x.runInterrupted(fp.run(started))
 	}
 	x.finish(m.Attempt.ID, owner.Completion{
@@ -125,14 +126,14 @@
 		NotRun:      notRun,
 		Delegate:    notRun && !cancelled,
 		Failed:      !cancelled,
-		Expired:     ctx.Err() != nil && !cancelled,
-		Abandoned:   cancelled || notRun && ctx.Err() != nil,
+		Expired:     ended && !cancelled,
+		Abandoned:   cancelled || notRun && ended,
 	})
-	if notRun && ctx.Err() == nil {
+	if notRun && !ended {
 		x.connectionObserved(true)
 	}
 	reason := model.ReasonWorkerBroken
-	if !notRun && ctx.Err() != nil {
+	if !notRun && ended {
 		x.quarantine.RunAbandoned(time.Now(), fp.run(started))
 	}
 	switch {
@@ -140,7 +141,7 @@
 		reason = model.ReasonCancelled
 	case notRun:
 		return Result{Refusal: x.refuseWorkerDown(fp)}
-	case ctx.Err() != nil:
+	case ended:
 		reason = model.ReasonExpired
 	case seemsCrashed():
 		reason = model.ReasonWorkerCrashed
--- a/internal/server/fingerprint.go
+++ b/internal/server/fingerprint.go
@@ -19,8 +19,10 @@
 	hostOfRoute func(host, method, path string) string
 	// cached is the fingerprint once it has been computed.
 	cached model.Fingerprint
-	// leased reports that the request holds a lease.
-	leased bool
+	// lease is the request's lease, if it holds one.
+	lease *quarantine.Lease
+	// serialized reports that the owner has the content since the offer.
+	serialized bool
 	// decision is the quarantine's last decision.
 	decision quarantine.Decision
 	// stream hashes a streamed body; nil for others.
--- a/internal/server/lease.go
+++ b/internal/server/lease.go
@@ -10,32 +10,40 @@
 	"gypsumstand/internal/quarantine"
 )
 
-// acquireLease announces a queued request of which no run completed recently, so that other
-// owners do not run it at the same time.
+// acquireLease announces a queued request to which the worker did not respond recently, so
+// that other owners do not run it at the same time.
 func (x *Executor) acquireLease(fp *fingerprinter, now time.Time) {
-	if fp.stream != nil || !x.quarantine.Fragile() {
+	if !x.maybeUnproven(fp) {
 		return
 	}
 	attempt := &fp.message.Attempt
-	fp.leased = x.quarantine.AcquireLease(fp.fingerprint(), now.Add(attempt.Remaining))
-	if fp.leased {
+	fp.lease = x.quarantine.AcquireLease(fp.fingerprint(), now.Add(attempt.Remaining))
+	if fp.lease != nil {
 		event.Log(x.requestLog, event.LeaseAcquired).Str("request", string(attempt.Request)).
 			Str("fingerprint", fp.cached.String()).Send()
 	}
 }
 
-// leaseRunning records that a request with a lease starts.
+// maybeUnproven reports whether the request may need a lease. It computes no fingerprint.
+func (x *Executor) maybeUnproven(fp *fingerprinter) bool {
+	return fp.stream == nil && x.quarantine.Fragile()
+}
+
+// leaseRunning records that a request starts.
 func (x *Executor) leaseRunning(fp *fingerprinter, now time.Time) {
-	if fp.leased {
-		x.quarantine.LeaseRunning(now, fp.cached)
+	switch {
+	case fp.lease != nil:
+		x.quarantine.LeaseRunning(now, fp.lease)
+	case x.maybeUnproven(fp):
+		fp.lease = x.quarantine.AcquireRunning(now, fp.fingerprint(), now.Add(fp.message.Attempt.Remaining))
 	}
 }
 
 // releaseLease gives up the request's lease, if it holds one.
 func (x *Executor) releaseLease(fp *fingerprinter, end quarantine.LeaseEnd) {
-	if fp.leased {
-		fp.leased = false
-		x.quarantine.ReleaseLease(fp.cached, end)
+	if fp.lease != nil {
+		x.quarantine.ReleaseLease(fp.lease, end)
+		fp.lease = nil
 	}
 }
 
@@ -44,24 +52,26 @@
 	switch {
 	case r.Response != nil:
 		return quarantine.LeaseServed
-	case r.Refusal.Reason == model.ReasonWorkerCrashed:
-		return quarantine.LeaseCrashed
+	case r.Refusal.NotRun || r.Refusal.Reason == model.ReasonWorkerBroken:
+		return quarantine.LeaseUnserved
 	}
-	return quarantine.LeaseUnserved
+	return quarantine.LeaseUndecided
 }
 
 // responding lets requests run that wait for this one, once the worker responds to it.
 func (x *Executor) responding(fp *fingerprinter, head dialect.ResponseHead) {
-	if !head.NotRun {
-		x.Deliver(x.owner.Responding(time.Now(), fp.message.Attempt.ID))
+	if head.NotRun {
+		return
 	}
+	x.quarantine.Responding(fp.cached)
+	x.Deliver(x.owner.Responding(time.Now(), fp.message.Attempt.ID))
 }
 
 // serializeLate serializes an admitted request whose content was not known when it was
 // offered. It refuses the request if another one of the content is queued or running here:
 // the entry then sends it again with its body.
 func (x *Executor) serializeLate(fp *fingerprinter) *model.Refusal {
-	if fp.complete() || fp.stream != nil || !x.quarantine.Fragile() || !x.quarantine.Unproven(fp.fingerprint()) {
+	if fp.serialized || !x.maybeUnproven(fp) || !x.quarantine.Unproven(fp.fingerprint()) {
 		return nil
 	}
 	id := fp.message.Attempt.ID
--- a/internal/server/suspects.go
+++ b/internal/server/suspects.go
@@ -22,6 +22,9 @@
 	switch d := &fp.decision; {
 	case d.Quarantined:
 		logQuarantined(x.requestLog, fp.message.Attempt.Request, fp.cached, d.RetryAfter)
+	case d.Deferred && d.Crashes == 0:
+		event.Log(x.requestLog, event.RequestLeased).Str("request", string(fp.message.Attempt.Request)).
+			Str("fingerprint", fp.cached.String()).Str("owner", string(d.OnlyOwner)).Send()
 	case d.Deferred:
 		event.Log(x.requestLog, event.RequestDeferred).Str("request", string(fp.message.Attempt.Request)).
 			Str("fingerprint", fp.cached.String()).Int("ends", int64(d.Crashes)).
@@ -46,6 +49,7 @@
 	}
 	if x.quarantine.Fragile() && x.quarantine.Unproven(fp.fingerprint()) {
 		r.Content = fp.fingerprint()
+		fp.serialized = true
 	}
 	if !x.maybeSuspect(fp) {
 		return r
