--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -54,8 +54,8 @@
 	// Crashes counts the workers that seem to have crashed during earlier attempts of
 	// this submission.
 	Crashes uint8 `cbor:"21,keyasint,omitempty"`
-	// Granted reports that the coordinator of the suspect request, the owner whose worker
-	// crashed last while running it, grants this run to the attempt's owner.
+	// Granted reports that the owner that coordinates the suspect request grants this run to
+	// the attempt's owner.
 	Granted bool `cbor:"22,keyasint,omitempty"`
 	// Regions are those in which the request may run. A request that may run in none is
 	// never sent.
