--- a/internal/owner/serial.go
+++ b/internal/owner/serial.go
@@ -100,23 +100,3 @@
 	o.dispatch(o.clock(now))
 	return o.takeDecisions()
 }
-
-// Serialize serializes a started attempt whose content is known only after its whole body
-// has arrived. It returns false, and leaves the attempt as it is, when another attempt of
-// the content is queued or running.
-func (o *Owner) Serialize(id model.AttemptID, content model.Fingerprint) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	p := o.pending[id]
-	switch {
-	case p == nil || !p.started:
-		return false
-	case p.content == content:
-		return true
-	case o.serial.leads(content):
-		return false
-	}
-	p.content = content
-	o.serial.join(p)
-	return true
-}
--- a/internal/quarantine/lease.go
+++ b/internal/quarantine/lease.go
@@ -12,8 +12,8 @@
 // While it waits in the queue of one owner, other submissions of it may reach other owners
 // and crash their workers at the same time. So an owner announces what it queues: a lease
 // gives it the sole right to run requests of that content, until its worker has responded to
-// one. Leases are used in services that cannot spare two workers, and only for contents of
-// which no run completed recently.
+// one. Leases are used in services that cannot spare two workers, and only for contents to
+// which this node's worker did not respond recently.
 const (
 	// leaseTTL is how long a peer's lease is valid after its last announcement.
 	leaseTTL = time.Second
@@ -148,7 +148,7 @@
 		q.leases.ended = slices.DeleteFunc(q.leases.ended, func(other wire.LeaseKey) bool { return other == key })
 	}
 	l.attempts++
-	l.shared = l.attempts > 1
+	l.shared = l.shared || l.attempts > 1
 	if deadline.After(l.until) {
 		l.until = deadline
 	}
@@ -270,7 +270,10 @@
 // a time.
 func (q *Quarantine) updateFragile(now time.Time) {
 	owners := q.findNeighbours().admitting
+	if len(owners) < 2 || len(owners) > maxLeaseOwners {
+		q.fragile.Store(false)
+		return
+	}
 	up, _ := q.otherOwners(now, owners)
-	small := len(owners) > 1 && len(owners) <= maxLeaseOwners
-	q.fragile.Store(small && spareWorkers(len(up), len(owners), q.averageUse) == 0)
+	q.fragile.Store(spareWorkers(len(up), len(owners), q.averageUse) == 0)
 }
--- a/internal/server/fingerprint.go
+++ b/internal/server/fingerprint.go
@@ -21,8 +21,6 @@
 	cached model.Fingerprint
 	// lease is the request's lease, if it holds one.
 	lease *quarantine.Lease
-	// serialized reports that the owner has the content since the offer.
-	serialized bool
 	// decision is the quarantine's last decision.
 	decision quarantine.Decision
 	// stream hashes a streamed body; nil for others.
--- a/internal/server/lease.go
+++ b/internal/server/lease.go
@@ -6,7 +6,6 @@
 	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/model"
-	"gypsumstand/internal/owner"
 	"gypsumstand/internal/quarantine"
 )
 
@@ -25,8 +24,10 @@
 }
 
 // maybeUnproven reports whether the request may need a lease. It computes no fingerprint.
+// Requests that are not idempotent take none: equal ones are mostly different requests, and
+// no entry sends one of them on after a run.
 func (x *Executor) maybeUnproven(fp *fingerprinter) bool {
-	return fp.stream == nil && x.quarantine.Fragile()
+	return fp.message.Attempt.Idempotent && fp.stream == nil && x.quarantine.Fragile()
 }
 
 // leaseRunning records that a request starts.
@@ -66,18 +67,3 @@
 	x.quarantine.Responding(fp.cached)
 	x.Deliver(x.owner.Responding(time.Now(), fp.message.Attempt.ID))
 }
-
-// serializeLate serializes an admitted request whose content was not known when it was
-// offered. It refuses the request if another one of the content is queued or running here:
-// the entry then sends it again with its body.
-func (x *Executor) serializeLate(fp *fingerprinter) *model.Refusal {
-	if fp.serialized || !x.maybeUnproven(fp) || !x.quarantine.Unproven(fp.fingerprint()) {
-		return nil
-	}
-	id := fp.message.Attempt.ID
-	if x.owner.Serialize(id, fp.cached) {
-		return nil
-	}
-	x.finish(id, owner.Completion{NotRun: true, Abandoned: true})
-	return &model.Refusal{Reason: model.ReasonDeferred, NotRun: true, RetryAfter: exclusiveRetry, OnlyOwner: fp.message.Attempt.Owner}
-}
--- a/internal/server/suspects.go
+++ b/internal/server/suspects.go
@@ -47,9 +47,8 @@
 	if !fp.complete() {
 		return r
 	}
-	if x.quarantine.Fragile() && x.quarantine.Unproven(fp.fingerprint()) {
+	if x.maybeUnproven(fp) && x.quarantine.Unproven(fp.fingerprint()) {
 		r.Content = fp.fingerprint()
-		fp.serialized = true
 	}
 	if !x.maybeSuspect(fp) {
 		return r
@@ -89,16 +88,10 @@
 // complete by now, and may have been quarantined while it was queued. Nil lets the
 // attempt run.
 func (x *Executor) refusalBeforeRun(fp *fingerprinter) *model.Refusal {
-	if fp.decision.Trial {
+	if !x.maybeSuspect(fp) || fp.decision.Trial {
 		return nil
 	}
 	id := fp.message.Attempt.ID
-	if refusal := x.serializeLate(fp); refusal != nil {
-		return refusal
-	}
-	if !x.maybeSuspect(fp) {
-		return nil
-	}
 	if fp.readPrefix() != nil {
 		x.finish(id, owner.Completion{NotRun: true, Abandoned: true})
 		return &model.Refusal{Reason: model.ReasonCancelled, NotRun: true}
