--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -120,8 +120,8 @@
 	Trial bool
 	// OnlyOwner, if set, is the only owner at which the request may run, as a worker may
 	// crash under it again, or as that owner holds its lease; RetryAfter is then the time
-	// until a crashed worker is expected to recover. Deferred reports that this node is not that owner, or that the owner is
-	// unknown.
+	// until a crashed worker is expected to recover. Deferred reports that this node is not
+	// that owner, or that the owner is unknown.
 	OnlyOwner model.InstanceID
 	Deferred  bool
 	// Granted reports that this node coordinates the request and grants OnlyOwner the right
