--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -112,7 +112,12 @@
 	if _, err := c.Write(append([]byte(head+"\r\n"), r.Body...)); err != nil {
 		return Answer{Err: err}
 	}
-	resp, err := http.ReadResponse(br, &http.Request{Method: r.Method})
+	return readAnswer(br, r.Method)
+}
+
+// readAnswer reads the answer to a request.
+func readAnswer(br *bufio.Reader, method string) Answer {
+	resp, err := http.ReadResponse(br, &http.Request{Method: method})
 	if err != nil {
 		return Answer{Err: err}
 	}
@@ -122,3 +127,42 @@
 		Body: body, Err: err, Close: resp.Close,
 	}
 }
+
+// SendChunks sends a request on a connection of its own whose body of n bytes leaves in chunks
+// over the given time, and reads the answer.
+func SendChunks(r Request, n int, over time.Duration) Answer {
+	began := time.Now()
+	a := sendChunks(r, n, over)
+	a.Took = time.Since(began)
+	return a
+}
+
+func sendChunks(r Request, n int, over time.Duration) Answer {
+	c, err := net.DialTimeout("tcp", r.Address, time.Second)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer c.Close()
+	began := time.Now()
+	_ = c.SetDeadline(began.Add(time.Duration(r.DeadlineMs) * time.Millisecond))
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nTransfer-Encoding: chunked\r\n\r\n",
+		r.Method, r.Path, r.Host, r.ID, r.DeadlineMs)
+	if _, err := io.WriteString(c, head); err != nil {
+		return Answer{Err: err}
+	}
+	const piece = 256 << 10
+	chunk := make([]byte, 0, piece+16)
+	chunk = fmt.Appendf(chunk, "%x\r\n", piece)
+	chunk = append(chunk, make([]byte, piece)...)
+	chunk = append(chunk, "\r\n"...)
+	for sent := 0; sent < n; sent += piece {
+		time.Sleep(time.Until(began.Add(over * time.Duration(sent) / time.Duration(n))))
+		if _, err := c.Write(chunk); err != nil {
+			return Answer{Err: err}
+		}
+	}
+	if _, err := io.WriteString(c, "0\r\n\r\n"); err != nil {
+		return Answer{Err: err}
+	}
+	return readAnswer(bufio.NewReader(c), r.Method)
+}
