Review case 1: calls of the site's workers in the load, so that it rarely holds by chance

The script now plays the calls that the site's workers make to the same service (144 a second, 15 ms each) and sends at random moments. Second copies stay at 0.03 of a worker's answers and are of rejections of PUT only; with the calls there are more answers, and so more copies.

--- a/review/standin/cmd/extralate/main.go
+++ b/review/standin/cmd/extralate/main.go
@@ -69,13 +69,17 @@
 
 // The site's figures.
 const (
-	slots       = 11
-	workTime    = 42 * time.Millisecond
-	deadlineMs  = 400
-	perSecond   = 83 // rent-invoice and access-permit
-	noiseShare  = 25 // in 100
-	noiseFactor = 4
-	noiseStep   = 300 * time.Millisecond
+	slots      = 11
+	workTime   = 42 * time.Millisecond
+	deadlineMs = 400
+	perSecond  = 83 // rent-invoice and access-permit
+	// Calls, parcel-check: for 0.7 of the site-lookups, which are 0.55 of 377 requests.
+	callWork       = 15 * time.Millisecond
+	callDeadlineMs = 200
+	callsPerSecond = 144
+	noiseShare     = 25 // in 100
+	noiseFactor    = 4
+	noiseStep      = 300 * time.Millisecond
 )
 
 // The disruptions, at doses of the site's days and troubles.
@@ -85,7 +89,7 @@
 	shedFor   = 8500 * time.Millisecond
 	shedPause = 500 * time.Millisecond
 	// garble, how = "extra late": share = 0.6 (two of three workers), x = 0.03 for 5 s. Of the
-	// answers it is the rejections that get a second copy, at most 0.03 of all answers.
+	// answers it is the rejections of PUT that get a second copy, at most 0.03 of all answers.
 	extraPart  = 0.03
 	extraFor   = 5 * time.Second
 	extraPause = 200 * time.Millisecond
@@ -112,7 +116,13 @@
 	for i, m := range machines {
 		w := &standin.Worker{
 			ID: fmt.Sprintf("i-%04x%04x", i+1, os.Getpid()), Service: m.service, Zone: m.zone, Address: ips[i] + ":0",
-			Slots: slots, Work: workTime, Record: rec,
+			Slots: slots, Record: rec,
+			WorkOf: func(method string) time.Duration {
+				if method == "GET" {
+					return callWork
+				}
+				return workTime
+			},
 		}
 		w.Slow = func() float64 {
 			step := uint64(time.Now().UnixNano() / int64(noiseStep))
@@ -154,10 +164,16 @@
 	}
 	return map[string]any{
 		"version": 7,
-		"routes": []any{map[string]any{
-			"name": "r-invoice", "host": host, "prefix": prefix, "kind": "non_idempotent",
-			"timeout_ms": deadlineMs, "target_latency_ms": 150, "priority": 0, "service": service, "max_attempts": 2,
-		}},
+		"routes": []any{
+			map[string]any{
+				"name": "r-invoice", "host": host, "prefix": prefix, "kind": "non_idempotent",
+				"timeout_ms": deadlineMs, "target_latency_ms": 150, "priority": 0, "service": service, "max_attempts": 2,
+			},
+			map[string]any{
+				"name": "r-parcel", "host": host, "prefix": callPrefix, "kind": "idempotent",
+				"timeout_ms": callDeadlineMs, "target_latency_ms": 80, "priority": 2, "service": service, "max_attempts": 2,
+			},
+		},
 		"services": []any{workers("lease-portal"), workers(service)},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
@@ -168,11 +184,8 @@
 	defer wg.Wait()
 	stop := make(chan struct{})
 	defer close(stop)
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		d.sendUntil(stop)
-	}()
+	wg.Go(func() { sendUntil(stop, perSecond, func() { d.send(d.nodes[rand.IntN(len(d.nodes))]) }) })
+	wg.Go(func() { sendUntil(stop, callsPerSecond, func() { d.call(d.nodes[rand.IntN(portals)]) }) })
 	time.Sleep(3 * time.Second)
 	if trouble {
 		go d.spells(&d.shed, "srv_grey shed all", shedFor, shedPause, stop)
@@ -182,17 +195,17 @@
 }
 
 // extraLate returns the decision of one worker which answers get a second copy.
-func (d *deployment) extraLate() func(status int) bool {
+func (d *deployment) extraLate() func(method string, status int) bool {
 	var mu sync.Mutex
 	answers, extras := 0, 0
-	return func(status int) bool {
+	return func(method string, status int) bool {
 		if !d.extra.Load() {
 			return false
 		}
 		mu.Lock()
 		defer mu.Unlock()
 		answers++
-		if status != 503 || rand.Float64() >= extraPart/shedPart || float64(extras+1) > extraPart*float64(answers) {
+		if method != "PUT" || status != 503 || float64(extras+1) > extraPart*float64(answers) {
 			return false
 		}
 		extras++
@@ -216,31 +229,42 @@
 	}
 }
 
-func (d *deployment) sendUntil(stop <-chan struct{}) {
+// sendUntil calls send about perSecond times a second, at random moments, until stop is closed.
+func sendUntil(stop <-chan struct{}, perSecond float64, send func()) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	ticker := time.NewTicker(time.Second / perSecond)
-	defer ticker.Stop()
+	next := time.Now()
 	for {
+		next = next.Add(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)))
 		select {
 		case <-stop:
 			return
-		case <-ticker.C:
+		case <-time.After(time.Until(next)):
 		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			d.send(d.nodes[rand.IntN(len(d.nodes))])
-		}()
+		wg.Go(send)
 	}
 }
 
 const (
-	host    = "invoices.example"
-	prefix  = "/invoice/"
-	service = "permit-billing"
+	host       = "invoices.example"
+	prefix     = "/invoice/"
+	callPrefix = "/parcel/"
+	service    = "permit-billing"
+	// portals is the number of machines of lease-portal, the first ones, whose workers make the
+	// calls.
+	portals = 7
 )
 
+// call sends a call, which may run more than once, as the worker beside n does.
+func (d *deployment) call(n *standin.Node) {
+	id := standin.NewID()
+	d.rec.Line("worker beside %s: calls %s (GET %s%s)", n.Caller, id, host, callPrefix)
+	a := standin.Send(standin.Request{
+		Address: n.Caller, Method: "GET", Host: host, Path: callPrefix + id, ID: id, DeadlineMs: callDeadlineMs,
+	})
+	d.rec.Line("worker beside %s: %s gets %s", n.Caller, id, a)
+}
+
 func (d *deployment) send(n *standin.Node) {
 	id := standin.NewID()
 	d.rec.Line("client: sends %s (PUT %s%s) to %s", id, host, prefix, n.Caller)
@@ -277,8 +301,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	twice, refused := 0, 0
+	twice, refused, ran := 0, 0, 0
 	for id, at := range runs {
+		if _, put := d.statuses[id]; !put {
+			continue // a call
+		}
+		ran++
 		if len(at) > 1 {
 			twice++
 			d.rec.Line("BROKEN TWICE: %s ran at %v", id, at)
@@ -288,7 +316,7 @@
 			d.rec.Line("BROKEN REFUSED: %s was answered %d and ran at %v", id, s, at)
 		}
 	}
-	line := fmt.Sprintf("%d requests, answers %v, %d ran, %d of them twice, %d of them refused as not run", d.sent, d.answers, len(runs), twice, refused)
+	line := fmt.Sprintf("%d requests, answers %v, %d ran, %d of them twice, %d of them refused as not run", d.sent, d.answers, ran, twice, refused)
 	d.rec.Line("%s", line)
 	fmt.Println(line)
 	if twice+refused > 0 {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -16,13 +16,15 @@
 	ID, Service, Zone, Address string
 	Slots                      int
 	Record                     *Record
-	// Work is how long a request takes.
-	Work time.Duration
+	// Work is how long a request takes; WorkOf, if not nil, tells it by method.
+	Work   time.Duration
+	WorkOf func(method string) time.Duration
 	// Shed, if not nil, decides whether the worker rejects a request (503, X-Not-Executed).
 	Shed func() bool
-	// ExtraLate, if not nil, decides whether an answer with a status gets a second copy, which
-	// arrives late: where the answer to the next request on the connection is expected.
-	ExtraLate func(status int) bool
+	// ExtraLate, if not nil, decides whether the answer to a request with a method gets a second
+	// copy, which arrives late: where the answer to the next request on the connection is
+	// expected.
+	ExtraLate func(method string, status int) bool
 	// Slow is how many times as long work takes at the moment; nil means once.
 	Slow func() float64
 
@@ -138,6 +140,13 @@
 	return fmt.Sprintf("%d,%d,%d,%.0f", w.running, w.waiting, w.Slots, 100*w.slow())
 }
 
+func (w *Worker) work(method string) time.Duration {
+	if w.WorkOf == nil {
+		return w.Work
+	}
+	return w.WorkOf(method)
+}
+
 func (w *Worker) slow() float64 {
 	if w.Slow == nil {
 		return 1
@@ -151,8 +160,8 @@
 	// extra is a copy of an answer that is still to be sent, for the request extraOf.
 	extra   []byte
 	extraOf string
-	// last is the request before on this connection.
-	last string
+	// last is the request before on this connection, method that of the present one.
+	last, method string
 }
 
 func (w *Worker) serve(conn net.Conn) {
@@ -181,7 +190,7 @@
 	if c.last == id {
 		w.Record.Line("worker %s: %s comes again on the same connection", w.ID, id)
 	}
-	c.last = id
+	c.last, c.method = id, r.Method
 	if len(c.extra) > 0 {
 		w.Record.Line("worker %s: a second copy of the answer to %s comes where that to %s is expected", w.ID, c.extraOf, id)
 		_, _ = c.Write(c.extra)
@@ -231,7 +240,7 @@
 	w.routes[id] = r.Host + r.URL.Path
 	w.mu.Unlock()
 	w.Record.Line("worker %s: runs %s (%s %s, caller %s)", w.ID, id, r.Method, r.RequestURI, r.Header.Get("X-Caller-Service"))
-	time.Sleep(time.Duration(float64(w.Work) * w.slow()))
+	time.Sleep(time.Duration(float64(w.work(r.Method)) * w.slow()))
 	w.mu.Lock()
 	w.running--
 	w.mu.Unlock()
@@ -246,7 +255,7 @@
 	}
 	head += headers + "X-Server-Load: " + w.load() + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
 	answer := append([]byte(head), body...)
-	if id != "" && w.ExtraLate != nil && w.ExtraLate(status) {
+	if id != "" && w.ExtraLate != nil && w.ExtraLate(c.method, status) {
 		c.extra, c.extraOf = answer, id
 	}
 	_, err := c.Write(answer)
