upstream, server: a connection that carried a rejection takes no other request

A worker's response may come once more, late, where the response to the next request on its connection is expected. The echoed id tells it apart, but all attempts of a request share that id. A rejected attempt left its connection in the pool, and the entry may place the request at the same owner again, which used the same connection.

The connection of a response that says "not run" (503, 429, 421), or that is not valid for its attempt, takes no other request. Closing it when the response is returned is too late: net/http gives the connection of a response without a body to the next request before it returns that response. So a request now holds its connection until the head of its response has been judged, and one that gets a connection that was closed meanwhile is sent on another one; nothing of it was sent before. A rejection costs one new connection.

Related paths, by reading: a response that is passed on ends its request's attempts at this worker, but for idempotent ones that the entry lost, where a copy is as good as the response; cancelled attempts have their connection closed by net/http; hedges go to other workers; between nodes the echo is the attempt's own; health checks have connections of their own. In the product's own mode a worker's rejection without an echo could be taken for another request's; that is mended with it.

Event 527 tells a response that is not valid for its attempt from other failures.

Tests, both failed before: TestLateCopyOfRejectionIsNotTheNextAttemptsResponse (refused as not run, 1 run at the worker) and TestRequestThatWaitedForConnectionOfRejectionIsAnswered (worker-broken, 1 run); 2,000 times each under the race detector now.

The connection's type has a file of its own.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -73,6 +73,16 @@
 	EchoMismatch
 )
 
+var echoNames = [...]string{"absent", "match", "mismatch"}
+
+// String returns the name of e for logs, "invalid" for an unknown value.
+func (e Echo) String() string {
+	if int(e) < len(echoNames) {
+		return echoNames[e]
+	}
+	return "invalid"
+}
+
 // ResponseHead is the information in the status and header of a worker's response.
 type ResponseHead struct {
 	Echo Echo
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -40,6 +40,9 @@
 	RunCallRefused = define(525, zerolog.InfoLevel, "run failed after a call got no response",
 		"The worker responded with a server error to a request for which one of its own calls had been refused for load or had got no response: the request's id, the attempt, its class and the status. The failure is not counted against this worker. Only with inherit_priority or by_outcome.",
 		"Find the calls by their field parent in event 410 of this node, and look at the load of the service that they need.")
+	ResponseInvalid = define(527, zerolog.WarnLevel, "response not valid for its attempt",
+		"The worker's response to an attempt cannot be passed on: it names another request (echo mismatch) or none (absent), a successful one lacks the worker's signature, or its completeness cannot be checked. The connection was closed; the attempt may have run.",
+		"Check the worker: it may send responses more than once, or late.")
 	ReservationRefused = define(530, zerolog.InfoLevel, "reservation of a large body refused",
 		"An owner refused to receive the large body of a request: the reason, the body's length, how long the entry waited, the bodies in transit, the reservations that wait, and the memory in use. Nothing of the body was sent, and the attempt never runs.",
 		"If the reason is often overloaded while no body is in transit: compare memory_bytes with an eighth of memory_limit_mb.")
--- a/internal/server/executorlog.go
+++ b/internal/server/executorlog.go
@@ -43,3 +43,12 @@
 		Int("running", int64(r.Report.InFlight)).Int("queued", int64(r.Report.Queued)).
 		Int("limit", int64(r.Report.Limit)).Int("pace_percent", int64(r.Report.SlowdownPercent)).Send()
 }
+
+// logInvalidResponse logs a response that does not belong to its attempt or cannot be passed
+// on.
+func (x *Executor) logInvalidResponse(m *AttemptMessage, w workerResponse) {
+	event.Log(x.requestLog, event.ResponseInvalid).
+		Str("request", string(m.Attempt.Request)).Str("attempt", m.Attempt.ID.String()).
+		Str("class", string(m.Attempt.Class)).Str("echo", w.head.Echo.String()).
+		Int("status", int64(w.StatusCode)).Str("worker", string(x.worker())).Send()
+}
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"time"
 
-	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/model"
 	"gypsumstand/internal/owner"
 	"gypsumstand/internal/upstream"
@@ -25,9 +24,7 @@
 	// written then would run after the caller was told that the call had ended.
 	trace := upstream.RequestTrace{SendDeadline: deadline}
 	worker := x.worker()
-	req := trace.Attach(x.request(ctx, m, worker))
-	upstream.PreventReplay(req)
-	resp, err := x.transportFor(&m.Attempt).RoundTrip(req)
+	resp, err := x.send(ctx, m, worker, &trace)
 	if err != nil {
 		defer cancel()
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -36,14 +33,14 @@
 		return x.failed(ctx, fp, started, trace.NotRun())
 	}
 	x.connectionObserved(false)
-	head := x.dialect.ReadResponse(resp, &m.Attempt)
+	head := resp.head
 	x.Deliver(x.owner.ObserveLoad(time.Now(), head.Load))
-	if refusal, ok := x.checkHead(m, resp, head); !ok {
-		trace.CloseConn()
+	if !resp.valid {
 		resp.Body.Close()
 		cancel()
+		x.logInvalidResponse(m, resp)
 		x.finish(m.Attempt.ID, owner.Completion{ServiceTime: time.Since(started), Failed: true})
-		return Result{Refusal: refusal}
+		return Result{Refusal: model.Refusal{Reason: model.ReasonWorkerBroken}}
 	}
 	if head.Worker != "" && x.workerIdentified != nil {
 		x.workerIdentified(head.Worker)
@@ -160,38 +157,12 @@
 // cancelMargin is how long before its deadline a cancelled context is treated as expired.
 const cancelMargin = 5 * time.Millisecond
 
-// checkHead refuses responses that belong to another request, responses whose
-// completeness cannot be checked, and protocol switches: no request asked for one (RFC
-// 9110, section 15.2.2), and its body would end only with the connection.
-func (x *Executor) checkHead(m *AttemptMessage, resp *http.Response, head dialect.ResponseHead) (model.Refusal, bool) {
-	broken := model.Refusal{Reason: model.ReasonWorkerBroken}
-	if head.Echo == dialect.EchoMismatch || head.Echo == dialect.EchoAbsent && x.requireEcho.Load() {
-		return broken, false
-	}
-	if resp.StatusCode < http.StatusOK {
-		return broken, false
-	}
-	if !x.dialect.AcceptsCloseDelimited() && upstream.CheckFraming(resp, m.Method) != nil {
-		return broken, false
-	}
-	return model.Refusal{}, true
-}
-
 // spuriousRetry is the Retry-After for a request that a worker refused although it had
 // room; another worker may accept it, and so may this one. It is short compared to the
 // callers' latency objectives (600 ms and more), and long enough for a slot to become
 // free.
 const spuriousRetry = 50 * time.Millisecond
 
-// request returns the HTTP request to the worker.
-func (x *Executor) request(ctx context.Context, m *AttemptMessage, worker model.WorkerID) *http.Request {
-	u := *m.URL
-	u.Scheme, u.Host = "http", x.address
-	req := m.request(ctx, &u)
-	x.dialect.PrepareAttempt(req.Header, &m.Attempt, worker)
-	return req
-}
-
 // responseBody calls done once when the body ends, is cut off, or is closed early.
 type responseBody struct {
 	io.ReadCloser
--- a/internal/upstream/requesttrace.go
+++ b/internal/upstream/requesttrace.go
@@ -23,6 +23,11 @@
 	hasConn       bool
 	conn          *countingConn
 	writtenBefore int64
+	// exclusive: each connection is held until release; see Send.
+	exclusive bool
+	held      *countingConn
+	// gotRetired: the connection had been retired before the request got it.
+	gotRetired bool
 }
 
 // Attach returns r watched by t.
@@ -36,8 +41,29 @@
 	defer t.mu.Unlock()
 	t.hasConn = true
 	t.conn = countingConnOf(info.Conn)
-	if t.conn != nil {
-		t.writtenBefore = t.conn.startRequest(t.SendDeadline)
+	if t.conn == nil {
+		return
+	}
+	t.hold(t.conn)
+	t.writtenBefore, t.gotRetired = t.conn.startRequest(t.SendDeadline)
+}
+
+// hold waits until the request before has released the connection. It is called with mu
+// locked, which only the goroutine of the RoundTrip needs meanwhile.
+func (t *RequestTrace) hold(c *countingConn) {
+	if !t.exclusive {
+		return
+	}
+	t.release()
+	c.turn.Lock()
+	t.held = c
+}
+
+// release leaves the connection to the next request. It is called with mu locked.
+func (t *RequestTrace) release() {
+	if t.held != nil {
+		t.held.turn.Unlock()
+		t.held = nil
 	}
 }
 
@@ -66,13 +92,12 @@
 	return t.conn.fenceIfUnused(t.writtenBefore)
 }
 
-// CloseConn closes the watched connection, so that nothing the worker still sends on it
+// CloseConn closes the watched connection, so that nothing the other side still sends on it
 // can be taken for the response to another request.
 func (t *RequestTrace) CloseConn() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conn != nil {
-		// The connection is abandoned, so the error of closing it is of no use.
-		_ = t.conn.Close()
+		t.conn.retire()
 	}
 }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -11,7 +11,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -110,76 +109,6 @@
 	}
 }
 
-// errFenced is the error of a write on a fenced connection: its request was proved not
-// run, or the send deadline passed before its first byte.
-var errFenced = errors.New("connection is fenced: its request was proved not run")
-
-// countingConn counts the bytes sent, to prove after an error that no byte of the request
-// was sent. Fencing it makes later writes fail, so that the proof stays true.
-type countingConn struct {
-	net.Conn
-
-	mu      sync.Mutex
-	written int64
-	writing bool
-	fenced  bool
-	// writtenBefore is the number of bytes written before the present request,
-	// sendDeadline the time after which its first byte must not be sent; zero for none.
-	writtenBefore int64
-	sendDeadline  time.Time
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(p []byte) (int, error) {
-	if !c.beginWrite() {
-		return 0, errFenced
-	}
-	n, err := c.Conn.Write(p)
-	c.endWrite(n)
-	return n, err
-}
-
-func (c *countingConn) beginWrite() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.sendDeadline.IsZero() && c.written == c.writtenBefore && time.Now().After(c.sendDeadline) {
-		c.fenced = true
-	}
-	if c.fenced {
-		return false
-	}
-	c.writing = true
-	return true
-}
-
-func (c *countingConn) endWrite(n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writing = false
-	c.written += int64(n)
-}
-
-// startRequest records that a request starts on this connection, and the deadline for its
-// first byte, zero for none. It returns the number of bytes sent so far.
-func (c *countingConn) startRequest(sendDeadline time.Time) int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writtenBefore, c.sendDeadline = c.written, sendDeadline
-	return c.written
-}
-
-// fenceIfUnused reports whether nothing was sent since before, and if so makes all later
-// writes fail: the transport's own goroutine may still be about to write.
-func (c *countingConn) fenceIfUnused(before int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writing || c.written != before {
-		return false
-	}
-	c.fenced = true
-	return true
-}
-
 // emptyBody is an empty body whose emptiness net/http cannot detect, so that it cannot
 // replay the request.
 type emptyBody struct{}
