server: the quarantine test reads each request's result from a channel of its own

Two goroutines sent to one channel and the test took the order of arrival for the order of the requests, so that a refusal that came first was dropped and the other request's 200 was judged. The test's own fault: each request has a channel now, the quarantined one is judged as before, and the other one must be answered, which was not checked. 600 runs of it beside load 36: none failed.

--- a/internal/server/suspects_test.go
+++ b/internal/server/suspects_test.go
@@ -178,20 +178,22 @@
 	// Another request is already suspect, so the submission is evaluated on arrival.
 	q.RunFailed(time.Now(), quarantine.Run{Content: model.Fingerprint{1}, Started: time.Now()})
 	q.WorkerCrashed(time.Now())
-	results := make(chan Result, 2)
-	go func() { results <- do(t, x, messageOf(1, "/sound", "", bufferedBody)) }()
+	sound, quarantined := make(chan Result, 1), make(chan Result, 1)
+	go func() { sound <- do(t, x, messageOf(1, "/sound", "", bufferedBody)) }()
 	await(t, x.owner, func(r model.LoadReport) bool { return r.InFlight == 1 })
 	waiting := messageOf(2, "/deadly", "pay", bufferedBody)
 	fingerprint := x.newFingerprinter(waiting).fingerprint()
-	go func() { results <- do(t, x, waiting) }()
+	go func() { quarantined <- do(t, x, waiting) }()
 	await(t, x.owner, func(r model.LoadReport) bool { return r.Queued == 1 })
 	for range 3 {
 		q.RunFailed(time.Now(), quarantine.Run{Content: fingerprint, Started: time.Now(), AlreadySuspect: true})
 		q.WorkerCrashed(time.Now())
 	}
 	close(release)
-	<-results
-	if r := <-results; r.Refusal.Reason != model.ReasonQuarantined || !r.Refusal.NotRun {
+	if r := <-sound; r.Response == nil || r.Response.Status != http.StatusOK {
+		t.Errorf("the other request: %+v, %+v; want it answered", r.Response, r.Refusal)
+	}
+	if r := <-quarantined; r.Refusal.Reason != model.ReasonQuarantined || !r.Refusal.NotRun {
 		t.Errorf("%+v, %+v; want it quarantined", r.Response, r.Refusal)
 	}
 }
