server: the test that gives up a waiting reservation waits for the owner's reply first

TestEntryGivesUpWaitingReservation failed once beside load. It left as soon as the owner held the reservation, which is before the owner's reply that it waits has reached the entry; the entry then rightly reports that it was not acknowledged.

--- a/internal/server/reservation_test.go
+++ b/internal/server/reservation_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -88,8 +89,11 @@
 	p := newReservingPeer(t, 2, func(http.ResponseWriter, *http.Request) {})
 	release := p.block(t)
 	ctx, cancel := context.WithCancel(t.Context())
+	acknowledged := make(chan struct{})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { close(acknowledged) }})
 	go func() {
 		await(t, p.owner, func(model.LoadReport) bool { return p.owner.ReservationCounts().Waiting == 1 })
+		<-acknowledged
 		cancel()
 	}()
 	r, reported, err := NewForwarder(nil, nil, 0).Do(ctx, p.address, reservedMessage(1, unreadBody{t}))
