server: while a worker repeats responses, each payout gets a connection of its own

A copy of any response spoils the next one on its connection: the echoed id keeps it from the wrong caller, but the request that ran is told 502, and one that must run at most once can't be sent again.

So for ten seconds after a response to another request, each request that is not idempotent gets a connection of its own, on which no other response can be expected. Idempotent ones keep theirs: they are tried again, and their mismatches renew the ten seconds.

TestWorkerThatRepeatsResponsesCostsOnePayoutItsResponse failed before: 4 of 8 lost.

--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -119,12 +119,15 @@
 	portClosed func()
 	// routeHost returns the request's host if its route is for that host only, else empty.
 	routeHost func(host, method, path string) string
-	// transport is for idempotent requests, freshTransport for others; see
-	// nonIdempotentIdle.
-	transport      atomic.Pointer[http.Transport]
-	freshTransport atomic.Pointer[http.Transport]
-	requireEcho    atomic.Bool
-	limits         limits
+	// transport is for idempotent requests, freshTransport for others, see
+	// nonIdempotentIdle, and singleUseTransport for others while the worker repeats responses.
+	transport          atomic.Pointer[http.Transport]
+	freshTransport     atomic.Pointer[http.Transport]
+	singleUseTransport atomic.Pointer[http.Transport]
+	// mismatchedAt is when the worker last sent a response to another request; nil if never.
+	mismatchedAt atomic.Pointer[time.Time]
+	requireEcho  atomic.Bool
+	limits       limits
 	// peerAttempts counts the attempts of other entry nodes that have not ended.
 	peerAttempts atomic.Int64
 
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -38,7 +38,7 @@
 	if !resp.valid {
 		resp.Body.Close()
 		cancel()
-		x.logInvalidResponse(m, resp)
+		x.responseInvalid(m, resp)
 		x.finish(m.Attempt.ID, owner.Completion{ServiceTime: time.Since(started), Failed: true})
 		return Result{Refusal: model.Refusal{Reason: model.ReasonWorkerBroken}}
 	}
--- a/internal/server/executorsend.go
+++ b/internal/server/executorsend.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"gypsumstand/internal/dialect"
 	"gypsumstand/internal/model"
@@ -50,6 +51,15 @@
 	return x.dialect.AcceptsCloseDelimited() || upstream.CheckFraming(resp, m.Method) == nil
 }
 
+// responseInvalid records a response that is not valid for its attempt.
+func (x *Executor) responseInvalid(m *AttemptMessage, w workerResponse) {
+	if w.head.Echo == dialect.EchoMismatch {
+		now := time.Now()
+		x.mismatchedAt.Store(&now)
+	}
+	x.logInvalidResponse(m, w)
+}
+
 // request returns the HTTP request to the worker, with an unread body.
 func (x *Executor) request(ctx context.Context, m *AttemptMessage, worker model.WorkerID) *http.Request {
 	u := *m.URL
--- a/internal/server/repeatedresponse_test.go
+++ b/internal/server/repeatedresponse_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -181,3 +182,25 @@
 	}
 	t.Fatalf("%d, want %d", n.Load(), value)
 }
+
+// Of the payouts that followed each other on the connections of a worker that sends its
+// responses once more, every second one lost its response.
+func TestWorkerThatRepeatsResponsesCostsOnePayoutItsResponse(t *testing.T) {
+	w := newRepeatingWorker(t, "200 OK")
+	x := repeatingExecutor(w)
+	lost := 0
+	for sequence := range uint64(8) {
+		r := x.Do(t.Context(), requestMessage(sequence+1, model.RequestID("payout-"+strconv.FormatUint(sequence, 10))))
+		if r.Response == nil {
+			lost++
+			continue
+		}
+		if _, err := io.ReadAll(r.Response.Body); err != nil {
+			t.Error(err)
+		}
+		r.Response.Body.Close()
+	}
+	if lost != 1 {
+		t.Errorf("%d responses lost, want 1", lost)
+	}
+}
--- a/internal/server/transports.go
+++ b/internal/server/transports.go
@@ -21,6 +21,9 @@
 	// non-idempotent request: a worker that has dropped the connection resets it, and
 	// then nothing proves that the request did not run.
 	nonIdempotentIdle = 250 * time.Millisecond
+	// singleUsePeriod is how long after a response to another request each non-idempotent
+	// request gets a connection of its own.
+	singleUsePeriod = 10 * time.Second
 	// workerAckTimeout ends a connection to a worker whose machine is down.
 	workerAckTimeout = 3 * time.Second
 )
@@ -57,9 +60,15 @@
 		MaxIdleConns: l.slots, MaxConns: l.connections,
 		DialTimeout: workerDialTimeout, IdleTimeout: workerIdle, AckTimeout: workerAckTimeout,
 	}
-	replaced := []*http.Transport{x.transport.Swap(upstream.NewTransport(o)), nil}
-	o.IdleTimeout = nonIdempotentIdle
-	replaced[1] = x.freshTransport.Swap(upstream.NewTransport(o))
+	single := upstream.NewTransport(o)
+	single.DisableKeepAlives = true
+	fresh := o
+	fresh.IdleTimeout = nonIdempotentIdle
+	replaced := []*http.Transport{
+		x.transport.Swap(upstream.NewTransport(o)),
+		x.freshTransport.Swap(upstream.NewTransport(fresh)),
+		x.singleUseTransport.Swap(single),
+	}
 	for _, t := range replaced {
 		if t != nil {
 			t.CloseIdleConnections()
@@ -67,16 +76,28 @@
 	}
 }
 
-// transportFor returns the transport of an attempt.
+// transportFor returns the transport of an attempt. A late copy of a response leaves the next
+// request on its connection without its own; an idempotent one is then tried again.
 func (x *Executor) transportFor(a *model.Attempt) *http.Transport {
-	if a.Idempotent {
+	switch {
+	case a.Idempotent:
 		return x.transport.Load()
+	case x.repeatsResponses(time.Now()):
+		return x.singleUseTransport.Load()
 	}
 	return x.freshTransport.Load()
 }
 
+// repeatsResponses reports whether the worker has sent a response to another request within
+// singleUsePeriod.
+func (x *Executor) repeatsResponses(now time.Time) bool {
+	last := x.mismatchedAt.Load()
+	return last != nil && now.Sub(*last) < singleUsePeriod
+}
+
 // Close closes idle connections to the worker.
 func (x *Executor) Close() {
 	x.transport.Load().CloseIdleConnections()
 	x.freshTransport.Load().CloseIdleConnections()
+	x.singleUseTransport.Load().CloseIdleConnections()
 }
