core, directory: a worker of another service at the own address is not the node's worker

The address of a worker that has ended goes to another service after two seconds; the node beside it gets its SIGTERM later and still takes requests for its leave grace. It took whatever worker the directory lists at its own instance for its own. Until the new worker was listed it refused, as the worker reports another id than the listed one; with the listing both ids were equal, it counted as listed and ready, and put the new worker's id into its requests. A process that had been frozen still sent it orders by its old view.

A listing at the own instance counts only if it is of the node's own service; otherwise no worker is listed, and attempts are refused as not run. What was admitted before and still starts names the last worker listed for this node: any other one refuses it. (It named the id that the worker now at the address gives for itself, once no worker was listed.)

TestWorkerOfAnotherServiceAtOwnAddressIsNotUsed failed before: live after the listing, and attempts named w2. The directory tests' node had no service, which no node lacks; it has that of its worker now.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"gypsumstand/internal/blackboard"
@@ -92,6 +93,9 @@
 	// incarnation is the worker incarnation that the fleet's view last listed for this
 	// node; zero before the first.
 	incarnation model.WorkerIncarnation
+	// lastWorker is the worker that the fleet's view last listed for this node; nil before
+	// the first.
+	lastWorker atomic.Pointer[model.WorkerID]
 	// reportedWorker is the ID that this node's worker last gave for itself.
 	reportedWorker model.WorkerID
 	// derivedAt is when the derived state was last rebuilt.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -263,3 +263,37 @@
 		t.Errorf("states (-want +got):\n%s", diff)
 	}
 }
+
+// An owner took a worker of another service, which had been given the address of its own
+// worker, for its own: that worker ran requests of processes with an older view.
+func TestWorkerOfAnotherServiceAtOwnAddressIsNotUsed(t *testing.T) {
+	self := instances("ledger", 1)[0]
+	self.State, self.Incarnation = model.StateCold, 1
+	n := New(Config{Self: self, Started: epoch, FollowsDirectory: true})
+	b := &bundle.Bundle{Name: "operator", Version: 1, Services: []bundle.Service{{Name: "ledger", Slots: 20}, {Name: "vouchers", Slots: 20}}}
+	now := epoch
+	state := func(ev control.Event) model.UpstreamState {
+		now = now.Add(10 * time.Second)
+		n.Handle(now, ev)
+		return n.Owner.Report(now).State
+	}
+	state(control.SelfStateChanged{State: model.StateLive})
+	state(control.DirectoryRead{Revision: 1, Bundle: b})
+	foreign := listedIncarnation("w2", 0, 4, 4)
+	foreign.Listed[0].Instance.Service = "vouchers"
+	foreign.Unlisted = []model.Unlisted{{Worker: "w1", Revision: 3}}
+	got := []model.UpstreamState{
+		state(listedIncarnation("w1", 0, 2, 2)),
+		state(control.WorkerIdentified{Worker: "w2"}),
+		state(foreign),
+		state(control.Tick{}),
+	}
+	live, cold := model.StateLive, model.StateCold
+	if diff := cmp.Diff([]model.UpstreamState{live, cold, cold, cold}, got); diff != "" {
+		t.Errorf("states (-want +got):\n%s", diff)
+	}
+	// An attempt that was admitted before still names the worker that it was meant for.
+	if got := n.Worker(); got != "w1" {
+		t.Errorf("attempts name worker %q, want %q", got, "w1")
+	}
+}
--- a/internal/core/derive.go
+++ b/internal/core/derive.go
@@ -40,7 +40,10 @@
 	n.derived = seen
 	n.derivedAt = now
 	n.Table.Update(now, fleet, set)
-	self, _ := fleet.Instance(n.cfg.Self.ID)
+	self := n.ownListing(fleet)
+	if self.Worker != "" {
+		n.lastWorker.Store(&self.Worker)
+	}
 	ds := n.applyIncarnation(now, self.WorkerIncarnation())
 	n.Owner.SetWorker(now, self.Worker)
 	n.Owner.SetWithdrawn(now, self.State == model.StateLeaving)
@@ -124,10 +127,28 @@
 	return &own
 }
 
-// Worker returns the ID of this node's worker in the fleet's view; empty if it has none.
+// Worker returns the ID of this node's worker in the fleet's view, or the last one if none is
+// listed: an attempt that was admitted for it must not run at another worker that has been
+// given its address. It is empty if none was ever listed. It is safe for concurrent use.
 func (n *Node) Worker() model.WorkerID {
-	self, _ := n.Board.Fleet.Get().Instance(n.cfg.Self.ID)
-	return self.Worker
+	if self := n.ownListing(n.Board.Fleet.Get()); self.Worker != "" {
+		return self.Worker
+	}
+	if last := n.lastWorker.Load(); last != nil {
+		return *last
+	}
+	return ""
+}
+
+// ownListing returns this node's instance in a view of the fleet; zero if it is not there, or
+// with a worker of another service, to which the address of an ended worker may be given
+// before its node has ended.
+func (n *Node) ownListing(fleet *model.Fleet) model.Instance {
+	self, _ := fleet.Instance(n.cfg.Self.ID)
+	if self.Service != n.cfg.Self.Service {
+		return model.Instance{}
+	}
+	return self
 }
 
 // liveUpstreams counts the instances of a service that are not leaving, at least 1.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -264,14 +264,14 @@
 	c.emit(control.Record{Event: id, Subject: subject, Detail: detail, Err: err})
 }
 
-// Listed reports whether the directory lists a worker on this node; known is false until an
-// own read or a peer has confirmed a view.
+// Listed reports whether the directory lists a worker of this node's service on this node;
+// known is false until an own read or a peer has confirmed a view.
 func (c *Controller) Listed() (listed, known bool) {
 	if c.confirmed.IsZero() {
 		return false, false
 	}
-	_, listed = c.instance(c.cfg.Self.ID)
-	return listed, true
+	self, listed := c.instance(c.cfg.Self.ID)
+	return listed && self.Service == c.cfg.Self.Service, true
 }
 
 // NotReadyReasons names the items that the node still needs before it can serve.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -27,7 +27,7 @@
 func newRig() *rig {
 	board := &blackboard.Board{}
 	board.Bundles.Put(bundle.NewSet(nil))
-	return &rig{Controller: New(Config{Self: model.Instance{ID: "10.0.0.1", DataCentre: "a"}}, board, rand.New(rand.NewPCG(1, 2))), board: board, now: epoch}
+	return &rig{Controller: New(Config{Self: model.Instance{ID: "10.0.0.1", Service: "shop", DataCentre: "a"}}, board, rand.New(rand.NewPCG(1, 2))), board: board, now: epoch}
 }
 
 func (r *rig) handle(ev control.Event) []control.Action { return r.Handle(r.now, ev) }
