server: long bodies of unknown length are streamed, as those of known length are

An entry held a body of unknown length whole, up to the operator's limit of 64 MiB, and as its buffer grew twice over. Nothing bounded the bytes of all bodies together; only reserved bodies are bounded, at owners. A body of known length over 64 KiB was streamed.

A body without a length is streamed once it is over 64 KiB, in chunks, through entry and owner to the worker, as one with a length is: so it can't be sent to another owner once a part of it was read. One that turns out longer than the limit is told 413, and the worker gets no end of it. A body that its sender doesn't end is no failure of the worker any more: it counted for the breaker, and as evidence of a crash.

--- a/internal/node/http_test.go
+++ b/internal/node/http_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -19,11 +22,31 @@
 	mu   sync.Mutex
 	runs map[string]int
 	last *http.Request
+	// begun, if not nil, is called when the header of the next request has arrived.
+	begun func()
+}
+
+func (h *httpWorker) setBegun(begun func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.begun = begun
+}
+
+// begin calls begun once.
+func (h *httpWorker) begin() {
+	h.mu.Lock()
+	begun := h.begun
+	h.begun = nil
+	h.mu.Unlock()
+	if begun != nil {
+		begun()
+	}
 }
 
 const longAnswer = 200 << 10
 
 func (h *httpWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.begin()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -162,6 +185,7 @@
 			t.Errorf("headers (-want +got):\n%s", diff)
 		}
 	})
+	t.Run("a long chunked body is streamed", func(t *testing.T) { checkChunkedIsStreamed(t, f, worker) })
 	t.Run("a chunked body over the limit is not run", func(t *testing.T) { checkChunkedOverLimit(t, f, worker) })
 	t.Run("a payout resubmitted with its key is not run again", func(t *testing.T) { checkResubmitted(t, f, worker) })
 }
@@ -169,6 +193,42 @@
 // noLength hides a reader's length, so that the body is sent chunked.
 type noLength struct{ io.Reader }
 
+// checkChunkedIsStreamed sends the end of a long body only after the worker has received its
+// beginning. It guards against nodes that held such bodies whole and ran out of memory.
+func checkChunkedIsStreamed(t *testing.T, f *local.Fleet, worker *httpWorker) {
+	const part = 200 << 10
+	for _, method := range []string{http.MethodPost, http.MethodDelete} {
+		begun := make(chan struct{})
+		worker.setBegun(func() { close(begun) })
+		body, sender := io.Pipe()
+		go func() {
+			_, _ = sender.Write(make([]byte, part))
+			select {
+			case <-begun:
+				_, _ = sender.Write(make([]byte, part))
+				sender.Close()
+			case <-time.After(5 * time.Second):
+				sender.CloseWithError(errors.New("the worker has received nothing"))
+			}
+		}()
+		req, err := http.NewRequest(method, "http://"+f.CallerAddresses()[0]+"/length", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		worker.setBegun(nil)
+		if err != nil {
+			t.Errorf("%s: %v", method, err)
+			continue
+		}
+		got, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if want := strconv.Itoa(2 * part); err != nil || string(got) != want {
+			t.Errorf("%s: status %d, body %q, err %v; want %s", method, resp.StatusCode, got, err, want)
+		}
+	}
+}
+
 func checkChunkedOverLimit(t *testing.T, f *local.Fleet, worker *httpWorker) {
 	body := noLength{bytes.NewReader(make([]byte, 1<<20+1))}
 	req, err := http.NewRequest(http.MethodPost, "http://"+f.CallerAddresses()[0]+"/length", body)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"io"
 	"log"
 	"net/http"
@@ -13,6 +14,7 @@
 	"gypsumstand/internal/bundle"
 	"gypsumstand/internal/event"
 	"gypsumstand/internal/link"
+	"gypsumstand/internal/owner"
 	"gypsumstand/internal/server"
 	"gypsumstand/internal/status"
 )
@@ -83,6 +85,7 @@
 		StopBound:          n.stopBound,
 		Dialect:            n.cfg.Callers,
 		Service:            n.cfg.Service,
+		BodyMemory:         server.NewBodyMemory(cmp.Or(n.cfg.BodyMemory, owner.DefaultBodyMemory)),
 		Leaving:            n.leaving,
 		LimitRetryAfter:    n.limitRetryAfter,
 	}
--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -13,6 +13,9 @@
 // that it can be sent again; longer ones are streamed.
 const maxBufferedBody = 64 << 10
 
+// unknownLength is the length of a streamed body whose caller has not announced it.
+const unknownLength = -1
+
 // errBodyTooLarge is returned for a request body over the bundle's limit.
 var errBodyTooLarge = errors.New("request body exceeds the limit")
 
@@ -20,13 +23,16 @@
 type requestBody struct {
 	buffered []byte
 	stream   io.ReadCloser
-	length   int64
+	// length is unknownLength for a stream whose end is not known.
+	length int64
 	// partlyRead is set once a part of the stream has been consumed.
 	partlyRead atomic.Bool
+	// exceeded is set once the stream has turned out to be longer than the limit.
+	exceeded atomic.Bool
 }
 
-// bufferBody buffers a body of up to maxBufferedBody, or one of unknown length up to
-// limit. A longer one of known length is left to be streamed.
+// bufferBody buffers a body of up to maxBufferedBody. A longer one of up to limit is left to
+// be streamed.
 func bufferBody(r *http.Request, limit int64) (*requestBody, error) {
 	if r.ContentLength > limit {
 		return nil, errBodyTooLarge
@@ -34,14 +40,27 @@
 	if r.ContentLength > maxBufferedBody {
 		return &requestBody{stream: r.Body, length: r.ContentLength}, nil
 	}
-	buffered, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	// http.MaxBytesReader takes the writer only to close the caller's connection.
+	limited := http.MaxBytesReader(nil, r.Body, limit)
+	buffered, err := io.ReadAll(io.LimitReader(limited, maxBufferedBody+1))
 	if err != nil {
-		return nil, err
+		return nil, limitError(err)
 	}
-	if int64(len(buffered)) > limit {
-		return nil, errBodyTooLarge
+	if len(buffered) <= maxBufferedBody {
+		return &requestBody{buffered: buffered, length: int64(len(buffered))}, nil
 	}
-	return &requestBody{buffered: buffered, length: int64(len(buffered))}, nil
+	rest := readCloser{io.MultiReader(bytes.NewReader(buffered), limited), limited}
+	return &requestBody{stream: rest, length: unknownLength}, nil
+}
+
+// limitError returns errBodyTooLarge for the error of a body that is longer than its limit,
+// and otherwise err.
+func limitError(err error) error {
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		return errBodyTooLarge
+	}
+	return err
 }
 
 // open returns the body for one attempt.
@@ -62,7 +81,11 @@
 // Read implements io.Reader.
 func (s sharedStream) Read(p []byte) (int, error) {
 	s.b.partlyRead.Store(true)
-	return s.b.stream.Read(p)
+	n, err := s.b.stream.Read(p)
+	if err = limitError(err); err == errBodyTooLarge {
+		s.b.exceeded.Store(true)
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
--- a/internal/server/caller.go
+++ b/internal/server/caller.go
@@ -103,6 +103,8 @@
 	Dialect dialect.Callers
 	// Service is the service of the worker beside this entry node.
 	Service model.ServiceName
+	// BodyMemory holds the large bodies whose callers do not announce their length.
+	BodyMemory *BodyMemory
 }
 
 // ServeHTTP implements http.Handler.
@@ -137,7 +139,8 @@
 	defer call.end(false)
 	call.inherit(&request, began)
 	setReadDeadline(w, r, began.Add(request.Timeout))
-	body, err := bufferBody(r, target.Service.BodyLimitBytes)
+	body, release, err := c.readBody(r, target)
+	defer release()
 	if err != nil {
 		call.end(true)
 		c.refuseBody(w, r, err, end)
@@ -180,14 +183,31 @@
 	c.refuseEarly(w, r, http.StatusServiceUnavailable, end)
 }
 
+// readBody buffers the request's body or leaves it to be streamed. One that needs a reservation
+// is received whole if its length is not known. release must be called when the request has
+// ended.
+func (c *CallerHandler) readBody(r *http.Request, t bundle.Target) (body *requestBody, release func(), err error) {
+	release = func() {}
+	body, err = bufferBody(r, t.Service.BodyLimitBytes)
+	if err != nil || body.length != unknownLength || !t.LargeBodies {
+		return body, release, err
+	}
+	return c.BodyMemory.receive(body)
+}
+
 func (c *CallerHandler) refuseBody(w http.ResponseWriter, r *http.Request, err error, end dialect.Result) {
-	if errors.Is(err, errBodyTooLarge) {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
 		w.Header().Set("Connection", "close")
 		end.Reason = model.ReasonBodyTooLarge
 		c.refuseEarly(w, r, http.StatusRequestEntityTooLarge, end)
-		return
+	case errors.Is(err, errBodyMemory):
+		w.Header().Set("Connection", "close")
+		end.Reason, end.RetryAfter = model.ReasonOverloaded, bodyMemoryRetry
+		c.refuseEarly(w, r, http.StatusServiceUnavailable, end)
+	default:
+		c.refuseEarly(w, r, http.StatusBadRequest, end)
 	}
-	c.refuseEarly(w, r, http.StatusBadRequest, end)
 }
 
 // entryRequest applies the bundle's limits to the caller's headers.
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -80,8 +80,12 @@
 	if x.caller.LimitRetryAfter != nil {
 		step.RetryAfter = x.caller.LimitRetryAfter(step.RetryAfter)
 	}
-	outcome := step.Outcome
 	status := statusOf(step)
+	if step.Outcome != model.OutcomeAnswered && x.body != nil && x.body.exceeded.Load() {
+		x.w.Header().Set("Connection", "close")
+		step.Reason, status = model.ReasonBodyTooLarge, http.StatusRequestEntityTooLarge
+	}
+	outcome := step.Outcome
 	defer func() { x.record(c, outcome, step.Reason, status, attempts) }()
 	end := dialect.Result{
 		Outcome: step.Outcome, Reason: step.Reason, RetryAfter: step.RetryAfter,
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -31,10 +31,13 @@
 	Host   string
 	Header http.Header
 	// Body is read only after the attempt has a slot at the worker; nil means no body.
-	Body          io.ReadCloser
+	Body io.ReadCloser
+	// ContentLength is unknownLength for a streamed body whose length is not known.
 	ContentLength int64
 	// BufferedBody is the complete body if it has been received; a long one is streamed.
 	BufferedBody []byte
+	// bodyBroken is set once a streamed body has failed before its end.
+	bodyBroken atomic.Bool
 	// SameNode reports that the entry node is this node.
 	SameNode bool
 	// AcknowledgeBy is when the entry node withdraws the attempt if its owner has not
@@ -52,6 +55,11 @@
 // request returns the HTTP/1.1 request of the attempt to its next hop at u, with a copy
 // of the header.
 func (m *AttemptMessage) request(ctx context.Context, u *url.URL) *http.Request {
+	var encoding []string
+	if m.ContentLength < 0 {
+		// net/http would read the beginning of the body of some methods to find out.
+		encoding = []string{"chunked"}
+	}
 	return (&http.Request{
 		Method:        m.Method,
 		URL:           u,
@@ -62,17 +70,24 @@
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
+
+		TransferEncoding: encoding,
 	}).WithContext(ctx)
 }
 
-// bufferBody buffers the body unless it is a long one, so that the fingerprint can still
-// be computed after the run.
+// isStreamed reports whether the body is read from its sender while it is sent on.
+func (m *AttemptMessage) isStreamed() bool {
+	return m.FetchBody == nil && (m.ContentLength > maxBufferedBody || m.ContentLength < 0)
+}
+
+// bufferBody buffers the body unless it is streamed, so that the fingerprint can still be
+// computed after the run.
 func (m *AttemptMessage) bufferBody(r *http.Request) error {
-	if r.ContentLength == 0 {
+	if r.ContentLength == 0 || m.isStreamed() {
 		return nil
 	}
-	body, err := bufferBody(r, max(r.ContentLength, 0))
-	if err != nil || body.stream != nil {
+	body, err := bufferBody(r, r.ContentLength)
+	if err != nil {
 		return err
 	}
 	m.Body, m.BufferedBody = body.open(), body.buffered
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -109,11 +109,12 @@
 	return c
 }
 
-// failed ends an attempt whose RoundTrip failed.
+// failed ends an attempt whose RoundTrip failed. A body that its sender did not send to the
+// end says nothing about the worker.
 func (x *Executor) failed(ctx context.Context, fp *fingerprinter, started time.Time, notRun bool) Result {
 	m := fp.message
-	cancelled := cancelledByEntry(ctx)
-	ended := ctx.Err() != nil
+	cancelled := cancelledByEntry(ctx) || m.bodyBroken.Load()
+	ended := ctx.Err() != nil || m.bodyBroken.Load()
 	seemsCrashed := func() bool { return false }
 	if !notRun && !ended {
 		seemsCrashed = x.runInterrupted(fp.run(started))
--- a/internal/server/fingerprint.go
+++ b/internal/server/fingerprint.go
@@ -31,7 +31,7 @@
 // therefore be called before the body is read.
 func (x *Executor) newFingerprinter(m *AttemptMessage) *fingerprinter {
 	fp := &fingerprinter{message: m, hostOfRoute: x.routeHost}
-	if m.Body != nil && m.ContentLength > maxBufferedBody {
+	if m.Body != nil && m.isStreamed() {
 		hash := model.NewFingerprintHash(m.Method, fp.routeHost(), m.URL, m.Attempt.Tenant, m.ContentLength)
 		fp.stream = &hashingBody{ReadCloser: m.Body, hash: hash, remaining: maxBufferedBody}
 		m.Body = fp.stream
--- a/internal/server/forwarder.go
+++ b/internal/server/forwarder.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return Result{Refusal: model.Refusal{Reason: model.ReasonBadRequest, NotRun: true}}, false, nil
 	}
-	if m.ContentLength > maxBufferedBody || m.AcknowledgeBy.IsZero() {
+	if m.isStreamed() || m.AcknowledgeBy.IsZero() {
 		return f.do(f.streamedRequest(ctx, address, m, offer), m, nil)
 	}
 	body := newGatedBody(m.Body)
@@ -204,7 +204,7 @@
 // starts the attempt.
 func (f *Forwarder) streamedRequest(ctx context.Context, address string, m *AttemptMessage, offer string) *http.Request {
 	req := f.request(ctx, address, streamedPath, m, offer)
-	if m.ContentLength > maxBufferedBody {
+	if m.isStreamed() {
 		req.Header.Set("Expect", "100-continue")
 	}
 	return req
