entry: queueing after workers' refusals is within max_attempts and the budgets

A request that one owner had refused as busy and whose workers had then rejected it was queued at one more owner, free of charge, once all owners had been asked: afterAllTried called queueAtBest before it asked the class's MaxAttempts and the budgets. With max_attempts 2 such a request reached three workers.

Now a rejection by a worker, which used up the attempt that was paid for, is paid for there as elsewhere. A refusal by an owner itself costs nothing there, as before.

--- a/internal/entry/move_test.go
+++ b/internal/entry/move_test.go
@@ -171,3 +171,15 @@
 		t.Errorf("%d moves in 1000 requests, fewer than four in %d; want at least 4900 and at most 10", moves, few)
 	}
 }
+
+// A request that workers had refused was queued at one more owner, without regard to the
+// class's bound or the fleet's budget, once all owners had been asked and one was busy.
+func TestQueueingAfterRefusalsByWorkersIsWithinMaxAttempts(t *testing.T) {
+	s := start(t, 3, withMoves(5), func(r *Request) {
+		class := *r.Target.Class
+		class.MaxAttempts = 2
+		r.Target.Class = &class
+	})
+	s.do(refuse(model.ReasonBusy), refuse(model.ReasonWorkerShed), refuse(model.ReasonWorkerShed))
+	wantEnd(t, s.step, model.OutcomeNotRun, model.ReasonWorkerShed)
+}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -20,13 +20,19 @@
 		c.afterAllTried(now)
 		return
 	}
-	if !c.bucket.withdraw(now, c.placeCost()) || !c.spendWorkerAttempt(now) {
+	if !c.spendPlacement(now) {
 		c.giveUp(c.reason)
 		return
 	}
 	c.phase = phasePlace
 }
 
+// spendPlacement reports whether the budgets and the class's MaxAttempts allow placing the
+// request once more, and takes that out of the budgets.
+func (c *Call) spendPlacement(now time.Time) bool {
+	return c.bucket.withdraw(now, c.placeCost()) && c.spendWorkerAttempt(now)
+}
+
 // mayMove reports whether the next owner may refuse the request as busy. A request that needs
 // its home node, or may run at one owner only, does not move.
 func (c *Call) mayMove() bool {
@@ -44,7 +50,8 @@
 	c.phase = phasePlace
 }
 
-// queueAtBest places the request where it is expected to start first, to queue there.
+// queueAtBest places the request where it is expected to start first, to queue there. A
+// further attempt at a worker must have been paid for.
 func (c *Call) queueAtBest() {
 	c.queueing = true
 	c.startRound()
@@ -103,6 +110,10 @@
 		return
 	}
 	if c.moves > 0 && !c.queueing {
+		if refusedByWorker(c.reason) && !c.spendPlacement(now) {
+			c.giveUp(c.reason)
+			return
+		}
 		c.queueAtBest()
 		return
 	}
@@ -113,7 +124,7 @@
 		c.giveUp(c.reason)
 		return
 	}
-	if !c.bucket.withdraw(now, c.placeCost()) || !c.spendWorkerAttempt(now) {
+	if !c.spendPlacement(now) {
 		c.giveUp(c.reason)
 		return
 	}
