--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -235,11 +235,12 @@
 	}
 }
 
-func TestUnlistedReplacementWorkerGetsNothing(t *testing.T) {
+// directoryNode returns a live node that follows a directory, and a function that returns its
+// owner's state after an event.
+func directoryNode() (*Node, func(control.Event) model.UpstreamState) {
 	self := instances("ledger", 1)[0]
 	self.State, self.Incarnation = model.StateCold, 1
 	n := New(Config{Self: self, Started: epoch, FollowsDirectory: true})
-	b := &bundle.Bundle{Name: "operator", Version: 1, Services: []bundle.Service{{Name: "ledger", Slots: 20, QueueLimit: 10}}}
 	now := epoch
 	state := func(ev control.Event) model.UpstreamState {
 		now = now.Add(10 * time.Second)
@@ -247,7 +248,14 @@
 		return n.Owner.Report(now).State
 	}
 	state(control.SelfStateChanged{State: model.StateLive})
-	state(control.DirectoryRead{Revision: 1, Bundle: b})
+	state(control.DirectoryRead{Revision: 1, Bundle: &bundle.Bundle{
+		Name: "operator", Version: 1, Services: []bundle.Service{{Name: "ledger", Slots: 20, QueueLimit: 10}, {Name: "vouchers", Slots: 20}},
+	}})
+	return n, state
+}
+
+func TestUnlistedReplacementWorkerGetsNothing(t *testing.T) {
+	_, state := directoryNode()
 	got := []model.UpstreamState{
 		state(listedIncarnation("w1", 0, 2, 2)),
 		state(control.WorkerIdentified{Worker: "w1"}),
@@ -267,18 +275,7 @@
 // An owner took a worker of another service, which had been given the address of its own
 // worker, for its own: that worker ran requests of processes with an older view.
 func TestWorkerOfAnotherServiceAtOwnAddressIsNotUsed(t *testing.T) {
-	self := instances("ledger", 1)[0]
-	self.State, self.Incarnation = model.StateCold, 1
-	n := New(Config{Self: self, Started: epoch, FollowsDirectory: true})
-	b := &bundle.Bundle{Name: "operator", Version: 1, Services: []bundle.Service{{Name: "ledger", Slots: 20}, {Name: "vouchers", Slots: 20}}}
-	now := epoch
-	state := func(ev control.Event) model.UpstreamState {
-		now = now.Add(10 * time.Second)
-		n.Handle(now, ev)
-		return n.Owner.Report(now).State
-	}
-	state(control.SelfStateChanged{State: model.StateLive})
-	state(control.DirectoryRead{Revision: 1, Bundle: b})
+	n, state := directoryNode()
 	foreign := listedIncarnation("w2", 0, 4, 4)
 	foreign.Listed[0].Instance.Service = "vouchers"
 	foreign.Unlisted = []model.Unlisted{{Worker: "w1", Revision: 3}}
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -52,43 +52,56 @@
 	if head.NotRun {
 		defer cancel()
 		defer resp.Body.Close()
-		shed := head.Refusal == model.ReasonWorkerShed
-		spurious := shed && head.Load.HasSpareSlots()
-		x.finish(m.Attempt.ID, owner.Completion{
-			ServiceTime: time.Since(started), NotRun: true, Delegate: true,
-			Shed: shed && !spurious, SpuriousRefusal: spurious, Abandoned: !shed, Status: resp.StatusCode,
-		})
-		after := head.RetryAfter
-		if spurious && after == 0 {
-			after = spuriousRetry
-		}
-		return Result{Refusal: model.Refusal{
-			Reason: delegatedReason(&m.Attempt, head.Refusal), NotRun: true, RetryAfter: after,
-		}}
+		return x.rejected(m, resp, started)
+	}
+	return Result{Response: &Response{
+		Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength,
+		Body: x.responseBody(ctx, cancel, fp, resp, started),
+	}}
+}
+
+// rejected ends an attempt that the worker refused to run.
+func (x *Executor) rejected(m *AttemptMessage, resp workerResponse, started time.Time) Result {
+	head := resp.head
+	shed := head.Refusal == model.ReasonWorkerShed
+	spurious := shed && head.Load.HasSpareSlots()
+	x.finish(m.Attempt.ID, owner.Completion{
+		ServiceTime: time.Since(started), NotRun: true, Delegate: true,
+		Shed: shed && !spurious, SpuriousRefusal: spurious, Abandoned: !shed, Status: resp.StatusCode,
+	})
+	after := head.RetryAfter
+	if spurious && after == 0 {
+		after = spuriousRetry
 	}
-	body := &responseBody{ReadCloser: resp.Body, done: func(complete bool) {
+	return Result{Refusal: model.Refusal{
+		Reason: delegatedReason(&m.Attempt, head.Refusal), NotRun: true, RetryAfter: after,
+	}}
+}
+
+// responseBody returns the body of a response, whose end ends the attempt.
+func (x *Executor) responseBody(
+	ctx context.Context, cancel context.CancelFunc, fp *fingerprinter, resp workerResponse, started time.Time,
+) io.ReadCloser {
+	id := fp.message.Attempt.ID
+	return &responseBody{ReadCloser: resp.Body, done: func(complete bool) {
 		c := completionOf(resp.StatusCode, complete, time.Since(started))
 		c.Abandoned = !complete && cancelledByEntry(ctx)
 		c.Expired = !complete && ctx.Err() != nil && !c.Abandoned
 		cancel()
 		switch {
 		case complete:
-			x.finish(m.Attempt.ID, c)
+			x.finish(id, c)
 			x.completed(fp)
 		case c.Abandoned || c.Expired:
-			x.finish(m.Attempt.ID, c)
+			x.finish(id, c)
 			x.quarantine.RunAbandoned(time.Now(), fp.run(started))
 		default:
 			seemsCrashed := x.runInterrupted(fp.run(started))
-			x.finish(m.Attempt.ID, c)
+			x.finish(id, c)
 			// The entry must not retry before the evidence of a crash is complete.
 			seemsCrashed()
 		}
 	}}
-	response := &Response{
-		Status: resp.StatusCode, Header: endToEnd(resp.Header), ContentLength: resp.ContentLength, Body: body,
-	}
-	return Result{Response: response}
 }
 
 // delegatedReason returns ReasonDelegated if this node is the home node of the caller's
