server: the test of reservations without a reply gives the connection time

The owner has until AcknowledgeBy to reply, and the test allowed 30 ms, which can pass before the request was written; nothing was sent then, and the node rightly says unreachable.

--- a/internal/server/reservation_test.go
+++ b/internal/server/reservation_test.go
@@ -118,7 +118,7 @@
 				}
 			})
 			m := reservedMessage(1, unreadBody{t})
-			m.AcknowledgeBy = time.Now().Add(30 * time.Millisecond)
+			m.AcknowledgeBy = time.Now().Add(500 * time.Millisecond)
 			r, reported, err := NewForwarder(nil, nil, 0).Do(t.Context(), address, m)
 			if err != nil || reported || r.Refusal != (model.Refusal{Reason: model.ReasonNotAcknowledged, NotRun: true}) {
 				t.Errorf("reply %s, broken %v: %+v, reported %v, %v", name, broken, r.Refusal, reported, err)
