server, entry: the change read again: an unused counter, a stale comment, two words

The test's repeating worker counted connections that nothing read, its comment spoke of header fields that it no longer has, and its header had the platform's name, which belongs in platform/. A comment of queueAtBest said "paid for".

--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -50,8 +50,8 @@
 	c.phase = phasePlace
 }
 
-// queueAtBest places the request where it is expected to start first, to queue there. A
-// further attempt at a worker must have been paid for.
+// queueAtBest places the request where it is expected to start first, to queue there. An
+// attempt beyond the first at a worker must have been taken out of the budgets.
 func (c *Call) queueAtBest() {
 	c.queueing = true
 	c.startRound()
--- a/internal/server/repeatedresponse_test.go
+++ b/internal/server/repeatedresponse_test.go
@@ -16,7 +16,7 @@
 )
 
 // headerRequest carries the id of a request in requestEcho.
-const headerRequest = "X-Request-Id"
+const headerRequest = "Test-Request"
 
 // requestEcho is a dialect whose workers repeat the id of the request, which all its attempts
 // share.
@@ -36,16 +36,15 @@
 	return head
 }
 
-// repeatingWorker rejects the first request that it gets, with status and the header fields
-// notRun, and runs all others. Where a connection's second response is expected, it sends its
-// first one once more.
+// repeatingWorker answers the first request that it gets with status, which may be a
+// rejection, and runs all others. Where a connection's next response is expected, it sends the
+// one before once more.
 type repeatingWorker struct {
 	listener net.Listener
 	status   string
 	received atomic.Int64
 	runs     atomic.Int64
-	conns    atomic.Int64
-	// responds, if not nil, must be closed before the rejection is sent.
+	// responds, if not nil, must be closed before the first response is sent.
 	responds chan struct{}
 }
 
@@ -63,7 +62,6 @@
 			if err != nil {
 				return
 			}
-			w.conns.Add(1)
 			go w.serve(conn)
 		}
 	}()
