model: one check whether an instance's worker is of a service

core and directory each compared the service of the listing at the own instance with the node's own; if one of the two changed, a node could be listed for one and not for the other. Both call Fleet.InstanceOf now. Behaviour is the same: lint clean; internal/model, core and directory green.

--- a/internal/core/derive.go
+++ b/internal/core/derive.go
@@ -141,13 +141,9 @@
 }
 
 // ownListing returns this node's instance in a view of the fleet; zero if it is not there, or
-// with a worker of another service, to which the address of an ended worker may be given
-// before its node has ended.
+// with a worker of another service.
 func (n *Node) ownListing(fleet *model.Fleet) model.Instance {
-	self, _ := fleet.Instance(n.cfg.Self.ID)
-	if self.Service != n.cfg.Self.Service {
-		return model.Instance{}
-	}
+	self, _ := fleet.InstanceOf(n.cfg.Self.ID, n.cfg.Self.Service)
 	return self
 }
 
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -270,8 +270,8 @@
 	if c.confirmed.IsZero() {
 		return false, false
 	}
-	self, listed := c.instance(c.cfg.Self.ID)
-	return listed && self.Service == c.cfg.Self.Service, true
+	_, listed = c.board.Fleet.Get().InstanceOf(c.cfg.Self.ID, c.cfg.Self.Service)
+	return listed, true
 }
 
 // NotReadyReasons names the items that the node still needs before it can serve.
--- a/internal/model/load.go
+++ b/internal/model/load.go
@@ -225,3 +225,14 @@
 	}
 	return f.Instances[at], true
 }
+
+// InstanceOf returns the instance with an id if its worker is of the given service. The
+// address of a worker that has ended may be given to a worker of another service before the
+// node beside it has ended.
+func (f *Fleet) InstanceOf(id InstanceID, service ServiceName) (in Instance, known bool) {
+	in, known = f.Instance(id)
+	if !known || in.Service != service {
+		return Instance{}, false
+	}
+	return in, true
+}
