dialect, event: a worker's unproved refusal has a log line of its own

Events 410 and 520 of a case show a worker's response with status 503, 429 or 408 and not_run false, but nothing names such a response, so an engineer who does not know which statuses are statements to callers passes over it.

Change: dialect.Callers tells which statuses mean "not run" to callers, and the entry logs event 528 for a worker's response with such a status. No response changes.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -21,6 +21,9 @@
 	// PrepareForward changes the header that is forwarded to the worker. h is a copy of the
 	// caller's end-to-end fields, and remote the caller's "ip:port".
 	PrepareForward(h http.Header, remote string)
+	// MeansNotRun reports whether callers take a status alone for the statement that the
+	// request was not run.
+	MeansNotRun(status int) bool
 	// AnnotateResponse adds fields to the header of a worker's response.
 	AnnotateResponse(h http.Header, r Result)
 	// WriteFailure writes the header of a response that does not come from a worker. request
--- a/internal/dialect/product.go
+++ b/internal/dialect/product.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// MeansNotRun implements Callers. It returns false: callers go by the outcome field.
+func (Product) MeansNotRun(int) bool { return false }
+
 // AnnotateResponse implements Callers. It adds the outcome, the upstream, the bundle and Via.
 func (Product) AnnotateResponse(h http.Header, r Result) {
 	h.Set(wire.HeaderOutcome, r.Outcome.String())
--- a/internal/server/callrunner.go
+++ b/internal/server/callrunner.go
@@ -172,6 +172,14 @@
 		Str("upstream", string(step.To.ID)).Err(err).Send()
 }
 
+// logUnprovenRefusal logs a status that means "not run" to callers in the response to an
+// attempt that its owner takes for run.
+func (c *callRunner) logUnprovenRefusal(step entry.Step, status int) {
+	event.Log(c.caller.RequestLog, event.UnprovenRefusal).
+		Str("request", string(step.Attempt.Request)).Str("attempt", step.Attempt.ID.String()).
+		Str("upstream", string(step.To.ID)).Int("status", int64(status)).Send()
+}
+
 // attempt executes one attempt; beside a hedge it runs outside the handler's goroutine. A
 // panic counts as an interrupted attempt: it would end the process in that goroutine, and
 // cut off the caller in the handler's.
@@ -231,6 +239,9 @@
 	}
 	c.buffered = &bufferedResponse{response: resp, prefix: prefix, complete: complete}
 	c.call.SetOwnerTime(result.Times)
+	if c.caller.Dialect.MeansNotRun(resp.Status) {
+		c.logUnprovenRefusal(step, resp.Status)
+	}
 	c.call.Answered(time.Now(), resp.Status >= http.StatusInternalServerError)
 }
 
