--- a/cmd/gypsumsoak/main.go
+++ b/cmd/gypsumsoak/main.go
@@ -37,7 +37,7 @@
 	seeds := flag.Int("seeds", 1, "number of seeds, one after the other")
 	machines := flag.Int("machines", 6, "number of nodes, up to 100")
 	length := flag.Duration("for", 24*time.Second, "duration of one soak, at least 15s")
-	plan := flag.String("plan", string(soak.PlanNewest), "kind of plan: newest, spared (one machine and the store get no faults, and that machine is left without peers), zones (mostly evacuations and cold workers), limits (mostly workers that name rate limits), restores (mostly a store that comes back from copies), growth (a configuration that grows by thousands of routes over links of 10 Mbit/s), hard (uploads, calls of workers, priorities and load above the capacity, over links of 10 Mbit/s), or first to sixth, older generators for which older seeds repeat their plans")
+	plan := flag.String("plan", string(soak.PlanNewest), "kind of plan: newest, spared (one machine and the store get no faults, and that machine is left without peers), zones (mostly evacuations and cold workers), limits (mostly workers that name rate limits), restores (mostly a store that comes back from copies), growth (a configuration that grows by thousands of routes over links of 10 Mbit/s), hard (uploads, calls of workers, priorities and load above the capacity, over links of 10 Mbit/s), responses (workers that answer runs with a status for requests not run, that send responses once more, or break them off), or first to sixth, older generators for which older seeds repeat their plans")
 	keep := flag.String("keep", "", "folder for plans and logs of soaks with violations; default: the temporary folder")
 	flag.Usage = func() {
 		fmt.Fprint(flag.CommandLine.Output(), usage)
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -167,7 +167,11 @@
 	case kindStoreCut:
 		m.storeProxy.setFaults(linkFaults{blockToFar: true, blockFromFar: true})
 	case kindBadResponses:
-		m.setResponseFault(standin.ResponseFaults[int(flt.duration)%len(standin.ResponseFaults)])
+		m.setResponseFault(pickFault(standin.ResponseFaults, flt))
+	case kindRunStatus:
+		m.setResponseFault(pickFault(standin.StatusFaults, flt))
+	case kindLateCopies:
+		m.setResponseFault("late")
 	case kindWorkerShed:
 		m.worker.SetShedding(true)
 	case kindWorkerSlow:
@@ -175,6 +179,9 @@
 	}
 }
 
+// pickFault picks the fault of a worker's responses by the duration of flt.
+func pickFault(faults []string, flt fault) string { return faults[int(flt.duration)%len(faults)] }
+
 // endFault ends a fault of one machine.
 func (m *machine) endFault(flt fault) {
 	switch flt.kind {
@@ -182,7 +189,7 @@
 		m.startNodeIfDown()
 	case kindPause:
 		m.signalNode(syscall.SIGCONT, false)
-	case kindBadResponses:
+	case kindBadResponses, kindRunStatus, kindLateCopies:
 		m.setResponseFault("")
 	case kindWorkerShed:
 		m.worker.SetShedding(false)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -52,6 +52,8 @@
 	kindGrow              kind = "grow"        // the configuration grows by many routes for good
 	kindSurge             kind = "surge"       // more clients than the workers have slots
 	kindWorkerCrash       kind = "crash"       // a worker crashes and is replaced under a new id
+	kindRunStatus         kind = "status"      // a worker answers runs with a status that clients take for "not run"
+	kindLateCopies        kind = "copies"      // a worker sends responses once more, in place of the next one
 )
 
 // firstKinds are the kinds that plans of PlanFirst are drawn from.
@@ -101,6 +103,14 @@
 	kindTerm, kindTerm, kindKill, kindEvacuate, kindEvacuate, kindHangUp, kindWorkerRestart, kindStoreCut, kindCompact,
 }
 
+// responseKinds are the kinds that plans of PlanResponses are drawn from: responses that must
+// not be read as "not run", and the faults that most often coincide with them.
+var responseKinds = []kind{
+	kindRunStatus, kindRunStatus, kindRunStatus, kindRunStatus, kindLateCopies, kindLateCopies, kindLateCopies, kindBadResponses, kindBadResponses,
+	kindWorkerShed, kindWorkerShed, kindTerm, kindTerm, kindKill, kindPause, kindPause, kindStallSeries, kindReset, kindCutOneWay, kindDelay,
+	kindWorkerCrash, kindWorkerRestart, kindWorkerDrain, kindConfig,
+}
+
 // zoneKinds are the kinds that plans of PlanZones are drawn from: evacuations, cold
 // workers, and the faults that most often coincide with them.
 var zoneKinds = []kind{
@@ -133,6 +143,8 @@
 	PlanLimits   PlanVersion = "limits"
 	PlanRestores PlanVersion = "restores"
 	PlanGrowth   PlanVersion = "growth"
+	// PlanResponses has workers whose responses are no statement that a request was not run.
+	PlanResponses PlanVersion = "responses"
 	// PlanHard has uploads, calls of workers, priorities and load above the capacity.
 	PlanHard PlanVersion = "hard"
 )
@@ -141,7 +153,7 @@
 var kindsOf = map[PlanVersion][]kind{
 	PlanNewest: newestKinds, PlanSpared: sparedKinds, PlanFirst: firstKinds, PlanSecond: secondKinds, PlanThird: thirdKinds,
 	PlanFourth: fourthKinds, PlanFifth: fifthKinds, PlanSixth: sixthKinds, PlanZones: zoneKinds, PlanLimits: limitKinds, PlanRestores: restoreKinds,
-	PlanGrowth: growthKinds, PlanHard: hardKinds,
+	PlanGrowth: growthKinds, PlanHard: hardKinds, PlanResponses: responseKinds,
 }
 
 // hasColdWorkers reports whether workers are cold after their start in plans of the
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -116,6 +116,12 @@
 	playSoak(t, Config{Seed: 4, Machines: 6, Length: 24 * time.Second, Plan: PlanLimits}, kindRateLimit)
 }
 
+// Workers answer runs with a status that clients take for "not run", beside late copies,
+// restarts and paused nodes.
+func TestStatusesOfRunsAreNotReportedAsNotRun(t *testing.T) {
+	playSoak(t, Config{Seed: 1, Machines: 6, Length: 24 * time.Second, Plan: PlanResponses}, kindRunStatus, kindLateCopies)
+}
+
 // The configuration grows over narrow links while workers leave and nodes restart.
 func TestLargeConfigurationDelaysNoLeaving(t *testing.T) {
 	playSoak(t, Config{Seed: 3, Machines: 6, Length: 30 * time.Second, Plan: PlanGrowth}, kindGrow, kindWorkerDrain)
