server, platform: a worker's status is no statement that its request was not run

Cause: an entry passed a worker's response on whatever its status. Clients take 503, 429, 408 and 421 for the statement that the request was not run and never will be; a worker states that only by X-Not-Executed (or 421). So the worker's bare status became the load balancer's own false statement. The class: a statement is passed on as one's own by its outward form, without the proof behind it.

Why it works: all workers' responses that reach a caller pass bufferResponse of the entry, those of the own worker, of other nodes and of nodes of an earlier version alike. There a response with such a status is taken for a failed run: an idempotent request is retried within the budgets, any other ends unknown (502) without the worker's signature. Weighed: passing the status on for idempotent requests, which no rule forbids; the statement would be as false there, and another worker may serve them. The adapter alone says which statuses these are; callers of the product's own dialect go by Gypsum-Outcome, so nothing changes for them.

--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -160,7 +160,7 @@
 }
 
 // afterMaybeRun continues after an attempt that may have run: an idempotent request is
-// retried, any other has its outcome resolved first. A broken or crashed worker has
+// retried, any other has its outcome resolved first. A worker that responded or crashed has
 // received the request, so that resolving the outcome could not prove "not run".
 func (c *Call) afterMaybeRun(now time.Time, reason model.Reason) {
 	c.reason = reason
@@ -176,7 +176,7 @@
 		if !c.retry(now) {
 			c.giveUp(reason)
 		}
-	case reason == model.ReasonWorkerBroken, reason == model.ReasonWorkerCrashed:
+	case reason == model.ReasonWorkerBroken, reason == model.ReasonWorkerCrashed, reason == model.ReasonUnprovenRefusal:
 		c.giveUp(reason)
 	default:
 		c.phase = phaseResolve
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -44,7 +44,7 @@
 		"The worker's response to an attempt cannot be passed on: it names another request (echo mismatch) or none (absent), a successful one lacks the worker's signature, or its completeness cannot be checked. The connection was closed; the attempt may have run.",
 		"Check the worker: it may send responses more than once, or late.")
 	UnprovenRefusal = define(528, zerolog.WarnLevel, "refusal of a worker not proved",
-		"A worker responded to an attempt with a status that callers take for \"not run\", and did not state that it had not run the request: the request's id, the attempt, the upstream and the status. The attempt may have run.",
+		"A worker responded to an attempt with a status that callers take for \"not run\", and did not state that it had not run the request: the request's id, the attempt, the upstream and the status. The attempt may have run, so the response is not passed on: an idempotent request is retried within the budgets, and otherwise the caller is told unknown, with the reason unproven-refusal.",
 		"Correct the worker: it must either state that it has not run the request, or respond with another status.")
 	ReservationRefused = define(530, zerolog.InfoLevel, "reservation of a large body refused",
 		"An owner refused to receive the large body of a request: the reason, the body's length, how long the entry waited, the bodies in transit, the reservations that wait, and the memory in use. Nothing of the body was sent, and the attempt never runs.",
--- a/internal/model/attempt.go
+++ b/internal/model/attempt.go
@@ -176,6 +176,9 @@
 	// ReasonRegion: the request may not run in the owner's region, or there is no upstream
 	// in any region where it may run.
 	ReasonRegion
+	// ReasonUnprovenRefusal: the worker's status means "not run" to callers, but the worker did
+	// not state that it has not run the request.
+	ReasonUnprovenRefusal
 
 	reasonCount
 )
@@ -187,6 +190,7 @@
 	"worker-broken", "cancelled", "no-upstream", "no-route", "body-too-large",
 	"paused", "link-broken", "bad-request", "owner-absent", "busy", "worker-replaced", "not-taken-up",
 	"worker-ended", "put-aside", "held-back", "evacuated", "region",
+	"unproven-refusal",
 }
 
 // String returns the header and label form of r.
--- a/internal/server/callrunner.go
+++ b/internal/server/callrunner.go
@@ -221,7 +221,9 @@
 }
 
 // bufferResponse buffers the beginning of the response, so that a short one is known to
-// be complete before the caller receives any of it.
+// be complete before the caller receives any of it. A response whose status would tell the
+// caller "not run" is not passed on: owners report a request that a worker did not run as a
+// refusal.
 func (c *callRunner) bufferResponse(ctx context.Context, now time.Time, step entry.Step, result Result) {
 	c.queued = result.Times.Queued
 	c.worker = result.Times.Worker
@@ -241,6 +243,9 @@
 	c.call.SetOwnerTime(result.Times)
 	if c.caller.Dialect.MeansNotRun(resp.Status) {
 		c.logUnprovenRefusal(step, resp.Status)
+		c.dropResponse()
+		c.call.Refused(time.Now(), model.Refusal{Reason: model.ReasonUnprovenRefusal})
+		return
 	}
 	c.call.Answered(time.Now(), resp.Status >= http.StatusInternalServerError)
 }
