server, bundle: a response body without end is broken off at response_limit_bytes

Cause: nothing bounded a response body but time. Heads were bounded (64 KiB, interim responses by net/http), and so is what follows a whole response: the connection is closed.

Why it works: the owner reads a body through http.MaxBytesReader.

--- a/internal/bundle/bundle.go
+++ b/internal/bundle/bundle.go
@@ -187,6 +187,9 @@
 	// BodyLimitBytes is the maximum size of a request body, in bytes. Default 1 MiB, from 1
 	// byte to 64 MiB.
 	BodyLimitBytes int64 `toml:"body_limit_bytes"`
+	// ResponseLimitBytes is the maximum size of a response body, in bytes; a longer one is
+	// broken off. Default 64 MiB, from 1 byte to 1 TiB.
+	ResponseLimitBytes int64 `toml:"response_limit_bytes"`
 	// WarmupMs is the slow start of a cold worker, in milliseconds: its limit of requests
 	// in flight ramps up over this time. Default 2000, from 1 to 600000.
 	WarmupMs int64 `toml:"warmup_ms"`
--- a/internal/bundle/check.go
+++ b/internal/bundle/check.go
@@ -15,9 +15,10 @@
 	maxDeadlineMs         = 3_600_000
 	maxRatePerSecond      = 1e6
 	// maxReportedCount is the largest count that a load report can carry.
-	maxReportedCount  = 1<<16 - 1
-	maxBodyLimitBytes = 64 << 20
-	maxWarmupMs       = 600_000
+	maxReportedCount      = 1<<16 - 1
+	maxBodyLimitBytes     = 64 << 20
+	maxResponseLimitBytes = 1 << 40
+	maxWarmupMs           = 600_000
 	// maxWarmingMost limits how many start times an owner has to remember.
 	maxWarmingMost     = 10_000
 	maxRegions         = 64
--- a/internal/bundle/check_service.go
+++ b/internal/bundle/check_service.go
@@ -44,6 +44,7 @@
 	doc.CheckFloatRange(key+".slot_share", s.SlotShare, minSlotShare, 1)
 	doc.CheckIntRange(key+".queue_limit", int64(s.QueueLimit), 0, maxReportedCount)
 	doc.CheckIntRange(key+".body_limit_bytes", s.BodyLimitBytes, 1, maxBodyLimitBytes)
+	doc.CheckIntRange(key+".response_limit_bytes", s.ResponseLimitBytes, 1, maxResponseLimitBytes)
 }
 
 // checkSlotsFillable reports a connection limit that is below the number of slots. Counts
--- a/internal/bundle/diff_fields.go
+++ b/internal/bundle/diff_fields.go
@@ -111,6 +111,8 @@
 		"Up to %[3]s requests wait at each owner of service %[1]s instead of %[2]s."},
 	{"body_limit_bytes", func(s *Service) string { return strconv.FormatInt(s.BodyLimitBytes, 10) },
 		"Callers of service %[1]s may send bodies of up to %[3]s bytes instead of %[2]s."},
+	{"response_limit_bytes", func(s *Service) string { return strconv.FormatInt(s.ResponseLimitBytes, 10) },
+		"Workers of service %[1]s may respond with bodies of up to %[3]s bytes instead of %[2]s."},
 	{"warmup_ms", func(s *Service) string { return formatMs(s.WarmupMs) },
 		"A cold upstream of service %[1]s warms up over %[3]s instead of %[2]s."},
 	{"warming_per_second", func(s *Service) string { return formatRateLimit(s.WarmingPerSecond) },
--- a/internal/bundle/fuzz_test.go
+++ b/internal/bundle/fuzz_test.go
@@ -83,7 +83,7 @@
 		}
 	}
 	for _, s := range b.Services {
-		if s.Slots < 1 || s.Connections < s.Slots || s.QueueLimit < 0 || s.BodyLimitBytes < 1 || s.WarmupMs < 1 || s.KeyMemoryMs < 1 {
+		if s.Slots < 1 || s.Connections < s.Slots || s.QueueLimit < 0 || s.BodyLimitBytes < 1 || s.ResponseLimitBytes < 1 || s.WarmupMs < 1 || s.KeyMemoryMs < 1 {
 			t.Errorf("service %+v", s)
 		}
 		for _, r := range s.Routes {
--- a/internal/bundle/parse.go
+++ b/internal/bundle/parse.go
@@ -16,6 +16,7 @@
 	defaultMaxShare           = 1
 	defaultQueuePerSlot       = 4
 	defaultBodyLimitBytes     = 1 << 20
+	defaultResponseLimitBytes = 64 << 20
 	defaultWarmupMs           = 2000
 	defaultKeyMemoryMs        = 120_000
 	minBurst                  = 1
@@ -85,6 +86,7 @@
 		setIfZero(&s.SlotShare, b.Admission.adapterSlotShare())
 		setIfZero(&s.QueueLimit, defaultQueuePerSlot*s.Slots)
 		setIfZero(&s.BodyLimitBytes, defaultBodyLimitBytes)
+		setIfZero(&s.ResponseLimitBytes, defaultResponseLimitBytes)
 		// The worker itself reports how long it stays cold.
 		setIfZero(&s.WarmupMs, 1)
 		setIfZero(&s.KeyMemoryMs, defaultKeyMemoryMs)
@@ -128,6 +130,7 @@
 		setDefault(doc, key+".slot_share", &s.SlotShare, 1)
 		setDefault(doc, key+".queue_limit", &s.QueueLimit, min(maxReportedCount, defaultQueuePerSlot*s.Slots))
 		setDefault(doc, key+".body_limit_bytes", &s.BodyLimitBytes, defaultBodyLimitBytes)
+		setDefault(doc, key+".response_limit_bytes", &s.ResponseLimitBytes, defaultResponseLimitBytes)
 		setDefault(doc, key+".warmup_ms", &s.WarmupMs, defaultWarmupMs)
 		setDefault(doc, key+".key_memory_ms", &s.KeyMemoryMs, defaultKeyMemoryMs)
 		setDefault(doc, key+".warming_ms", &s.WarmingMs, defaultWarmupMs)
--- a/internal/bundle/parse_test.go
+++ b/internal/bundle/parse_test.go
@@ -66,7 +66,7 @@
 		},
 		Tenants: []Tenant{{Name: "cooperative", RatePerSecond: 0.5, Burst: 1, MaxShare: 1}},
 		Services: []Service{{
-			Name: "ledger", Slots: 20, SlotShare: 1, Connections: 260, QueueLimit: 80, BodyLimitBytes: 1 << 20,
+			Name: "ledger", Slots: 20, SlotShare: 1, Connections: 260, QueueLimit: 80, BodyLimitBytes: 1 << 20, ResponseLimitBytes: 64 << 20,
 			WarmupMs: 2000, WarmingMs: 2000, KeyMemoryMs: 120_000,
 			Upstreams: []Upstream{{Instance: "ledger-1", Slots: 10}},
 			Routes: []Route{
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -142,7 +142,9 @@
 	// mismatchedAt is when the worker last sent a response to another request; nil if never.
 	mismatchedAt atomic.Pointer[time.Time]
 	requireEcho  atomic.Bool
-	limits       limits
+	// responseLimit is the maximum size of a response body in bytes, zero for none.
+	responseLimit atomic.Int64
+	limits        limits
 	// peerAttempts counts the attempts of other entry nodes that have not ended.
 	peerAttempts atomic.Int64
 
--- a/internal/server/executorlog.go
+++ b/internal/server/executorlog.go
@@ -50,5 +50,5 @@
 	event.Log(x.requestLog, event.ResponseInvalid).
 		Str("request", string(m.Attempt.Request)).Str("attempt", m.Attempt.ID.String()).
 		Str("class", string(m.Attempt.Class)).Str("echo", w.head.Echo.String()).
-		Int("status", int64(w.StatusCode)).Str("worker", string(x.worker())).Send()
+		Int("status", int64(w.StatusCode)).Int("length", w.ContentLength).Str("worker", string(x.worker())).Send()
 }
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -83,15 +83,19 @@
 	ctx context.Context, cancel context.CancelFunc, fp *fingerprinter, resp workerResponse, started time.Time,
 ) io.ReadCloser {
 	id := fp.message.Attempt.ID
-	return &responseBody{ReadCloser: resp.Body, done: func(complete bool) {
+	return &responseBody{ReadCloser: x.limitResponse(resp.Body), done: func(end bodyEnd) {
+		complete := end == bodyComplete
 		c := completionOf(resp.StatusCode, complete, time.Since(started))
-		c.Abandoned = !complete && cancelledByEntry(ctx)
-		c.Expired = !complete && ctx.Err() != nil && !c.Abandoned
+		c.Abandoned = end == bodyBroken && cancelledByEntry(ctx)
+		c.Expired = end == bodyBroken && ctx.Err() != nil && !c.Abandoned
 		cancel()
 		switch {
 		case complete:
 			x.finish(id, c)
 			x.completed(fp)
+		case end == bodyTooLong:
+			x.logInvalidResponse(fp.message, resp)
+			x.finish(id, c)
 		case c.Abandoned || c.Expired:
 			x.finish(id, c)
 			x.quarantine.RunAbandoned(time.Now(), fp.run(started))
@@ -177,18 +181,49 @@
 // free.
 const spuriousRetry = 50 * time.Millisecond
 
+// limitResponse returns body, with an error in place of what is beyond the limit.
+func (x *Executor) limitResponse(body io.ReadCloser) io.ReadCloser {
+	if limit := x.responseLimit.Load(); limit > 0 {
+		return http.MaxBytesReader(nil, body, limit)
+	}
+	return body
+}
+
+// bodyEnd is how a response body ended.
+type bodyEnd uint8
+
+const (
+	// bodyBroken means that it was cut off or closed early.
+	bodyBroken bodyEnd = iota
+	// bodyTooLong means that it was broken off as it exceeded the limit.
+	bodyTooLong
+	bodyComplete
+)
+
+// bodyEndOf returns how a body ended whose read returned err.
+func bodyEndOf(err error) bodyEnd {
+	var tooLong *http.MaxBytesError
+	switch {
+	case err == io.EOF:
+		return bodyComplete
+	case errors.As(err, &tooLong):
+		return bodyTooLong
+	}
+	return bodyBroken
+}
+
 // responseBody calls done once when the body ends, is cut off, or is closed early.
 type responseBody struct {
 	io.ReadCloser
 	once sync.Once
-	done func(complete bool)
+	done func(end bodyEnd)
 }
 
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
-		b.finish(err == io.EOF)
+		b.finish(bodyEndOf(err))
 	}
 	return n, err
 }
@@ -196,8 +231,8 @@
 // Close implements io.Closer.
 func (b *responseBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.finish(false)
+	b.finish(bodyBroken)
 	return err
 }
 
-func (b *responseBody) finish(complete bool) { b.once.Do(func() { b.done(complete) }) }
+func (b *responseBody) finish(end bodyEnd) { b.once.Do(func() { b.done(end) }) }
--- a/internal/server/executorsend.go
+++ b/internal/server/executorsend.go
@@ -39,7 +39,7 @@
 }
 
 // isValid reports whether a response belongs to the attempt and can be passed on. It is false
-// if its completeness cannot be checked, and for protocol switches: no request asked for one
+// if its completeness cannot be checked or its length is over the limit, and for protocol switches: no request asked for one
 // (RFC 9110, section 15.2.2), and its body would end only with the connection.
 func (x *Executor) isValid(m *AttemptMessage, resp *http.Response, head dialect.ResponseHead) bool {
 	if head.Echo == dialect.EchoMismatch || head.Echo == dialect.EchoAbsent && x.requireEcho.Load() {
@@ -48,6 +48,9 @@
 	if resp.StatusCode < http.StatusOK {
 		return false
 	}
+	if limit := x.responseLimit.Load(); limit > 0 && resp.ContentLength > limit && upstream.HasBody(resp, m.Method) {
+		return false
+	}
 	return x.dialect.AcceptsCloseDelimited() || upstream.CheckFraming(resp, m.Method) == nil
 }
 
--- a/internal/server/transports.go
+++ b/internal/server/transports.go
@@ -38,6 +38,7 @@
 // must be called from one goroutine only.
 func (x *Executor) Configure(svc *bundle.Service, self model.InstanceID) {
 	x.requireEcho.Store(svc.RequireEcho)
+	x.responseLimit.Store(svc.ResponseLimitBytes)
 	want := limits{slots: svc.Slots, connections: svc.Connections}
 	for _, u := range svc.Upstreams {
 		if u.Instance == self && u.Slots > 0 {
