--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -172,6 +172,7 @@
 		m.setResponseFault(pickFault(standin.StatusFaults, flt))
 	case kindLateCopies:
 		m.setResponseFault("late")
+		m.worker.SetRepeatedRejections(rejectEvery)
 	case kindWorkerShed:
 		m.worker.SetShedding(true)
 	case kindWorkerSlow:
@@ -179,6 +180,9 @@
 	}
 }
 
+// rejectEvery is the number of requests of which a worker with late copies rejects one.
+const rejectEvery = 3
+
 // pickFault picks the fault of a worker's responses by the duration of flt.
 func pickFault(faults []string, flt fault) string { return faults[int(flt.duration)%len(faults)] }
 
@@ -189,8 +193,11 @@
 		m.startNodeIfDown()
 	case kindPause:
 		m.signalNode(syscall.SIGCONT, false)
-	case kindBadResponses, kindRunStatus, kindLateCopies:
+	case kindBadResponses, kindRunStatus:
+		m.setResponseFault("")
+	case kindLateCopies:
 		m.setResponseFault("")
+		m.worker.SetRepeatedRejections(0)
 	case kindWorkerShed:
 		m.worker.SetShedding(false)
 	case kindWorkerSlow:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -53,7 +53,7 @@
 	kindSurge             kind = "surge"       // more clients than the workers have slots
 	kindWorkerCrash       kind = "crash"       // a worker crashes and is replaced under a new id
 	kindRunStatus         kind = "status"      // a worker answers runs with a status that clients take for "not run"
-	kindLateCopies        kind = "copies"      // a worker sends responses once more, in place of the next one
+	kindLateCopies        kind = "copies"      // a worker sends responses and rejections once more, in place of the next one
 )
 
 // firstKinds are the kinds that plans of PlanFirst are drawn from.
