--- a/internal/server/endlessresponse_test.go
+++ b/internal/server/endlessresponse_test.go
@@ -30,22 +30,8 @@
 
 func newEndlessWorker(t *testing.T, start, more string) (w *endlessWorker, address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
 	w = &endlessWorker{start: start, more: strings.Repeat(more, 1+(16<<10)/len(more)), sent: make(chan int, 1)}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go w.serve(conn)
-		}
-	}()
-	return w, l.Addr().String()
+	return w, serveConns(t, w.serve)
 }
 
 func (w *endlessWorker) serve(conn net.Conn) {
--- a/internal/server/executor_test.go
+++ b/internal/server/executor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -68,6 +69,27 @@
 	}
 }
 
+// serveConns accepts connections until the test ends and serves each with serve, which closes
+// it. It returns the address.
+func serveConns(t *testing.T, serve func(net.Conn)) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
 // oneSlot returns an executor whose worker has one slot, and its owner.
 func oneSlot(address string) (*owner.Owner, *Executor) { return withSlots(1, address) }
 
--- a/internal/server/executorsend.go
+++ b/internal/server/executorsend.go
@@ -1,9 +1,7 @@
 package server
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -72,31 +70,3 @@
 	x.dialect.PrepareAttempt(req.Header, &m.Attempt, worker)
 	return req
 }
-
-// openBody returns the body for one request to the worker, nil if there is none. A streamed
-// one stays open; net/http reads it only after the header has been sent.
-func (m *AttemptMessage) openBody() io.ReadCloser {
-	switch {
-	case m.Body == nil:
-		return nil
-	case m.BufferedBody != nil && !m.isStreamed():
-		return io.NopCloser(bytes.NewReader(m.BufferedBody))
-	}
-	return attemptStream{m}
-}
-
-// attemptStream is the streamed body of an attempt for one request to the worker.
-type attemptStream struct{ message *AttemptMessage }
-
-// Read implements io.Reader.
-func (b attemptStream) Read(p []byte) (int, error) {
-	n, err := b.message.Body.Read(p)
-	if err != nil && err != io.EOF {
-		b.message.bodyBroken.Store(true)
-	}
-	return n, err
-}
-
-// Close implements io.Closer. The stream stays open: it belongs to the request that carries
-// it.
-func (b attemptStream) Close() error { return nil }
--- a/internal/server/repeatedresponse_test.go
+++ b/internal/server/repeatedresponse_test.go
@@ -40,7 +40,7 @@
 // rejection, and runs all others. Where a connection's next response is expected, it sends the
 // one before once more.
 type repeatingWorker struct {
-	listener net.Listener
+	address  string
 	status   string
 	received atomic.Int64
 	runs     atomic.Int64
@@ -50,21 +50,8 @@
 
 func newRepeatingWorker(t *testing.T, status string) *repeatingWorker {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	w := &repeatingWorker{listener: l, status: status}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go w.serve(conn)
-		}
-	}()
+	w := &repeatingWorker{status: status}
+	w.address = serveConns(t, w.serve)
 	return w
 }
 
@@ -102,7 +89,7 @@
 
 // repeatingExecutor returns an executor for the worker.
 func repeatingExecutor(w *repeatingWorker) *Executor {
-	_, x := withSlots(4, w.listener.Addr().String())
+	_, x := withSlots(4, w.address)
 	x.dialect = requestEcho{}
 	return x
 }
