--- a/cmd/gypsumproof/main.go
+++ b/cmd/gypsumproof/main.go
@@ -55,6 +55,7 @@
 	warming := flags.Bool("warming", false, "include periods in which workers are warming and can take little load")
 	rateLimits := flags.Bool("limits", false, "include periods in which workers name rate limits")
 	announcements := flags.Bool("announce", false, "include workers that say only in their responses that they leave")
+	clocks := flags.Bool("clocks", false, "give each machine a clock with an origin and a rate of its own")
 	deadly := flags.Bool("deadly", true, "include requests that crash workers")
 	trace := flags.Bool("trace", false, "print each event")
 	flags.Usage = func() {
@@ -70,7 +71,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	p := proof.Plan{Seed: *seed, Steps: *steps, Deadly: *deadly, Warming: *warming, RateLimits: *rateLimits, Announcements: *announcements}
+	p := proof.Plan{Seed: *seed, Steps: *steps, Deadly: *deadly, Warming: *warming, RateLimits: *rateLimits, Announcements: *announcements, Clocks: *clocks}
 	if *trace {
 		p.Trace = out
 	}
--- a/internal/proof/announce.go
+++ b/internal/proof/announce.go
@@ -20,7 +20,7 @@
 		p.heardLeaving = p.w.now
 	}
 	if !p.w.options.ignoreAnnouncements {
-		p.core.Owner.ObserveLeaving(p.w.now, p.core.Worker())
+		p.core.Owner.ObserveLeaving(p.now(), p.core.Worker())
 	}
 }
 
--- a/internal/proof/deadly.go
+++ b/internal/proof/deadly.go
@@ -127,7 +127,7 @@
 // evaluate asks the quarantine for its decision about a job (server.Executor.evaluate).
 func (j *job) evaluate() quarantine.Decision {
 	q := j.proc.core.Quarantine
-	j.decision = q.Evaluate(j.proc.w.now, j.submission().fingerprint(), j.quarantineSubmission(), j.submission().route.path)
+	j.decision = q.Evaluate(j.proc.now(), j.submission().fingerprint(), j.quarantineSubmission(), j.submission().route.path)
 	return j.decision
 }
 
@@ -142,7 +142,7 @@
 // (server.Executor.refuseWorkerDown).
 func (j *job) refusalWorkerDown() model.Refusal {
 	refusal := model.Refusal{Reason: model.ReasonWorkerUnreachable, NotRun: true}
-	d := j.proc.core.Quarantine.EvaluateReroute(j.proc.w.now, j.submission().fingerprint(), j.quarantineSubmission(), j.submission().route.path)
+	d := j.proc.core.Quarantine.EvaluateReroute(j.proc.now(), j.submission().fingerprint(), j.quarantineSubmission(), j.submission().route.path)
 	if d != (quarantine.Decision{}) {
 		d.Deferred = true
 		refusal = d.Refusal()
@@ -164,13 +164,13 @@
 	if !j.attempt.Idempotent {
 		return
 	}
-	j.lease = j.proc.core.Quarantine.AcquireLease(j.submission().fingerprint(), j.offered.Add(j.attempt.Remaining))
+	j.lease = j.proc.core.Quarantine.AcquireLease(j.submission().fingerprint(), j.proc.node.clock.read(j.offered).Add(j.attempt.Remaining))
 	j.proc.suspectsChanged()
 }
 
 // leaseRunning records that a job starts (server.Executor.leaseRunning).
 func (j *job) leaseRunning() {
-	q, now := j.proc.core.Quarantine, j.proc.w.now
+	q, now := j.proc.core.Quarantine, j.proc.now()
 	switch {
 	case j.lease != nil:
 		q.LeaseRunning(now, j.lease)
@@ -197,9 +197,9 @@
 	if proc.core.Owner.Draining() || proc.w.options.ignoreCrashes {
 		return false
 	}
-	known := proc.core.Quarantine.RunFailed(proc.w.now, j.quarantineRun())
+	known := proc.core.Quarantine.RunFailed(proc.now(), j.quarantineRun())
 	if !known && proc.node.worker.refusesConnections() {
-		proc.core.Quarantine.WorkerCrashed(proc.w.now)
+		proc.core.Quarantine.WorkerCrashed(proc.now())
 		known = true
 	}
 	proc.suspectsChanged()
@@ -209,7 +209,7 @@
 // quarantineRun describes the job's run to the quarantine.
 func (j *job) quarantineRun() quarantine.Run {
 	return quarantine.Run{
-		Content: j.submission().fingerprint(), Started: j.started,
+		Content: j.submission().fingerprint(), Started: j.proc.node.clock.read(j.started),
 		AlreadySuspect: j.attempt.Crashes > 0 || j.decision.Crashes > 0, Trial: j.decision.Trial,
 	}
 }
@@ -217,7 +217,7 @@
 // runCompleted reports a complete response to the quarantine.
 func (j *job) runCompleted() {
 	j.proc.core.Quarantine.Responding(j.submission().fingerprint())
-	j.proc.core.Quarantine.RunCompleted(j.proc.w.now, j.submission().fingerprint())
+	j.proc.core.Quarantine.RunCompleted(j.proc.now(), j.submission().fingerprint())
 	j.proc.suspectsChanged()
 }
 
@@ -235,13 +235,13 @@
 	replied := false
 	p.after(suspectUpdateTimeout, func() {
 		if !replied {
-			p.core.Quarantine.SendFailed(p.w.now, action)
+			p.core.Quarantine.SendFailed(p.now(), action)
 			p.suspectsChanged()
 		}
 	})
 	p.exchangeSuspects(action.To.PeerAddress, action.Update, func(reply wire.SuspectUpdate) {
 		replied = true
-		more, differ := p.core.Quarantine.HandleReply(p.w.now, reply)
+		more, differ := p.core.Quarantine.HandleReply(p.now(), reply)
 		p.suspectsChanged()
 		if differ {
 			p.exchangeSuspects(action.To.PeerAddress, more, func(wire.SuspectUpdate) {})
@@ -265,7 +265,7 @@
 			return
 		}
 		peer.whenRunning(func() {
-			reply := peer.core.Quarantine.HandleUpdate(w.now, reencode(update))
+			reply := peer.core.Quarantine.HandleUpdate(peer.now(), reencode(update))
 			peer.suspectsChanged()
 			if w.net.isCut(p.node, target) || w.chance(w.net.broken) {
 				return
--- a/internal/proof/exchange.go
+++ b/internal/proof/exchange.go
@@ -72,8 +72,8 @@
 	x := &exchange{proc: p, submission: s}
 	s.exchange = x
 	p.exchanges = append(p.exchanges, x)
-	x.call = p.core.Engine.Begin(p.w.now, req)
-	p.after(x.call.Deadline().Sub(p.w.now), x.expire)
+	x.call = p.core.Engine.Begin(p.now(), req)
+	p.after(x.call.Deadline().Sub(p.now()), x.expire)
 	x.drive()
 }
 
@@ -98,14 +98,14 @@
 	}
 	x.turn++
 	turn := x.turn
-	step := x.call.Next(x.proc.w.now)
+	step := x.call.Next(x.proc.now())
 	switch step.Kind {
 	case entry.StepSend:
 		x.send(step)
 	case entry.StepResolve:
 		x.resolve(step)
 	case entry.StepWait:
-		x.proc.after(step.Until.Sub(x.proc.w.now), func() {
+		x.proc.after(step.Until.Sub(x.proc.now()), func() {
 			if x.turn == turn {
 				x.drive()
 			}
@@ -143,7 +143,7 @@
 	x.turn++
 	x.current, x.local = nil, nil
 	x.lastRefusal = r.refusal.Reason
-	now := x.proc.w.now
+	now := x.proc.now()
 	if r.hasReport {
 		x.proc.core.Table.Observe(now, r.report)
 		x.proc.observeVersion(r.report.Owner, r.report.Bundle)
@@ -164,16 +164,16 @@
 
 func (x *exchange) interrupted() {
 	if x.proc.w.options.brokenMeansNotRun {
-		x.call.Refused(x.proc.w.now, model.Refusal{Reason: model.ReasonWorkerUnreachable, NotRun: true})
+		x.call.Refused(x.proc.now(), model.Refusal{Reason: model.ReasonWorkerUnreachable, NotRun: true})
 		return
 	}
-	x.call.Interrupted(x.proc.w.now, false)
+	x.call.Interrupted(x.proc.now(), false)
 	x.noteCancelled()
 }
 
 func (x *exchange) noteCancelled() {
 	if x.cancelled {
-		x.call.CallerCancelled(x.proc.w.now)
+		x.call.CallerCancelled(x.proc.now())
 	}
 }
 
@@ -202,7 +202,7 @@
 		x.attemptEnded(x.turn, result{interrupted: true})
 		return
 	}
-	x.call.ResolveFailed(x.proc.w.now)
+	x.call.ResolveFailed(x.proc.now())
 	x.noteCancelled()
 	x.drive()
 }
@@ -211,7 +211,7 @@
 func (x *exchange) resolve(step entry.Step) {
 	proc, turn := x.proc, x.turn
 	proc.w.ledger.count("settlements")
-	remaining := x.call.Deadline().Sub(proc.w.now)
+	remaining := x.call.Deadline().Sub(proc.now())
 	q := wire.Resolve{
 		Attempt:          step.Attempt.ID,
 		OwnerIncarnation: step.Attempt.OwnerIncarnation,
@@ -224,13 +224,13 @@
 		return
 	}
 	if step.To.ID == proc.node.id {
-		reply, ds := proc.core.Owner.Resolve(proc.w.now, q)
+		reply, ds := proc.core.Owner.Resolve(proc.now(), q)
 		proc.deliver(ds)
 		x.resolved(turn, reply)
 		return
 	}
 	proc.pendingResolves[q.Attempt] = &pendingResolve{onReply: func(r wire.ResolveReply) { x.resolved(turn, r) }}
-	timeout := min(resolveTimeout, step.Until.Sub(proc.w.now), remaining)
+	timeout := min(resolveTimeout, step.Until.Sub(proc.now()), remaining)
 	proc.after(timeout, func() { x.resolveFailed(turn) })
 	proc.links.sendTo(step.To, q, func(ok bool) {
 		if !ok {
@@ -243,10 +243,10 @@
 	if x.done || turn != x.turn {
 		return
 	}
-	x.proc.core.Table.Observe(x.proc.w.now, r.Report)
+	x.proc.core.Table.Observe(x.proc.now(), r.Report)
 	x.proc.w.trace.add(x.proc.w, "settled", r.Attempt, r.State)
 	x.proc.w.ledger.count("settled " + r.State.String())
-	x.call.Resolved(x.proc.w.now, r)
+	x.call.Resolved(x.proc.now(), r)
 	x.drive()
 }
 
@@ -254,7 +254,7 @@
 	if x.done || turn != x.turn {
 		return
 	}
-	x.call.ResolveFailed(x.proc.w.now)
+	x.call.ResolveFailed(x.proc.now())
 	x.noteCancelled()
 	x.drive()
 }
@@ -269,7 +269,7 @@
 	}
 	proc := x.proc
 	if step.To.ID == proc.node.id {
-		proc.core.Owner.FinishDelegated(proc.w.now, *step.Notify)
+		proc.core.Owner.FinishDelegated(proc.now(), *step.Notify)
 		x.reply(step)
 		return
 	}
--- a/internal/proof/executor.go
+++ b/internal/proof/executor.go
@@ -81,7 +81,7 @@
 		attempt.CallerKey = false
 	}
 	decision := j.evaluate()
-	kind, refusal := p.core.Owner.OfferSuspect(p.w.now, &attempt, j.sameNode, owner.Restrictions{
+	kind, refusal := p.core.Owner.OfferSuspect(p.now(), &attempt, j.sameNode, owner.Restrictions{
 		Crashes: int(attempt.Crashes), Exclusive: decision.Exclusive(), Refusal: decision.Refusal(),
 		OnlyOwner: decision.OnlyOwner, RetryAfter: decision.RetryAfter, Content: j.unprovenContent(),
 	})
@@ -124,7 +124,7 @@
 		}
 	}
 	j.started = proc.w.now
-	if !j.forced && !proc.core.Owner.Confirm(proc.w.now, j.attempt.ID) {
+	if !j.forced && !proc.core.Owner.Confirm(proc.now(), j.attempt.ID) {
 		j.finish(owner.Completion{NotRun: true})
 		j.refuse(model.Refusal{Reason: model.ReasonExpired, NotRun: true})
 		return
@@ -162,7 +162,7 @@
 	}
 	j.proc.observeTraffic(false)
 	if resp.kind != responseCrossed {
-		j.proc.observeRateLimit(j.started, resp.rateLimit)
+		j.proc.observeRateLimit(j.proc.node.clock.read(j.started), resp.rateLimit)
 	}
 	if resp.leaving && resp.kind != responseCrossed {
 		j.proc.observeLeaving()
@@ -210,7 +210,7 @@
 	})
 	reason := model.ReasonWorkerBroken
 	if !notRun && (j.cancelled || j.expired) {
-		j.proc.core.Quarantine.RunAbandoned(j.proc.w.now, j.quarantineRun())
+		j.proc.core.Quarantine.RunAbandoned(j.proc.now(), j.quarantineRun())
 	}
 	switch {
 	case notRun:
@@ -232,7 +232,7 @@
 	j.cancelled, j.expired = !expired, expired
 	switch j.state {
 	case jobQueued:
-		notRun, ds := j.proc.core.Owner.Cancel(j.proc.w.now, j.attempt.ID)
+		notRun, ds := j.proc.core.Owner.Cancel(j.proc.now(), j.attempt.ID)
 		if notRun {
 			delete(j.proc.queued, j.attempt.ID)
 		}
@@ -247,7 +247,7 @@
 
 // finish reports the job's end to the owner, which may start queued jobs.
 func (j *job) finish(f owner.Completion) {
-	ds := j.proc.core.Owner.Finish(j.proc.w.now, j.attempt.ID, f)
+	ds := j.proc.core.Owner.Finish(j.proc.now(), j.attempt.ID, f)
 	j.state = jobDone
 	j.proc.deliver(ds)
 }
@@ -273,4 +273,4 @@
 	j.state = jobDone
 }
 
-func (p *process) report() model.LoadReport { return p.core.Owner.Report(p.w.now) }
+func (p *process) report() model.LoadReport { return p.core.Owner.Report(p.now()) }
--- a/internal/proof/ledger.go
+++ b/internal/proof/ledger.go
@@ -203,7 +203,7 @@
 // are leaving neither in its view of the fleet nor by their owners' reports.
 func candidates(proc *process, service model.ServiceName) string {
 	var ids []string
-	for _, e := range proc.core.Table.Explain(proc.w.now, &route.Query{Service: service}) {
+	for _, e := range proc.core.Table.Explain(proc.now(), &route.Query{Service: service}) {
 		if !e.Leaving {
 			ids = append(ids, string(e.Instance.ID))
 		}
--- a/internal/proof/options.go
+++ b/internal/proof/options.go
@@ -45,6 +45,8 @@
 	rateLimits, ignoreRateLimits bool
 	// ignoreAnnouncements keeps owners from hearing that their workers say they leave.
 	ignoreAnnouncements bool
+	// clocks gives each machine a clock of its own.
+	clocks bool
 	// trace, when not nil, receives one line for each event of the run.
 	trace io.Writer
 }
--- a/internal/proof/oracle.go
+++ b/internal/proof/oracle.go
@@ -140,7 +140,7 @@
 	if x == nil || x.proc.resumedAt.After(s.submittedAt) {
 		return
 	}
-	if late := g.w.now.Sub(x.call.Deadline()); late > notifyTimeout {
+	if late := x.proc.now().Sub(x.call.Deadline()); late > notifyTimeout {
 		g.violate(promiseRecovery, "submission %d got its outcome %v after its deadline", s.number, late)
 	}
 }
--- a/internal/proof/polling.go
+++ b/internal/proof/polling.go
@@ -29,7 +29,7 @@
 		perSecond *= 10
 	}
 	next := func() { p.after(pollPause(perSecond), p.pollNext) }
-	if !p.w.options.ignoreBudget && !p.core.OwnerLimiter.AllowPoll(p.w.now) {
+	if !p.w.options.ignoreBudget && !p.core.OwnerLimiter.AllowPoll(p.now()) {
 		next()
 		return
 	}
@@ -49,13 +49,13 @@
 	if wk.refusesConnections() {
 		p.observePoll(health.Poll{Refused: true})
 		if !p.core.Owner.Draining() && !p.w.options.ignoreCrashes {
-			p.core.Quarantine.WorkerCrashed(p.w.now)
+			p.core.Quarantine.WorkerCrashed(p.now())
 			p.suspectsChanged()
 		}
 		done()
 		return
 	}
-	replied, askedAt := false, p.w.now
+	replied, askedAt := false, p.now()
 	p.w.after(workerDelay, func() {
 		p.w.ledger.recordMeasurement(p.node)
 		wk.whenRunning(func() {
@@ -67,7 +67,7 @@
 			p.after(workerDelay, func() {
 				if !replied {
 					replied = true
-					ds, _ := p.core.Owner.ObserveWarming(p.w.now, askedAt, warming)
+					ds, _ := p.core.Owner.ObserveWarming(p.now(), askedAt, warming)
 					p.deliver(ds)
 					p.observePolledRateLimit(askedAt, limit)
 					p.observePoll(wk.reported)
@@ -87,13 +87,13 @@
 
 func (p *process) observePoll(poll health.Poll) {
 	before := p.healthTracker.State()
-	p.stateChanged(before, p.healthTracker.ObservePoll(p.w.now, poll))
+	p.stateChanged(before, p.healthTracker.ObservePoll(p.now(), poll))
 }
 
 // observeTraffic reports the result of a request to the health tracker.
 func (p *process) observeTraffic(refused bool) {
 	before := p.healthTracker.State()
-	p.stateChanged(before, p.healthTracker.ObserveTraffic(p.w.now, refused))
+	p.stateChanged(before, p.healthTracker.ObserveTraffic(p.now(), refused))
 }
 
 func (p *process) stateChanged(before, after model.UpstreamState) {
--- a/internal/proof/process.go
+++ b/internal/proof/process.go
@@ -29,6 +29,7 @@
 	dataCentre model.DataCentre
 	address    string
 	worker     *worker
+	clock      clock
 	// process is the running process; nil when there is none.
 	process *process
 	starts  int
@@ -42,6 +43,7 @@
 		service:    spec.service,
 		dataCentre: spec.dataCentre,
 		address:    fmt.Sprintf("10.0.0.%d:7400", index+1),
+		clock:      w.newClock(),
 	}
 	n.worker = newWorker(n)
 	return n
@@ -95,7 +97,7 @@
 	w := n.w
 	n.starts++
 	proc := &process{
-		w: w, node: n, alive: true, lastEvent: w.now,
+		w: w, node: n, alive: true, lastEvent: n.clock.read(w.now),
 		queued:            map[model.AttemptID]*job{},
 		pendingResolves:   map[model.AttemptID]*pendingResolve{},
 		forwardedVersions: map[model.BundleVersion]bool{},
@@ -108,7 +110,7 @@
 	proc.links = newLinks(proc)
 	proc.core = core.New(core.Config{
 		Self: proc.self, Trusted: trusted, Seeds: w.seedAddresses(), LocalDelay: nearDelay, RemoteDelay: farDelay,
-		Started: w.now, Seed: w.rng.Uint64(), Random: w.rng.Uint64, WorkersNameRateLimits: w.options.rateLimits,
+		Started: proc.now(), Seed: w.rng.Uint64(), Random: w.rng.Uint64, WorkersNameRateLimits: w.options.rateLimits,
 	})
 	n.process = proc
 	w.platform.put(n, model.StateLive)
@@ -133,9 +135,9 @@
 	}
 }
 
-// after runs f when d has passed, like a timer of the process.
+// after runs f when d has passed on the process's clock, like a timer.
 func (p *process) after(d time.Duration, f func()) {
-	p.w.after(d, func() { p.whenRunning(f) })
+	p.w.after(p.node.clock.worldTime(d), func() { p.whenRunning(f) })
 }
 
 // postEvent passes ev to the loop: now, or after the pause.
@@ -152,7 +154,7 @@
 // handle stands for one iteration of the node's loop. It reports a pause before it
 // handles what arrived during that pause.
 func (p *process) handle(ev control.Event) {
-	now := p.w.now
+	now := p.now()
 	if gap := now.Sub(p.lastEvent); gap > control.TickInterval+control.PauseThreshold {
 		p.apply(p.core.Handle(now, control.Paused{For: gap}))
 	}
@@ -191,7 +193,7 @@
 	}
 	p.w.after(ownerTickInterval, p.ownerTick)
 	if !p.paused {
-		p.deliver(p.core.Owner.Tick(p.w.now))
+		p.deliver(p.core.Owner.Tick(p.now()))
 	}
 }
 
@@ -218,7 +220,7 @@
 		p.pendingTick = false
 		loop = slices.Insert(loop, p.w.rng.IntN(len(loop)+1), control.Event(control.Tick{}))
 	}
-	data = append(data, func() { p.deliver(p.core.Owner.Tick(p.w.now)) })
+	data = append(data, func() { p.deliver(p.core.Owner.Tick(p.now())) })
 	p.w.rng.Shuffle(len(data), func(i, j int) { data[i], data[j] = data[j], data[i] })
 	for len(loop)+len(data) > 0 {
 		if p.w.rng.IntN(len(loop)+len(data)) < len(loop) {
--- a/internal/proof/ratelimit.go
+++ b/internal/proof/ratelimit.go
@@ -78,7 +78,7 @@
 	if l.Kind == dialect.RateLimitNamed {
 		p.node.worker.limitHeard = true
 	}
-	ds, _ := observe(p.w.now, sent, l)
+	ds, _ := observe(p.now(), sent, l)
 	p.deliver(ds)
 }
 
--- a/internal/proof/run.go
+++ b/internal/proof/run.go
@@ -27,6 +27,8 @@
 	RateLimits bool
 	// Announcements lets workers say only in their responses that they are leaving.
 	Announcements bool
+	// Clocks gives each machine a clock with an origin and a rate of its own.
+	Clocks bool
 	// Trace receives one line for each event of the run; nil disables it.
 	Trace io.Writer
 }
@@ -46,7 +48,7 @@
 // Run plays a plan, then ends all faults and checks that service recovers.
 func Run(p Plan) Report {
 	c := seededChooser{rand.New(rand.NewPCG(p.Seed, 1))}
-	w := newWorld(p.Seed, options{trace: p.Trace, warming: p.Warming, rateLimits: p.RateLimits})
+	w := newWorld(p.Seed, options{trace: p.Trace, warming: p.Warming, rateLimits: p.RateLimits, clocks: p.Clocks})
 	steps := slices.Clone(actions)
 	if p.Deadly {
 		steps = append(steps, deadlyAction)
--- a/internal/proof/run_test.go
+++ b/internal/proof/run_test.go
@@ -61,3 +61,8 @@
 func TestAnnouncedLeavingHoldsUnderFaults(t *testing.T) {
 	checkPlans(t, Plan{Announcements: true}, "announced leavings", 20)
 }
+
+// A proof of "not run" that compares times of two machines must not need a common clock.
+func TestPromisesHoldWithSeparateClocks(t *testing.T) {
+	checkPlans(t, Plan{Clocks: true}, "settlements", 100)
+}
--- a/internal/proof/stop.go
+++ b/internal/proof/stop.go
@@ -25,7 +25,7 @@
 	p.stop = &plannedStop{startedAt: p.w.now}
 	p.w.platform.put(p.node, model.StateLeaving)
 	p.w.ledger.recordLeaving(p)
-	p.postEvent(control.SelfStateChanged{State: model.StateLeaving, HandoverUntil: p.w.now.Add(stopTimeout / 2)})
+	p.postEvent(control.SelfStateChanged{State: model.StateLeaving, HandoverUntil: p.now().Add(stopTimeout / 2)})
 	p.awaitLeaving()
 }
 
