--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -56,13 +56,18 @@
 // limitError returns errBodyTooLarge for the error of a body that is longer than its limit,
 // and otherwise err.
 func limitError(err error) error {
-	var tooLong *http.MaxBytesError
-	if errors.As(err, &tooLong) {
+	if exceedsLimit(err) {
 		return errBodyTooLarge
 	}
 	return err
 }
 
+// exceedsLimit reports whether err is that of http.MaxBytesReader for a body over its limit.
+func exceedsLimit(err error) bool {
+	var tooLong *http.MaxBytesError
+	return errors.As(err, &tooLong)
+}
+
 // open returns the body for one attempt.
 func (b *requestBody) open() io.ReadCloser {
 	if b.stream != nil {
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -202,11 +202,10 @@
 
 // bodyEndOf returns how a body ended whose read returned err.
 func bodyEndOf(err error) bodyEnd {
-	var tooLong *http.MaxBytesError
 	switch {
 	case err == io.EOF:
 		return bodyComplete
-	case errors.As(err, &tooLong):
+	case exceedsLimit(err):
 		return bodyTooLong
 	}
 	return bodyBroken
--- a/internal/server/executorsend.go
+++ b/internal/server/executorsend.go
@@ -37,8 +37,9 @@
 }
 
 // isValid reports whether a response belongs to the attempt and can be passed on. It is false
-// if its completeness cannot be checked or its length is over the limit, and for protocol switches: no request asked for one
-// (RFC 9110, section 15.2.2), and its body would end only with the connection.
+// if its completeness cannot be checked or its length is over the limit, and for protocol
+// switches: no request asked for one (RFC 9110, section 15.2.2), and its body would end only
+// with the connection.
 func (x *Executor) isValid(m *AttemptMessage, resp *http.Response, head dialect.ResponseHead) bool {
 	if head.Echo == dialect.EchoMismatch || head.Echo == dialect.EchoAbsent && x.requireEcho.Load() {
 		return false
