--- a/review/second/main.go
+++ b/review/second/main.go
@@ -36,6 +36,7 @@
 // cases maps names to cases. A case returns whether the rule was broken.
 var cases = map[string]func(ctx context.Context, f *fleet, rec *record, trouble bool) (broken bool, err error){
 	"early": playEarly,
+	"slash": playSlash,
 }
 
 func main() { os.Exit(run()) }
