--- a/review/second/fleet.go
+++ b/review/second/fleet.go
@@ -56,36 +56,50 @@
 	f := &fleet{root: root, dir: dir}
 	pid := os.Getpid()
 	f.prefix = fmt.Sprintf("127.%d.%d", 20+pid%200, 1+(pid/200)%250)
-	f.store, err = newStore(f.prefix + ".1:0")
+	port, err := freePort(f.prefix+".1", firstPort)
+	if err != nil {
+		return nil, err
+	}
+	f.store, err = newStore(fmt.Sprintf("%s.1:%d", f.prefix, port))
 	return f, err
 }
 
-// freePort returns a port of ip that is free now.
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
+// Ports of a machine are sought from firstPort on, below those that the system gives to
+// outgoing connections: one of these could take a port before its process listens there.
+const (
+	firstPort = 8600
+	lastPort  = 8999
+)
+
+// freePort returns the first port of ip from port on that is free now.
+func freePort(ip string, port int) (int, error) {
+	for ; port <= lastPort; port++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err == nil {
+			l.Close()
+			return port, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, fmt.Errorf("%s has no free port", ip)
 }
 
 // add starts a worker of a service and writes the settings of its node.
 func (f *fleet) add(name, zone, service string, cfg workerConfig) (*machine, error) {
 	m := &machine{fleet: f, name: name, zone: zone, service: service, ip: fmt.Sprintf("%s.%d", f.prefix, 10+len(f.nodes))}
 	ports := make([]int, 3)
+	next := firstPort
 	for i := range ports {
-		port, err := freePort(m.ip)
+		port, err := freePort(m.ip, next)
 		if err != nil {
 			return nil, err
 		}
-		ports[i] = port
+		ports[i], next = port, port+1
 	}
 	m.outbound = fmt.Sprintf("%s:%d", m.ip, ports[0])
 	m.ready = fmt.Sprintf("%s:%d", m.ip, ports[1])
 	m.peer = fmt.Sprintf("%s:%d", m.ip, peerPort)
 	cfg.service, cfg.zone, cfg.store = service, zone, f.store
-	w, err := newWorker("i-"+name, m.ip+":0", cfg)
+	w, err := newWorker("i-"+name, fmt.Sprintf("%s:%d", m.ip, ports[2]), cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -191,6 +205,8 @@
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("node %s did not become ready", m.name)
+		case err := <-m.exited:
+			return fmt.Errorf("node %s ended at its start: %v", m.name, err)
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
