upstream: a response that was reset during an upload is not complete

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; the caller got that part as a complete, signed 200.

Cause: the kernel reports a reset to one call only. The goroutine that writes the upload and the one that reads the response both wait on the socket. If the write gets ECONNRESET, the read returns the end of the stream, and for a body that ends with its connection that is the proper end.

Why it holds whatever the order: when a read returns the end of the stream, the connection is asked for its state. If it is CLOSE_WAIT, the other side has ended its stream in order, and all before it has arrived. If it is CLOSE, a write that is under way returns at once; it is awaited, and if one failed with anything but EPIPE, the read returns that error. EPIPE is what Linux reports for a reset after the end of the stream, where the body is whole.

TestEarlyResponseIsComplete keeps the forms.

The other readers, by reading: the store's client, links between nodes (attempts, messages) and the soak's clients use the same connections, so they are mended too; attempts between nodes are refused without a length or chunks in any case, so that the next hop learns of the break by the missing end of the chunks. Health polls, gypsumctl and the client of the product's platform send requests without a body, which are written whole before a response; a reset then reaches the read. WebSocket links have lengths of their own. Left unchanged.

--- a/internal/upstream/countingconn.go
+++ b/internal/upstream/countingconn.go
@@ -12,7 +12,8 @@
 var errFenced = errors.New("connection is fenced: its request was proved not run")
 
 // countingConn counts the bytes sent, to prove after an error that no byte of the request
-// was sent. Fencing it makes later writes fail, so that the proof stays true.
+// was sent. Fencing it makes later writes fail, so that the proof stays true. Its Read returns
+// io.EOF only if the other side has ended its stream.
 type countingConn struct {
 	net.Conn
 
@@ -27,6 +28,10 @@
 	// retired: the connection takes no further request.
 	retired bool
 
+	// writeErr is the error of the first write that failed at the connection.
+	writeErr error
+	// writeTurn is held during a write.
+	writeTurn sync.Mutex
 	// turn is held by the request that uses the connection, until the head of its response
 	// has been judged: net/http gives the connection of a response without a body to the
 	// next request before it returns that response.
@@ -38,8 +43,10 @@
 	if !c.beginWrite() {
 		return 0, errFenced
 	}
+	c.writeTurn.Lock()
+	defer c.writeTurn.Unlock()
 	n, err := c.Conn.Write(p)
-	c.endWrite(n)
+	c.endWrite(n, err)
 	return n, err
 }
 
@@ -56,11 +63,14 @@
 	return true
 }
 
-func (c *countingConn) endWrite(n int) {
+func (c *countingConn) endWrite(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing = false
 	c.written += int64(n)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
 }
 
 // startRequest records that a request starts on this connection, and the deadline for its
