server: a response that broke is not complete for a client of HTTP/1.0

What callers saw: a client of HTTP/1.0 whose response broke, at the worker or between the nodes, got the part that had arrived as a complete, signed 200.

Cause: net/http sends such a client a body of unknown length without chunks, and the end of the connection completes it. A handler that aborts closes the connection, which looks the same.

Why it works: such a connection is reset, so that the client's read fails. Nothing changes for HTTP/1.1, where the last chunk is missing. The limit on connections hid the TCP connection from the handler; a listener around it gives access to it by NetConn, as crypto/tls does.

The other hops, by reading: nodes speak HTTP/1.1 to each other, always with a length or chunks; gypsumctl asks the operators' port by HTTP/1.1 and ends with an error on JSON cut short.

--- a/internal/node/callerconns.go
+++ b/internal/node/callerconns.go
@@ -107,6 +107,9 @@
 // request that was sent in time may still be on its way between two regions (70 ms).
 const readGrace = 100 * time.Millisecond
 
+// NetConn returns the wrapped connection.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // start starts a timeout, or none.
 func (c *callerConn) start(k timeoutKind) {
 	c.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/net/netutil"
 
 	"gypsumstand/internal/control"
 	"gypsumstand/internal/core"
@@ -133,7 +132,7 @@
 			errs = append(errs, fmt.Errorf("%s port: %w", name, err))
 			return nil
 		}
-		return netutil.LimitListener(retryingListener{l}, connections)
+		return newLimitedListener(retryingListener{l}, connections)
 	}
 	n.ports.caller = open("caller", n.cfg.CallerAddress, maxCallerConnections)
 	n.ports.peer = open("peer", n.cfg.PeerAddress, maxPeerConnections)
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -99,7 +99,7 @@
 	if err := x.writeResponse(c.buffered, end); err != nil {
 		c.call.Interrupted(time.Now(), true)
 		outcome = model.OutcomeUnknown
-		panic(http.ErrAbortHandler)
+		abortResponse(x.w, x.r)
 	}
 }
 
