server: a response with a malformed head is not passed on

What callers saw: a worker answered with a blank in, or at the end of, a field's name. The caller got a signed 200 with that line passed on; with "Content-Length :" or "Transfer-Encoding :" it got another body than the worker's, such as the framing of the chunks.

Cause: net/http keeps a field name with a blank as a name that it does not know, and frames the body without it. Other invalid bytes in names and values it rejects itself.

Now all are 502, unsigned. A rejection with such a line is no proof of "not run" either.

Why it works: upstream.CheckHead looks at the names where a response is accepted. RFC 9112 (section 5.1) lets a proxy remove the blank, but the body has been framed without the field by then. Event 527 now has the error that tells why a response is invalid.

Interim responses are not passed on either.

--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -41,8 +41,8 @@
 		"The worker responded with a server error to a request for which one of its own calls had been refused for load or had got no response: the request's id, the attempt, its class and the status. The failure is not counted against this worker. Only with inherit_priority or by_outcome.",
 		"Find the calls by their field parent in event 410 of this node, and look at the load of the service that they need.")
 	ResponseInvalid = define(527, zerolog.WarnLevel, "response not valid for its attempt",
-		"The worker's response to an attempt cannot be passed on: it names another request (echo mismatch) or none (absent), a successful one lacks the worker's signature, its completeness cannot be checked, or its body is longer than response_limit_bytes (length: -1 if not named). The connection was closed; the attempt may have run.",
-		"Check the worker: it may send responses more than once, or late, or without end.")
+		"The worker's response to an attempt cannot be passed on: it names another request (echo mismatch) or none (absent), a successful one lacks the worker's signature, its head is malformed, its completeness cannot be checked, or its body is longer than response_limit_bytes (length: -1 if not named); the error says which. The connection was closed; the attempt may have run.",
+		"Check the worker: it may send responses more than once, late, without end or with a malformed head.")
 	UnprovenRefusal = define(528, zerolog.WarnLevel, "refusal of a worker not proved",
 		"A worker responded to an attempt with a status that callers take for \"not run\", and did not state that it had not run the request: the request's id, the attempt, the upstream and the status. The attempt may have run, so the response is not passed on: an idempotent request is retried within the budgets, and otherwise the caller is told unknown, with the reason unproven-refusal.",
 		"Correct the worker: it must either state that it has not run the request, or respond with another status.")
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"gypsumstand/internal/upstream"
 )
 
 // ErrTooLarge is returned if a response is larger than its limit.
@@ -25,7 +27,7 @@
 
 // Get sends a GET request for url and returns the response, whose body has at most limit
 // bytes. For any status other than 200 it returns the error that statusError gives for the
-// status and the header.
+// status and the header, and for a malformed header that of upstream.CheckHead.
 func Get(ctx context.Context, client *http.Client, url string, limit int64, statusError func(status int, h http.Header) error) (Response, error) {
 	return get(ctx, client, url, limit, statusError, nil)
 }
@@ -49,6 +51,9 @@
 		return Response{}, err
 	}
 	defer resp.Body.Close()
+	if err := upstream.CheckHead(resp); err != nil {
+		return Response{}, err
+	}
 	if resp.StatusCode != http.StatusOK {
 		// An error is ignored: the transport does not reuse a connection that fails.
 		_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+
+	"gypsumstand/internal/upstream"
 )
 
 var errRefused = errors.New("refused")
@@ -55,3 +57,25 @@
 		}
 	}
 }
+
+// A field whose name holds a blank is another than the sender meant, and so may be the body.
+func TestMalformedHeadIsAnError(t *testing.T) {
+	for _, status := range []string{"200 OK", "410 Gone"} {
+		for _, line := range []string{"X Bad: v", "X-Bad : v", "Content-Length : 2"} {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s\r\n\r\n{}", status, line)
+			}))
+			_, err := Get(t.Context(), s.Client(), s.URL, 100, statusError)
+			s.Close()
+			if !errors.Is(err, upstream.ErrInvalidFieldName) {
+				t.Errorf("%q with %s: error %v", line, status, err)
+			}
+		}
+	}
+}
--- a/internal/server/executorlog.go
+++ b/internal/server/executorlog.go
@@ -46,9 +46,10 @@
 
 // logInvalidResponse logs a response that does not belong to its attempt or cannot be passed
 // on.
-func (x *Executor) logInvalidResponse(m *AttemptMessage, w workerResponse) {
+func (x *Executor) logInvalidResponse(m *AttemptMessage, w workerResponse, cause error) {
 	event.Log(x.requestLog, event.ResponseInvalid).
 		Str("request", string(m.Attempt.Request)).Str("attempt", m.Attempt.ID.String()).
 		Str("class", string(m.Attempt.Class)).Str("echo", w.head.Echo.String()).
-		Int("status", int64(w.StatusCode)).Int("length", w.ContentLength).Str("worker", string(x.worker())).Send()
+		Int("status", int64(w.StatusCode)).Int("length", w.ContentLength).Str("worker", string(x.worker())).
+		Err(cause).Send()
 }
--- a/internal/server/executorrun.go
+++ b/internal/server/executorrun.go
@@ -35,7 +35,7 @@
 	x.connectionObserved(false)
 	head := resp.head
 	x.Deliver(x.owner.ObserveLoad(time.Now(), head.Load))
-	if !resp.valid {
+	if resp.invalid != nil {
 		resp.Body.Close()
 		cancel()
 		x.responseInvalid(m, resp)
@@ -94,7 +94,7 @@
 			x.finish(id, c)
 			x.completed(fp)
 		case end == bodyTooLong:
-			x.logInvalidResponse(fp.message, resp)
+			x.logInvalidResponse(fp.message, resp, errBodyOverLimit)
 			x.finish(id, c)
 		case c.Abandoned || c.Expired:
 			x.finish(id, c)
--- a/internal/server/executorsend.go
+++ b/internal/server/executorsend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -14,8 +15,8 @@
 type workerResponse struct {
 	*http.Response
 	head dialect.ResponseHead
-	// valid is false if the response belongs to another request or cannot be passed on.
-	valid bool
+	// invalid is why the response cannot be passed on, nil if it can.
+	invalid error
 }
 
 // send sends the attempt to the worker and reads the head of the response.
@@ -26,31 +27,41 @@
 	newRequest := func() *http.Request { return x.request(ctx, m, worker) }
 	reusable := func(resp *http.Response) bool {
 		w.head = x.dialect.ReadResponse(resp, &m.Attempt)
-		w.valid = x.isValid(m, resp, w.head)
+		w.invalid = x.check(m, resp, w.head)
 		// A late copy of a refusal has the same id as the response to the request's next
 		// attempt, which may come to this worker.
-		return w.valid && !w.head.NotRun
+		return w.invalid == nil && !w.head.NotRun
 	}
 	var err error
 	w.Response, err = trace.Send(x.transportFor(&m.Attempt), newRequest, reusable)
 	return w, err
 }
 
-// isValid reports whether a response belongs to the attempt and can be passed on. It is false
-// if its completeness cannot be checked or its length is over the limit, and for protocol
-// switches: no request asked for one (RFC 9110, section 15.2.2), and its body would end only
-// with the connection.
-func (x *Executor) isValid(m *AttemptMessage, resp *http.Response, head dialect.ResponseHead) bool {
+// Errors of a response that cannot be passed on.
+var (
+	errOtherRequest   = errors.New("response names another request or none")
+	errProtocolSwitch = errors.New("response switches the protocol")
+	errBodyOverLimit  = errors.New("response body exceeds the limit")
+)
+
+// check returns an error unless a response belongs to the attempt and can be passed on: its head
+// is well formed, its completeness can be checked and its length is within the limit. A protocol
+// switch is an error: no request asked for one (RFC 9110, section 15.2.2), and its body would end
+// only with the connection.
+func (x *Executor) check(m *AttemptMessage, resp *http.Response, head dialect.ResponseHead) error {
 	if head.Echo == dialect.EchoMismatch || head.Echo == dialect.EchoAbsent && x.requireEcho.Load() {
-		return false
+		return errOtherRequest
 	}
 	if resp.StatusCode < http.StatusOK {
-		return false
+		return errProtocolSwitch
 	}
 	if limit := x.responseLimit.Load(); limit > 0 && resp.ContentLength > limit && upstream.HasBody(resp, m.Method) {
-		return false
+		return errBodyOverLimit
+	}
+	if err := upstream.CheckHead(resp); err != nil || x.dialect.AcceptsCloseDelimited() {
+		return err
 	}
-	return x.dialect.AcceptsCloseDelimited() || upstream.CheckFraming(resp, m.Method) == nil
+	return upstream.CheckFraming(resp, m.Method)
 }
 
 // responseInvalid records a response that is not valid for its attempt.
@@ -59,7 +70,7 @@
 		now := time.Now()
 		x.mismatchedAt.Store(&now)
 	}
-	x.logInvalidResponse(m, w)
+	x.logInvalidResponse(m, w, w.invalid)
 }
 
 // request returns the HTTP request to the worker, with an unread body.
--- a/internal/server/forwarder.go
+++ b/internal/server/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -184,6 +185,9 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
+	if err := upstream.CheckHead(resp); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%s: %s", path, resp.Status)
 	}
@@ -234,12 +238,23 @@
 	return req
 }
 
+// checkPeerResponse returns an error unless resp is another node's response to the attempt of m.
+func checkPeerResponse(m *AttemptMessage, resp *http.Response) error {
+	if resp.Header.Get(wire.HeaderAttempt) != m.Attempt.ID.String() {
+		return errOtherAttempt
+	}
+	return upstream.CheckHead(resp)
+}
+
+// errOtherAttempt is the error of a response that names another attempt or none.
+var errOtherAttempt = errors.New("response names another attempt or none")
+
 // read evaluates the header of the owner's response.
 func (f *Forwarder) read(m *AttemptMessage, resp *http.Response, trace *upstream.RequestTrace) (Result, bool, error) {
-	if resp.Header.Get(wire.HeaderAttempt) != m.Attempt.ID.String() || upstream.CheckFraming(resp, m.Method) != nil {
+	if err := cmp.Or(checkPeerResponse(m, resp), upstream.CheckFraming(resp, m.Method)); err != nil {
 		trace.CloseConn()
 		resp.Body.Close()
-		return Result{}, false, ErrConnectionBroken
+		return Result{}, false, errors.Join(ErrConnectionBroken, err)
 	}
 	f.Unreachable.read(resp.Header)
 	var result Result
--- a/internal/server/forwardreserved.go
+++ b/internal/server/forwardreserved.go
@@ -131,7 +131,7 @@
 	if resp.StatusCode == http.StatusNotFound {
 		return reservationReply{unsupported: true}
 	}
-	if resp.Header.Get(wire.HeaderAttempt) != m.Attempt.ID.String() {
+	if checkPeerResponse(m, resp) != nil {
 		trace.CloseConn()
 		return refusedReservation(model.ReasonNotAcknowledged)
 	}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -138,24 +138,3 @@
 		h[to] = values
 	}
 }
-
-// HasBody reports whether a response to a request with the method can have a body (RFC 9110,
-// section 6.4.1).
-func HasBody(r *http.Response, method string) bool {
-	return method != http.MethodHead && r.StatusCode != http.StatusNoContent && r.StatusCode != http.StatusNotModified
-}
-
-// ErrCloseDelimited means that only the end of the connection marks the end of the
-// response, so that a truncated response looks complete.
-var ErrCloseDelimited = errors.New("response has neither a content length nor chunked encoding: truncation cannot be detected")
-
-// CheckFraming returns ErrCloseDelimited if a truncated body of r could not be detected.
-func CheckFraming(r *http.Response, method string) error {
-	if !HasBody(r, method) {
-		return nil
-	}
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
-		return ErrCloseDelimited
-	}
-	return nil
-}
