server: a response with a status over 599 is not passed on

What callers saw: a worker's answer with status 600 or 999 was passed on as it was, signed.

Cause: only the lower bound was checked. RFC 9110 (section 15) calls all outside 100 to 599 invalid, and asks a client to take them for a server error, so that a caller had to repair what 502 says better; a worker in trouble sends 999 as well as 000.

Why it works: upstream.CheckHead, by which all heads are judged, looks at the status as well.

--- a/internal/server/executorsend.go
+++ b/internal/server/executorsend.go
@@ -52,14 +52,17 @@
 	if head.Echo == dialect.EchoMismatch || head.Echo == dialect.EchoAbsent && x.requireEcho.Load() {
 		return errOtherRequest
 	}
+	if err := upstream.CheckHead(resp); err != nil {
+		return err
+	}
 	if resp.StatusCode < http.StatusOK {
 		return errProtocolSwitch
 	}
 	if limit := x.responseLimit.Load(); limit > 0 && resp.ContentLength > limit && upstream.HasBody(resp, m.Method) {
 		return errBodyOverLimit
 	}
-	if err := upstream.CheckHead(resp); err != nil || x.dialect.AcceptsCloseDelimited() {
-		return err
+	if x.dialect.AcceptsCloseDelimited() {
+		return nil
 	}
 	return upstream.CheckFraming(resp, m.Method)
 }
--- a/internal/server/malformedresponse_test.go
+++ b/internal/server/malformedresponse_test.go
@@ -60,3 +60,15 @@
 		}
 	}
 }
+
+// An owner of an earlier version passes on an invalid status.
+func TestInvalidStatusOfPeerIsNotPassedOn(t *testing.T) {
+	f := NewForwarder(nil, nil, 0)
+	for _, status := range []string{"000", "099", "600", "999"} {
+		text := "HTTP/1.1 " + status + " Odd\r\nGypsum-Attempt: n0/1/1\r\nContent-Length: 4\r\n\r\ndone"
+		r, _, err := f.Do(t.Context(), respondWith(t, text), requestMessage(1, "payout-1"))
+		if r.Response != nil || !errors.Is(err, upstream.ErrInvalidStatus) {
+			t.Errorf("status %s: %+v, error %v", status, r, err)
+		}
+	}
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -29,14 +29,27 @@
 	return nil
 }
 
-// ErrInvalidFieldName means that the head of a response is malformed: a field's name is no token
-// (RFC 9110, section 5.1).
-var ErrInvalidFieldName = errors.New("response has a field with an invalid name")
+// Errors of a response whose head is malformed in a way that net/http accepts.
+var (
+	// ErrInvalidStatus means that the status is not between 100 and 599 (RFC 9110, section 15).
+	ErrInvalidStatus = errors.New("response has an invalid status")
+	// ErrInvalidFieldName means that a field's name is no token (RFC 9110, section 5.1). net/http
+	// keeps one that holds a blank as a name that it does not know. A length may be among them, so
+	// that the body may be another than the sender's.
+	ErrInvalidFieldName = errors.New("response has a field with an invalid name")
+)
+
+// Bounds of a valid status.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
 
-// CheckHead returns ErrInvalidFieldName if the head of r is malformed in a way that net/http
-// accepts. It keeps a name that holds a blank as one that it does not know, a length before whose
-// colon there is a blank among them, so that the body may be another than the sender's.
+// CheckHead returns ErrInvalidStatus or ErrInvalidFieldName if the head of r is malformed.
 func CheckHead(r *http.Response) error {
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+		return fmt.Errorf("%w: %03d", ErrInvalidStatus, r.StatusCode)
+	}
 	for name := range r.Header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return fmt.Errorf("%w: %q", ErrInvalidFieldName, name)
