upstream: the send deadline is checked right before the system call again

The lock that a reader takes at the end of a stream stood between the check and the write. It now comes first; no behaviour was seen to differ.

--- a/internal/upstream/countingconn.go
+++ b/internal/upstream/countingconn.go
@@ -28,9 +28,9 @@
 	// retired: the connection takes no further request.
 	retired bool
 
-	// writeErr is the error of the first write that failed at the connection.
+	// writeErr is the error of the first write that the connection did not take.
 	writeErr error
-	// writeTurn is held during a write.
+	// writeTurn is held during a write. It is locked before mu.
 	writeTurn sync.Mutex
 	// turn is held by the request that uses the connection, until the head of its response
 	// has been judged: net/http gives the connection of a response without a body to the
@@ -40,11 +40,11 @@
 
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
+	c.writeTurn.Lock()
+	defer c.writeTurn.Unlock()
 	if !c.beginWrite() {
 		return 0, errFenced
 	}
-	c.writeTurn.Lock()
-	defer c.writeTurn.Unlock()
 	n, err := c.Conn.Write(p)
 	c.endWrite(n, err)
 	return n, err
