--- a/internal/server/executorsend.go
+++ b/internal/server/executorsend.go
@@ -39,7 +39,7 @@
 
 // Errors of a response that cannot be passed on.
 var (
-	errOtherRequest   = errors.New("response names another request or none")
+	errOtherRequest   = errors.New("response does not prove to be for this request")
 	errProtocolSwitch = errors.New("response switches the protocol")
 	errBodyOverLimit  = errors.New("response body exceeds the limit")
 )
--- a/internal/server/peer.go
+++ b/internal/server/peer.go
@@ -93,7 +93,7 @@
 	}
 	wire.SetTimes(w.Header(), result.Times)
 	setWriteDeadline(w, deadline)
-	writeResponse(w, result.Response)
+	writeResponse(w, r, result.Response)
 	return true
 }
 
@@ -171,15 +171,14 @@
 	w.WriteHeader(status)
 }
 
-// writeResponse streams a to w. A response that is cut off ends the connection, so that
-// it is never taken for a complete one.
-func writeResponse(w http.ResponseWriter, resp *Response) {
+// writeResponse streams resp, the response to r, to w. One that is cut off is aborted.
+func writeResponse(w http.ResponseWriter, r *http.Request, resp *Response) {
 	defer resp.Body.Close()
 	copyInto(w.Header(), resp.Header)
 	setLength(w.Header(), resp.Status, resp.ContentLength)
 	w.WriteHeader(resp.Status)
 	if err := copyFlushing(w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
+		abortResponse(w, r)
 	}
 }
 
